--- /dev/null
+++ b/src/bin/galenapick.rs
@@ -0,0 +1,3 @@
+//! The command-line tool.
+
+fn main() {}
--- /dev/null
+++ b/src/protocol/link.rs
@@ -0,0 +1,400 @@
+//! Messages on the links between the system's own processes.
+//!
+//! A link carries requests in both directions. Each request opens a stream of [`Event`]s that
+//! ends with one [`Reply`].
+
+use crate::ids::{
+    BranchId, CallId, EnvironmentId, Epoch, Incarnation, MemberId, ModelId, NodeId, Offset,
+    Partition, ProgramId,
+};
+use crate::protocol::engine::{EngineLoad, EngineOrder, EngineUsage, GenerateRequest};
+use crate::protocol::message::{Message, Usage};
+use crate::protocol::record::{ActionResult, EndReason};
+use crate::protocol::refusal::Refusal;
+use crate::protocol::service::ServiceRequest;
+use serde::{Deserialize, Serialize};
+
+/// Asks the other end of a link to do something.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub enum Request {
+    /// Entry to owner: begin a program.
+    Create(Create),
+    /// Entry to owner: run a call of a program.
+    Call(Call),
+    /// Entry to owner: read a call's answer again, from a token on.
+    Attach {
+        /// Whose program it is.
+        caller: Caller,
+        /// The program.
+        program: ProgramId,
+        /// The call.
+        call: CallId,
+        /// The first token wanted.
+        from: u32,
+    },
+    /// Entry to owner: read a program's history.
+    History {
+        /// Whose program it is.
+        caller: Caller,
+        /// The program.
+        program: ProgramId,
+    },
+    /// Entry to owner: end a program.
+    End {
+        /// Whose program it is.
+        caller: Caller,
+        /// The program.
+        program: ProgramId,
+        /// Why.
+        reason: EndReason,
+    },
+    /// Owner to sidecar: generate.
+    Generate(Generate),
+    /// Owner to sidecar: read a generation again, from a token on.
+    Resume {
+        /// The call.
+        call: CallId,
+        /// The first token wanted.
+        from: u32,
+    },
+    /// Owner to sidecar: stop a call and forget its answer.
+    Cancel {
+        /// The call.
+        call: CallId,
+    },
+    /// Owner to sidecar: call a service.
+    Invoke(Invoke),
+    /// Owner to sidecar: say what became of a dispatch, and void it if it never came.
+    Settle {
+        /// The partition whose owner asks.
+        partition: Partition,
+        /// The owner's epoch.
+        epoch: Epoch,
+        /// The call.
+        call: CallId,
+    },
+    /// Owner to sidecar: free the engine's memory of a program that is gone.
+    Release {
+        /// The program.
+        program: ProgramId,
+    },
+    /// Owner to sidecar: these programs are alive; what is not confirmed for long is released.
+    Confirm {
+        /// The programs.
+        programs: Vec<ProgramId>,
+    },
+    /// Owner to sidecar: an order to the engine.
+    Order {
+        /// The order.
+        order: EngineOrder,
+        /// The fencing number.
+        fence: Epoch,
+    },
+    /// Any to any: are you there, and what do you know.
+    Probe(Digest),
+}
+
+/// Who asks, as the receiving entry has established it.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Caller {
+    /// The environment.
+    pub environment: EnvironmentId,
+    /// The member.
+    pub member: MemberId,
+}
+
+/// Begins a program.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Create {
+    /// Whose it is.
+    pub caller: Caller,
+    /// Its id, drawn by the receiving entry.
+    pub program: ProgramId,
+    /// The caller's key: the same key gives the same program.
+    pub key: Option<String>,
+    /// All that it may spend.
+    pub budget: Usage,
+    /// When its result is of no more use, in Unix milliseconds.
+    pub deadline_ms: u64,
+}
+
+/// A call of a program.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Call {
+    /// Whose program it is.
+    pub caller: Caller,
+    /// The program.
+    pub program: ProgramId,
+    /// The branch.
+    pub branch: BranchId,
+    /// The call's id, drawn by the receiving entry.
+    pub call: CallId,
+    /// The caller's key: a retry with the same key is the same call.
+    pub key: Option<String>,
+    /// What to do.
+    pub work: Work,
+}
+
+/// What a call does.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Work {
+    /// Ask a model. The branch's history goes before the messages.
+    Model {
+        /// The model or adapter.
+        model: ModelId,
+        /// New messages.
+        messages: Vec<Message>,
+        /// Stop after so many tokens.
+        max_tokens: u32,
+    },
+    /// Call a service.
+    Tool {
+        /// The service in the environment document.
+        service: String,
+        /// What is sent.
+        operation: String,
+        /// The JSON argument.
+        body: String,
+        /// Whether it may run twice.
+        repeatable: bool,
+    },
+}
+
+/// What a sidecar needs to order a call among others.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Priority {
+    /// The environment.
+    pub environment: EnvironmentId,
+    /// Whether the environment is in production.
+    pub production: bool,
+    /// The member.
+    pub member: MemberId,
+    /// The member's share among members, 1 for an ordinary one.
+    pub share: f64,
+    /// Service that the program has had so far, in tokens.
+    pub attained_tokens: u64,
+    /// Time left until the program's deadline, in milliseconds.
+    pub slack_ms: u64,
+}
+
+/// A generation for a sidecar.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Generate {
+    /// What the engine does.
+    pub request: GenerateRequest,
+    /// Where it stands among others.
+    pub priority: Priority,
+    /// The partition whose owner asks.
+    pub partition: Partition,
+    /// The owner's epoch.
+    pub epoch: Epoch,
+    /// Prompt tokens that the owner believes to be in the engine's cache.
+    pub expected_cached_tokens: u32,
+    /// Prompt tokens that this program's endpoints have computed before.
+    pub seen_tokens: u32,
+}
+
+/// A service call for a sidecar.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Invoke {
+    /// What is sent to the service.
+    pub request: ServiceRequest,
+    /// Where it stands among others.
+    pub priority: Priority,
+    /// The partition whose owner asks.
+    pub partition: Partition,
+    /// The owner's epoch.
+    pub epoch: Epoch,
+    /// The run of the sidecar that may run it; `None` for a repeatable call.
+    pub only_incarnation: Option<Incarnation>,
+}
+
+/// Part of an answer.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Event {
+    /// The call has been accepted; this is its id (the first run's id for a retry).
+    Accepted {
+        /// The call.
+        call: CallId,
+    },
+    /// Some text.
+    Tokens(Tokens),
+}
+
+/// Some text of an answer.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Tokens {
+    /// Position of the first token in the answer.
+    pub index: u32,
+    /// How many tokens the text has.
+    pub count: u32,
+    /// The text.
+    pub text: String,
+}
+
+/// The end of an answer.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub enum Reply {
+    /// The program has begun, or had begun under the same key.
+    Created {
+        /// The program.
+        program: ProgramId,
+        /// How safe it is.
+        durability: Durability,
+    },
+    /// A call is done.
+    Answer(Answer),
+    /// A program's turns.
+    History(Vec<HistoryTurn>),
+    /// Done; nothing to say.
+    Done,
+    /// A sidecar's generation is whole.
+    Generated(Generated),
+    /// A sidecar's service call is over, or what became of it.
+    Action(ActionReply),
+    /// Tokens that the engine still holds for a released program.
+    Held {
+        /// Tokens; 0 when it is gone.
+        tokens: u64,
+    },
+    /// The answer to a probe.
+    Probed(Digest),
+    /// Not done.
+    Refused(Refusal),
+}
+
+/// How safe an answer is.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(tag = "durability", rename_all = "lowercase")]
+pub enum Durability {
+    /// In the log.
+    Committed {
+        /// Where.
+        offset: Offset,
+    },
+    /// In two memories until the log takes it; the receipt lets the caller bring it back.
+    Pending {
+        /// The signed turn, in hexadecimal.
+        receipt: String,
+    },
+}
+
+/// The answer of a call.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Answer {
+    /// The call.
+    pub call: CallId,
+    /// The model's text, or the service's body.
+    pub content: String,
+    /// The service's HTTP status; `None` for a model.
+    pub status: Option<u16>,
+    /// Token counts; zero for a service.
+    pub usage: EngineUsage,
+    /// Spent by the program so far, this call included.
+    pub spent: Usage,
+    /// How safe it is.
+    pub durability: Durability,
+}
+
+/// A turn as callers read it.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct HistoryTurn {
+    /// The branch.
+    pub branch: BranchId,
+    /// Position in the branch, from 1.
+    pub number: u32,
+    /// The call that made it.
+    pub call: CallId,
+    /// The messages.
+    pub messages: Vec<Message>,
+    /// Whether it is in the log yet.
+    pub committed: bool,
+}
+
+/// A whole generation.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Generated {
+    /// Token counts.
+    pub usage: EngineUsage,
+    /// Load at this moment.
+    pub load: SidecarLoad,
+    /// Time in the sidecar's queue, in milliseconds.
+    pub queued_ms: u64,
+    /// Time in the engine, in milliseconds.
+    pub ran_ms: u64,
+}
+
+/// What a sidecar knows of its endpoint.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub struct SidecarLoad {
+    /// Calls in the sidecar's queue.
+    pub queued: u32,
+    /// Prompt tokens in the sidecar's queue that must be computed, and tokens to generate.
+    pub queued_tokens: u64,
+    /// Calls handed to the endpoint.
+    pub running: u32,
+    /// Calls that the sidecar hands over at most.
+    pub cap: u32,
+    /// Smoothed prefill speed, tokens a second.
+    pub prefill_tokens_per_s: f64,
+    /// Smoothed time between two tokens of a stream, in milliseconds.
+    pub token_gap_ms: f64,
+    /// Whether the endpoint takes no new work.
+    pub leaving: bool,
+    /// The engine's own report.
+    pub engine: EngineLoad,
+}
+
+/// What became of a service call.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct ActionReply {
+    /// The state.
+    pub state: ActionState,
+    /// Time in the service, in milliseconds.
+    pub ran_ms: u64,
+    /// Load at this moment.
+    pub load: SidecarLoad,
+}
+
+/// State of a service call at the sidecar.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum ActionState {
+    /// Over.
+    Over(ActionResult),
+    /// Still running.
+    Running,
+}
+
+/// What nodes tell each other with every probe.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub struct Digest {
+    /// The node.
+    pub node: NodeId,
+    /// Its run.
+    pub incarnation: Incarnation,
+    /// Whether it is shutting down.
+    pub leaving: bool,
+    /// The configuration version it runs.
+    pub configuration: Offset,
+    /// Partitions it owns, with their epochs.
+    pub owned: Vec<(Partition, Epoch)>,
+    /// What it has heard of other nodes: node, run, age of the news in milliseconds, leaving.
+    pub heard: Vec<Heard>,
+    /// Load, if it is a sidecar.
+    pub load: Option<SidecarLoad>,
+}
+
+/// What a node has heard of another.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Heard {
+    /// The other node.
+    pub node: NodeId,
+    /// Its run.
+    pub incarnation: Incarnation,
+    /// How old the news is, in milliseconds.
+    pub age_ms: u64,
+    /// Whether it is shutting down.
+    pub leaving: bool,
+}
+
+mod tokens;
--- /dev/null
+++ b/src/protocol/message.rs
@@ -0,0 +1,105 @@
+//! Messages of a conversation and the amounts a program spends.
+
+use serde::{Deserialize, Serialize};
+use std::ops::{Add, AddAssign, Sub};
+
+/// Who said a message.
+#[derive(
+    Clone,
+    Copy,
+    Debug,
+    PartialEq,
+    Eq,
+    Hash,
+    Serialize,
+    Deserialize,
+    strum::Display,
+    strum::EnumString,
+)]
+#[serde(rename_all = "lowercase")]
+#[strum(serialize_all = "lowercase")]
+pub enum Role {
+    /// Instructions from the program's author.
+    System,
+    /// The person or program that asks.
+    User,
+    /// The model.
+    Assistant,
+    /// The result of a tool call.
+    Tool,
+}
+
+/// One message of a conversation.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Message {
+    /// Who said it.
+    pub role: Role,
+    /// What was said.
+    pub content: String,
+}
+
+impl Message {
+    /// Makes a message.
+    pub fn new(role: Role, content: impl Into<String>) -> Self {
+        Self {
+            role,
+            content: content.into(),
+        }
+    }
+}
+
+/// What a program has spent, or may spend.
+///
+/// ```
+/// use galenapick::Usage;
+///
+/// let spent = Usage { tokens: 10, calls: 1, time_ms: 5 } + Usage { tokens: 1, calls: 1, time_ms: 5 };
+/// assert!(spent.fits(Usage { tokens: 11, calls: 2, time_ms: 10 }));
+/// ```
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Hash, Serialize, Deserialize)]
+pub struct Usage {
+    /// Prompt and completion tokens.
+    pub tokens: u64,
+    /// Model and tool calls.
+    pub calls: u64,
+    /// Time in calls, in milliseconds.
+    pub time_ms: u64,
+}
+
+impl Usage {
+    /// Tells whether no part of this is above the same part of `limit`.
+    pub fn fits(self, limit: Usage) -> bool {
+        self.tokens <= limit.tokens && self.calls <= limit.calls && self.time_ms <= limit.time_ms
+    }
+}
+
+impl Add for Usage {
+    type Output = Usage;
+
+    fn add(self, other: Usage) -> Usage {
+        Usage {
+            tokens: self.tokens.saturating_add(other.tokens),
+            calls: self.calls.saturating_add(other.calls),
+            time_ms: self.time_ms.saturating_add(other.time_ms),
+        }
+    }
+}
+
+impl AddAssign for Usage {
+    fn add_assign(&mut self, other: Usage) {
+        *self = *self + other;
+    }
+}
+
+impl Sub for Usage {
+    type Output = Usage;
+
+    /// Subtracts part by part; a part never goes below zero.
+    fn sub(self, other: Usage) -> Usage {
+        Usage {
+            tokens: self.tokens.saturating_sub(other.tokens),
+            calls: self.calls.saturating_sub(other.calls),
+            time_ms: self.time_ms.saturating_sub(other.time_ms),
+        }
+    }
+}
--- /dev/null
+++ b/src/protocol/mod.rs
@@ -0,0 +1,11 @@
+//! Typed messages between the processes, and the interfaces to what stands around them.
+
+pub mod engine;
+pub mod link;
+pub mod log;
+pub mod message;
+pub mod record;
+pub mod refusal;
+pub mod service;
+pub mod vms;
+pub mod weights;
