Add the partition: fold, group commit, driver, dispatch table

Cause: ownership, history and at-most-once calls need one agreed order. Records gain Reserved, Superseded, Released, program images; Invoke and Settle name the intent's offset. Conclusion: the sequencer can be wired onto PartitionHandle.

--- /dev/null
+++ b/src/coordination/ownership.rs
@@ -0,0 +1,119 @@
+//! When a node claims a partition.
+
+use crate::ids::{Epoch, Incarnation, NodeId};
+use crate::protocol::record::{Claim, RESET_EPOCH};
+use crate::state::partition::PartitionState;
+use std::time::{Duration, Instant};
+
+/// Wait before a claim is tried again, at the least.
+const RETRY_MIN: Duration = Duration::from_millis(100);
+/// Random part of the wait before a claim is tried again.
+const RETRY_JITTER: Duration = Duration::from_millis(300);
+/// Wait before a stream without a beginning is taken over as empty.
+const RESET_AFTER: Duration = Duration::from_secs(30);
+
+/// What the claimant's node knows and wants.
+#[derive(Clone, Copy, Debug)]
+pub struct ClaimView<'a> {
+    /// The fold, read to the stream's end.
+    pub state: &'a PartitionState,
+    /// Whether this node should own the partition.
+    pub wanted: bool,
+    /// Whether the owner in force is believed to be alive.
+    pub owner_alive: bool,
+}
+
+/// Decides when to claim a partition.
+///
+/// A claim is only a proposal: the order of the stream decides. So a wrong belief that the owner
+/// is dead costs time and nothing else.
+///
+/// ```
+/// use galenapick::{ClaimView, Claimant, PartitionState};
+/// use std::time::Instant;
+///
+/// let state = PartitionState::new();
+/// let view = ClaimView { state: &state, wanted: true, owner_alive: false };
+/// let mut claimant = Claimant::new("a".into(), 1);
+/// let claim = claimant.poll(Instant::now(), view, &mut fastrand::Rng::with_seed(1));
+/// assert_eq!(claim.unwrap().expects, 0);
+/// ```
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+pub struct Claimant {
+    node: NodeId,
+    incarnation: Incarnation,
+    /// Claims wait for the answer to the one under way.
+    under_way: bool,
+    not_before: Option<Instant>,
+    unrooted_since: Option<Instant>,
+}
+
+impl Claimant {
+    /// Makes a claimant of one run of a node.
+    pub fn new(node: NodeId, incarnation: Incarnation) -> Self {
+        Self {
+            node,
+            incarnation,
+            under_way: false,
+            not_before: None,
+            unrooted_since: None,
+        }
+    }
+
+    /// Tells whether this run of the node is the owner in force.
+    pub fn owns(&self, state: &PartitionState) -> bool {
+        let owner = state.owner();
+        !state.is_released()
+            && owner.is_some_and(|o| o.node == self.node && o.incarnation == self.incarnation)
+    }
+
+    /// Returns a claim to append, if it is time. The stream must have been read to its end.
+    pub fn poll(
+        &mut self,
+        now: Instant,
+        view: ClaimView<'_>,
+        rng: &mut fastrand::Rng,
+    ) -> Option<Claim> {
+        let waits = self.not_before.is_some_and(|at| at > now);
+        if self.under_way || waits || !self.may_claim(now, view) {
+            return None;
+        }
+        self.under_way = true;
+        let jitter = RETRY_JITTER.mul_f64(rng.f64());
+        self.not_before = Some(now + RETRY_MIN + jitter);
+        Some(Claim {
+            owner: self.node.clone(),
+            incarnation: self.incarnation,
+            expects: self.expected(view.state),
+            root: view.state.root(),
+        })
+    }
+
+    /// Learns that the claim was answered, or that its answer is lost.
+    pub fn answered(&mut self) {
+        self.under_way = false;
+    }
+
+    fn expected(&self, state: &PartitionState) -> Epoch {
+        if state.is_rooted() {
+            state.epoch()
+        } else {
+            RESET_EPOCH
+        }
+    }
+
+    fn may_claim(&mut self, now: Instant, view: ClaimView<'_>) -> bool {
+        if !view.wanted || self.owns(view.state) {
+            return false;
+        }
+        if !view.state.is_rooted() {
+            let since = *self.unrooted_since.get_or_insert(now);
+            return now >= since + RESET_AFTER;
+        }
+        self.unrooted_since = None;
+        let Some(owner) = view.state.owner() else {
+            return true;
+        };
+        view.state.is_released() || owner.node == self.node || !view.owner_alive
+    }
+}
--- /dev/null
+++ b/src/coordination/partition/clock.rs
@@ -0,0 +1,69 @@
+//! The log's time, as its records tell it.
+
+use crate::ids::Offset;
+use std::collections::VecDeque;
+use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
+
+/// Samples kept over the log's retention.
+const SAMPLES: u32 = 256;
+
+/// Tells the log's time now, and which offsets are older than an age.
+pub(super) struct LogClock {
+    latest_ms: u64,
+    seen: Option<Instant>,
+    spacing_ms: u64,
+    samples: VecDeque<(Offset, u64)>,
+}
+
+impl LogClock {
+    /// Makes a clock for a log that keeps records for `retention`.
+    pub(super) fn new(retention: Duration) -> Self {
+        Self {
+            latest_ms: 0,
+            seen: None,
+            spacing_ms: (retention.as_millis() as u64 / u64::from(SAMPLES)).max(1),
+            samples: VecDeque::new(),
+        }
+    }
+
+    /// Learns a record's time.
+    pub(super) fn observe(&mut self, now: Instant, offset: Offset, at_ms: u64) {
+        self.latest_ms = self.latest_ms.max(at_ms);
+        self.seen = Some(now);
+        let due = self.samples.back().is_none_or(|last| {
+            let (sampled, sampled_ms) = *last;
+            offset > sampled && at_ms >= sampled_ms + self.spacing_ms
+        });
+        if !due {
+            return;
+        }
+        self.samples.push_back((offset, at_ms));
+        while self.samples.len() > 2 * SAMPLES as usize {
+            self.samples.pop_front();
+        }
+    }
+
+    /// The log's time now, about; this node's before any record is known.
+    pub(super) fn now_ms(&self, now: Instant) -> u64 {
+        match self.seen {
+            Some(seen) => self.latest_ms + now.saturating_duration_since(seen).as_millis() as u64,
+            None => unix_ms(),
+        }
+    }
+
+    /// Returns an offset such that every record older than `age` stands before it.
+    pub(super) fn older_than(&self, now: Instant, age: Duration) -> Offset {
+        let limit_ms = self.now_ms(now).saturating_sub(age.as_millis() as u64);
+        let after = self.samples.iter().find(|sample| sample.1 >= limit_ms);
+        match after.or(self.samples.back()) {
+            Some(sample) => sample.0,
+            None => 0,
+        }
+    }
+}
+
+/// This node's time in Unix milliseconds.
+fn unix_ms() -> u64 {
+    let since = SystemTime::now().duration_since(UNIX_EPOCH);
+    since.map_or(0, |age| age.as_millis() as u64)
+}
--- /dev/null
+++ b/src/coordination/partition/snapshots.rs
@@ -0,0 +1,160 @@
+//! The snapshot that an owner writes: when it begins, and what goes into the next batch.
+
+use super::clock::LogClock;
+use super::{PartitionConfig, PartitionIdentity};
+use crate::ids::Offset;
+use crate::protocol::record::{Entry, Snapshot};
+use crate::state::partition::PartitionState;
+use crate::state::snapshot::{Imager, carry, old_bodies, still_needed};
+use std::collections::VecDeque;
+use std::time::Instant;
+
+/// A snapshot under way.
+struct Run {
+    /// Set when the batch with the beginning has been applied.
+    imager: Option<Imager>,
+    /// Whether the beginning has been put in a batch.
+    begun: bool,
+    /// Offsets of batches with bodies to write again.
+    old: VecDeque<Offset>,
+    /// Whether such a batch is being read.
+    reading: bool,
+    /// Entries to write again.
+    carried: Vec<Entry>,
+    /// Whether the end has been put in a batch.
+    ended: bool,
+}
+
+/// Decides on snapshots and makes their entries.
+pub(super) struct Snapshots {
+    run: Option<Run>,
+    /// Time of the log at the newest root, or at the first record met.
+    root_ms: Option<u64>,
+    /// The beginning that was met last, and its time.
+    begin: (Offset, u64),
+    root: Offset,
+    bytes_since: u64,
+}
+
+impl Snapshots {
+    /// Starts without knowing any.
+    pub(super) fn new() -> Self {
+        Self {
+            run: None,
+            root_ms: None,
+            begin: (0, 0),
+            root: 0,
+            bytes_since: 0,
+        }
+    }
+
+    /// Learns that a record of the stream was applied.
+    pub(super) fn observe(&mut self, state: &PartitionState, offset: Offset, at_ms: u64, len: u64) {
+        self.root_ms.get_or_insert(at_ms);
+        self.bytes_since += len;
+        if state.open_snapshot() == Some(offset) {
+            self.begin = (offset, at_ms);
+        }
+        if state.root() != self.root {
+            self.root = state.root();
+            self.run = None;
+            self.bytes_since = 0;
+            if self.begin.0 == self.root {
+                self.root_ms = Some(self.begin.1);
+            }
+        }
+    }
+
+    /// Gives up the snapshot under way, since its epoch has ended.
+    pub(super) fn stop(&mut self) {
+        self.run = None;
+    }
+
+    /// Plans a snapshot if it is time.
+    pub(super) fn plan(
+        &mut self,
+        now: Instant,
+        clock: &LogClock,
+        config: &PartitionConfig,
+        state: &PartitionState,
+    ) {
+        let age_ms = clock.now_ms(now).saturating_sub(self.root_ms.unwrap_or(0));
+        let interval = config.retention / config.snapshots_per_retention.max(1);
+        let due = u128::from(age_ms) >= interval.as_millis()
+            || self.bytes_since >= config.snapshot_after_bytes;
+        if self.run.is_some() || self.root_ms.is_none() || !due {
+            return;
+        }
+        let cutoff = clock.older_than(now, config.retention / 2);
+        self.run = Some(Run {
+            imager: None,
+            begun: false,
+            old: old_bodies(state, cutoff),
+            reading: false,
+            carried: Vec::new(),
+            ended: false,
+        });
+    }
+
+    /// Returns the offset of the next batch whose bodies are to be read.
+    pub(super) fn next_read(&mut self) -> Option<Offset> {
+        let run = self.run.as_mut()?;
+        if run.reading || !run.carried.is_empty() {
+            return None;
+        }
+        let offset = run.old.pop_front()?;
+        run.reading = true;
+        Some(offset)
+    }
+
+    /// Takes a batch that was read; `None` if the log does not answer.
+    pub(super) fn body(
+        &mut self,
+        state: &PartitionState,
+        offset: Offset,
+        entries: Option<Vec<Entry>>,
+    ) {
+        let Some(run) = &mut self.run else {
+            return;
+        };
+        run.reading = false;
+        let Some(entries) = entries else {
+            run.old.push_front(offset);
+            return;
+        };
+        let needed = entries
+            .into_iter()
+            .filter(|entry| still_needed(state, offset, entry));
+        run.carried.extend(needed.map(carry));
+    }
+
+    /// Returns what stands at the front of the next batch. All batches before are applied.
+    pub(super) fn front(
+        &mut self,
+        identity: &PartitionIdentity,
+        config: &PartitionConfig,
+        forget_before_ms: u64,
+        state: &PartitionState,
+    ) -> Vec<Entry> {
+        let Some(run) = self.run.as_mut().filter(|run| !run.ended) else {
+            return Vec::new();
+        };
+        if !run.begun {
+            run.begun = true;
+            return vec![Entry::Snapshot(Snapshot::Begin {
+                owner: identity.node.clone(),
+                incarnation: identity.incarnation,
+                forget_before_ms,
+            })];
+        }
+        let imager = run.imager.get_or_insert_with(|| Imager::new(state));
+        let mut entries = imager.take(state, config.snapshot_share_bytes);
+        entries.append(&mut run.carried);
+        let is_done = imager.is_done() && run.old.is_empty() && !run.reading;
+        if let Some(root) = state.open_snapshot().filter(|_| is_done) {
+            entries.push(Entry::Snapshot(Snapshot::End { root }));
+            run.ended = true;
+        }
+        entries
+    }
+}
--- /dev/null
+++ b/src/coordination/partition/tests.rs
@@ -0,0 +1,345 @@
+//! Tests of a partition's driver against a log in memory with faults.
+
+use super::*;
+use crate::coordination::commit::CommitLimits;
+use crate::ids::program_id;
+use crate::protocol::log::{LogError, LogPage, LogRecord, ReadLimit};
+use crate::protocol::message::{Message, Role, Usage};
+use crate::protocol::record::Created;
+use crate::state::history::beginning;
+use googletest::prelude::*;
+use smol::Timer;
+use std::time::Duration;
+
+/// A log in memory with one stream.
+#[derive(Clone, Default)]
+struct TestLog(Arc<Mutex<Disk>>);
+
+#[derive(Default)]
+struct Disk {
+    records: Vec<LogRecord>,
+    first: Offset,
+    down: bool,
+    lose_answers: usize,
+    reads: usize,
+}
+
+impl TestLog {
+    fn disk(&self) -> MutexGuard<'_, Disk> {
+        self.0.lock().unwrap()
+    }
+
+    /// Forgets records before an offset.
+    fn trim(&self, first: Offset) {
+        self.disk().first = first;
+    }
+}
+
+impl Log for TestLog {
+    async fn append(&self, _: &str, data: Vec<u8>) -> std::result::Result<Offset, LogError> {
+        let mut disk = self.disk();
+        if disk.down {
+            return Err(LogError::Unavailable("down".to_owned()));
+        }
+        let offset = disk.records.len() as Offset + 1;
+        let at_ms = 1_000 * offset;
+        disk.records.push(LogRecord {
+            offset,
+            at_ms,
+            data,
+        });
+        if disk.lose_answers > 0 {
+            disk.lose_answers -= 1;
+            return Err(LogError::Unavailable("lost".to_owned()));
+        }
+        Ok(offset)
+    }
+
+    async fn read(
+        &self,
+        _: &str,
+        from: Offset,
+        limit: ReadLimit,
+    ) -> std::result::Result<LogPage, LogError> {
+        Timer::after(limit.wait.min(Duration::from_millis(3))).await;
+        let mut disk = self.disk();
+        disk.reads += 1;
+        let first = disk.first.max(1);
+        if disk.down {
+            return Err(LogError::Unavailable("down".to_owned()));
+        }
+        if from < first {
+            return Err(LogError::Trimmed { first });
+        }
+        let mut bytes = 0;
+        let mut records = Vec::new();
+        for record in disk.records.iter().skip(from as usize - 1) {
+            bytes += record.data.len();
+            records.push(record.clone());
+            if bytes >= limit.max_bytes {
+                break;
+            }
+        }
+        let next = disk.records.len() as Offset + 1;
+        Ok(LogPage {
+            records,
+            first,
+            next,
+        })
+    }
+}
+
+fn config() -> PartitionConfig {
+    PartitionConfig {
+        commit: CommitLimits {
+            append_interval: Duration::from_millis(1),
+            resend_after: Duration::from_millis(5),
+            ..CommitLimits::default()
+        },
+        tick: Duration::from_millis(5),
+        read_wait: Duration::from_millis(20),
+        ..PartitionConfig::default()
+    }
+}
+
+fn spawn(log: &TestLog, node: &str, alive: bool) -> PartitionHandle<TestLog> {
+    spawn_with(log, node, alive, config())
+}
+
+fn spawn_with(
+    log: &TestLog,
+    node: &str,
+    alive: bool,
+    config: PartitionConfig,
+) -> PartitionHandle<TestLog> {
+    let identity = PartitionIdentity {
+        node: node.to_owned(),
+        incarnation: 1,
+        partition: 0,
+    };
+    let handle = PartitionHandle::spawn(log.clone(), identity, config, move |_| alive);
+    handle.want(true);
+    handle
+}
+
+/// Waits until something holds; the test harness ends a test that waits for ever.
+async fn until(mut holds: impl FnMut() -> bool) {
+    while !holds() {
+        Timer::after(Duration::from_millis(2)).await;
+    }
+}
+
+async fn owned(handle: &PartitionHandle<TestLog>) -> Epoch {
+    until(|| handle.epoch().is_some()).await;
+    handle.epoch().unwrap()
+}
+
+fn created(program: ProgramId) -> Entry {
+    Entry::Created(Created {
+        program,
+        member: "saa".to_owned(),
+        environment: "matching".to_owned(),
+        key: Some(format!("key-{program}")),
+        budget: usage(1_000),
+        deadline_ms: 0,
+        reserved: usage(10),
+    })
+}
+
+fn usage(amount: u64) -> Usage {
+    Usage {
+        tokens: amount,
+        calls: amount,
+        time_ms: amount,
+    }
+}
+
+/// The next turn of a branch as the fold has it.
+fn next_turn(handle: &PartitionHandle<TestLog>, program: ProgramId, text: &str) -> Turn {
+    let member = "saa".to_owned();
+    let head = handle.with_state(|state| state.program(program).map(|p| p.head(0)));
+    let (number, previous) = match head {
+        Some(head) => (head.number + 1, head.hash),
+        None => (1, beginning(&member, program, 0)),
+    };
+    Turn {
+        program,
+        member,
+        branch: 0,
+        number,
+        previous,
+        call: u128::from(number),
+        key: None,
+        messages: vec![Message::new(Role::Assistant, text)],
+        spent: usage(1),
+        reserved: usage(10),
+        endpoint: "engine-1".to_owned(),
+    }
+}
+
+async fn add_turns(handle: &PartitionHandle<TestLog>, program: ProgramId, count: usize) {
+    for index in 0..count {
+        let turn = next_turn(handle, program, &format!("turn {index}"));
+        handle.commit(vec![Entry::Turn(turn)]).await.unwrap();
+    }
+}
+
+async fn texts(handle: &PartitionHandle<TestLog>, program: ProgramId) -> Vec<String> {
+    let turns = handle.history(&"saa".to_owned(), program, 0).await.unwrap();
+    turns
+        .iter()
+        .map(|t| t.messages[0].content.clone())
+        .collect()
+}
+
+#[gtest]
+fn commits_and_reads_history_back() {
+    smol::block_on(async {
+        let log = TestLog::default();
+        let handle = spawn(&log, "a", false);
+        owned(&handle).await;
+        let program = program_id(1, 1);
+        handle.commit(vec![created(program)]).await.unwrap();
+        add_turns(&handle, program, 3).await;
+        expect_that!(texts(&handle, program).await, len(eq(3)));
+        let other = handle.history(&"other".to_owned(), program, 0).await;
+        expect_that!(other, err(eq(&HistoryError::NotFound)));
+    });
+}
+
+#[gtest]
+fn a_second_owner_supersedes_the_first() {
+    smol::block_on(async {
+        let log = TestLog::default();
+        let old = spawn(&log, "a", true);
+        let first = owned(&old).await;
+        let program = program_id(1, 1);
+        old.commit(vec![created(program)]).await.unwrap();
+        let new = spawn(&log, "b", false);
+        let second = owned(&new).await;
+        expect_that!(second, gt(first));
+        until(|| old.epoch().is_none()).await;
+        let refused = old.commit(vec![Entry::Released]).await;
+        expect_that!(refused, err(eq(&CommitError::NotOwner)));
+        let spent = new.with_state(|state| state.program(program).unwrap().spent);
+        expect_that!(spent, eq(usage(10)));
+    });
+}
+
+#[gtest]
+fn a_lost_answer_is_settled_by_reading() {
+    smol::block_on(async {
+        let log = TestLog::default();
+        let handle = spawn(&log, "a", false);
+        owned(&handle).await;
+        log.disk().lose_answers = 1;
+        let offset = handle.commit(vec![created(program_id(1, 1))]).await;
+        expect_that!(offset, ok(eq(&2)));
+        expect_that!(log.disk().records.len(), eq(2));
+    });
+}
+
+#[gtest]
+fn a_lost_claim_is_settled_by_reading() {
+    smol::block_on(async {
+        let log = TestLog::default();
+        log.disk().lose_answers = 1;
+        let handle = spawn(&log, "a", false);
+        expect_that!(owned(&handle).await, eq(1));
+    });
+}
+
+#[gtest]
+fn an_outage_keeps_the_order_of_the_backlog() {
+    smol::block_on(async {
+        let log = TestLog::default();
+        let handle = spawn(&log, "a", false);
+        owned(&handle).await;
+        log.disk().down = true;
+        let first = handle.push(vec![created(program_id(1, 1))]).unwrap();
+        let second = handle.push(vec![created(program_id(1, 2))]).unwrap();
+        until(|| handle.health() != LogHealth::Up).await;
+        expect_that!(handle.backlog().0, eq(2));
+        log.disk().down = false;
+        let offsets = (first.await.unwrap(), second.await.unwrap());
+        expect_that!(offsets.0, le(offsets.1));
+        until(|| handle.health() == LogHealth::Up).await;
+        expect_that!(handle.with_state(|state| state.faults()), eq(0));
+    });
+}
+
+#[gtest]
+fn what_is_superseded_in_an_outage_comes_back_whole() {
+    smol::block_on(async {
+        let log = TestLog::default();
+        let old = spawn(&log, "a", true);
+        owned(&old).await;
+        log.disk().down = true;
+        let entry = created(program_id(1, 1));
+        let commit = old.push(vec![entry.clone()]).unwrap();
+        until(|| old.health() != LogHealth::Up).await;
+        // Another node gets its claim in before the old owner's resend.
+        let claim = crate::protocol::record::Claim {
+            owner: "b".to_owned(),
+            incarnation: 1,
+            expects: 1,
+            root: 0,
+        };
+        let data = crate::coordination::commit::encode(&Record::Claim(claim));
+        log.disk().records.push(LogRecord {
+            offset: 2,
+            at_ms: 2,
+            data,
+        });
+        log.disk().down = false;
+        let result = commit.await;
+        expect_that!(result, err(eq(&CommitError::Superseded(vec![entry]))));
+    });
+}
+
+#[gtest]
+fn a_handover_charges_no_reservation() {
+    smol::block_on(async {
+        let log = TestLog::default();
+        let old = spawn(&log, "a", true);
+        owned(&old).await;
+        let program = program_id(1, 1);
+        old.commit(vec![created(program)]).await.unwrap();
+        old.want(false);
+        let new = spawn(&log, "b", true);
+        owned(&new).await;
+        let spent = new.with_state(|state| state.program(program).unwrap().spent);
+        expect_that!(spent, eq(usage(0)));
+    });
+}
+
+#[gtest]
+fn a_reader_starts_at_the_snapshot_of_a_trimmed_stream() {
+    smol::block_on(async {
+        let log = TestLog::default();
+        // Log time is a second a record, so a snapshot is due every 10 records.
+        let config = PartitionConfig {
+            retention: Duration::from_secs(40),
+            ..config()
+        };
+        let old = spawn_with(&log, "a", true, config);
+        owned(&old).await;
+        let program = program_id(1, 1);
+        old.commit(vec![created(program)]).await.unwrap();
+        add_turns(&old, program, 60).await;
+        let root = old.with_state(PartitionState::root);
+        expect_that!(root, gt(30));
+        log.trim(root);
+        let new = spawn(&log, "b", false);
+        owned(&new).await;
+        let expected: Vec<String> = (0..60).map(|index| format!("turn {index}")).collect();
+        expect_that!(texts(&new, program).await, eq(&expected));
+        let by_key = new.with_state(|state| {
+            let key = format!("key-{program}");
+            let found = state.program_by_key(&"matching".to_owned(), &"saa".to_owned(), &key);
+            found.map(|p| p.program)
+        });
+        expect_that!(by_key, some(eq(program)));
+        expect_that!(new.with_state(|state| state.faults()), eq(0));
+    });
+}
--- a/src/protocol/link.rs
+++ b/src/protocol/link.rs
@@ -70,6 +70,10 @@
         partition: Partition,
         /// The owner's epoch.
         epoch: Epoch,
+        /// Offset of the intent's first record.
+        intent: Offset,
+        /// The run of the sidecar that the intent names.
+        incarnation: Incarnation,
         /// The call.
         call: CallId,
     },
@@ -207,6 +211,8 @@
     pub epoch: Epoch,
     /// The run of the sidecar that may run it; `None` for a repeatable call.
     pub only_incarnation: Option<Incarnation>,
+    /// Offset of the intent's record; 0 for a repeatable call.
+    pub intent: Offset,
 }
 
 /// Part of an answer.
--- a/src/protocol/message.rs
+++ b/src/protocol/message.rs
@@ -30,7 +30,7 @@
 }
 
 /// One message of a conversation.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub struct Message {
     /// Who said it.
     pub role: Role,
--- a/src/protocol/mod.rs
+++ b/src/protocol/mod.rs
@@ -1,6 +1,7 @@
 //! Typed messages between the processes, and the interfaces to what stands around them.
 
 pub mod engine;
+pub mod image;
 pub mod link;
 pub mod log;
 pub mod message;
--- a/src/protocol/record.rs
+++ b/src/protocol/record.rs
@@ -7,12 +7,18 @@
     BranchId, CallId, EndpointId, EnvironmentId, Epoch, Incarnation, MemberId, NodeId, Offset,
     ProgramId, TurnHash,
 };
+use crate::protocol::image::Program;
 use crate::protocol::message::{Message, Usage};
 use crate::protocol::service::{ServiceReply, ServiceRequest};
 use serde::{Deserialize, Serialize};
 
+/// Value of [`Claim::expects`] that takes a stream over whose beginning and snapshots are trimmed.
+///
+/// The fold accepts such a claim whatever the epoch in force, and starts again without programs.
+pub const RESET_EPOCH: Epoch = Epoch::MAX;
+
 /// One append to a partition's stream.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub enum Record {
     /// A node wants to own the partition.
     Claim(Claim),
@@ -21,20 +27,20 @@
 }
 
 /// Makes its writer the owner if `expects` is the epoch in force when the fold meets it.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub struct Claim {
     /// Who claims.
     pub owner: NodeId,
     /// Which run of it.
     pub incarnation: Incarnation,
-    /// The epoch that the writer saw in force.
+    /// The epoch that the writer saw in force, or [`RESET_EPOCH`].
     pub expects: Epoch,
     /// Where a reader may start. See [`Batch::root`].
     pub root: Offset,
 }
 
 /// Entries of the owner, applied together or not at all.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub struct Batch {
     /// The writer's epoch; the batch is void unless it is in force.
     pub epoch: Epoch,
@@ -48,7 +54,7 @@
 }
 
 /// One thing that happened in a partition.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub enum Entry {
     /// A program began.
     Created(Created),
@@ -62,10 +68,17 @@
     Ended(Ended),
     /// Part of a snapshot.
     Snapshot(Snapshot),
+    /// A program's reservation is replaced.
+    Reserved(Reserved),
+    /// A turn whose number was taken by another one; it is kept beside that one.
+    Superseded(Turn),
+    /// The owner has nothing in flight and gives the partition up; always the last entry of its
+    /// epoch. The next claim charges no reservation.
+    Released,
 }
 
 /// A program began.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub struct Created {
     /// The program.
     pub program: ProgramId,
@@ -83,10 +96,19 @@
     pub reserved: Usage,
 }
 
+/// A program's reservation is replaced, such as after a takeover has charged the one before.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
+pub struct Reserved {
+    /// The program.
+    pub program: ProgramId,
+    /// Reserved for the program's calls that may follow.
+    pub reserved: Usage,
+}
+
 /// A turn of a branch.
 ///
 /// Invariant: `number` is one more than the branch's last turn and `previous` is its hash.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub struct Turn {
     /// The program.
     pub program: ProgramId,
@@ -97,6 +119,7 @@
     /// Position in the branch, from 1.
     pub number: u32,
     /// Hash of the turn before, or of the branch's beginning.
+    #[serde(with = "serde_bytes")]
     pub previous: TurnHash,
     /// The call that made it.
     pub call: CallId,
@@ -113,7 +136,7 @@
 }
 
 /// A call that may not be repeated is about to be dispatched to one run of one sidecar.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub struct Intent {
     /// The program.
     pub program: ProgramId,
@@ -136,7 +159,7 @@
 }
 
 /// What became of an intent.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub struct Outcome {
     /// The program.
     pub program: ProgramId,
@@ -151,7 +174,7 @@
 }
 
 /// The result of a call that may not be repeated.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub enum ActionResult {
     /// It ran, and this is its answer.
     Done(ServiceReply),
@@ -181,7 +204,7 @@
 }
 
 /// A program is over. Its history can still be read until it is forgotten.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub struct Ended {
     /// The program.
     pub program: ProgramId,
@@ -192,11 +215,21 @@
 }
 
 /// Part of a snapshot; all parts of one are in batches of one epoch, in order.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub enum Snapshot {
     /// Always the first entry of its batch; that batch's offset is the snapshot's root.
-    Begin,
-    /// An entry as it stood before, carried over.
+    Begin {
+        /// The owner in force.
+        owner: NodeId,
+        /// Its run.
+        incarnation: Incarnation,
+        /// Programs that ended before this time, in Unix milliseconds, are forgotten, except
+        /// those with an action whose outcome is unknown.
+        forget_before_ms: u64,
+    },
+    /// A program as it stands after all batches before this one.
+    Program(Box<Program>),
+    /// A turn, intent or outcome whose first record will be trimmed, written again.
     Carried(Box<Entry>),
     /// The snapshot is complete; batches after it may name its root.
     End {
--- a/src/protocol/service.rs
+++ b/src/protocol/service.rs
@@ -4,7 +4,7 @@
 use std::future::Future;
 
 /// One call of a service.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub struct ServiceRequest {
     /// The operation, as in the environment document, such as `transfer`.
     pub operation: String,
@@ -15,7 +15,7 @@
 }
 
 /// A service's answer.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub struct ServiceReply {
     /// The HTTP status.
     pub status: u16,
--- /dev/null
+++ b/src/state/actions.rs
@@ -0,0 +1,117 @@
+//! Calls that may not be repeated, as the log has them.
+
+use crate::ids::{CallId, Offset};
+use crate::protocol::image::{Action, ActionPhase, Program};
+use crate::protocol::record::{ActionResult, Intent, Outcome};
+use crate::state::program::{EntryError, key_mark};
+
+impl ActionPhase {
+    /// Tells whether the call has not been settled.
+    pub fn is_open(self) -> bool {
+        self == Self::Open
+    }
+
+    /// Tells whether a person has to resolve the call.
+    pub fn is_unknown(self) -> bool {
+        matches!(self, Self::Unknown(_))
+    }
+
+    /// Offset of the outcome.
+    pub fn outcome(self) -> Option<Offset> {
+        match self {
+            Self::Open => None,
+            Self::Done(offset) | Self::NotRun(offset) | Self::Unknown(offset) => Some(offset),
+        }
+    }
+
+    /// The same phase with its outcome at another offset.
+    fn moved(self, offset: Offset) -> Self {
+        match self {
+            Self::Open => Self::Open,
+            Self::Done(_) => Self::Done(offset),
+            Self::NotRun(_) => Self::NotRun(offset),
+            Self::Unknown(_) => Self::Unknown(offset),
+        }
+    }
+}
+
+impl Program {
+    /// Finds an action by its call.
+    pub fn action(&self, call: CallId) -> Option<&Action> {
+        self.actions.iter().find(|action| action.call == call)
+    }
+
+    /// Finds an action by the caller's key for the call.
+    pub fn action_by_key(&self, key: &str) -> Option<&Action> {
+        let mark = key_mark(Some(key));
+        self.actions.iter().find(|action| action.key == mark)
+    }
+
+    /// Actions without an outcome.
+    pub fn open_actions(&self) -> impl Iterator<Item = &Action> {
+        self.actions.iter().filter(|action| action.state.is_open())
+    }
+
+    /// Tells whether a person has to resolve one of the actions.
+    pub fn has_unknown_action(&self) -> bool {
+        self.actions.iter().any(|action| action.state.is_unknown())
+    }
+
+    /// Adds an intent.
+    pub(crate) fn add_intent(&mut self, offset: Offset, intent: &Intent) -> Result<(), EntryError> {
+        if self.action(intent.call).is_some() {
+            return Err(EntryError::IntentTwice);
+        }
+        self.actions.push(Action {
+            call: intent.call,
+            branch: intent.branch,
+            key: key_mark(intent.key.as_deref()),
+            intent: offset,
+            offset,
+            service: intent.service.clone(),
+            endpoint: intent.endpoint.clone(),
+            incarnation: intent.incarnation,
+            reserved: intent.reserved,
+            state: ActionPhase::Open,
+        });
+        Ok(())
+    }
+
+    /// Adds what became of an intent. An unknown outcome can be resolved by a person later.
+    pub(crate) fn add_outcome(
+        &mut self,
+        offset: Offset,
+        outcome: &Outcome,
+    ) -> Result<(), EntryError> {
+        let action = self
+            .actions
+            .iter_mut()
+            .find(|action| action.call == outcome.call)
+            .ok_or(EntryError::OutcomeWithoutIntent)?;
+        let resolves = action.state.is_unknown() && outcome.resolved_by.is_some();
+        if !action.state.is_open() && !resolves {
+            return Err(EntryError::OutcomeTwice);
+        }
+        action.state = match outcome.result {
+            ActionResult::Done(_) => ActionPhase::Done(offset),
+            ActionResult::NotRun(_) => ActionPhase::NotRun(offset),
+            ActionResult::Unknown(_) => ActionPhase::Unknown(offset),
+        };
+        self.spent += outcome.spent;
+        Ok(())
+    }
+
+    /// Notes that an intent was written again.
+    pub(crate) fn move_intent(&mut self, offset: Offset, call: CallId) {
+        if let Some(action) = self.actions.iter_mut().find(|action| action.call == call) {
+            action.offset = offset;
+        }
+    }
+
+    /// Notes that an outcome was written again.
+    pub(crate) fn move_outcome(&mut self, offset: Offset, call: CallId) {
+        if let Some(action) = self.actions.iter_mut().find(|action| action.call == call) {
+            action.state = action.state.moved(offset);
+        }
+    }
+}
--- /dev/null
+++ b/src/state/budget.rs
@@ -0,0 +1,105 @@
+//! A program's budget: what is spent, what is reserved, and what is left.
+
+use crate::protocol::image::{ActionPhase, Program};
+use crate::protocol::message::Usage;
+
+/// The budget of one program.
+///
+/// Invariant: `spent + reserved` fits the budget as long as every reservation was granted by
+/// [`Ledger::reserve`] and no call spends more than was reserved for it.
+///
+/// ```
+/// use galenapick::{Ledger, Usage};
+///
+/// let unit = |n| Usage { tokens: n, calls: n, time_ms: n };
+/// let mut ledger = Ledger::new(unit(10));
+/// assert!(ledger.reserve(unit(6)));
+/// assert!(!ledger.reserve(unit(6)));
+/// ledger.settle(unit(6), unit(2));
+/// assert!(ledger.reserve(unit(6)));
+/// ledger.take_over();
+/// assert_eq!(ledger.spent(), unit(8));
+/// ```
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Hash)]
+pub struct Ledger {
+    budget: Usage,
+    spent: Usage,
+    reserved: Usage,
+}
+
+impl Ledger {
+    /// Makes a ledger with nothing spent.
+    pub fn new(budget: Usage) -> Self {
+        Self {
+            budget,
+            ..Self::default()
+        }
+    }
+
+    /// Makes the ledger of a program as the log has it.
+    pub fn of(program: &Program) -> Self {
+        Self {
+            budget: program.budget,
+            spent: program.spent,
+            reserved: program.reserved_in_all(),
+        }
+    }
+
+    /// Reserves an amount if it fits, and tells whether it does.
+    pub fn reserve(&mut self, amount: Usage) -> bool {
+        let total = self.spent + self.reserved + amount;
+        if !total.fits(self.budget) {
+            return false;
+        }
+        self.reserved += amount;
+        true
+    }
+
+    /// Replaces a reservation by what was spent of it.
+    pub fn settle(&mut self, reserved: Usage, spent: Usage) {
+        self.reserved = self.reserved - reserved;
+        self.spent += spent;
+    }
+
+    /// Counts all that is reserved as spent, since nobody knows what became of it.
+    pub fn take_over(&mut self) {
+        self.spent += self.reserved;
+        self.reserved = Usage::default();
+    }
+
+    /// All that may be spent.
+    pub fn budget(&self) -> Usage {
+        self.budget
+    }
+
+    /// Spent so far.
+    pub fn spent(&self) -> Usage {
+        self.spent
+    }
+
+    /// Reserved and not settled.
+    pub fn reserved(&self) -> Usage {
+        self.reserved
+    }
+
+    /// Neither spent nor reserved.
+    pub fn left(&self) -> Usage {
+        self.budget - self.spent - self.reserved
+    }
+}
+
+impl Program {
+    /// Reserved for calls and for open intents.
+    pub fn reserved_in_all(&self) -> Usage {
+        self.actions
+            .iter()
+            .filter(|action| action.state == ActionPhase::Open)
+            .fold(self.reserved, |sum, action| sum + action.reserved)
+    }
+
+    /// Counts the reservation for calls as spent; open intents keep theirs until they are settled.
+    pub(crate) fn charge_reserved(&mut self) {
+        self.spent += self.reserved;
+        self.reserved = Usage::default();
+    }
+}
--- /dev/null
+++ b/src/state/mod.rs
@@ -0,0 +1,9 @@
+//! Pure folds of the log's streams, and the indexes that they build.
+
+pub(crate) mod actions;
+pub(crate) mod budget;
+pub(crate) mod history;
+pub(crate) mod partition;
+pub(crate) mod program;
+pub(crate) mod receipt;
+pub(crate) mod snapshot;
--- /dev/null
+++ b/src/state/partition/entries.rs
@@ -0,0 +1,189 @@
+//! What the entries of an accepted batch do.
+
+use super::{OpenSnapshot, Owner, PartitionState};
+use crate::ids::{MemberId, Offset, ProgramId};
+use crate::protocol::image::Program;
+use crate::protocol::record::{Created, Entry, Outcome, Snapshot, Turn};
+use crate::state::program::EntryError;
+
+impl PartitionState {
+    /// Applies one entry, or leaves the state as it was.
+    pub(super) fn entry(
+        &mut self,
+        offset: Offset,
+        index: usize,
+        entry: &Entry,
+    ) -> Result<(), EntryError> {
+        match entry {
+            Entry::Created(created) => self.create(created),
+            Entry::Turn(turn) => self.member_program(turn)?.add_turn(offset, turn),
+            Entry::Superseded(turn) => {
+                self.member_program(turn)?.add_superseded(offset, turn);
+                Ok(())
+            }
+            Entry::Intent(intent) => self.program_mut(intent.program)?.add_intent(offset, intent),
+            Entry::Outcome(outcome) => self.outcome(offset, outcome),
+            Entry::Ended(ended) => self.program_mut(ended.program)?.end(ended),
+            Entry::Reserved(reserved) => {
+                self.program_mut(reserved.program)?.reserved = reserved.reserved;
+                Ok(())
+            }
+            Entry::Snapshot(part) => self.snapshot(offset, index, part),
+            Entry::Released => {
+                self.released = true;
+                Ok(())
+            }
+        }
+    }
+
+    fn create(&mut self, created: &Created) -> Result<(), EntryError> {
+        if self.programs.contains_key(&created.program) {
+            return Err(EntryError::CreatedTwice);
+        }
+        self.put(Program::new(created));
+        Ok(())
+    }
+
+    fn outcome(&mut self, offset: Offset, outcome: &Outcome) -> Result<(), EntryError> {
+        let program = self.program_mut(outcome.program)?;
+        program.add_outcome(offset, outcome)?;
+        let unresolved = program.has_unknown_action();
+        self.mark_unresolved(outcome.program, unresolved);
+        Ok(())
+    }
+
+    fn snapshot(
+        &mut self,
+        offset: Offset,
+        index: usize,
+        part: &Snapshot,
+    ) -> Result<(), EntryError> {
+        match part {
+            Snapshot::Begin {
+                owner,
+                incarnation,
+                forget_before_ms,
+            } => {
+                self.begin(offset, index, *forget_before_ms)?;
+                self.owner = Some(Owner {
+                    node: owner.clone(),
+                    incarnation: *incarnation,
+                });
+                Ok(())
+            }
+            Snapshot::Program(program) => {
+                self.open.ok_or(EntryError::SnapshotOrder)?;
+                self.put(program.as_ref().clone());
+                Ok(())
+            }
+            Snapshot::Carried(entry) => self.carried(offset, entry),
+            Snapshot::End { root } => self.finish(*root),
+        }
+    }
+
+    fn begin(
+        &mut self,
+        offset: Offset,
+        index: usize,
+        forget_before_ms: u64,
+    ) -> Result<(), EntryError> {
+        if index != 0 {
+            return Err(EntryError::SnapshotOrder);
+        }
+        self.open = Some(OpenSnapshot { root: offset });
+        self.forgotten_before_ms = self.forgotten_before_ms.max(forget_before_ms);
+        self.forget(forget_before_ms);
+        Ok(())
+    }
+
+    fn finish(&mut self, root: Offset) -> Result<(), EntryError> {
+        let open = self.open.ok_or(EntryError::SnapshotOrder)?;
+        if open.root != root {
+            return Err(EntryError::SnapshotOrder);
+        }
+        self.root = root;
+        self.open = None;
+        self.partial = false;
+        Ok(())
+    }
+
+    /// Notes where a body was written again.
+    ///
+    /// A reader that has not met the program's image yet has nothing to note: the image will
+    /// have it.
+    fn carried(&mut self, offset: Offset, entry: &Entry) -> Result<(), EntryError> {
+        let id = match entry {
+            Entry::Turn(turn) | Entry::Superseded(turn) => turn.program,
+            Entry::Intent(intent) => intent.program,
+            Entry::Outcome(outcome) => outcome.program,
+            _ => return Err(EntryError::SnapshotOrder),
+        };
+        let Some(program) = self.programs.get_mut(&id) else {
+            return Ok(());
+        };
+        match entry {
+            Entry::Turn(turn) => program.move_turn(offset, turn),
+            Entry::Superseded(turn) => program.move_superseded(offset, turn),
+            Entry::Intent(intent) => program.move_intent(offset, intent.call),
+            Entry::Outcome(outcome) => program.move_outcome(offset, outcome.call),
+            _ => {}
+        }
+        Ok(())
+    }
+
+    /// Drops programs that ended before a time, except those with an unknown action.
+    fn forget(&mut self, before_ms: u64) {
+        let old: Vec<ProgramId> = self
+            .programs
+            .values()
+            .filter(|program| program.ended.is_some_and(|end| end.at_ms < before_ms))
+            .filter(|program| !program.has_unknown_action())
+            .filter(|program| program.open_actions().next().is_none())
+            .map(|program| program.program)
+            .collect();
+        for id in old {
+            self.remove(id);
+        }
+    }
+
+    /// Puts a program in, in the place of what was known of it.
+    fn put(&mut self, program: Program) {
+        let id = program.program;
+        if program.key != 0 {
+            self.by_key.insert(program.key, id);
+        }
+        self.mark_unresolved(id, program.has_unknown_action());
+        self.programs.insert(id, program);
+    }
+
+    fn remove(&mut self, id: ProgramId) {
+        let Some(program) = self.programs.remove(&id) else {
+            return;
+        };
+        self.unknown.remove(&id);
+        if self.by_key.get(&program.key) == Some(&id) {
+            self.by_key.remove(&program.key);
+        }
+    }
+
+    fn mark_unresolved(&mut self, id: ProgramId, unresolved: bool) {
+        if unresolved {
+            self.unknown.insert(id);
+        } else {
+            self.unknown.remove(&id);
+        }
+    }
+
+    fn program_mut(&mut self, id: ProgramId) -> Result<&mut Program, EntryError> {
+        self.programs.get_mut(&id).ok_or(EntryError::NoProgram)
+    }
+
+    /// Finds the program of a turn, provided that it belongs to the turn's member.
+    fn member_program(&mut self, turn: &Turn) -> Result<&mut Program, EntryError> {
+        let program = self.program_mut(turn.program)?;
+        if !program.is_of(&turn.member as &MemberId) {
+            return Err(EntryError::OtherMember);
+        }
+        Ok(program)
+    }
+}
--- /dev/null
+++ b/src/state/program.rs
@@ -0,0 +1,239 @@
+//! What entries do to a program's index.
+
+use crate::ids::{BranchId, CallId, MemberId, Offset, TurnHash};
+use crate::protocol::image::{Branch, End, Program, SupersededTurn, TurnPlace};
+use crate::protocol::record::{Created, Ended, Turn};
+use crate::state::history::{beginning, turn_hash};
+
+/// Why an entry of an accepted batch has no effect. None of them comes from a correct owner.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, strum::Display)]
+#[strum(serialize_all = "snake_case")]
+pub enum EntryError {
+    /// The program is not known.
+    NoProgram,
+    /// The program exists already.
+    CreatedTwice,
+    /// The program belongs to another member.
+    OtherMember,
+    /// The turn's number is not the next one of its branch.
+    TurnNumber,
+    /// The turn does not continue the hash chain of its branch.
+    TurnChain,
+    /// The program has ended.
+    AfterEnd,
+    /// There is an intent of that call.
+    IntentTwice,
+    /// There is no intent of that call.
+    OutcomeWithoutIntent,
+    /// The call has an outcome.
+    OutcomeTwice,
+    /// Part of a snapshot that was not begun in this epoch.
+    SnapshotOrder,
+}
+
+/// Where a call's result is.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+pub struct TurnRef {
+    /// The branch.
+    pub branch: BranchId,
+    /// Position in the branch, from 1.
+    pub number: u32,
+    /// Offset of the record that holds the body.
+    pub offset: Offset,
+}
+
+/// The last turn of a branch, or its beginning.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+pub struct Head {
+    /// Number of the last turn; 0 before the first.
+    pub number: u32,
+    /// Its hash, or the hash of the branch's beginning.
+    pub hash: TurnHash,
+}
+
+/// Fingerprint of a caller's key for a call; 0 without a key.
+pub(crate) fn key_mark(key: Option<&str>) -> u64 {
+    let Some(key) = key else {
+        return 0;
+    };
+    let hash = blake3::hash(key.as_bytes());
+    let mut head = [0; 8];
+    head.copy_from_slice(&hash.as_bytes()[..8]);
+    u64::from_le_bytes(head).max(1)
+}
+
+/// Fingerprint of a caller's key for a program; 0 without a key.
+pub(crate) fn program_mark(environment: &str, member: &str, key: Option<&str>) -> u128 {
+    let Some(key) = key else {
+        return 0;
+    };
+    let mut hasher = blake3::Hasher::new();
+    for part in [environment, member, key] {
+        hasher.update(&(part.len() as u64).to_le_bytes());
+        hasher.update(part.as_bytes());
+    }
+    let mut head = [0; 16];
+    head.copy_from_slice(&hasher.finalize().as_bytes()[..16]);
+    u128::from_le_bytes(head).max(1)
+}
+
+impl Program {
+    /// Makes the index of a program that has just begun.
+    pub(crate) fn new(created: &Created) -> Self {
+        let key = program_mark(
+            &created.environment,
+            &created.member,
+            created.key.as_deref(),
+        );
+        Self {
+            program: created.program,
+            member: created.member.clone(),
+            environment: created.environment.clone(),
+            key,
+            budget: created.budget,
+            deadline_ms: created.deadline_ms,
+            spent: Default::default(),
+            reserved: created.reserved,
+            branches: Vec::new(),
+            actions: Vec::new(),
+            superseded: Vec::new(),
+            ended: None,
+            endpoint: None,
+        }
+    }
+
+    /// Tells whether the program belongs to a member.
+    pub fn is_of(&self, member: &MemberId) -> bool {
+        self.member == *member
+    }
+
+    /// Finds a branch that has turns.
+    pub fn branch(&self, branch: BranchId) -> Option<&Branch> {
+        let found = self.branches.binary_search_by_key(&branch, |b| b.branch);
+        found.ok().map(|index| &self.branches[index])
+    }
+
+    /// The last turn of a branch.
+    pub fn head(&self, branch: BranchId) -> Head {
+        match self.branch(branch) {
+            Some(found) => Head {
+                number: found.turns.len() as u32,
+                hash: found.head,
+            },
+            None => Head {
+                number: 0,
+                hash: beginning(&self.member, self.program, branch),
+            },
+        }
+    }
+
+    /// Finds the turn that a call made. The body must be checked, since only half the id is kept.
+    pub fn turn_by_call(&self, call: CallId) -> Option<TurnRef> {
+        self.find_turn(|place| place.call == call as u64)
+    }
+
+    /// Finds the turn of a caller's key. The body must be checked, since only a mark is kept.
+    pub fn turn_by_key(&self, key: &str) -> Option<TurnRef> {
+        let mark = key_mark(Some(key));
+        self.find_turn(|place| place.key == mark)
+    }
+
+    /// Number of turns in all branches.
+    pub fn turns(&self) -> usize {
+        self.branches.iter().map(|branch| branch.turns.len()).sum()
+    }
+
+    fn find_turn(&self, wanted: impl Fn(&TurnPlace) -> bool) -> Option<TurnRef> {
+        self.branches.iter().find_map(|branch| {
+            let index = branch.turns.iter().position(&wanted)?;
+            Some(TurnRef {
+                branch: branch.branch,
+                number: index as u32 + 1,
+                offset: branch.turns[index].offset,
+            })
+        })
+    }
+
+    /// Adds the next turn of a branch.
+    pub(crate) fn add_turn(&mut self, offset: Offset, turn: &Turn) -> Result<(), EntryError> {
+        let head = self.head(turn.branch);
+        if turn.number != head.number + 1 {
+            return Err(EntryError::TurnNumber);
+        }
+        if turn.previous != head.hash {
+            return Err(EntryError::TurnChain);
+        }
+        let branch = self.branch_mut(turn.branch);
+        branch.head = turn_hash(turn);
+        branch.turns.push(TurnPlace {
+            offset,
+            call: turn.call as u64,
+            key: key_mark(turn.key.as_deref()),
+        });
+        self.spent += turn.spent;
+        self.reserved = turn.reserved;
+        self.endpoint = Some(turn.endpoint.clone());
+        Ok(())
+    }
+
+    /// Keeps a turn beside the one that has its number. Its cost counts.
+    pub(crate) fn add_superseded(&mut self, offset: Offset, turn: &Turn) {
+        self.superseded.push(SupersededTurn {
+            branch: turn.branch,
+            number: turn.number,
+            call: turn.call,
+            offset,
+        });
+        self.spent += turn.spent;
+    }
+
+    /// Notes that a turn's body was written again.
+    pub(crate) fn move_turn(&mut self, offset: Offset, turn: &Turn) {
+        let index = turn.number.wrapping_sub(1) as usize;
+        let branch = self.branches.iter_mut().find(|b| b.branch == turn.branch);
+        if let Some(place) = branch.and_then(|b| b.turns.get_mut(index)) {
+            place.offset = offset;
+        }
+    }
+
+    /// Notes that the body of a superseded turn was written again.
+    pub(crate) fn move_superseded(&mut self, offset: Offset, turn: &Turn) {
+        let found = self
+            .superseded
+            .iter_mut()
+            .find(|kept| kept.call == turn.call && kept.number == turn.number);
+        if let Some(kept) = found {
+            kept.offset = offset;
+        }
+    }
+
+    /// Ends the program.
+    pub(crate) fn end(&mut self, ended: &Ended) -> Result<(), EntryError> {
+        if self.ended.is_some() {
+            return Err(EntryError::AfterEnd);
+        }
+        self.reserved = Default::default();
+        self.ended = Some(End {
+            reason: ended.reason,
+            at_ms: ended.at_ms,
+        });
+        Ok(())
+    }
+
+    fn branch_mut(&mut self, branch: BranchId) -> &mut Branch {
+        let found = self.branches.binary_search_by_key(&branch, |b| b.branch);
+        let index = match found {
+            Ok(index) => index,
+            Err(index) => {
+                let new = Branch {
+                    branch,
+                    head: TurnHash::default(),
+                    turns: Vec::new(),
+                };
+                self.branches.insert(index, new);
+                index
+            }
+        };
+        &mut self.branches[index]
+    }
+}
