--- /dev/null
+++ b/src/adapter/tests.rs
@@ -0,0 +1,273 @@
+//! Tests of the adapters against the stand-ins and against servers that talk nonsense.
+
+use super::{HttpEngine, HttpLog, HttpService};
+use crate::protocol::engine::{Engine, EngineError, EngineEvent, EngineStream, GenerateRequest};
+use crate::protocol::log::{Log, LogError, ReadLimit};
+use crate::protocol::message::{Message, Role};
+use crate::protocol::service::{Service, ServiceError, ServiceRequest};
+use crate::standin::{
+    EngineConfig, EngineControl, EngineStandin, Ledger, LogConfig, LogControl, LogStandin, Outage,
+    ServiceConfig, ServiceControl, ServiceStandin, expected_answer, expected_result, prompt_tokens,
+};
+use futures_lite::future::block_on;
+use googletest::prelude::*;
+use std::time::Duration;
+
+/// Long enough for any answer that comes.
+const TIMEOUT: Duration = Duration::from_secs(20);
+
+/// Short, for answers that never come.
+const SHORT: Duration = Duration::from_millis(200);
+
+fn generation(call: u128, program: u128, text: &str, max_tokens: u32) -> GenerateRequest {
+    GenerateRequest {
+        call,
+        program,
+        model: "matcher-llm".to_owned(),
+        messages: vec![Message::new(Role::User, text)],
+        max_tokens,
+    }
+}
+
+fn fast_engine() -> EngineConfig {
+    EngineConfig {
+        time_scale: 0.01,
+        ..EngineConfig::default()
+    }
+}
+
+/// Reads a stream to its end and returns its text; every token must follow the one before.
+async fn read_all(stream: &mut impl EngineStream, from: u32) -> Result<String, EngineError> {
+    let mut text = String::new();
+    let mut next = from;
+    while let Some(event) = stream.next().await {
+        if let EngineEvent::Delta {
+            index,
+            tokens,
+            text: part,
+        } = event?
+        {
+            assert_eq!(index, next);
+            next += tokens;
+            text.push_str(&part);
+        }
+    }
+    Ok(text)
+}
+
+#[gtest]
+fn log_keeps_what_is_appended_in_order() {
+    block_on(async {
+        let standin = LogStandin::start(LogConfig::default()).await.unwrap();
+        let log = HttpLog::new(&standin.url(), TIMEOUT);
+        let first = log.append("partition/3", vec![1, 2]).await;
+        let second = log.append("partition/3", vec![3; 5000]).await;
+        let page = log.read("partition/3", 1, ReadLimit::default()).await;
+        let page = page.unwrap();
+        expect_that!(first, ok(eq(&1)));
+        expect_that!(second, ok(eq(&2)));
+        expect_that!(page.next, eq(3));
+        let data: Vec<_> = page.records.into_iter().map(|record| record.data).collect();
+        expect_that!(data, eq(&vec![vec![1, 2], vec![3; 5000]]));
+        expect_that!(standin.counts().append_bytes, eq(5002));
+    });
+}
+
+#[gtest]
+fn log_read_waits_for_an_append() {
+    block_on(async {
+        let standin = LogStandin::start(LogConfig::default()).await.unwrap();
+        let log = HttpLog::new(&standin.url(), TIMEOUT);
+        let limit = ReadLimit {
+            wait: TIMEOUT,
+            ..ReadLimit::default()
+        };
+        let read = log.read("s", 1, limit);
+        let append = async {
+            smol::Timer::after(Duration::from_millis(50)).await;
+            log.append("s", vec![9]).await
+        };
+        let (page, offset) = futures_lite::future::zip(read, append).await;
+        expect_that!(offset, ok(eq(&1)));
+        expect_that!(page.unwrap().records.len(), eq(1));
+    });
+}
+
+#[gtest]
+fn log_faults_become_typed_errors() {
+    block_on(async {
+        let config = LogConfig {
+            burst: 3.0,
+            appends_per_s: 0.1,
+            ..LogConfig::default()
+        };
+        let standin = LogStandin::start(config).await.unwrap();
+        let log = HttpLog::new(&standin.url(), SHORT);
+        let lose = LogControl {
+            lose_answers: Some(1),
+            ..LogControl::default()
+        };
+        standin.control(lose).await;
+        let lost = log.append("s", vec![1]).await;
+        expect_that!(lost, err(matches_pattern!(LogError::Unavailable(_))));
+        expect_that!(standin.records("s").len(), eq(1));
+        expect_that!(log.append("s", vec![2]).await, ok(eq(&2)));
+        expect_that!(log.append("s", vec![3]).await, ok(eq(&3)));
+        let throttled = log.append("s", vec![4]).await;
+        expect_that!(throttled, err(matches_pattern!(LogError::Throttled { .. })));
+        standin.trim("s", 3);
+        let trimmed = log.read("s", 1, ReadLimit::default()).await;
+        expect_that!(trimmed, err(eq(&LogError::Trimmed { first: 3 })));
+    });
+}
+
+#[gtest]
+fn log_outages_begin_and_end() {
+    block_on(async {
+        let standin = LogStandin::start(LogConfig::default()).await.unwrap();
+        let log = HttpLog::new(&standin.url(), SHORT);
+        for outage in [Outage::Refuse, Outage::Hang, Outage::Error] {
+            let begin = LogControl {
+                outage: Some(outage),
+                ..LogControl::default()
+            };
+            standin.control(begin).await;
+            let down = log.append("s", vec![1]).await;
+            expect_that!(down, err(matches_pattern!(LogError::Unavailable(_))));
+            let end = LogControl {
+                outage: Some(Outage::None),
+                ..LogControl::default()
+            };
+            standin.control(end).await;
+            let patient = HttpLog::new(&standin.url(), TIMEOUT);
+            expect_that!(patient.append("s", vec![1]).await, ok(anything()));
+        }
+        expect_that!(standin.counts().appends, eq(3));
+    });
+}
+
+#[gtest]
+fn engine_answers_each_prompt_with_its_own_answer() {
+    block_on(async {
+        let standin = EngineStandin::start(fast_engine(), Ledger::default())
+            .await
+            .unwrap();
+        let engine = HttpEngine::new(&standin.url(), TIMEOUT);
+        let request = generation(1, 7, "an otter or a red panda?", 64);
+        let mut stream = engine.generate(request.clone()).await.unwrap();
+        let text = read_all(&mut stream, 0).await;
+        expect_that!(text, ok(eq(&expected_answer(&request.messages, 64))));
+        let counts = standin.counts();
+        expect_that!(
+            counts.prompt_tokens,
+            eq(u64::from(prompt_tokens(&request.messages)))
+        );
+        expect_that!(engine.release(7).await, ok(eq(&0)));
+        expect_that!(standin.held(), is_empty());
+    });
+}
+
+#[gtest]
+fn engine_stream_goes_on_after_its_connection_went_silent() {
+    block_on(async {
+        let config = EngineConfig {
+            time_scale: 0.1,
+            ..EngineConfig::default()
+        };
+        let standin = EngineStandin::start(config, Ledger::default())
+            .await
+            .unwrap();
+        let engine = HttpEngine::new(&standin.url(), TIMEOUT);
+        let request = generation(1, 7, "repair offer", 400);
+        let mut stream = engine.generate(request.clone()).await.unwrap();
+        expect_that!(stream.next().await, some(ok(anything())));
+        let silence = EngineControl {
+            silence: Some(true),
+            ..EngineControl::default()
+        };
+        standin.control(silence).await;
+        let rest =
+            futures_lite::future::or(async { Some(read_all(&mut stream, 1).await) }, async {
+                smol::Timer::after(SHORT).await;
+                None
+            });
+        expect_that!(rest.await, none());
+        let mut resumed = engine.resume(1, 0).await.unwrap();
+        let text = read_all(&mut resumed, 0).await;
+        expect_that!(text, ok(eq(&expected_answer(&request.messages, 400))));
+    });
+}
+
+#[gtest]
+fn engine_cut_mid_stream_is_an_error() {
+    block_on(async {
+        let standin = EngineStandin::start(EngineConfig::default(), Ledger::default())
+            .await
+            .unwrap();
+        let engine = HttpEngine::new(&standin.url(), TIMEOUT);
+        let mut stream = engine.generate(generation(1, 7, "x", 4000)).await.unwrap();
+        expect_that!(stream.next().await, some(ok(anything())));
+        standin.stop().await;
+        let rest = read_all(&mut stream, 1).await;
+        expect_that!(rest, err(matches_pattern!(EngineError::Unreachable(_))));
+        expect_that!(stream.next().await, none());
+        let again = engine.resume(1, 0).await.map(drop);
+        expect_that!(again, err(matches_pattern!(EngineError::Unreachable(_))));
+    });
+}
+
+fn transfer(call: u128) -> ServiceRequest {
+    ServiceRequest {
+        operation: "transfer".to_owned(),
+        call,
+        body: r#"{"hours":2}"#.to_owned(),
+    }
+}
+
+#[gtest]
+fn service_runs_once_and_says_what_it_knows() {
+    block_on(async {
+        let standin = ServiceStandin::start(ServiceConfig::default())
+            .await
+            .unwrap();
+        let service = HttpService::new(&standin.url(), SHORT);
+        let reply = service.invoke(transfer(1)).await.unwrap();
+        let call = crate::ids::format_id(1);
+        expect_that!(reply.status, eq(200));
+        expect_that!(
+            reply.body,
+            eq(&expected_result("transfer", &call, r#"{"hours":2}"#))
+        );
+        let faults = [
+            ServiceControl {
+                lose_answers: Some(1),
+                ..ServiceControl::default()
+            },
+            ServiceControl {
+                hang_before: Some(1),
+                ..ServiceControl::default()
+            },
+            ServiceControl {
+                hang_after: Some(1),
+                ..ServiceControl::default()
+            },
+            ServiceControl {
+                cut_before: Some(1),
+                ..ServiceControl::default()
+            },
+        ];
+        for (call, fault) in (2..).zip(faults) {
+            standin.control(fault).await;
+            let reply = service.invoke(transfer(call)).await;
+            expect_that!(reply, err(matches_pattern!(ServiceError::Unknown(_))));
+        }
+        expect_that!(
+            [2, 3, 4, 5].map(|call| standin.runs(call)),
+            eq([1, 0, 1, 0])
+        );
+        expect_that!(standin.counts().requests, eq(5));
+        standin.stop().await;
+        let reply = service.invoke(transfer(6)).await;
+        expect_that!(reply, err(matches_pattern!(ServiceError::NotSent(_))));
+    });
+}
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -14,6 +14,11 @@
 
 pub mod protocol;
 
+pub mod standin;
+
+mod adapter;
+
+pub use adapter::{HttpEngine, HttpEngineStream, HttpLog, HttpService};
 pub use protocol::message::{Message, Role, Usage};
 pub use protocol::record::{
     ActionResult, Batch, Claim, Created, EndReason, Ended, Entry, Intent, Outcome, Record,
--- /dev/null
+++ b/src/standin/engine/batch.rs
@@ -0,0 +1,348 @@
+//! Continuous batching: which streams run, and what one step of the engine does.
+
+use crate::ids::{CallId, ProgramId};
+use crate::protocol::engine::{CacheEvent, EngineLoad, GenerateRequest};
+use crate::standin::body::PieceBody;
+use crate::standin::engine::cache::PrefixCache;
+use crate::standin::engine::config::{EngineConfig, EngineCounts};
+use crate::standin::engine::ledger::Ledger;
+use crate::standin::engine::reports::{CacheEvents, LoadReports};
+use crate::standin::engine::stream::{Phase, Stream};
+use std::collections::{HashMap, VecDeque};
+use std::time::{Duration, Instant};
+
+/// The streams, the cache and the reports of an engine.
+///
+/// Invariant: each stream that is not finished is either in `waiting` or in `running`.
+pub(crate) struct Batch {
+    config: EngineConfig,
+    ledger: Ledger,
+    streams: HashMap<CallId, Stream>,
+    waiting: VecDeque<CallId>,
+    running: Vec<CallId>,
+    /// Finished streams, oldest first.
+    finished: VecDeque<(Instant, CallId)>,
+    pub(super) cache: PrefixCache,
+    loads: LoadReports,
+    load_lag: Duration,
+    events: CacheEvents,
+    /// Models loaded, with their versions.
+    models: Vec<(String, u32)>,
+    counts: EngineCounts,
+    rng: fastrand::Rng,
+}
+
+impl Batch {
+    /// Makes an engine without streams.
+    pub(crate) fn new(config: EngineConfig, ledger: Ledger, now: Instant) -> Self {
+        let mut batch = Self {
+            ledger,
+            streams: HashMap::new(),
+            waiting: VecDeque::new(),
+            running: Vec::new(),
+            finished: VecDeque::new(),
+            cache: PrefixCache::new(config.cache_tokens),
+            loads: LoadReports::default(),
+            load_lag: config.load_lag.mul_f64(config.time_scale),
+            events: CacheEvents::default(),
+            models: config.models.clone(),
+            counts: EngineCounts::default(),
+            rng: fastrand::Rng::with_seed(config.seed),
+            config,
+        };
+        batch.report(now);
+        batch
+    }
+
+    /// Admits a generation and opens its body; a known call is read from its beginning.
+    pub(crate) fn start(&mut self, request: &GenerateRequest, now: Instant) -> PieceBody {
+        let call = request.call;
+        if let Some(stream) = self.streams.get_mut(&call) {
+            return stream.read(0);
+        }
+        let mut stream = Stream::new(request);
+        let body = stream.read(0);
+        self.streams.insert(call, stream);
+        self.waiting.push_back(call);
+        self.counts.started += 1;
+        self.report(now);
+        body
+    }
+
+    /// Tells whether a model is served.
+    pub(crate) fn serves(&self, model: &str) -> bool {
+        self.config.models.is_empty() || self.models.iter().any(|(loaded, _)| loaded == model)
+    }
+
+    /// Opens the body of a known generation from a token on.
+    pub(crate) fn resume(&mut self, call: CallId, from: u32) -> Option<PieceBody> {
+        self.streams.get_mut(&call).map(|stream| stream.read(from))
+    }
+
+    /// Stops a generation and forgets it; `false` if it is not known.
+    pub(crate) fn cancel(&mut self, call: CallId, now: Instant) -> bool {
+        let Some(mut stream) = self.streams.remove(&call) else {
+            return false;
+        };
+        stream.stop();
+        self.waiting.retain(|&other| other != call);
+        if self.running.contains(&call) {
+            self.running.retain(|&other| other != call);
+            self.cache
+                .leave(stream.program, stream.reserved_tokens, now);
+        }
+        self.finished.retain(|(_, other)| *other != call);
+        if !matches!(stream.phase, Phase::Finished(_)) {
+            self.counts.cancelled += 1;
+        }
+        self.note_changes(now);
+        self.report(now);
+        true
+    }
+
+    /// Leaves the open connections silent for good.
+    pub(crate) fn silence(&mut self) {
+        for stream in self.streams.values_mut() {
+            stream.silence();
+        }
+    }
+
+    /// Drops the cache of a program and returns the tokens still held.
+    pub(crate) fn release(&mut self, program: ProgramId, now: Instant) -> u64 {
+        let left = self.cache.release(program, now);
+        self.note_changes(now);
+        self.report(now);
+        left
+    }
+
+    /// Takes in a cache that another engine exported.
+    pub(crate) fn import(&mut self, program: ProgramId, bytes: &[u8], now: Instant) -> bool {
+        let is_in = self.cache.import(program, bytes, now);
+        self.note_changes(now);
+        self.report(now);
+        is_in
+    }
+
+    /// Loads a version of a model in place of any other.
+    pub(crate) fn load_model(&mut self, model: String, version: u32, now: Instant) {
+        self.models.retain(|(loaded, _)| *loaded != model);
+        self.models.push((model, version));
+        self.report(now);
+    }
+
+    /// Removes a model.
+    pub(crate) fn unload(&mut self, model: &str, now: Instant) {
+        self.models.retain(|(loaded, _)| loaded != model);
+        self.report(now);
+    }
+
+    /// Returns what each program holds.
+    pub(crate) fn held(&self) -> Vec<(ProgramId, u64)> {
+        self.cache.held()
+    }
+
+    /// Returns the load report that is visible now.
+    pub(crate) fn load(&mut self, now: Instant) -> EngineLoad {
+        self.loads.read(now, self.load_lag)
+    }
+
+    /// Returns the cache events that are visible now.
+    pub(crate) fn events(&self, after: u64, now: Instant) -> Vec<CacheEvent> {
+        let lag = self.config.event_lag.mul_f64(self.config.time_scale);
+        self.events.read(after, now, lag)
+    }
+
+    /// Changes the share of lost events.
+    pub(crate) fn set_event_loss(&mut self, share: f64) {
+        self.config.event_loss = share;
+    }
+
+    /// Changes how long load reports are kept.
+    pub(crate) fn set_load_lag(&mut self, lag: Duration) {
+        self.load_lag = lag;
+    }
+
+    /// Returns what was counted.
+    pub(crate) fn counts(&self) -> EngineCounts {
+        EngineCounts {
+            running: self.running.len() as u32,
+            waiting: self.waiting.len() as u32,
+            held_tokens: self.cache.held().iter().map(|(_, tokens)| tokens).sum(),
+            ..self.counts.clone()
+        }
+    }
+
+    /// Begins what fits, and returns how long the next step takes at full speed; `None` if there
+    /// is nothing to do.
+    pub(crate) fn plan(&mut self, now: Instant) -> Option<Duration> {
+        self.begin_waiting(now);
+        self.forget_finished(now);
+        if self.running.is_empty() {
+            return None;
+        }
+        let mut decoding = 0;
+        let mut prefill_tokens = 0;
+        let share = self.prefill_share();
+        for call in &self.running {
+            match self.streams.get(call).map(|stream| stream.phase) {
+                Some(Phase::Prefill(left)) => prefill_tokens += left.min(share),
+                Some(Phase::Decode) => decoding += 1,
+                _ => {}
+            }
+        }
+        Some(self.step_time(decoding, prefill_tokens))
+    }
+
+    /// Does one step: a part of the prompts in prefill, and one token of each other stream.
+    pub(crate) fn step(&mut self, now: Instant) {
+        let share = self.prefill_share();
+        let mut finished = Vec::new();
+        let running = std::mem::take(&mut self.running);
+        for &call in &running {
+            let Some(stream) = self.streams.get_mut(&call) else {
+                continue;
+            };
+            match stream.phase {
+                Phase::Prefill(left) if left > share => stream.phase = Phase::Prefill(left - share),
+                Phase::Prefill(_) => {
+                    stream.phase = Phase::Decode;
+                    self.cache.insert(stream.program, &stream.prefixes, now);
+                    let answer_tokens = u64::from(stream.answer_tokens);
+                    self.cache
+                        .shrink(&mut stream.reserved_tokens, answer_tokens);
+                }
+                Phase::Decode => {
+                    self.counts.completion_tokens += 1;
+                    if stream.advance() {
+                        finished.push(call);
+                    }
+                }
+                Phase::Waiting | Phase::Finished(_) => {}
+            }
+        }
+        self.running = running;
+        for call in finished {
+            self.finish(call, now);
+        }
+        self.note_changes(now);
+        self.report(now);
+    }
+
+    /// Returns how long a step takes.
+    fn step_time(&self, decoding: u32, prefill_tokens: u32) -> Duration {
+        let prefill_s = f64::from(prefill_tokens) / self.config.prefill_tokens_per_s;
+        let mut time = Duration::from_secs_f64(prefill_s);
+        if decoding > 0 {
+            time += self.config.decode_base + self.config.decode_per_stream * decoding;
+        }
+        time.mul_f64(self.config.time_scale)
+    }
+
+    /// Returns the prompt tokens that each stream in prefill gets in a step.
+    fn prefill_share(&self) -> u32 {
+        let streams = self
+            .running
+            .iter()
+            .filter_map(|call| self.streams.get(call));
+        let count = streams
+            .filter(|stream| matches!(stream.phase, Phase::Prefill(_)))
+            .count();
+        (self.config.prefill_chunk_tokens / (count.max(1) as u32)).max(1)
+    }
+
+    /// Begins waiting streams while there is room.
+    fn begin_waiting(&mut self, now: Instant) {
+        while self.running.len() < self.config.max_running {
+            let Some(&call) = self.waiting.front() else {
+                return;
+            };
+            if !self.begin(call, now) {
+                return;
+            }
+            self.waiting.pop_front();
+        }
+    }
+
+    /// Begins a stream; `false` if it must wait for memory.
+    fn begin(&mut self, call: CallId, now: Instant) -> bool {
+        let Some(stream) = self.streams.get_mut(&call) else {
+            return true;
+        };
+        let program = stream.program;
+        let cached = self.cache.find(program, &stream.prefixes);
+        let needed = u64::from(stream.prompt_tokens + stream.answer_tokens) - cached;
+        if !self.cache.enter(program, needed, now) {
+            if !self.running.is_empty() {
+                return false;
+            }
+            // Larger than the whole memory: a real engine would refuse it, this one lets it pass.
+            self.cache.force(program, needed, now);
+        }
+        stream.reserved_tokens = needed;
+        stream.cached_tokens = cached as u32;
+        // An engine computes the last token of a prompt even if it has it all.
+        let left = (stream.prompt_tokens - stream.cached_tokens).max(1);
+        stream.phase = Phase::Prefill(left);
+        let again = self.ledger.prompt(program, &stream.prefixes, cached);
+        self.counts.prompt_tokens += u64::from(stream.prompt_tokens);
+        self.counts.cached_tokens += cached;
+        self.counts.recomputed_tokens += again;
+        self.running.push(call);
+        true
+    }
+
+    /// Ends a stream whose answer is whole.
+    fn finish(&mut self, call: CallId, now: Instant) {
+        self.running.retain(|&other| other != call);
+        let Some(stream) = self.streams.get_mut(&call) else {
+            return;
+        };
+        stream.finish(now);
+        let prefix = stream.answer_prefix();
+        self.ledger
+            .answer(stream.program, prefix.hash, stream.answer_tokens);
+        self.cache.insert(stream.program, &[prefix], now);
+        self.cache
+            .leave(stream.program, stream.reserved_tokens, now);
+        self.finished.push_back((now, call));
+        self.counts.finished += 1;
+    }
+
+    /// Forgets streams that ended long ago.
+    fn forget_finished(&mut self, now: Instant) {
+        let keep = self.config.keep_finished;
+        while let Some(&(at, call)) = self.finished.front() {
+            if now.saturating_duration_since(at) < keep {
+                return;
+            }
+            self.finished.pop_front();
+            self.streams.remove(&call);
+        }
+    }
+
+    /// Turns the cache's changes into events and counts.
+    fn note_changes(&mut self, now: Instant) {
+        for change in self.cache.take_changes() {
+            let lost = self.rng.f64() < self.config.event_loss;
+            self.events
+                .push(now, change.program, change.held_tokens, lost);
+            if change.unused_token_s > 0.0 {
+                self.counts.unused_token_s += change.unused_token_s;
+                self.ledger.unused(change.unused_token_s);
+            }
+        }
+    }
+
+    /// Notes the load.
+    fn report(&mut self, now: Instant) {
+        let load = EngineLoad {
+            running: self.running.len() as u32,
+            waiting: self.waiting.len() as u32,
+            cache_used_tokens: self.cache.used_tokens(),
+            cache_total_tokens: self.config.cache_tokens,
+            models: self.models.clone(),
+        };
+        self.loads.push(now, load);
+        self.loads.forget(now, self.load_lag);
+    }
+}
--- /dev/null
+++ b/src/standin/engine/handler.rs
@@ -0,0 +1,392 @@
+//! Answers the requests to the engine stand-in.
+
+use super::batch::Batch;
+use super::config::{EngineConfig, EngineControl, EngineCounts};
+use super::ledger::Ledger;
+use super::orders::Orders;
+use crate::ids::{CallId, Epoch, ProgramId, format_id, parse_id};
+use crate::protocol::engine::{EngineOrder, GenerateRequest};
+use crate::protocol::message::Message;
+use crate::standin::server::{Answer, Handler, Request, Server};
+use async_channel::{Receiver, Sender};
+use serde::Deserialize;
+use smol::Timer;
+use std::sync::{Arc, Mutex, MutexGuard, OnceLock, PoisonError, Weak};
+use std::time::{Duration, Instant};
+use trillium_http::Method;
+use trillium_smol::async_global_executor::spawn;
+
+/// The engine behind its server.
+pub(crate) struct EngineHandler {
+    core: Arc<Core>,
+    /// Wakes the stepper.
+    work: Sender<()>,
+    server: OnceLock<Weak<Server<EngineHandler>>>,
+}
+
+/// What the handler and the stepper share.
+pub(crate) struct Core {
+    config: EngineConfig,
+    inner: Mutex<Inner>,
+}
+
+/// What changes.
+struct Inner {
+    batch: Batch,
+    orders: Orders,
+    paused: bool,
+    refuse: bool,
+    /// The share of its full speed at which the engine works.
+    speed: f64,
+}
+
+impl Core {
+    /// Tells whether the engine does no work for now.
+    pub(crate) fn is_paused(&self) -> bool {
+        self.lock().paused
+    }
+
+    /// Returns how long the next step takes; `None` if there is nothing to do.
+    pub(crate) fn plan(&self) -> Option<Duration> {
+        let mut inner = self.lock();
+        let slowness = 1.0 / inner.speed.max(MIN_SPEED);
+        inner
+            .batch
+            .plan(Instant::now())
+            .map(|step| step.mul_f64(slowness))
+    }
+
+    /// Does one step.
+    pub(crate) fn step(&self) {
+        self.lock().batch.step(Instant::now());
+    }
+
+    /// Turns a duration of the engine's life into one of ours.
+    fn scale(&self, time: Duration) -> Duration {
+        time.mul_f64(self.config.time_scale)
+    }
+
+    fn lock(&self) -> MutexGuard<'_, Inner> {
+        self.inner.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+/// The slowest that an engine can be made, as a share of its full speed.
+const MIN_SPEED: f64 = 1e-4;
+
+impl EngineHandler {
+    /// Makes an engine, and the end by which its stepper is woken.
+    pub(crate) fn new(config: EngineConfig, ledger: Ledger) -> (Self, Receiver<()>) {
+        let (work, woken) = async_channel::bounded(1);
+        let inner = Inner {
+            batch: Batch::new(config.clone(), ledger, Instant::now()),
+            orders: Orders::new(config.checks_fence),
+            paused: false,
+            refuse: false,
+            speed: 1.0,
+        };
+        let core = Arc::new(Core {
+            config,
+            inner: Mutex::new(inner),
+        });
+        let handler = Self {
+            core,
+            work,
+            server: OnceLock::new(),
+        };
+        (handler, woken)
+    }
+
+    /// Names the server, which a control can stop.
+    pub(crate) fn attach(&self, server: &Arc<Server<EngineHandler>>) {
+        // A second server is not kept: there is one.
+        let _ = self.server.set(Arc::downgrade(server));
+    }
+
+    /// Returns what the stepper needs.
+    pub(crate) fn core(&self) -> Arc<Core> {
+        self.core.clone()
+    }
+
+    /// Takes over a change.
+    pub(crate) async fn control(&self, control: EngineControl) {
+        self.apply(&control);
+        self.wake();
+        let server = self.server.get().and_then(Weak::upgrade);
+        match (server, control.down) {
+            (Some(server), Some(true)) => server.stop().await,
+            (Some(server), Some(false)) => server.listen_again().await,
+            _ => {}
+        }
+    }
+
+    /// Returns what was counted.
+    pub(crate) fn counts(&self) -> EngineCounts {
+        let inner = self.core.lock();
+        EngineCounts {
+            orders: inner.orders.acted().to_vec(),
+            ..inner.batch.counts()
+        }
+    }
+
+    /// Returns what each program holds.
+    pub(crate) fn held(&self) -> Vec<(ProgramId, u64)> {
+        self.core.lock().batch.held()
+    }
+
+    /// Takes over the part of a change that is not the server's.
+    fn apply(&self, control: &EngineControl) {
+        let mut inner = self.core.lock();
+        if let Some(paused) = control.paused {
+            inner.paused = paused;
+        }
+        if let Some(speed) = control.speed {
+            inner.speed = speed;
+        }
+        if let Some(refuse) = control.refuse {
+            inner.refuse = refuse;
+        }
+        if control.silence == Some(true) {
+            inner.batch.silence();
+        }
+        if let Some(share) = control.event_loss {
+            inner.batch.set_event_loss(share);
+        }
+        if let Some(lag_ms) = control.load_lag_ms {
+            inner.batch.set_load_lag(Duration::from_millis(lag_ms));
+        }
+    }
+
+    /// Tells the stepper that there may be something to do.
+    fn wake(&self) {
+        // A full channel already wakes it.
+        let _ = self.work.try_send(());
+    }
+
+    /// Begins a generation.
+    fn complete(&self, request: &Request) -> Answer {
+        let generate = match request.json::<Completion>().and_then(Completion::decode) {
+            Ok(generate) => generate,
+            Err(refused) => return refused,
+        };
+        let mut inner = self.core.lock();
+        if inner.refuse {
+            return Answer::refused(503, "busy", "The engine takes no more streams.");
+        }
+        if !inner.batch.serves(&generate.model) {
+            return Answer::refused(404, "no_model", "The model is not loaded.");
+        }
+        let body = inner.batch.start(&generate, Instant::now());
+        drop(inner);
+        self.wake();
+        Answer::Events(body)
+    }
+
+    /// Answers a request about one stream.
+    fn stream(&self, method: Method, call: CallId, request: &Request) -> Answer {
+        let mut inner = self.core.lock();
+        match method {
+            Method::Get => {
+                let from = request.number("from").unwrap_or(0);
+                let body = inner
+                    .batch
+                    .resume(call, u32::try_from(from).unwrap_or(u32::MAX));
+                body.map_or_else(unknown, Answer::Events)
+            }
+            Method::Delete => {
+                if inner.batch.cancel(call, Instant::now()) {
+                    Answer::json(200, &serde_json::json!({}))
+                } else {
+                    unknown()
+                }
+            }
+            _ => Answer::not_found(),
+        }
+    }
+
+    /// Answers a request about a program's cache.
+    async fn cache(&self, request: Request, program: ProgramId, action: &str) -> Answer {
+        match (request.method, action) {
+            (Method::Get, "") => held(self.core.lock().batch.cache.held_tokens(program)),
+            (Method::Delete, "") => {
+                let left = self.core.lock().batch.release(program, Instant::now());
+                self.wake();
+                held(left)
+            }
+            (Method::Get, "export") => self.export(program).await,
+            (Method::Put, "import") => self.import(program, &request.body).await,
+            _ => Answer::not_found(),
+        }
+    }
+
+    /// Takes a cache out.
+    async fn export(&self, program: ProgramId) -> Answer {
+        let (bytes, tokens) = {
+            let inner = self.core.lock();
+            let cache = &inner.batch.cache;
+            (cache.export(program), cache.held_tokens(program))
+        };
+        self.transfer(tokens).await;
+        match bytes {
+            Some(body) => Answer::Whole {
+                status: 200,
+                kind: "application/octet-stream",
+                body,
+            },
+            None => unknown(),
+        }
+    }
+
+    /// Puts a cache in.
+    async fn import(&self, program: ProgramId, bytes: &[u8]) -> Answer {
+        if !self
+            .core
+            .lock()
+            .batch
+            .import(program, bytes, Instant::now())
+        {
+            return Answer::refused(409, "import", "The cache is malformed or does not fit.");
+        }
+        let tokens = self.core.lock().batch.cache.held_tokens(program);
+        self.transfer(tokens).await;
+        held(tokens)
+    }
+
+    /// Waits as long as it takes to move a cache.
+    async fn transfer(&self, tokens: u64) {
+        let time_s = tokens as f64 / self.core.config.transfer_tokens_per_s.max(1.0);
+        Timer::after(self.core.scale(Duration::from_secs_f64(time_s))).await;
+    }
+
+    /// Takes an order; loading goes on after the answer.
+    fn order(&self, request: &Request) -> Answer {
+        let order: Order = match request.json() {
+            Ok(order) => order,
+            Err(refused) => return refused,
+        };
+        if !self.core.lock().orders.accept(order.fence, &order.order) {
+            return Answer::refused(409, "fenced", "The fencing number is old.");
+        }
+        match order.order {
+            EngineOrder::Unload { model } => self.core.lock().batch.unload(&model, Instant::now()),
+            EngineOrder::Load { model, version } => {
+                let core = self.core.clone();
+                let load = async move {
+                    Timer::after(core.scale(core.config.load_time)).await;
+                    core.lock().batch.load_model(model, version, Instant::now());
+                };
+                spawn(load).detach();
+            }
+        }
+        Answer::json(200, &serde_json::json!({}))
+    }
+
+    /// Returns the load report.
+    fn load(&self) -> Answer {
+        Answer::json(200, &self.core.lock().batch.load(Instant::now()))
+    }
+
+    /// Returns cache events.
+    fn events(&self, request: &Request) -> Answer {
+        let after = request.number("after").unwrap_or(0);
+        let events = self.core.lock().batch.events(after, Instant::now());
+        let events = events.into_iter().map(|event| {
+            serde_json::json!({
+                "sequence": event.sequence,
+                "program": format_id(event.program),
+                "held_tokens": event.held_tokens,
+            })
+        });
+        Answer::json(200, &events.collect::<Vec<_>>())
+    }
+
+    /// Answers a request whose path has ids in it.
+    async fn route_ids(&self, request: Request) -> Answer {
+        let path = request.path.clone();
+        let parts: Vec<&str> = path.split('/').skip(1).collect();
+        match parts.as_slice() {
+            ["v1", "streams", call] => match parse_id(call) {
+                Some(call) => self.stream(request.method, call, &request),
+                None => unknown(),
+            },
+            ["v1", "cache", program] | ["v1", "cache", program, ""] => match parse_id(program) {
+                Some(program) => self.cache(request, program, "").await,
+                None => unknown(),
+            },
+            ["v1", "cache", program, action] => match parse_id(program) {
+                Some(program) => self.cache(request, program, action).await,
+                None => unknown(),
+            },
+            _ => Answer::not_found(),
+        }
+    }
+}
+
+impl Handler for EngineHandler {
+    async fn handle(&self, request: Request) -> Answer {
+        match (request.method, request.path.as_str()) {
+            (Method::Post, "/v1/chat/completions") => self.complete(&request),
+            (Method::Get, "/v1/load") => self.load(),
+            (Method::Get, "/v1/cache/events") => self.events(&request),
+            (Method::Post, "/v1/orders") => self.order(&request),
+            (Method::Get, "/counts") => Answer::json(200, &self.counts()),
+            (Method::Post, "/control") => match request.json() {
+                Ok(control) => {
+                    self.control(control).await;
+                    Answer::json(200, &())
+                }
+                Err(refused) => refused,
+            },
+            _ => self.route_ids(request).await,
+        }
+    }
+}
+
+/// The body of a generation request.
+#[derive(Deserialize)]
+struct Completion {
+    model: String,
+    messages: Vec<Message>,
+    max_tokens: u32,
+    #[serde(default)]
+    stream: bool,
+    request_id: String,
+    program: String,
+}
+
+impl Completion {
+    /// Checks the request.
+    fn decode(self) -> Result<GenerateRequest, Answer> {
+        if !self.stream {
+            return Err(Answer::refused(400, "invalid", "Only streams are served."));
+        }
+        let ids = parse_id(&self.request_id).zip(parse_id(&self.program));
+        let Some((call, program)) = ids else {
+            return Err(Answer::refused(400, "invalid", "An id is malformed."));
+        };
+        Ok(GenerateRequest {
+            call,
+            program,
+            model: self.model,
+            messages: self.messages,
+            max_tokens: self.max_tokens,
+        })
+    }
+}
+
+/// The body of an order.
+#[derive(Deserialize)]
+struct Order {
+    fence: Epoch,
+    order: EngineOrder,
+}
+
+/// The answer about an unknown stream or cache.
+fn unknown() -> Answer {
+    Answer::refused(404, "unknown", "There is no such stream or cache.")
+}
+
+/// The answer with what a program holds.
+fn held(tokens: u64) -> Answer {
+    Answer::json(200, &serde_json::json!({"held_tokens": tokens}))
+}
--- /dev/null
+++ b/src/standin/engine/reports.rs
@@ -0,0 +1,91 @@
+//! What the engine stand-in says of itself: late, and with gaps.
+
+use crate::ids::ProgramId;
+use crate::protocol::engine::{CacheEvent, EngineLoad};
+use std::collections::VecDeque;
+use std::time::{Duration, Instant};
+
+/// Cache events that are kept.
+const MAX_EVENTS: usize = 8192;
+
+/// Load reports are at least this far apart.
+const LOAD_INTERVAL: Duration = Duration::from_millis(20);
+
+/// Load reports that become visible after a time.
+#[derive(Debug, Default)]
+pub(crate) struct LoadReports {
+    reports: VecDeque<(Instant, EngineLoad)>,
+}
+
+impl LoadReports {
+    /// Notes the load at a time. Reports that follow at once are merged.
+    pub(crate) fn push(&mut self, now: Instant, load: EngineLoad) {
+        let last = self.reports.len().checked_sub(2);
+        let is_soon = last
+            .and_then(|index| self.reports.get(index))
+            .is_some_and(|(at, _)| now.saturating_duration_since(*at) < LOAD_INTERVAL);
+        if is_soon {
+            self.reports.pop_back();
+        }
+        self.reports.push_back((now, load));
+    }
+
+    /// Returns the newest report that is at least `lag` old, and forgets the ones before.
+    pub(crate) fn read(&mut self, now: Instant, lag: Duration) -> EngineLoad {
+        let visible = |at: Instant| now.saturating_duration_since(at) >= lag;
+        while self.reports.get(1).is_some_and(|(at, _)| visible(*at)) {
+            self.reports.pop_front();
+        }
+        match self.reports.front() {
+            Some((at, load)) if visible(*at) => load.clone(),
+            _ => EngineLoad::default(),
+        }
+    }
+
+    /// Forgets what is older than `lag`, but for the newest of these.
+    pub(crate) fn forget(&mut self, now: Instant, lag: Duration) {
+        while self
+            .reports
+            .get(1)
+            .is_some_and(|(at, _)| now.saturating_duration_since(*at) >= lag)
+        {
+            self.reports.pop_front();
+        }
+    }
+}
+
+/// Cache events that become visible after a time, some never.
+#[derive(Debug, Default)]
+pub(crate) struct CacheEvents {
+    events: VecDeque<(Instant, CacheEvent)>,
+    last: u64,
+}
+
+impl CacheEvents {
+    /// Notes a change; `lost` ones take a number and are never seen.
+    pub(crate) fn push(&mut self, now: Instant, program: ProgramId, held_tokens: u64, lost: bool) {
+        self.last += 1;
+        if lost {
+            return;
+        }
+        let event = CacheEvent {
+            sequence: self.last,
+            program,
+            held_tokens,
+        };
+        self.events.push_back((now, event));
+        if self.events.len() > MAX_EVENTS {
+            self.events.pop_front();
+        }
+    }
+
+    /// Returns the visible events after a number.
+    pub(crate) fn read(&self, after: u64, now: Instant, lag: Duration) -> Vec<CacheEvent> {
+        self.events
+            .iter()
+            .filter(|(_, event)| event.sequence > after)
+            .take_while(|(at, _)| now.saturating_duration_since(*at) >= lag)
+            .map(|(_, event)| event.clone())
+            .collect()
+    }
+}
--- /dev/null
+++ b/src/standin/log/state.rs
@@ -0,0 +1,238 @@
+//! The streams of the log stand-in, without sockets or faults.
+
+use super::control::LogControl;
+use crate::ids::Offset;
+use crate::protocol::log::{LogPage, LogRecord};
+use std::collections::{BTreeMap, VecDeque};
+use std::time::{Duration, Instant};
+
+/// How a log stand-in behaves.
+#[derive(Clone, Debug)]
+pub struct LogConfig {
+    /// Appends accepted a second, over all streams.
+    pub appends_per_s: f64,
+    /// Appends accepted at once after a quiet time.
+    pub burst: f64,
+    /// Records older than this are removed.
+    pub retention: Duration,
+    /// More records than this in a stream are removed, oldest first.
+    pub retention_records: usize,
+    /// Added to every answer.
+    pub latency: Duration,
+    /// Seeds the random faults.
+    pub seed: u64,
+}
+
+impl Default for LogConfig {
+    fn default() -> Self {
+        Self {
+            appends_per_s: 400.0,
+            burst: 100.0,
+            retention: Duration::from_secs(24 * 3600),
+            retention_records: usize::MAX,
+            latency: Duration::ZERO,
+            seed: 0,
+        }
+    }
+}
+
+/// What a log stand-in has counted.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+pub struct LogCounts {
+    /// Records appended.
+    pub appends: u64,
+    /// Bytes of data appended.
+    pub append_bytes: u64,
+    /// Appends refused for their rate.
+    pub throttled: u64,
+    /// Reads answered.
+    pub reads: u64,
+    /// Bytes of data read.
+    pub read_bytes: u64,
+    /// Appends that took effect and whose answer was lost.
+    pub lost_answers: u64,
+}
+
+/// The streams.
+pub(crate) struct LogState {
+    config: LogConfig,
+    streams: BTreeMap<String, Stream>,
+    /// Appends that may be accepted now.
+    tokens: f64,
+    /// When `tokens` was last filled up.
+    filled_at: Instant,
+    /// What was counted.
+    pub(crate) counts: LogCounts,
+}
+
+/// One stream.
+///
+/// Invariant: the records' offsets are `first`, `first + 1` and so on.
+struct Stream {
+    first: Offset,
+    records: VecDeque<LogRecord>,
+}
+
+impl Default for Stream {
+    fn default() -> Self {
+        Self {
+            first: 1,
+            records: VecDeque::new(),
+        }
+    }
+}
+
+impl Stream {
+    /// Returns the offset of the next append.
+    fn next(&self) -> Offset {
+        self.first + self.records.len() as Offset
+    }
+
+    /// Removes the oldest record.
+    fn drop_first(&mut self) {
+        self.records.pop_front();
+        self.first += 1;
+    }
+}
+
+impl LogState {
+    /// Makes a log without streams.
+    pub(crate) fn new(config: LogConfig, now: Instant) -> Self {
+        Self {
+            tokens: config.burst,
+            config,
+            streams: BTreeMap::new(),
+            filled_at: now,
+            counts: LogCounts::default(),
+        }
+    }
+
+    /// Takes over a change of the limits.
+    pub(crate) fn apply(&mut self, control: &LogControl) {
+        if let Some(appends_per_s) = control.appends_per_s {
+            self.config.appends_per_s = appends_per_s;
+        }
+        if let Some(retention_ms) = control.retention_ms {
+            self.config.retention = Duration::from_millis(retention_ms);
+        }
+    }
+
+    /// Takes one append off the rate, or tells when to try again.
+    pub(crate) fn admit(&mut self, now: Instant) -> Result<(), Duration> {
+        let since = now.saturating_duration_since(self.filled_at);
+        let filled = self.tokens + since.as_secs_f64() * self.config.appends_per_s;
+        self.tokens = filled.min(self.config.burst);
+        self.filled_at = now;
+        if self.tokens >= 1.0 {
+            self.tokens -= 1.0;
+            return Ok(());
+        }
+        self.counts.throttled += 1;
+        let wait_s = (1.0 - self.tokens) / self.config.appends_per_s.max(f64::MIN_POSITIVE);
+        Err(Duration::try_from_secs_f64(wait_s).unwrap_or(Duration::MAX))
+    }
+
+    /// Appends a record and returns its offset.
+    pub(crate) fn append(&mut self, name: &str, data: Vec<u8>, now_ms: u64) -> Offset {
+        self.counts.appends += 1;
+        self.counts.append_bytes += data.len() as u64;
+        let stream = self.streams.entry(name.to_owned()).or_default();
+        let offset = stream.next();
+        stream.records.push_back(LogRecord {
+            offset,
+            at_ms: now_ms,
+            data,
+        });
+        self.expire(name, now_ms);
+        offset
+    }
+
+    /// Reads records from an offset on; the error is the first offset kept.
+    pub(crate) fn read(
+        &mut self,
+        name: &str,
+        from: Offset,
+        max_bytes: usize,
+        now_ms: u64,
+    ) -> Result<LogPage, Offset> {
+        self.expire(name, now_ms);
+        let Some(stream) = self.streams.get(name) else {
+            return Ok(LogPage {
+                records: Vec::new(),
+                first: 1,
+                next: 1,
+            });
+        };
+        let from = from.max(1);
+        if from < stream.first {
+            return Err(stream.first);
+        }
+        let skip = (from - stream.first) as usize;
+        let records = take_bytes(stream.records.iter().skip(skip), max_bytes);
+        let bytes: usize = records.iter().map(|record| record.data.len()).sum();
+        self.counts.reads += 1;
+        self.counts.read_bytes += bytes as u64;
+        Ok(LogPage {
+            records,
+            first: stream.first,
+            next: stream.next(),
+        })
+    }
+
+    /// Removes the records of a stream before `first`.
+    pub(crate) fn trim(&mut self, name: &str, first: Offset) {
+        let Some(stream) = self.streams.get_mut(name) else {
+            return;
+        };
+        while stream.first < first && !stream.records.is_empty() {
+            stream.drop_first();
+        }
+    }
+
+    /// Returns all records of a stream.
+    pub(crate) fn records(&self, name: &str) -> Vec<LogRecord> {
+        let stream = self.streams.get(name);
+        stream.map_or_else(Vec::new, |stream| stream.records.iter().cloned().collect())
+    }
+
+    /// Returns the names of the streams.
+    pub(crate) fn names(&self) -> Vec<String> {
+        self.streams.keys().cloned().collect()
+    }
+
+    /// Removes what is past the retention.
+    fn expire(&mut self, name: &str, now_ms: u64) {
+        let Some(stream) = self.streams.get_mut(name) else {
+            return;
+        };
+        let keep_ms = self.config.retention.as_millis() as u64;
+        let oldest_ms = now_ms.saturating_sub(keep_ms);
+        while stream.records.len() > self.config.retention_records {
+            stream.drop_first();
+        }
+        while stream
+            .records
+            .front()
+            .is_some_and(|record| record.at_ms < oldest_ms)
+        {
+            stream.drop_first();
+        }
+    }
+}
+
+/// Takes records up to a number of bytes, but at least one.
+fn take_bytes<'a>(
+    records: impl Iterator<Item = &'a LogRecord>,
+    max_bytes: usize,
+) -> Vec<LogRecord> {
+    let mut taken = Vec::new();
+    let mut bytes = 0;
+    for record in records {
+        bytes += record.data.len();
+        if bytes > max_bytes && !taken.is_empty() {
+            break;
+        }
+        taken.push(record.clone());
+    }
+    taken
+}
--- /dev/null
+++ b/src/standin/mod.rs
@@ -0,0 +1,19 @@
+//! Stand-ins of the systems around this one, for tests, the demo and experiments.
+//!
+//! Each is a plain state machine behind a small HTTP server on an address of its own. What a test
+//! counts, it counts here, and not in the code under test.
+
+mod body;
+mod clock;
+mod engine;
+mod log;
+mod server;
+mod service;
+
+pub use engine::answer::{count_tokens, expected_answer, prompt_tokens};
+pub use engine::ledger::{Ledger, LedgerCounts};
+pub use engine::{ActedOrder, EngineConfig, EngineControl, EngineCounts, EngineStandin};
+pub use log::{LogConfig, LogControl, LogCounts, LogStandin, Outage};
+pub use service::{
+    ServiceAction, ServiceConfig, ServiceControl, ServiceCounts, ServiceStandin, expected_result,
+};
--- /dev/null
+++ b/src/standin/server.rs
@@ -0,0 +1,304 @@
+//! A small HTTP server whose connections can be refused, cut or left hanging.
+
+use crate::standin::body::PieceBody;
+use async_channel::{Receiver, Sender};
+use futures_lite::FutureExt;
+use serde::Serialize;
+use serde::de::DeserializeOwned;
+use smol::Timer;
+use smol::net::{TcpListener, TcpStream};
+use std::convert::Infallible;
+use std::future::{Future, pending};
+use std::io;
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
+use trillium_http::{Body, Conn, HttpConfig, HttpContext, Method};
+use trillium_smol::SmolTransport;
+use trillium_smol::async_global_executor::{Task, spawn};
+
+/// The longest request body, in bytes.
+const MAX_BODY_BYTES: u64 = 256 << 20;
+
+/// How long to wait after a failed accept or bind.
+const PAUSE: Duration = Duration::from_millis(20);
+
+/// A connection as the HTTP library sees it.
+type Transport = SmolTransport<TcpStream>;
+
+/// A request, read whole.
+#[derive(Debug)]
+pub(crate) struct Request {
+    /// The method.
+    pub(crate) method: Method,
+    /// The path without the query.
+    pub(crate) path: String,
+    /// The query without the question mark.
+    pub(crate) query: String,
+    /// The `idempotency-key` header.
+    pub(crate) key: Option<String>,
+    /// The body.
+    pub(crate) body: Vec<u8>,
+}
+
+impl Request {
+    /// Returns a number of the query.
+    pub(crate) fn number(&self, name: &str) -> Option<u64> {
+        let pairs = self.query.split('&');
+        let mut values = pairs.filter_map(|pair| pair.strip_prefix(name)?.strip_prefix('='));
+        values.next()?.parse().ok()
+    }
+
+    /// Decodes the body.
+    pub(crate) fn json<T: DeserializeOwned>(&self) -> Result<T, Answer> {
+        serde_json::from_slice(&self.body)
+            .map_err(|error| Answer::refused(400, "invalid", &error.to_string()))
+    }
+}
+
+/// What becomes of a request.
+pub(crate) enum Answer {
+    /// A whole answer.
+    Whole {
+        /// The status code.
+        status: u16,
+        /// The media type.
+        kind: &'static str,
+        /// The body.
+        body: Vec<u8>,
+    },
+    /// A stream of server-sent events.
+    Events(PieceBody),
+    /// No answer; the connection stays open.
+    Hang,
+    /// No answer; the connection is closed.
+    Cut,
+}
+
+impl Answer {
+    /// A JSON answer.
+    pub(crate) fn json(status: u16, body: &impl Serialize) -> Self {
+        Self::Whole {
+            status,
+            kind: "application/json",
+            body: serde_json::to_vec(body).unwrap_or_default(),
+        }
+    }
+
+    /// A refusal with a code and a sentence.
+    pub(crate) fn refused(status: u16, code: &str, message: &str) -> Self {
+        let error = serde_json::json!({"code": code, "message": message});
+        Self::json(status, &serde_json::json!({"error": error}))
+    }
+
+    /// The answer to an unknown path.
+    pub(crate) fn not_found() -> Self {
+        Self::refused(404, "no_such_path", "There is no such path.")
+    }
+}
+
+/// Answers requests.
+pub(crate) trait Handler: Send + Sync + 'static {
+    /// Answers one request.
+    fn handle(&self, request: Request) -> impl Future<Output = Answer> + Send;
+}
+
+/// A running server.
+pub(crate) struct Server<H> {
+    handler: Arc<H>,
+    address: SocketAddr,
+    gate: Arc<Gate>,
+    /// Takes connections; `None` while they are refused.
+    accept: Mutex<Option<Task<()>>>,
+}
+
+impl<H: Handler> Server<H> {
+    /// Begins to serve; port 0 lets the system choose.
+    pub(crate) async fn start(listen: SocketAddr, handler: Arc<H>) -> io::Result<Self> {
+        let listener = TcpListener::bind(listen).await?;
+        let server = Self {
+            handler,
+            address: listener.local_addr()?,
+            gate: Arc::new(Gate::new()),
+            accept: Mutex::new(None),
+        };
+        server.serve(listener);
+        Ok(server)
+    }
+
+    /// Returns the address that it listens on.
+    pub(crate) fn address(&self) -> SocketAddr {
+        self.address
+    }
+
+    /// Stops listening, so that the system refuses connections. Open ones stay.
+    pub(crate) async fn refuse(&self) {
+        let accept = self.accept().take();
+        if let Some(accept) = accept {
+            accept.cancel().await;
+        }
+    }
+
+    /// Listens again on the same address.
+    pub(crate) async fn listen_again(&self) {
+        while self.accept().is_none() {
+            match TcpListener::bind(self.address).await {
+                Ok(listener) => self.serve(listener),
+                Err(error) => {
+                    log::warn!(target: "standin", "standin: can't listen: {error}");
+                    Timer::after(PAUSE).await;
+                }
+            }
+        }
+    }
+
+    /// Closes every open connection.
+    pub(crate) fn cut(&self) {
+        self.gate.close();
+    }
+
+    /// Stops listening and closes every connection.
+    pub(crate) async fn stop(&self) {
+        self.refuse().await;
+        self.cut();
+    }
+
+    /// Takes connections from a listener in a task of its own.
+    fn serve(&self, listener: TcpListener) {
+        let accept = accept_all(listener, self.handler.clone(), self.gate.clone());
+        *self.accept() = Some(spawn(accept));
+    }
+
+    fn accept(&self) -> MutexGuard<'_, Option<Task<()>>> {
+        self.accept.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+impl<H> Drop for Server<H> {
+    fn drop(&mut self) {
+        self.gate.close();
+    }
+}
+
+/// Ends the connections that were opened before it was last closed.
+struct Gate {
+    /// The sender is never used: dropping it closes the channel.
+    channel: Mutex<(Sender<Infallible>, Receiver<Infallible>)>,
+}
+
+impl Gate {
+    fn new() -> Self {
+        Self {
+            channel: Mutex::new(async_channel::bounded(1)),
+        }
+    }
+
+    /// Ends the connections opened so far.
+    fn close(&self) {
+        *self.lock() = async_channel::bounded(1);
+    }
+
+    /// Returns what a new connection watches: it closes when the connection must end.
+    fn watch(&self) -> Receiver<Infallible> {
+        self.lock().1.clone()
+    }
+
+    fn lock(&self) -> MutexGuard<'_, (Sender<Infallible>, Receiver<Infallible>)> {
+        self.channel.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+/// Takes connections until the task is cancelled.
+async fn accept_all<H: Handler>(listener: TcpListener, handler: Arc<H>, gate: Arc<Gate>) {
+    let config = HttpConfig::default().with_received_body_max_len(MAX_BODY_BYTES);
+    let mut context = HttpContext::new();
+    *context.config_mut() = config;
+    let context = Arc::new(context);
+    loop {
+        match listener.accept().await {
+            Ok((stream, _)) => {
+                let connection =
+                    serve_connection(context.clone(), stream, handler.clone(), gate.watch());
+                spawn(connection).detach();
+            }
+            Err(error) => {
+                log::warn!(target: "standin", "standin: can't accept: {error}");
+                Timer::after(PAUSE).await;
+            }
+        }
+    }
+}
+
+/// Serves one connection until either end closes it.
+async fn serve_connection<H: Handler>(
+    context: Arc<HttpContext>,
+    stream: TcpStream,
+    handler: Arc<H>,
+    watch: Receiver<Infallible>,
+) {
+    // Without it answers take longer, no more.
+    let _ = stream.set_nodelay(true);
+    let (cut_tx, cut_rx) = async_channel::bounded::<()>(1);
+    let serve = async {
+        let run = |conn| answer(conn, handler.as_ref(), &cut_tx);
+        if let Err(error) = context.run(Transport::from(stream), run).await {
+            log::debug!(target: "standin", "standin: connection ended: {error}");
+        }
+    };
+    let closed = async {
+        let _ = watch.recv().await;
+    };
+    let cut = async {
+        let _ = cut_rx.recv().await;
+    };
+    serve.or(closed).or(cut).await;
+}
+
+/// Answers the request of a connection.
+async fn answer<H: Handler>(
+    mut conn: Conn<Transport>,
+    handler: &H,
+    cut: &Sender<()>,
+) -> Conn<Transport> {
+    let Ok(body) = conn.request_body().read_bytes().await else {
+        return conn.with_status(400);
+    };
+    let request = Request {
+        method: conn.method(),
+        path: conn.path().to_owned(),
+        query: conn.querystring().to_owned(),
+        key: conn
+            .request_headers()
+            .get_str("idempotency-key")
+            .map(str::to_owned),
+        body,
+    };
+    match handler.handle(request).await {
+        Answer::Whole { status, kind, body } => whole(conn, status, kind, body),
+        Answer::Events(events) => whole(
+            conn,
+            200,
+            "text/event-stream",
+            Body::new_streaming(events, None),
+        ),
+        Answer::Hang => {
+            conn.cancel_on_disconnect(pending::<()>()).await;
+            conn
+        }
+        Answer::Cut => {
+            let _ = cut.try_send(());
+            pending().await
+        }
+    }
+}
+
+/// Fills in a response.
+fn whole(
+    mut conn: Conn<Transport>,
+    status: u16,
+    kind: &'static str,
+    body: impl Into<Body>,
+) -> Conn<Transport> {
+    conn.response_headers_mut().insert("content-type", kind);
+    conn.with_status(status).with_response_body(body)
+}
--- /dev/null
+++ b/src/standin/service/handler.rs
@@ -0,0 +1,133 @@
+//! Answers the requests to the service stand-in.
+
+use super::state::{
+    ServiceAction, ServiceConfig, ServiceControl, ServiceCounts, ServiceFault, ServiceState,
+    expected_result,
+};
+use crate::ids::{CallId, parse_id};
+use crate::standin::server::{Answer, Handler, Request, Server};
+use smol::Timer;
+use std::sync::{Arc, Mutex, MutexGuard, OnceLock, PoisonError, Weak};
+use trillium_http::Method;
+
+/// Begins the path of every operation.
+const OPERATIONS: &str = "/v1/operations/";
+
+/// The service behind its server.
+pub(crate) struct ServiceHandler {
+    state: Mutex<ServiceState>,
+    server: OnceLock<Weak<Server<ServiceHandler>>>,
+}
+
+impl ServiceHandler {
+    /// Makes a service that has done nothing.
+    pub(crate) fn new(config: ServiceConfig) -> Self {
+        Self {
+            state: Mutex::new(ServiceState::new(&config)),
+            server: OnceLock::new(),
+        }
+    }
+
+    /// Names the server, which a control can stop.
+    pub(crate) fn attach(&self, server: &Arc<Server<ServiceHandler>>) {
+        // A second server is not kept: there is one.
+        let _ = self.server.set(Arc::downgrade(server));
+    }
+
+    /// Takes over a change.
+    pub(crate) async fn control(&self, control: ServiceControl) {
+        let down = control.down;
+        self.lock().apply(control);
+        let server = self.server.get().and_then(Weak::upgrade);
+        match (server, down) {
+            (Some(server), Some(true)) => server.stop().await,
+            (Some(server), Some(false)) => server.listen_again().await,
+            _ => {}
+        }
+    }
+
+    /// Returns what was counted.
+    pub(crate) fn counts(&self) -> ServiceCounts {
+        self.lock().counts.clone()
+    }
+
+    /// Returns how often an action took effect.
+    pub(crate) fn runs(&self, call: CallId) -> u32 {
+        self.lock().runs(call)
+    }
+
+    /// Returns the actions that took effect.
+    pub(crate) fn actions(&self) -> Vec<ServiceAction> {
+        self.lock().actions()
+    }
+
+    /// Runs an operation, with the faults in force.
+    async fn operate(&self, operation: &str, request: Request) -> Answer {
+        let key = request.key.unwrap_or_default();
+        let Some(call) = parse_id(&key) else {
+            return Answer::refused(400, "invalid", "The idempotency key is no id.");
+        };
+        let Ok(body) = String::from_utf8(request.body) else {
+            return Answer::refused(400, "invalid", "The body is not text.");
+        };
+        let (fault, work) = self.lock().next();
+        match fault {
+            ServiceFault::HangBefore => return Answer::Hang,
+            ServiceFault::CutBefore => return Answer::Cut,
+            ServiceFault::Fail => return Answer::refused(500, "failed", "It has not run."),
+            ServiceFault::None | ServiceFault::HangAfter | ServiceFault::LostAnswer => {}
+        }
+        if !work.is_zero() {
+            Timer::after(work).await;
+        }
+        let result = expected_result(operation, &key, &body);
+        self.act(call, key, operation, body);
+        match fault {
+            ServiceFault::HangAfter => Answer::Hang,
+            ServiceFault::LostAnswer => {
+                self.lock().counts.lost_answers += 1;
+                Answer::Cut
+            }
+            _ => Answer::Whole {
+                status: 200,
+                kind: "application/json",
+                body: result.into_bytes(),
+            },
+        }
+    }
+
+    /// Notes an action that takes effect.
+    fn act(&self, call: CallId, key: String, operation: &str, body: String) {
+        let action = ServiceAction {
+            call: key,
+            operation: operation.to_owned(),
+            body,
+        };
+        self.lock().act(call, action);
+    }
+
+    fn lock(&self) -> MutexGuard<'_, ServiceState> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+impl Handler for ServiceHandler {
+    async fn handle(&self, request: Request) -> Answer {
+        match (request.method, request.path.as_str()) {
+            (Method::Get, "/counts") => Answer::json(200, &self.counts()),
+            (Method::Get, "/actions") => Answer::json(200, &self.actions()),
+            (Method::Post, "/control") => match request.json() {
+                Ok(control) => {
+                    self.control(control).await;
+                    Answer::json(200, &())
+                }
+                Err(refused) => refused,
+            },
+            (Method::Post, path) => match path.strip_prefix(OPERATIONS).map(str::to_owned) {
+                Some(operation) => self.operate(&operation, request).await,
+                None => Answer::not_found(),
+            },
+            _ => Answer::not_found(),
+        }
+    }
+}
