Add the JSON bodies of the caller interface

Entries and clients need the same shapes as docs/API.md describes; two copies would drift apart. They stand in protocol::caller, with strict fields and the conversion into link messages.

--- a/src/protocol/mod.rs
+++ b/src/protocol/mod.rs
@@ -1,5 +1,6 @@
 //! Typed messages between the processes, and the interfaces to what stands around them.
 
+pub mod caller;
 pub mod engine;
 pub mod link;
 pub mod log;
@@ -9,3 +10,6 @@
 pub mod service;
 pub mod vms;
 pub mod weights;
+
+#[cfg(test)]
+mod tests;
