Report the expected wait with a sidecar's load

An entry cannot derive the wait from queue lengths alone, since calls differ in size and the cap adapts. The sidecar knows both, so it says call_ms and wait_ms; additive fields, no measurement yet.

--- a/src/protocol/link.rs
+++ b/src/protocol/link.rs
@@ -339,6 +339,10 @@
     pub prefill_tokens_per_s: f64,
     /// Smoothed time between two tokens of a stream, in milliseconds.
     pub token_gap_ms: f64,
+    /// Smoothed time of a call in the endpoint, in milliseconds; 0 when none has finished.
+    pub call_ms: f64,
+    /// Expected wait of a call that comes now, in milliseconds.
+    pub wait_ms: u64,
     /// Whether the endpoint takes no new work.
     pub leaving: bool,
     /// The engine's own report.
