Add the decisions: admission, choice, cache, limits, retries

Entry and sidecar need the interfaces of the decisions early. This adds them as state machines without I/O and with first policies: an admission queue with an adaptive cap, a chooser by expected cost, cache estimates with releases, limits, retry budgets, breakers, the hedge rule and a stream watchdog. 28 unit tests, 8 integration tests and 13 doc tests pass; no policy has been measured yet.

--- /dev/null
+++ b/src/coordination/admission/cap.rs
@@ -0,0 +1,131 @@
+//! The cap on what an endpoint holds: additive increase, multiplicative decrease.
+
+use std::time::{Duration, Instant};
+
+/// Bounds and target of the cap.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct CapConfig {
+    /// Calls handed over at first.
+    pub start_calls: u32,
+    /// Calls handed over at least.
+    pub min_calls: u32,
+    /// Calls handed over at most.
+    pub max_calls: u32,
+    /// Time between tokens that should hold, in milliseconds.
+    pub gap_target_ms: f64,
+    /// Part of the gaps that may be above the target.
+    pub late_share: f64,
+}
+
+impl Default for CapConfig {
+    fn default() -> Self {
+        Self {
+            start_calls: 8,
+            min_calls: 2,
+            max_calls: 256,
+            gap_target_ms: 28.0,
+            late_share: 0.05,
+        }
+    }
+}
+
+/// Shortest time over which gaps are judged.
+const WINDOW: Duration = Duration::from_millis(500);
+
+/// Least number of gaps that are judged.
+const WINDOW_GAPS: u32 = 40;
+
+/// Factor of a decrease.
+const DECREASE: f64 = 0.85;
+
+/// Part of the cap added in one step before the first decrease.
+const STARTUP_STEP: f64 = 0.25;
+
+/// The number of calls an endpoint may hold, adapted from the time between tokens.
+///
+/// Invariant: `cap` is between `min_calls` and `max_calls`.
+#[derive(Debug)]
+pub(super) struct ConcurrencyCap {
+    cfg: CapConfig,
+    cap: f64,
+    window_start: Option<Instant>,
+    gaps: u32,
+    late: u32,
+    /// Whether the cap has kept a call waiting in this window.
+    limiting: bool,
+    /// Whether the cap has been decreased once.
+    settled: bool,
+}
+
+impl ConcurrencyCap {
+    /// Makes a cap at its start value.
+    pub(super) fn new(cfg: CapConfig) -> Self {
+        Self {
+            cap: f64::from(cfg.start_calls.clamp(cfg.min_calls, cfg.max_calls)),
+            cfg,
+            window_start: None,
+            gaps: 0,
+            late: 0,
+            limiting: false,
+            settled: false,
+        }
+    }
+
+    /// Returns the cap.
+    pub(super) fn calls(&self) -> u32 {
+        self.cap as u32
+    }
+
+    /// Notes that a call had to wait because of the cap.
+    pub(super) fn was_limiting(&mut self) {
+        self.limiting = true;
+    }
+
+    /// Notes one gap while `running` calls were held.
+    pub(super) fn token_gap(&mut self, now: Instant, gap_ms: f64, running: u32) {
+        self.gaps += 1;
+        if gap_ms > self.cfg.gap_target_ms {
+            self.late += 1;
+        }
+        if running >= self.calls() {
+            self.limiting = true;
+        }
+        self.tick(now);
+    }
+
+    /// Judges the window if it is over.
+    pub(super) fn tick(&mut self, now: Instant) {
+        let start = *self.window_start.get_or_insert(now);
+        let over = now.saturating_duration_since(start) >= WINDOW;
+        if !over || self.gaps < WINDOW_GAPS {
+            return;
+        }
+        self.adapt();
+        self.window_start = Some(now);
+        self.gaps = 0;
+        self.late = 0;
+        self.limiting = false;
+    }
+
+    /// Changes the cap by the share of late gaps.
+    fn adapt(&mut self) {
+        let late_share = f64::from(self.late) / f64::from(self.gaps);
+        if late_share > self.cfg.late_share {
+            self.settled = true;
+            self.cap *= DECREASE;
+        } else if self.limiting && late_share < self.cfg.late_share / 2.0 {
+            self.cap += self.step();
+        }
+        let min = f64::from(self.cfg.min_calls.max(1));
+        self.cap = self.cap.clamp(min, f64::from(self.cfg.max_calls));
+    }
+
+    /// Returns the size of an increase.
+    fn step(&self) -> f64 {
+        if self.settled {
+            1.0
+        } else {
+            (self.cap * STARTUP_STEP).max(1.0)
+        }
+    }
+}
--- /dev/null
+++ b/src/coordination/choice/endpoint.rs
@@ -0,0 +1,206 @@
+//! One endpoint as an entry sees it.
+
+use super::{ChoiceConfig, EndpointInfo, EndpointKind, EndpointState, Sent, SentEnd, Target};
+use crate::coordination::breaker::Breaker;
+use crate::ids::{CallId, EndpointId};
+use crate::protocol::link::SidecarLoad;
+use std::time::{Duration, Instant};
+
+/// Prefill speed assumed before any report, in tokens a second.
+const DEFAULT_PREFILL_TOKENS_PER_S: f64 = 8_000.0;
+
+/// Time between tokens assumed before any report, in milliseconds.
+const DEFAULT_GAP_MS: f64 = 20.0;
+
+/// Time of a call assumed before any report, in milliseconds.
+const DEFAULT_CALL_MS: f64 = 2_000.0;
+
+/// A call that this entry has sent.
+#[derive(Clone, Copy, Debug)]
+struct Outstanding {
+    call: CallId,
+    sent_at: Instant,
+    work: Sent,
+}
+
+/// Load, health and own dispatches of one endpoint.
+#[derive(Debug)]
+pub(super) struct Endpoint {
+    pub(super) name: EndpointId,
+    pub(super) info: EndpointInfo,
+    pub(super) state: EndpointState,
+    pub(super) breaker: Breaker,
+    load: SidecarLoad,
+    /// When `load` came, or when the endpoint was added.
+    load_at: Instant,
+    /// Last sign of life.
+    heard_at: Instant,
+    outstanding: Vec<Outstanding>,
+    /// Calls in `outstanding` that were sent after `load_at`.
+    unseen: u32,
+    /// Prompt tokens of the unseen calls.
+    unseen_tokens: u64,
+}
+
+impl Endpoint {
+    /// Makes an endpoint without load.
+    pub(super) fn new(name: &str, info: EndpointInfo, breaker: Breaker, now: Instant) -> Self {
+        Self {
+            name: name.to_owned(),
+            info,
+            state: EndpointState::Live,
+            breaker,
+            load: SidecarLoad::default(),
+            load_at: now,
+            heard_at: now,
+            outstanding: Vec::new(),
+            unseen: 0,
+            unseen_tokens: 0,
+        }
+    }
+
+    /// Takes a load report; returns whether the models changed.
+    pub(super) fn observe(&mut self, now: Instant, load: &SidecarLoad) -> bool {
+        let models = &load.engine.models;
+        let changed = !models.is_empty() && *models != self.info.models;
+        if changed {
+            self.info.models.clone_from(models);
+        }
+        self.load.clone_from(load);
+        self.load_at = now;
+        self.unseen = 0;
+        self.unseen_tokens = 0;
+        self.heard(now);
+        changed
+    }
+
+    /// Notes a sign of life.
+    pub(super) fn heard(&mut self, now: Instant) {
+        self.heard_at = now;
+        if self.state == EndpointState::Suspect {
+            self.state = EndpointState::Live;
+        }
+    }
+
+    /// Counts a call that was sent.
+    pub(super) fn sent(&mut self, now: Instant, call: CallId, work: Sent) {
+        self.outstanding.push(Outstanding {
+            call,
+            sent_at: now,
+            work,
+        });
+        self.unseen += 1;
+        self.unseen_tokens += u64::from(work.uncached_tokens);
+    }
+
+    /// Forgets a call that was sent.
+    pub(super) fn finished(&mut self, now: Instant, call: CallId, end: SentEnd) {
+        let position = self.outstanding.iter().position(|o| o.call == call);
+        if let Some(position) = position {
+            let gone = self.outstanding.swap_remove(position);
+            self.forget_unseen(gone);
+        }
+        match end {
+            SentEnd::Answered => {
+                self.heard_at = now;
+                self.breaker.success();
+            }
+            SentEnd::Failed => self.breaker.failure(now),
+            SentEnd::Cancelled => self.breaker.withdrawn(),
+        }
+    }
+
+    /// Takes a call that is over out of the unseen ones.
+    fn forget_unseen(&mut self, gone: Outstanding) {
+        if gone.sent_at > self.load_at {
+            self.unseen = self.unseen.saturating_sub(1);
+            let tokens = u64::from(gone.work.uncached_tokens);
+            self.unseen_tokens = self.unseen_tokens.saturating_sub(tokens);
+        }
+    }
+
+    /// Names of the models or of the service that it serves.
+    pub(super) fn serves(&self) -> impl Iterator<Item = &str> {
+        let service = match &self.info.kind {
+            EndpointKind::Service(name) => Some(name.as_str()),
+            EndpointKind::Engine => None,
+        };
+        let models = self.info.models.iter().map(|(model, _)| model.as_str());
+        models.chain(service)
+    }
+
+    /// Tells whether it may get new work.
+    pub(super) fn usable(&self, now: Instant, cfg: &ChoiceConfig) -> bool {
+        let waiting_since = self.outstanding.iter().map(|o| o.sent_at).min();
+        let asked = waiting_since.is_some_and(|sent| is_older(now, sent, cfg.silent_after));
+        let silent = asked && is_older(now, self.heard_at, cfg.silent_after);
+        self.state == EndpointState::Live
+            && !self.load.leaving
+            && !silent
+            && self.breaker.would_allow(now)
+    }
+
+    /// Tells whether it has the model, version or service.
+    pub(super) fn can_serve(&self, target: Target<'_>) -> bool {
+        match target {
+            Target::Model { model, version } => {
+                let models = &self.info.models;
+                models.iter().any(|(m, v)| m == model && *v >= version)
+            }
+            Target::Service(name) => {
+                matches!(&self.info.kind, EndpointKind::Service(own) if own == name)
+            }
+        }
+    }
+
+    /// Wait as reported, in milliseconds.
+    pub(super) fn reported_wait_ms(&self) -> f64 {
+        self.load.wait_ms as f64
+    }
+
+    /// Expected wait now: old reports are drawn to the mean, own unseen calls are added.
+    pub(super) fn wait_ms(&self, now: Instant, mean_wait_ms: f64, half_life: Duration) -> f64 {
+        let age = now.saturating_duration_since(self.load_at);
+        let halvings = age.as_secs_f64() / half_life.as_secs_f64();
+        let trust = (-halvings).exp2();
+        let reported = self.reported_wait_ms();
+        let wait_ms = mean_wait_ms + (reported - mean_wait_ms) * trust;
+        wait_ms + self.unseen_wait_ms()
+    }
+
+    /// Wait that this entry's unseen calls add.
+    fn unseen_wait_ms(&self) -> f64 {
+        let cap = self.load.cap.max(1);
+        let busy = self.load.running + self.load.queued;
+        let free = cap.saturating_sub(busy);
+        let queued = self.unseen.saturating_sub(free);
+        let prefill_ms = self.prefill_ms(self.unseen_tokens);
+        f64::from(queued) * self.call_ms() / f64::from(cap) + prefill_ms
+    }
+
+    /// Time of an average call, in milliseconds.
+    fn call_ms(&self) -> f64 {
+        positive_or(self.load.call_ms, DEFAULT_CALL_MS)
+    }
+
+    /// Time to compute so many prompt tokens, in milliseconds.
+    pub(super) fn prefill_ms(&self, tokens: u64) -> f64 {
+        let speed = positive_or(self.load.prefill_tokens_per_s, DEFAULT_PREFILL_TOKENS_PER_S);
+        tokens as f64 * 1e3 / speed
+    }
+
+    /// Time to generate so many tokens, in milliseconds.
+    pub(super) fn decode_ms(&self, tokens: u32) -> f64 {
+        f64::from(tokens) * positive_or(self.load.token_gap_ms, DEFAULT_GAP_MS)
+    }
+}
+
+/// Tells whether `since` is at least `limit` ago.
+fn is_older(now: Instant, since: Instant, limit: Duration) -> bool {
+    now.saturating_duration_since(since) >= limit
+}
+
+/// Returns `value` if something has been measured, else `default`.
+fn positive_or(value: f64, default: f64) -> f64 {
+    if value > 0.0 { value } else { default }
+}
--- /dev/null
+++ b/src/coordination/choice/tests.rs
@@ -0,0 +1,178 @@
+//! Tests of the choice of endpoints.
+
+use super::*;
+use googletest::prelude::*;
+
+fn engine(domain: &str) -> EndpointInfo {
+    EndpointInfo {
+        kind: EndpointKind::Engine,
+        models: vec![("m".into(), 1)],
+        failure_domain: domain.into(),
+    }
+}
+
+fn load(wait_ms: u64) -> SidecarLoad {
+    SidecarLoad {
+        cap: 8,
+        running: 8,
+        wait_ms,
+        call_ms: 1_000.0,
+        prefill_tokens_per_s: 8_000.0,
+        token_gap_ms: 20.0,
+        ..SidecarLoad::default()
+    }
+}
+
+fn chooser(now: Instant, count: usize) -> Chooser {
+    let mut chooser = Chooser::new(ChoiceConfig::default());
+    for i in 0..count {
+        chooser.upsert(now, &format!("e{i}"), engine("a"));
+        chooser.observe(now, &format!("e{i}"), &load(0));
+    }
+    chooser
+}
+
+fn want(cached: &[(EndpointId, u32)]) -> Want<'_> {
+    Want {
+        target: Target::Model {
+            model: "m",
+            version: 1,
+        },
+        prompt_tokens: 4_000,
+        answer_tokens: 100,
+        cached,
+        near: "a",
+        exclude: &[],
+    }
+}
+
+#[gtest]
+fn it_stays_with_the_cache_until_the_wait_there_costs_more() {
+    let now = Instant::now();
+    let mut chooser = chooser(now, 4);
+    let mut rng = Rng::with_seed(1);
+    let cached = [("e1".to_owned(), 3_900)];
+    let stays = chooser.choose(now, &want(&cached), &mut rng).unwrap();
+    expect_that!(stays.endpoint, eq("e1"));
+    expect_that!(stays.expected_cached_tokens, eq(3_900));
+    chooser.observe(now, "e1", &load(5_000));
+    let yields = chooser.choose(now, &want(&cached), &mut rng).unwrap();
+    expect_that!(yields.endpoint, not(eq("e1")));
+}
+
+#[gtest]
+fn a_leaving_endpoint_gets_nothing_after_its_first_sign() {
+    let now = Instant::now();
+    for sign in 0..2 {
+        let mut chooser = chooser(now, 3);
+        if sign == 0 {
+            let leaving = SidecarLoad {
+                leaving: true,
+                ..load(0)
+            };
+            chooser.observe(now, "e0", &leaving);
+        } else {
+            chooser.set_state("e0", EndpointState::Leaving);
+            chooser.observe(now, "e0", &load(0));
+        }
+        let mut rng = Rng::with_seed(2);
+        let cached = [("e0".to_owned(), 4_000)];
+        for _ in 0..1_000 {
+            let choice = chooser.choose(now, &want(&cached), &mut rng).unwrap();
+            expect_that!(choice.endpoint, not(eq("e0")));
+        }
+    }
+}
+
+#[gtest]
+fn failures_stop_new_work_and_a_probe_brings_it_back() {
+    let now = Instant::now();
+    let mut chooser = chooser(now, 1);
+    let mut rng = Rng::with_seed(3);
+    for call in 0..3 {
+        chooser.sent(now, "e0", call, Sent::default());
+        chooser.finished(now, "e0", call, SentEnd::Failed);
+    }
+    expect_that!(chooser.choose(now, &want(&[]), &mut rng), none());
+    let later = now + Duration::from_secs(2);
+    expect_that!(
+        chooser.choose(later, &want(&[]), &mut rng),
+        some(anything())
+    );
+    expect_that!(chooser.choose(later, &want(&[]), &mut rng), none());
+    chooser.finished(later, "e0", 9, SentEnd::Answered);
+    expect_that!(
+        chooser.choose(later, &want(&[]), &mut rng),
+        some(anything())
+    );
+}
+
+#[gtest]
+fn an_endpoint_that_answers_nothing_for_three_seconds_gets_no_new_work() {
+    let now = Instant::now();
+    let mut chooser = chooser(now, 2);
+    chooser.sent(now, "e0", 1, Sent::default());
+    let later = now + Duration::from_secs(3);
+    expect_that!(chooser.usable(later, "e0"), eq(false));
+    expect_that!(chooser.usable(later, "e1"), eq(true));
+    chooser.heard(later, "e0");
+    expect_that!(chooser.usable(later, "e0"), eq(true));
+}
+
+#[gtest]
+fn versions_models_and_exclusions_are_constraints() {
+    let now = Instant::now();
+    let mut chooser = chooser(now, 3);
+    let mut newer = engine("a");
+    newer.models = vec![("m".into(), 2)];
+    chooser.upsert(now, "e2", newer);
+    let mut rng = Rng::with_seed(4);
+    let mut wanted = want(&[]);
+    wanted.target = Target::Model {
+        model: "m",
+        version: 2,
+    };
+    for _ in 0..50 {
+        let choice = chooser.choose(now, &wanted, &mut rng).unwrap();
+        expect_that!(choice.endpoint, eq("e2"));
+    }
+    let exclude = ["e2".to_owned()];
+    wanted.exclude = &exclude;
+    expect_that!(chooser.choose(now, &wanted, &mut rng), none());
+    wanted.target = Target::Service("bank");
+    expect_that!(chooser.choose(now, &wanted, &mut rng), none());
+}
+
+#[gtest]
+fn many_entries_with_one_old_report_do_not_flock() {
+    let now = Instant::now();
+    let mut counts = [0_u32; 10];
+    for entry in 0..20 {
+        let mut chooser = chooser(now, 10);
+        let mut rng = Rng::with_seed(entry);
+        for call in 0..10 {
+            let choice = chooser.choose(now, &want(&[]), &mut rng).unwrap();
+            let work = Sent {
+                uncached_tokens: 4_000,
+                answer_tokens: 100,
+            };
+            chooser.sent(now, &choice.endpoint, call, work);
+            let index: usize = choice.endpoint[1..].parse().unwrap();
+            counts[index] += 1;
+        }
+    }
+    let most = counts.iter().max().unwrap();
+    expect_that!(*most, le(30));
+}
+
+#[gtest]
+fn a_removed_endpoint_is_never_chosen() {
+    let now = Instant::now();
+    let mut chooser = chooser(now, 3);
+    chooser.remove("e0");
+    let mut rng = Rng::with_seed(5);
+    for _ in 0..100 {
+        let choice = chooser.choose(now, &want(&[]), &mut rng).unwrap();
+        expect_that!(choice.endpoint, not(eq("e0")));
+    }
+}
--- /dev/null
+++ b/src/coordination/watchdog.rs
@@ -0,0 +1,104 @@
+//! Progress deadlines of a stream, since a connection can go silent without an error.
+
+use std::time::{Duration, Instant};
+
+/// Settings of a [`Watchdog`].
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct WatchdogConfig {
+    /// Longest time to the first token.
+    pub first_token: Duration,
+    /// Longest time between two tokens.
+    pub between_tokens: Duration,
+    /// Fresh connections that are tried without progress.
+    pub resumes: u32,
+}
+
+impl Default for WatchdogConfig {
+    fn default() -> Self {
+        Self {
+            first_token: Duration::from_secs(20),
+            between_tokens: Duration::from_secs(3),
+            resumes: 3,
+        }
+    }
+}
+
+/// What to do with a stream.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum WatchdogVerdict {
+    /// Nothing until this time.
+    Wait(Instant),
+    /// Drop the connection and resume at this token on a fresh one.
+    Resume {
+        /// The first token wanted.
+        from: u32,
+    },
+    /// Give the endpoint up for this call.
+    GiveUp,
+}
+
+/// Watches one stream for progress.
+///
+/// ```
+/// use galenapick::{Watchdog, WatchdogConfig, WatchdogVerdict};
+/// use std::time::{Duration, Instant};
+///
+/// let now = Instant::now();
+/// let mut watchdog = Watchdog::new(WatchdogConfig::default(), now);
+/// watchdog.progress(now, 5);
+/// let later = now + Duration::from_secs(3);
+/// assert_eq!(watchdog.poll(later), WatchdogVerdict::Resume { from: 5 });
+/// ```
+#[derive(Clone, Debug)]
+pub struct Watchdog {
+    cfg: WatchdogConfig,
+    /// Tokens that have come.
+    tokens: u32,
+    /// Last progress or last fresh connection.
+    since: Instant,
+    /// Fresh connections since the last progress.
+    resumes: u32,
+}
+
+impl Watchdog {
+    /// Watches a stream that is opened now.
+    pub fn new(cfg: WatchdogConfig, now: Instant) -> Self {
+        Self {
+            cfg,
+            tokens: 0,
+            since: now,
+            resumes: 0,
+        }
+    }
+
+    /// Notes that all tokens before `tokens` have come.
+    pub fn progress(&mut self, now: Instant, tokens: u32) {
+        if tokens > self.tokens {
+            self.tokens = tokens;
+            self.since = now;
+            self.resumes = 0;
+        }
+    }
+
+    /// Judges the stream; a verdict to resume starts the next deadline.
+    pub fn poll(&mut self, now: Instant) -> WatchdogVerdict {
+        let deadline = self.deadline();
+        if now < deadline {
+            return WatchdogVerdict::Wait(deadline);
+        }
+        if self.resumes >= self.cfg.resumes {
+            return WatchdogVerdict::GiveUp;
+        }
+        self.resumes += 1;
+        self.since = now;
+        WatchdogVerdict::Resume { from: self.tokens }
+    }
+
+    fn deadline(&self) -> Instant {
+        if self.tokens == 0 && self.resumes == 0 {
+            self.since + self.cfg.first_token
+        } else {
+            self.since + self.cfg.between_tokens
+        }
+    }
+}
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -14,6 +14,24 @@
 
 pub mod protocol;
 
+mod coordination;
+
+pub use coordination::admission::{
+    Admission, AdmissionConfig, CapConfig, Cost, Observed, OrderWeights, Waiting,
+};
+pub use coordination::breaker::{Breaker, BreakerConfig, BreakerState};
+pub use coordination::cache::{
+    CacheTable, CacheTableConfig, Pause, PauseAction, PauseRule, ReleaseConfig, Releases,
+};
+pub use coordination::choice::{
+    Choice, ChoiceConfig, Chooser, EndpointInfo, EndpointKind, EndpointState, Sent, SentEnd,
+    Target, Want,
+};
+pub use coordination::hedge::{HedgeCandidate, HedgeConfig, hedge_at};
+pub use coordination::limits::{Limit, Limits, TokenBucket};
+pub use coordination::retry::{FailedCall, Retries, RetryBudget, RetryConfig};
+pub use coordination::watchdog::{Watchdog, WatchdogConfig, WatchdogVerdict};
+
 pub use protocol::message::{Message, Role, Usage};
 pub use protocol::record::{
     ActionResult, Batch, Claim, Created, EndReason, Ended, Entry, Intent, Outcome, Record,
--- /dev/null
+++ b/tests/retries.rs
@@ -0,0 +1,181 @@
+//! Retries, hedging, limits and breakers through the public surface.
+
+use fastrand::Rng;
+use galenapick::{
+    Breaker, BreakerConfig, BreakerState, FailedCall, HedgeCandidate, HedgeConfig, Limit, Limits,
+    Ran, Retries, RetryConfig, Watchdog, WatchdogConfig, WatchdogVerdict, hedge_at,
+};
+use googletest::prelude::*;
+use std::time::{Duration, Instant};
+
+const SECOND: Duration = Duration::from_secs(1);
+
+fn failed(endpoint: &str, attempts: u32, deadline: Instant) -> FailedCall<'_> {
+    FailedCall {
+        member: "m",
+        endpoint,
+        repeatable: true,
+        ran: Ran::Unknown,
+        attempts,
+        deadline,
+        expected_run: Duration::ZERO,
+    }
+}
+
+#[gtest]
+fn half_the_endpoints_down_add_at_most_a_fifth_to_the_load() {
+    let mut now = Instant::now();
+    let mut rng = Rng::with_seed(7);
+    let mut retries = Retries::new(RetryConfig::default());
+    let endpoints = ["up0", "up1", "down0", "down1"];
+    let callers = 10_000;
+    let mut offered = 0;
+    for _ in 0..callers {
+        now += Duration::from_millis(1);
+        let mut attempts = 0;
+        loop {
+            let endpoint = endpoints[rng.usize(..endpoints.len())];
+            if attempts == 0 {
+                retries.first(now, "m", endpoint);
+            }
+            attempts += 1;
+            offered += 1;
+            if endpoint.starts_with("up") {
+                break;
+            }
+            let call = failed(endpoint, attempts, now + 60 * SECOND);
+            if retries.next(now, &call, &mut rng).is_none() {
+                break;
+            }
+        }
+    }
+    expect_that!(offered, gt(callers), "some retries are made");
+    expect_that!(f64::from(offered) / f64::from(callers), le(1.2));
+}
+
+#[gtest]
+fn a_call_that_may_not_be_repeated_is_sent_again_only_if_it_did_not_run() {
+    let now = Instant::now();
+    let mut rng = Rng::with_seed(8);
+    let mut retries = Retries::new(RetryConfig::default());
+    for (ran, again) in [(Ran::Unknown, false), (Ran::Yes, false), (Ran::No, true)] {
+        let call = FailedCall {
+            repeatable: false,
+            ran,
+            ..failed("e", 1, now + 60 * SECOND)
+        };
+        expect_that!(retries.next(now, &call, &mut rng).is_some(), eq(again));
+    }
+}
+
+#[gtest]
+fn a_retry_never_passes_the_deadline() {
+    let now = Instant::now();
+    let mut rng = Rng::with_seed(9);
+    let mut retries = Retries::new(RetryConfig::default());
+    let close = FailedCall {
+        expected_run: SECOND,
+        ..failed("e", 1, now + SECOND)
+    };
+    expect_that!(retries.next(now, &close, &mut rng), none());
+}
+
+#[gtest]
+fn a_hedge_is_never_due_for_started_or_non_repeatable_calls() {
+    let call = HedgeCandidate {
+        repeatable: true,
+        started: false,
+        hedged: false,
+        sent_at: Instant::now(),
+        expected_wait: SECOND,
+    };
+    let cfg = HedgeConfig::default();
+    expect_that!(hedge_at(&call, &cfg), some(eq(call.sent_at + 3 * SECOND)));
+    let never = [
+        HedgeCandidate {
+            started: true,
+            ..call
+        },
+        HedgeCandidate {
+            repeatable: false,
+            ..call
+        },
+        HedgeCandidate {
+            hedged: true,
+            ..call
+        },
+    ];
+    for call in never {
+        expect_that!(hedge_at(&call, &cfg), none());
+    }
+}
+
+#[gtest]
+fn limits_hold_for_the_member_and_the_environment() {
+    let now = Instant::now();
+    let mut limits = Limits::default();
+    let wide = Limit {
+        open_calls: 3,
+        calls_per_s: 100.0,
+        burst_calls: 100.0,
+    };
+    let narrow = Limit {
+        open_calls: 2,
+        ..wide
+    };
+    limits.begin(now, "e", wide, "a", narrow).unwrap();
+    limits.begin(now, "e", wide, "a", narrow).unwrap();
+    expect_that!(limits.begin(now, "e", wide, "a", narrow), err(anything()));
+    limits.begin(now, "e", wide, "b", narrow).unwrap();
+    expect_that!(limits.begin(now, "e", wide, "c", narrow), err(anything()));
+    limits.end("e", "a");
+    expect_that!(limits.begin(now, "e", wide, "c", narrow), ok(anything()));
+}
+
+#[gtest]
+fn a_rate_limit_says_when_to_come_back() {
+    let now = Instant::now();
+    let mut limits = Limits::default();
+    let limit = Limit {
+        open_calls: 100,
+        calls_per_s: 2.0,
+        burst_calls: 1.0,
+    };
+    limits.begin(now, "e", limit, "a", limit).unwrap();
+    let refusal = limits.begin(now, "e", limit, "a", limit).unwrap_err();
+    expect_that!(refusal.retry_after_ms, some(eq(500)));
+    let later = now + Duration::from_millis(500);
+    expect_that!(limits.begin(later, "e", limit, "a", limit), ok(anything()));
+}
+
+#[gtest]
+fn a_failed_probe_doubles_the_time_a_breaker_stays_open() {
+    let now = Instant::now();
+    let mut breaker = Breaker::new(BreakerConfig::default());
+    for _ in 0..3 {
+        breaker.failure(now);
+    }
+    let probe = now + SECOND;
+    expect_that!(breaker.allow(probe), eq(true));
+    breaker.failure(probe);
+    expect_that!(breaker.state(), eq(BreakerState::Open(probe + 2 * SECOND)));
+    for step in [3, 4] {
+        expect_that!(breaker.allow(now + step * SECOND), eq(true));
+        breaker.success();
+    }
+    expect_that!(breaker.state(), eq(BreakerState::Closed));
+}
+
+#[gtest]
+fn a_watchdog_resumes_a_few_times_and_then_gives_up() {
+    let mut now = Instant::now();
+    let mut watchdog = Watchdog::new(WatchdogConfig::default(), now);
+    watchdog.progress(now, 4);
+    for _ in 0..3 {
+        now += 3 * SECOND;
+        let verdict = watchdog.poll(now);
+        expect_that!(verdict, eq(WatchdogVerdict::Resume { from: 4 }));
+    }
+    now += 3 * SECOND;
+    expect_that!(watchdog.poll(now), eq(WatchdogVerdict::GiveUp));
+}
