Add a caller's client with streams, resume and retries

Tests, demo and load tool need to see the system as callers do. Client speaks docs/API.md over trillium-client, takes fresh connections after a break, and the patient forms retry under the same key within a deadline, resuming streams at their next token.

--- /dev/null
+++ b/src/client/tests.rs
@@ -0,0 +1,199 @@
+//! Tests of the event parser, the collector and the retry rules.
+
+use super::sse::SseParser;
+use super::{CallError, Client, Collector, Patience, StreamFault, Timeouts};
+use crate::protocol::caller::{CallRequest, ProgramRequest};
+use crate::protocol::engine::EngineUsage;
+use crate::protocol::link::{Answer, Durability, Tokens};
+use crate::protocol::message::Usage;
+use crate::protocol::refusal::RefusalCode;
+use futures_lite::{AsyncReadExt, AsyncWriteExt};
+use googletest::prelude::*;
+use proptest::prelude::*;
+use smol::net::{TcpListener, TcpStream};
+use std::time::Duration;
+
+fn tokens(index: u32, count: u32, text: &str) -> Tokens {
+    Tokens {
+        index,
+        count,
+        text: text.to_owned(),
+    }
+}
+
+fn answer(content: &str) -> Answer {
+    Answer {
+        call: 1,
+        content: content.to_owned(),
+        status: None,
+        usage: EngineUsage::default(),
+        spent: Usage::default(),
+        durability: Durability::Committed { offset: 1 },
+    }
+}
+
+#[gtest]
+fn collector_accepts_a_resumed_stream() {
+    let mut collector = Collector::default();
+    collector.add(&tokens(0, 2, "a b")).unwrap();
+    collector.add(&tokens(2, 1, " c")).unwrap();
+    expect_that!(collector.finish(&answer("a b c")), ok(anything()));
+}
+
+#[gtest]
+fn collector_sees_gaps_repeats_and_foreign_text() {
+    let mut collector = Collector::default();
+    collector.add(&tokens(0, 1, "x")).unwrap();
+    let gap = |expected, found| StreamFault::Gap { expected, found };
+    expect_that!(collector.add(&tokens(2, 1, "z")), err(eq(&gap(1, 2))));
+    expect_that!(collector.add(&tokens(0, 1, "x")), err(eq(&gap(1, 0))));
+    collector.restart();
+    collector.add(&tokens(0, 1, "y")).unwrap();
+    expect_that!(collector.finish(&answer("y")), err(anything()));
+}
+
+proptest! {
+    #[test]
+    fn parser_gives_the_same_events_for_any_split(cuts in prop::collection::vec(1usize..9, 0..40)) {
+        let text = b"event: tokens\ndata: {\"a\":1}\n\n: ping\n\ndata: x\r\ndata: y\r\n\r\n";
+        let mut whole = SseParser::default();
+        whole.feed(text).unwrap();
+        let mut parts = SseParser::default();
+        let mut rest = &text[..];
+        for cut in cuts {
+            let (head, tail) = rest.split_at(cut.min(rest.len()));
+            parts.feed(head).unwrap();
+            rest = tail;
+        }
+        parts.feed(rest).unwrap();
+        for _ in 0..3 {
+            prop_assert_eq!(whole.next(), parts.next());
+        }
+    }
+
+    #[test]
+    fn parser_survives_any_bytes(bytes in prop::collection::vec(any::<u8>(), 0..400)) {
+        let mut parser = SseParser::default();
+        let _ = parser.feed(&bytes);
+        while parser.next().is_some() {}
+    }
+}
+
+/// Answers each connection with the next text, then closes; the last text is repeated.
+async fn serve(listener: TcpListener, answers: Vec<String>) {
+    for served in 0.. {
+        let Ok((conn, _)) = listener.accept().await else {
+            return;
+        };
+        let text = &answers[served.min(answers.len() - 1)];
+        let _ = answer_one(conn, text).await;
+    }
+}
+
+async fn answer_one(mut conn: TcpStream, text: &str) -> std::io::Result<()> {
+    let mut buf = vec![0; 4096];
+    let mut head = Vec::new();
+    while !head.windows(4).any(|four| four == b"\r\n\r\n") {
+        let len = conn.read(&mut buf).await?;
+        head.extend_from_slice(&buf[..len]);
+        if len == 0 {
+            break;
+        }
+    }
+    conn.write_all(text.as_bytes()).await?;
+    conn.flush().await
+}
+
+fn response(status: &str, body: &str) -> String {
+    let len = body.len();
+    format!("HTTP/1.1 {status}\r\nconnection: close\r\ncontent-length: {len}\r\n\r\n{body}")
+}
+
+fn events(body: &str) -> String {
+    format!("HTTP/1.1 200 OK\r\nconnection: close\r\ncontent-type: text/event-stream\r\n\r\n{body}")
+}
+
+/// Runs a caller against a server with these answers.
+fn with_answers<T>(answers: Vec<String>, run: impl AsyncFnOnce(Client) -> T) -> T {
+    smol::block_on(async {
+        let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+        let address = listener.local_addr().unwrap().to_string();
+        let server = smol::spawn(serve(listener, answers));
+        let client = Client::new([address], "t").with_timeouts(Timeouts {
+            reply: Duration::from_secs(5),
+            answer: Duration::from_secs(5),
+            silence: Duration::from_secs(5),
+        });
+        let result = run(client).await;
+        server.cancel().await;
+        result
+    })
+}
+
+const BUSY: &str =
+    r#"{"code": "overloaded", "ran": "no", "retry_after_ms": 1, "message": "Full."}"#;
+const CONFLICT: &str =
+    r#"{"code": "conflict", "ran": "no", "retry_after_ms": null, "message": "Other call."}"#;
+const BEGUN: &str =
+    r#"{"program": "0000000000000000000000000000002a", "durability": "committed", "offset": 3}"#;
+
+#[gtest]
+fn retries_what_says_when() {
+    let answers = vec![
+        response("503 Service Unavailable", BUSY),
+        response("201 Created", BEGUN),
+    ];
+    let attempts = with_answers(answers, async |client| {
+        let patience = Patience::of(Duration::from_secs(20));
+        client
+            .create_patiently(&ProgramRequest::default(), patience)
+            .await
+    });
+    expect_that!(attempts.sent, eq(2));
+    expect_that!(attempts.result.unwrap().program, eq(42));
+}
+
+#[gtest]
+fn gives_final_refusals_back() {
+    let answers = vec![response("409 Conflict", CONFLICT)];
+    let attempts = with_answers(answers, async |client| {
+        let call = CallRequest::model("m", vec![], 1).key("k");
+        let patience = Patience::of(Duration::from_secs(20));
+        client.call_patiently(1, &call, patience).await
+    });
+    expect_that!(attempts.sent, eq(1));
+    let Err(CallError::Refused(refusal)) = attempts.result else {
+        panic!("not refused");
+    };
+    expect_that!(refusal.code, eq(RefusalCode::Conflict));
+}
+
+#[gtest]
+fn resumes_a_cut_stream_at_its_next_token() {
+    let first = "event: accepted\ndata: {\"call\":\"00000000000000000000000000000001\"}\n\n\
+        event: tokens\ndata: {\"index\":0,\"count\":1,\"text\":\"a\"}\n\n";
+    let second = format!(
+        "event: tokens\ndata: {{\"index\":1,\"count\":1,\"text\":\" b\"}}\n\nevent: done\ndata: {}\n\n",
+        serde_json::to_string(&crate::protocol::caller::CallAnswer::from(answer("a b"))).unwrap()
+    );
+    let answers = vec![events(first), events(&second)];
+    let attempts = with_answers(answers, async |client| {
+        let call = CallRequest::model("m", vec![], 1).key("k");
+        let patience = Patience::of(Duration::from_secs(20));
+        client.stream_patiently(1, &call, patience).await
+    });
+    expect_that!(attempts.fault, none());
+    expect_that!(attempts.sent, eq(2));
+    expect_that!(attempts.result.unwrap().content, eq("a b"));
+}
+
+#[gtest]
+fn does_not_repeat_an_unkeyed_call_that_broke() {
+    let attempts = with_answers(vec![String::new()], async |client| {
+        let call = CallRequest::tool("bank-core", "transfer", serde_json::json!({}));
+        let patience = Patience::of(Duration::from_secs(20));
+        client.call_patiently(1, &call, patience).await
+    });
+    expect_that!(attempts.sent, eq(1));
+    expect_that!(attempts.result, err(matches_pattern!(CallError::Broken(_))));
+}
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -12,8 +12,14 @@
 
 pub mod ids;
 
+mod client;
+
 pub mod protocol;
 
+pub use client::{
+    AnswerStream, Attempts, CallError, Client, Collector, Patience, StreamEvent, StreamFault,
+    Timeouts,
+};
 pub use protocol::message::{Message, Role, Usage};
 pub use protocol::record::{
     ActionResult, Batch, Claim, Created, EndReason, Ended, Entry, Intent, Outcome, Record,
