Read settings and environments, checked whole; log and metrics set-up

Cause: the daemon needs its settings, and operators need environments whose faults are all named at once, with line, key and what is allowed. Change: an INI reader on rust-ini that keeps lines and names the nearest known key; Settings, Environment, two complete examples, fixtures that carry their expected faults; logforth layouts with levels by part; a Prometheus recorder. Conclusion: the roles can be wired onto the settings; dead-code allowances go when they are.

--- a/src/lib.rs
+++ b/src/lib.rs
@@ -10,19 +10,31 @@
 //! assert_eq!(format_id(id).len(), 32);
 //! ```
 
+#[allow(dead_code, unused_imports, reason = "the roles are wired onto it next")]
+mod environment;
 pub mod ids;
+mod ini;
+#[allow(dead_code, unused_imports, reason = "the roles are wired onto it next")]
+mod logging;
 
 mod client;
 
 pub mod protocol;
+#[allow(dead_code, unused_imports, reason = "the roles are wired onto it next")]
+mod settings;
+#[allow(dead_code, unused_imports, reason = "the roles are wired onto it next")]
+mod telemetry;
 
 pub use client::{
     AnswerStream, Attempts, CallError, Client, Collector, Patience, StreamEvent, StreamFault,
     Timeouts,
 };
+pub use environment::{Environment, EnvironmentErrors, Stage};
+pub use ini::{Fault, FaultKind, Faults};
 pub use protocol::message::{Message, Role, Usage};
 pub use protocol::record::{
     ActionResult, Batch, Claim, Created, EndReason, Ended, Entry, Intent, Outcome, Record,
     Snapshot, Turn,
 };
 pub use protocol::refusal::{Ran, Refusal, RefusalCode};
+pub use settings::{EXIT_FAILURE, EXIT_OK, EXIT_SETTINGS, EXIT_USAGE, SettingErrors, Settings};
