--- a/src/coordination/mod.rs
+++ b/src/coordination/mod.rs
@@ -1,7 +1,16 @@
-//! Decisions as state machines without input or output of their own, and their drivers.
+//! Decisions as state machines without I/O: inputs are messages and an `Instant`.
 
+pub(crate) mod admission;
+pub(crate) mod breaker;
+pub(crate) mod cache;
+pub(crate) mod choice;
 pub(crate) mod commit;
 pub(crate) mod dispatch;
+pub(crate) mod hedge;
+pub(crate) mod limits;
 pub(crate) mod ownership;
 pub(crate) mod partition;
 pub(crate) mod rendezvous;
+pub(crate) mod retry;
+pub(crate) mod smooth;
+pub(crate) mod watchdog;
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -10,11 +10,21 @@
 //! assert_eq!(format_id(id).len(), 32);
 //! ```
 
+#[allow(dead_code, unused_imports, reason = "the roles are wired onto it next")]
+mod environment;
 pub mod ids;
+mod ini;
+#[allow(dead_code, unused_imports, reason = "the roles are wired onto it next")]
+mod logging;
+
+mod client;
 
 pub mod protocol;
+#[allow(dead_code, unused_imports, reason = "the roles are wired onto it next")]
+mod settings;
+#[allow(dead_code, unused_imports, reason = "the roles are wired onto it next")]
+mod telemetry;
 
-mod coordination;
 mod state;
 
 pub use coordination::commit::{CommitEffect, CommitLimits, Committed, Full, GroupCommit, Ticket};
@@ -27,12 +37,42 @@
 };
 pub use coordination::rendezvous::rendezvous;
 pub use protocol::image::{Action, ActionPhase, Branch, End, Program, SupersededTurn, TurnPlace};
+pub mod standin;
+
+mod adapter;
+
+pub use adapter::{HttpEngine, HttpEngineStream, HttpLog, HttpService};
+mod coordination;
+
+pub use coordination::admission::{
+    Admission, AdmissionConfig, CapConfig, Cost, Observed, OrderWeights, Waiting,
+};
+pub use coordination::breaker::{Breaker, BreakerConfig, BreakerState};
+pub use coordination::cache::{
+    CacheTable, CacheTableConfig, Pause, PauseAction, PauseRule, ReleaseConfig, Releases,
+};
+pub use coordination::choice::{
+    Choice, ChoiceConfig, Chooser, EndpointInfo, EndpointKind, EndpointState, Sent, SentEnd,
+    Target, Want,
+};
+pub use coordination::hedge::{HedgeCandidate, HedgeConfig, hedge_at};
+pub use coordination::limits::{Limit, Limits, TokenBucket};
+pub use coordination::retry::{FailedCall, Retries, RetryBudget, RetryConfig};
+pub use coordination::watchdog::{Watchdog, WatchdogConfig, WatchdogVerdict};
+
+pub use client::{
+    AnswerStream, Attempts, CallError, Client, Collector, Patience, StreamEvent, StreamFault,
+    Timeouts,
+};
+pub use environment::{Environment, EnvironmentErrors, Stage};
+pub use ini::{Fault, FaultKind, Faults};
 pub use protocol::message::{Message, Role, Usage};
 pub use protocol::record::{
     ActionResult, Batch, Claim, Created, EndReason, Ended, Entry, Intent, Outcome, RESET_EPOCH,
     Record, Reserved, Snapshot, Turn,
 };
 pub use protocol::refusal::{Ran, Refusal, RefusalCode};
+pub use settings::{EXIT_FAILURE, EXIT_OK, EXIT_SETTINGS, EXIT_USAGE, SettingErrors, Settings};
 pub use state::budget::Ledger;
 pub use state::history::{HistoryError, beginning, turn_hash, verify};
 pub use state::partition::{Applied, Owner, PartitionState, Void};
