--- a/src/lib.rs
+++ b/src/lib.rs
@@ -18,14 +18,15 @@
 mod logging;
 
 mod client;
-
+mod load;
 pub mod protocol;
+mod proxy;
 #[allow(dead_code, unused_imports, reason = "the roles are wired onto it next")]
 mod settings;
+pub mod standin;
 #[allow(dead_code, unused_imports, reason = "the roles are wired onto it next")]
 mod telemetry;
-
-pub mod standin;
+mod workload;
 
 mod adapter;
 
@@ -54,10 +55,16 @@
 };
 pub use environment::{Environment, EnvironmentErrors, Stage};
 pub use ini::{Fault, FaultKind, Faults};
+pub use load::{LoadOptions, LoadReport, LoadRow, run_load};
 pub use protocol::message::{Message, Role, Usage};
 pub use protocol::record::{
     ActionResult, Batch, Claim, Created, EndReason, Ended, Entry, Intent, Outcome, Record,
     Snapshot, Turn,
 };
 pub use protocol::refusal::{Ran, Refusal, RefusalCode};
+pub use proxy::{FaultProxy, FlowDirection};
 pub use settings::{EXIT_FAILURE, EXIT_OK, EXIT_SETTINGS, EXIT_USAGE, SettingErrors, Settings};
+pub use workload::{
+    ActionRuns, ActionSeen, ActionVerdict, Deployment, Latencies, Percentiles, Plan, PlanKind,
+    Planner, ProgramResult, RunOptions, Step, audit_actions, count_actions, run_program,
+};
--- /dev/null
+++ b/src/load/tests.rs
@@ -0,0 +1,75 @@
+//! Tests of arrivals, options and the report.
+
+use super::{LoadOptions, LoadReport, arrivals};
+use crate::workload::{Deployment, Planner, ProgramResult};
+use googletest::prelude::*;
+use std::time::Duration;
+
+#[gtest]
+fn arrivals_are_seeded_ordered_and_of_the_rate() {
+    let minute = Duration::from_secs(60);
+    let due = arrivals(3, 50.0, minute);
+    expect_that!(due, eq(&arrivals(3, 50.0, minute)));
+    expect_that!(due, not(eq(&arrivals(4, 50.0, minute))));
+    expect_that!(due.is_sorted(), eq(true));
+    // 3,000 are expected; the standard deviation is 55.
+    expect_that!(due.len(), all!(gt(2_700), lt(3_300)));
+    expect_that!(due.last().copied(), some(lt(minute)));
+}
+
+#[gtest]
+fn options_are_read_and_checked() {
+    let read = |args: &[&str]| LoadOptions::parse(&mut lexopt::Parser::from_args(args));
+    let options = read(&[
+        "--entry",
+        "127.0.0.1:1",
+        "--token",
+        "t",
+        "--deployment",
+        "cedarfen",
+        "--rate",
+        "7.5",
+        "--seconds",
+        "3",
+        "--check",
+    ]);
+    let options = options.unwrap();
+    expect_that!(options.deployment, eq(Deployment::Cedarfen));
+    expect_that!(options.time, eq(Duration::from_secs(3)));
+    expect_that!(read(&["--token", "t"]), err(anything()));
+    expect_that!(
+        read(&["--entry", "a", "--token", "t", "--rate", "0"]),
+        err(anything())
+    );
+    expect_that!(
+        read(&["--entry", "a", "--token", "t", "--rat", "1"]),
+        err(anything())
+    );
+}
+
+fn result(failure: Option<&str>, latency_ms: u64) -> ProgramResult {
+    let plan = Planner::new(1).plan(Deployment::Cedarfen);
+    let mut result = ProgramResult::of_plan(&plan);
+    result.failure = failure.map(str::to_owned);
+    result.latency = Duration::from_millis(latency_ms);
+    result
+}
+
+#[gtest]
+fn report_counts_failures_apart_from_latencies() {
+    let mut report = LoadReport::new(3);
+    report.add(Duration::ZERO, &result(None, 100));
+    report.add(Duration::ZERO, &result(None, 200));
+    report.add(Duration::ZERO, &result(Some("refused: \"full\""), 9_000));
+    expect_that!(report.finished(), eq(2));
+    expect_that!(report.program_latency().p99, all!(ge(199.0), le(201.0)));
+    let mut csv = Vec::new();
+    report.write_csv(&mut csv).unwrap();
+    let csv = String::from_utf8(csv).unwrap();
+    expect_that!(csv.lines().count(), eq(4));
+    expect_that!(csv, contains_substring("\"refused: \"\"full\"\"\""));
+    let mut json = Vec::new();
+    report.write_json(&mut json).unwrap();
+    let json: serde_json::Value = serde_json::from_slice(&json).unwrap();
+    expect_that!(json["failed"].as_u64(), some(eq(1)));
+}
