Follow, change and pass on the configuration

Cause: an accepted configuration must be in force everywhere and never revert, whoever races and whatever the log loses or trims. Change: records and images of the configuration; a fold that accepts the first change expecting the version in force; a tail that starts at a named root when the beginning is trimmed and carries the configuration over in time; offers and fetches between nodes by rendezvous rank; an async Configurator over any Log, and a ConfigurationCell for sidecars; link messages for both. Conclusion: the entry can be wired onto Configurator; dead-code allowances go when it is.

--- a/src/environment/mod.rs
+++ b/src/environment/mod.rs
@@ -3,17 +3,18 @@
 //! The document says what runs and by which rules. Whether the environment is in trial or in
 //! production is not part of it: that is changed by promotion alone.
 
+mod difference;
 mod parts;
 mod read;
-mod stage;
 
 use crate::ids::{EnvironmentId, FailureDomain, MemberId, ModelId};
 use crate::ini::Faults;
+pub use difference::Difference;
+pub(crate) use difference::differences;
 pub(crate) use parts::{
     BudgetRules, CacheRules, DeadlineRules, LimitRules, Member, Model, Objectives, PromotionRules,
     RateLimit, ServiceRules,
 };
-pub use stage::Stage;
 use std::collections::BTreeMap;
 
 /// All faults of an environment document.
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -25,7 +25,12 @@
 mod settings;
 pub mod standin;
 #[allow(dead_code, unused_imports, reason = "the roles are wired onto it next")]
+mod state;
+#[allow(dead_code, unused_imports, reason = "the roles are wired onto it next")]
 mod telemetry;
+
+#[allow(dead_code, unused_imports, reason = "the roles are wired onto it next")]
+mod configuration;
 mod workload;
 
 mod adapter;
@@ -46,6 +51,7 @@
 };
 pub use coordination::hedge::{HedgeCandidate, HedgeConfig, hedge_at};
 pub use coordination::limits::{Limit, Limits, TokenBucket};
+pub use coordination::rendezvous::rendezvous;
 pub use coordination::retry::{FailedCall, Retries, RetryBudget, RetryConfig};
 pub use coordination::watchdog::{Watchdog, WatchdogConfig, WatchdogVerdict};
 
@@ -53,9 +59,10 @@
     AnswerStream, Attempts, CallError, Client, Collector, Patience, StreamEvent, StreamFault,
     Timeouts,
 };
-pub use environment::{Environment, EnvironmentErrors, Stage};
+pub use environment::{Difference, Environment, EnvironmentErrors};
 pub use ini::{Fault, FaultKind, Faults};
 pub use load::{LoadOptions, LoadReport, LoadRow, run_load};
+pub use protocol::configuration::Stage;
 pub use protocol::message::{Message, Role, Usage};
 pub use protocol::record::{
     ActionResult, Batch, Claim, Created, EndReason, Ended, Entry, Intent, Outcome, Record,
--- a/src/protocol/link.rs
+++ b/src/protocol/link.rs
@@ -7,6 +7,7 @@
     BranchId, CallId, EnvironmentId, Epoch, Incarnation, MemberId, ModelId, NodeId, Offset,
     Partition, ProgramId,
 };
+use crate::protocol::configuration::ConfigurationImage;
 use crate::protocol::engine::{EngineLoad, EngineOrder, EngineUsage, GenerateRequest};
 use crate::protocol::message::{Message, Usage};
 use crate::protocol::record::{ActionResult, EndReason};
@@ -92,6 +93,19 @@
     },
     /// Any to any: are you there, and what do you know.
     Probe(Digest),
+    /// Entry to any: run this configuration unless yours is newer.
+    OfferConfiguration(ConfigurationOffer),
+    /// Any to entry: send your configuration.
+    FetchConfiguration,
+}
+
+/// A node's configuration and how far it has read the stream.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ConfigurationOffer {
+    /// The configuration.
+    pub image: ConfigurationImage,
+    /// The first offset of the stream that the node has not read.
+    pub next: Offset,
 }
 
 /// Who asks, as the receiving entry has established it.
@@ -259,6 +273,13 @@
     },
     /// The answer to a probe.
     Probed(Digest),
+    /// The configuration version that the node runs after an offer.
+    Configured {
+        /// The version.
+        version: Offset,
+    },
+    /// The configuration that was asked for.
+    Configuration(ConfigurationOffer),
     /// Not done.
     Refused(Refusal),
 }
--- a/src/protocol/mod.rs
+++ b/src/protocol/mod.rs
@@ -1,6 +1,7 @@
 //! Typed messages between the processes, and the interfaces to what stands around them.
 
 pub mod caller;
+pub mod configuration;
 pub mod engine;
 pub mod link;
 pub mod log;
--- /dev/null
+++ b/src/state/configuration/fold.rs
@@ -0,0 +1,223 @@
+//! The fold of the configuration stream.
+//!
+//! Acceptance depends on versions alone, never on what a document says, so that every release
+//! folds a stream alike.
+
+use super::view::{Configuration, find, position};
+use crate::ids::Offset;
+use crate::protocol::configuration::{
+    Change, ChangeAction, ChangeKind, ChangeNote, ConfigurationImage, ConfigurationRecord,
+    EnvironmentImage, Stage,
+};
+use crate::protocol::log::LogRecord;
+use std::sync::Arc;
+
+/// Changes that are remembered of one environment.
+const NOTES_MAX: usize = 64;
+
+/// What the fold made of a record.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub(crate) enum Folded {
+    /// A change; its offset is the new version.
+    Accepted,
+    /// A change that expected another version; it has no effect.
+    Stale,
+    /// The configuration was carried over.
+    Carried,
+    /// The record was folded before, or cannot be read.
+    Ignored,
+}
+
+/// A carried-over configuration in the stream.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) struct CarriedAt {
+    /// Its offset.
+    pub(crate) offset: Offset,
+    /// When the log took it, in Unix milliseconds by the log's clock.
+    pub(crate) at_ms: u64,
+}
+
+/// The fold.
+///
+/// Invariants: `next` is above every folded offset and above the configuration's version; the
+/// version never goes down.
+#[derive(Clone, Debug)]
+pub(crate) struct ConfigurationFold {
+    next: Offset,
+    current: Arc<Configuration>,
+    /// The newest accepted carry-over.
+    carried: Option<CarriedAt>,
+    /// The newest accepted carry-over that a later record names, so that a reader finds it.
+    named: Option<CarriedAt>,
+}
+
+impl Default for ConfigurationFold {
+    fn default() -> Self {
+        Self {
+            next: 1,
+            current: Arc::default(),
+            carried: None,
+            named: None,
+        }
+    }
+}
+
+impl ConfigurationFold {
+    /// Returns the offset to read from.
+    pub(crate) fn next(&self) -> Offset {
+        self.next
+    }
+
+    /// Returns the configuration.
+    pub(crate) fn current(&self) -> &Arc<Configuration> {
+        &self.current
+    }
+
+    /// Returns the root that records written now name.
+    pub(crate) fn root(&self) -> Offset {
+        self.carried.map_or(0, |carried| carried.offset)
+    }
+
+    /// Returns the newest carry-over that a reader would find.
+    pub(crate) fn named(&self) -> Option<CarriedAt> {
+        self.named
+    }
+
+    /// Continues at a root: an offset that a record names as an accepted carry-over.
+    pub(crate) fn restart(&mut self, root: Offset) {
+        self.next = root;
+        self.carried = None;
+        self.named = None;
+    }
+
+    /// Takes over the configuration of a node that has folded the stream up to `next`.
+    ///
+    /// Tells whether it was newer; a lower version changes nothing.
+    pub(crate) fn adopt(&mut self, image: &ConfigurationImage, next: Offset) -> bool {
+        if image.version < self.current.version() {
+            return false;
+        }
+        self.next = self.next.max(next).max(image.version + 1);
+        if image.version == self.current.version() {
+            return false;
+        }
+        self.current = Arc::new(Configuration::new(image.clone(), &self.current));
+        true
+    }
+
+    /// Folds the next record.
+    pub(crate) fn fold(&mut self, record: &LogRecord) -> Folded {
+        if record.offset < self.next {
+            return Folded::Ignored;
+        }
+        self.next = record.offset + 1;
+        let decoded = ciborium::from_reader::<ConfigurationRecord, _>(record.data.as_slice());
+        let Ok(decoded) = decoded else {
+            return Folded::Ignored;
+        };
+        self.note_root(decoded.root());
+        match decoded {
+            ConfigurationRecord::Change(change) => self.fold_change(change, record.offset),
+            ConfigurationRecord::Carried { image, .. } => self.fold_carried(&image, record),
+        }
+    }
+
+    fn note_root(&mut self, root: Offset) {
+        if let Some(carried) = self.carried.filter(|carried| carried.offset == root) {
+            self.named = Some(carried);
+        }
+    }
+
+    /// A carry-over that a restart begins with is newer than what is known; a later one is equal.
+    fn fold_carried(&mut self, image: &ConfigurationImage, record: &LogRecord) -> Folded {
+        let known = self.current.version();
+        let restarted = self.carried.is_none() && image.version > known;
+        if image.version != known && !restarted {
+            return Folded::Stale;
+        }
+        if restarted {
+            self.current = Arc::new(Configuration::new(image.clone(), &self.current));
+        }
+        self.carried = Some(CarriedAt {
+            offset: record.offset,
+            at_ms: record.at_ms,
+        });
+        Folded::Carried
+    }
+
+    fn fold_change(&mut self, change: Change, offset: Offset) -> Folded {
+        let known = self.current.environment_version(&change.environment);
+        if change.expects != known || !may_follow(&change.action, &self.current, &change) {
+            return Folded::Stale;
+        }
+        let mut image = self.current.image().clone();
+        image.version = offset;
+        apply(&mut image, change, offset);
+        self.current = Arc::new(Configuration::new(image, &self.current));
+        Folded::Accepted
+    }
+}
+
+/// Promotion and retirement need an environment in service.
+fn may_follow(action: &ChangeAction, current: &Configuration, change: &Change) -> bool {
+    let in_service = find(current.image(), &change.environment).is_some_and(|e| !e.retired);
+    matches!(action, ChangeAction::Apply { .. }) || in_service
+}
+
+fn apply(image: &mut ConfigurationImage, change: Change, offset: Offset) {
+    let index = match position(image, &change.environment) {
+        Ok(index) => index,
+        Err(index) => {
+            let environment = unborn(&change);
+            image.environments.insert(index, environment);
+            index
+        }
+    };
+    let environment = &mut image.environments[index];
+    environment.version = offset;
+    let kind = act(environment, change.action);
+    environment.changes.push(ChangeNote {
+        version: offset,
+        replaced: change.expects,
+        operator: change.operator,
+        key: change.key,
+        at_ms: change.at_ms,
+        kind,
+    });
+    if environment.changes.len() > NOTES_MAX {
+        environment.changes.remove(0);
+    }
+}
+
+fn unborn(change: &Change) -> EnvironmentImage {
+    EnvironmentImage {
+        name: change.environment.clone(),
+        version: 0,
+        stage: Stage::Trial,
+        retired: false,
+        document: String::new(),
+        changes: Vec::new(),
+    }
+}
+
+/// Changes the environment. One that comes back after its retirement is in trial again.
+fn act(environment: &mut EnvironmentImage, action: ChangeAction) -> ChangeKind {
+    match action {
+        ChangeAction::Apply { document } => {
+            if environment.retired {
+                environment.retired = false;
+                environment.stage = Stage::Trial;
+            }
+            environment.document = document;
+            ChangeKind::Applied
+        }
+        ChangeAction::Promote(promotion) => {
+            environment.stage = Stage::Production;
+            ChangeKind::Promoted(promotion)
+        }
+        ChangeAction::Retire { reason } => {
+            environment.retired = true;
+            ChangeKind::Retired(reason)
+        }
+    }
+}
--- /dev/null
+++ b/src/state/configuration/mod.rs
@@ -0,0 +1,9 @@
+//! The configuration, and the fold of its stream.
+
+mod fold;
+#[cfg(test)]
+mod tests;
+mod view;
+
+pub(crate) use fold::{ConfigurationFold, Folded};
+pub(crate) use view::{Configuration, EnvironmentView};
