--- a/src/coordination/mod.rs
+++ b/src/coordination/mod.rs
@@ -5,6 +5,7 @@
 pub(crate) mod cache;
 pub(crate) mod choice;
 pub(crate) mod commit;
+pub(crate) mod configuration;
 pub(crate) mod dispatch;
 pub(crate) mod hedge;
 pub(crate) mod limits;
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -18,15 +18,16 @@
 mod logging;
 
 mod client;
-
+mod load;
 pub mod protocol;
+mod proxy;
 #[allow(dead_code, unused_imports, reason = "the roles are wired onto it next")]
 mod settings;
+pub mod standin;
+mod state;
 #[allow(dead_code, unused_imports, reason = "the roles are wired onto it next")]
 mod telemetry;
 
-mod state;
-
 pub use coordination::commit::{CommitEffect, CommitLimits, Committed, Full, GroupCommit, Ticket};
 pub use coordination::dispatch::{
     Dispatch, DispatchError, DispatchLimits, DispatchTable, Dispatched, Settled,
@@ -35,9 +36,10 @@
 pub use coordination::partition::{
     Change, Commit, CommitError, LogHealth, PartitionConfig, PartitionHandle, PartitionIdentity,
 };
-pub use coordination::rendezvous::rendezvous;
 pub use protocol::image::{Action, ActionPhase, Branch, End, Program, SupersededTurn, TurnPlace};
-pub mod standin;
+#[allow(dead_code, unused_imports, reason = "the roles are wired onto it next")]
+mod configuration;
+mod workload;
 
 mod adapter;
 
@@ -57,6 +59,7 @@
 };
 pub use coordination::hedge::{HedgeCandidate, HedgeConfig, hedge_at};
 pub use coordination::limits::{Limit, Limits, TokenBucket};
+pub use coordination::rendezvous::rendezvous;
 pub use coordination::retry::{FailedCall, Retries, RetryBudget, RetryConfig};
 pub use coordination::watchdog::{Watchdog, WatchdogConfig, WatchdogVerdict};
 
@@ -64,17 +67,24 @@
     AnswerStream, Attempts, CallError, Client, Collector, Patience, StreamEvent, StreamFault,
     Timeouts,
 };
-pub use environment::{Environment, EnvironmentErrors, Stage};
+pub use environment::{Difference, Environment, EnvironmentErrors};
 pub use ini::{Fault, FaultKind, Faults};
+pub use load::{LoadOptions, LoadReport, LoadRow, run_load};
+pub use protocol::configuration::Stage;
 pub use protocol::message::{Message, Role, Usage};
 pub use protocol::record::{
     ActionResult, Batch, Claim, Created, EndReason, Ended, Entry, Intent, Outcome, RESET_EPOCH,
     Record, Reserved, Snapshot, Turn,
 };
 pub use protocol::refusal::{Ran, Refusal, RefusalCode};
+pub use proxy::{FaultProxy, FlowDirection};
 pub use settings::{EXIT_FAILURE, EXIT_OK, EXIT_SETTINGS, EXIT_USAGE, SettingErrors, Settings};
 pub use state::budget::Ledger;
 pub use state::history::{HistoryError, beginning, turn_hash, verify};
 pub use state::partition::{Applied, Owner, PartitionState, Void};
 pub use state::program::{EntryError, Head, TurnRef};
 pub use state::receipt::{ReceiptError, ReceiptKey};
+pub use workload::{
+    ActionRuns, ActionSeen, ActionVerdict, Deployment, Latencies, Percentiles, Plan, PlanKind,
+    Planner, ProgramResult, RunOptions, Step, audit_actions, count_actions, run_program,
+};
