Add stand-ins of the VM list and weight store, a command, protocol pages, tests

The platform's two small systems were missing, and nothing could run a stand-in as a process of its own. `standin::run` takes the arguments of `galenapick standin KIND`, prints the URL on the first line and runs until ended. The engine's handler and the log's rate are split into smaller modules.

New tests drive the state machines without sockets (16 of them new here, one a property over the cache's accounting) and give the adapters raw bytes, odd bodies, odd JSON and answers cut at every byte.

--- a/src/adapter/engine.rs
+++ b/src/adapter/engine.rs
@@ -335,7 +335,7 @@
     let refused: Refused = serde_json::from_slice(&answer.body).unwrap_or_default();
     match (answer.status, refused.error.code.as_str()) {
         (_, "fenced") => EngineError::Fenced,
-        (404, "" | "unknown") => EngineError::Unknown,
+        (404, "unknown") => EngineError::Unknown,
         (500 | 502 | 504, _) => unreachable(format!("status {}", answer.status)),
         (status, _) => EngineError::Refused(format!("status {status} {}", refused.error.message)),
     }
--- a/src/adapter/http.rs
+++ b/src/adapter/http.rs
@@ -16,6 +16,14 @@
 /// Bytes read at a time.
 const READ_BYTES: usize = 16 << 10;
 
+/// The longest time to wait that an answer can ask for.
+const MAX_RETRY: Duration = Duration::from_secs(3600);
+
+/// Turns a time to wait that an answer asks for into a duration.
+pub(crate) fn retry_after(wait_ms: u64) -> Duration {
+    Duration::from_millis(wait_ms).min(MAX_RETRY)
+}
+
 /// Why a request got no whole answer.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub(crate) enum HttpError {
--- a/src/adapter/log.rs
+++ b/src/adapter/log.rs
@@ -1,6 +1,6 @@
 //! The log over HTTP.
 
-use crate::adapter::http::{HttpAnswer, HttpClient, HttpRequest};
+use crate::adapter::http::{HttpAnswer, HttpClient, HttpRequest, retry_after};
 use crate::ids::Offset;
 use crate::protocol::log::{Log, LogError, LogPage, LogRecord, ReadLimit};
 use serde::Deserialize;
@@ -136,9 +136,7 @@
     let refused: Refused = serde_json::from_slice(&answer.body).unwrap_or_default();
     match (answer.status, refused.first) {
         (429, _) => LogError::Throttled {
-            retry_after: refused
-                .retry_after_ms
-                .map_or(DEFAULT_RETRY, Duration::from_millis),
+            retry_after: refused.retry_after_ms.map_or(DEFAULT_RETRY, retry_after),
         },
         (410, Some(first)) => LogError::Trimmed { first },
         (status, _) => unavailable(format!("status {status} {}", refused.message)),
--- a/src/adapter/tests.rs
+++ b/src/adapter/tests.rs
@@ -1,13 +1,18 @@
 //! Tests of the adapters against the stand-ins and against servers that talk nonsense.
 
-use super::{HttpEngine, HttpLog, HttpService};
-use crate::protocol::engine::{Engine, EngineError, EngineEvent, EngineStream, GenerateRequest};
+use super::{HttpEngine, HttpLog, HttpService, HttpVmList, HttpWeightStore};
+use crate::protocol::engine::{
+    Engine, EngineError, EngineEvent, EngineOrder, EngineStream, GenerateRequest,
+};
 use crate::protocol::log::{Log, LogError, ReadLimit};
 use crate::protocol::message::{Message, Role};
 use crate::protocol::service::{Service, ServiceError, ServiceRequest};
+use crate::protocol::vms::VmList;
+use crate::protocol::weights::{WeightGrant, WeightStore};
 use crate::standin::{
     EngineConfig, EngineControl, EngineStandin, Ledger, LogConfig, LogControl, LogStandin, Outage,
-    ServiceConfig, ServiceControl, ServiceStandin, expected_answer, expected_result, prompt_tokens,
+    ServiceConfig, ServiceControl, ServiceStandin, VmsConfig, VmsControl, VmsStandin,
+    WeightsConfig, WeightsStandin, expected_answer, expected_result, prompt_tokens,
 };
 use futures_lite::future::block_on;
 use googletest::prelude::*;
@@ -271,3 +276,94 @@
         expect_that!(reply, err(matches_pattern!(ServiceError::NotSent(_))));
     });
 }
+
+#[gtest]
+fn engine_moves_caches_and_takes_orders() {
+    block_on(async {
+        let config = EngineConfig {
+            models: vec![("matcher-llm".to_owned(), 1)],
+            event_loss: 0.0,
+            load_lag: Duration::ZERO,
+            event_lag: Duration::ZERO,
+            ..fast_engine()
+        };
+        let ledger = Ledger::default();
+        let first = EngineStandin::start(config.clone(), ledger.clone())
+            .await
+            .unwrap();
+        let second = EngineStandin::start(config, ledger).await.unwrap();
+        let from = HttpEngine::new(&first.url(), TIMEOUT);
+        let to = HttpEngine::new(&second.url(), TIMEOUT);
+        let request = generation(1, 7, "a long story of a red panda", 8);
+        read_all(&mut from.generate(request.clone()).await.unwrap(), 0)
+            .await
+            .unwrap();
+        let cache = from.export(7).await.unwrap();
+        expect_that!(from.export(8).await, err(eq(&EngineError::Unknown)));
+        expect_that!(to.import(7, cache).await, ok(anything()));
+        let refused = to.import(7, b"nonsense".to_vec()).await;
+        expect_that!(refused, err(matches_pattern!(EngineError::Refused(_))));
+        expect_that!(second.held(), eq(&first.held()));
+        let events = to.cache_events(0).await.unwrap();
+        expect_that!(events.len(), eq(1));
+        let unload = EngineOrder::Unload {
+            model: "matcher-llm".to_owned(),
+        };
+        expect_that!(to.order(unload.clone(), 5).await, ok(anything()));
+        expect_that!(to.order(unload, 4).await, err(eq(&EngineError::Fenced)));
+        expect_that!(to.load().await.unwrap().models, is_empty());
+        let other = to.generate(generation(2, 7, "x", 8)).await.map(drop);
+        expect_that!(other, err(matches_pattern!(EngineError::Refused(_))));
+        expect_that!(second.counts().orders.len(), eq(1));
+    });
+}
+
+#[gtest]
+fn engine_stream_can_be_cancelled_and_is_then_unknown() {
+    block_on(async {
+        let standin = EngineStandin::start(EngineConfig::default(), Ledger::default())
+            .await
+            .unwrap();
+        let engine = HttpEngine::new(&standin.url(), TIMEOUT);
+        let mut stream = engine.generate(generation(1, 7, "x", 4000)).await.unwrap();
+        expect_that!(stream.next().await, some(ok(anything())));
+        expect_that!(engine.cancel(1).await, ok(anything()));
+        expect_that!(engine.cancel(1).await, ok(anything()));
+        let rest = read_all(&mut stream, 1).await;
+        expect_that!(rest, err(matches_pattern!(EngineError::Refused(_))));
+        let again = engine.resume(1, 0).await.map(drop);
+        expect_that!(again, err(eq(&EngineError::Unknown)));
+        expect_that!(engine.release(7).await, ok(eq(&0)));
+        expect_that!(standin.held(), is_empty());
+    });
+}
+
+#[gtest]
+fn vm_list_and_weight_store_answer_or_do_not() {
+    block_on(async {
+        let vms = VmsStandin::start(VmsConfig::default()).await.unwrap();
+        let list = HttpVmList::new(&vms.url(), TIMEOUT);
+        expect_that!(list.vms().await, some(is_empty()));
+        let down = VmsControl {
+            down: Some(true),
+            ..VmsControl::default()
+        };
+        vms.control(down).await;
+        expect_that!(list.vms().await, none());
+        let config = WeightsConfig {
+            grants_per_s: 0.01,
+            burst: 1.0,
+        };
+        let weights = WeightsStandin::start(config).await.unwrap();
+        let store = HttpWeightStore::new(&weights.url(), TIMEOUT);
+        let model = "matcher-llm".to_owned();
+        let grants = [
+            store.request(&model, 1).await,
+            store.request(&model, 1).await,
+        ];
+        expect_that!(grants[0], some(eq(WeightGrant::Granted)));
+        expect_that!(grants[1], some(matches_pattern!(WeightGrant::Wait(_))));
+        weights.stop().await;
+        expect_that!(store.request(&model, 1).await, none());
+    });
+}
--- /dev/null
+++ b/src/adapter/vms.rs
@@ -0,0 +1,32 @@
+//! The list of VMs over HTTP.
+
+use crate::adapter::http::{HttpClient, HttpRequest};
+use crate::protocol::vms::{Vm, VmList};
+use std::time::Duration;
+use trillium_client::Method;
+
+/// A client of the platform's list of VMs: `GET /v1/vms` answers with a JSON array.
+#[derive(Clone, Debug)]
+pub struct HttpVmList {
+    http: HttpClient,
+}
+
+impl HttpVmList {
+    /// Makes a client for a base URL such as `http://127.0.0.1:80`.
+    pub fn new(base: &str, timeout: Duration) -> Self {
+        Self {
+            http: HttpClient::new(base, timeout),
+        }
+    }
+}
+
+impl VmList for HttpVmList {
+    async fn vms(&self) -> Option<Vec<Vm>> {
+        let request = HttpRequest::new(Method::Get, "/v1/vms");
+        let answer = self.http.send(request).await.ok()?;
+        if answer.status != 200 {
+            return None;
+        }
+        serde_json::from_slice(&answer.body).ok()
+    }
+}
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -29,7 +29,9 @@
 
 mod adapter;
 
-pub use adapter::{HttpEngine, HttpEngineStream, HttpLog, HttpService};
+pub use adapter::{
+    HttpEngine, HttpEngineStream, HttpLog, HttpService, HttpVmList, HttpWeightStore,
+};
 mod coordination;
 
 pub use coordination::admission::{
--- /dev/null
+++ b/src/standin/command.rs
@@ -0,0 +1,252 @@
+//! Runs one stand-in as a process of its own.
+
+use super::{
+    EngineConfig, EngineStandin, Ledger, LogConfig, LogStandin, ServiceConfig, ServiceStandin,
+    VmsConfig, VmsStandin, WeightsConfig, WeightsStandin,
+};
+use anyhow::{Context, bail, ensure};
+use lexopt::Parser;
+use lexopt::prelude::*;
+use std::ffi::OsString;
+use std::future::pending;
+use std::net::SocketAddr;
+use std::str::FromStr;
+use std::time::Duration;
+
+/// What [`run`] understands.
+pub const USAGE: &str = "\
+galenapick standin KIND [--listen IP:PORT] [OPTIONS]
+
+A stand-in of an outside system, for trials. It prints its URL on the first line and runs until it
+is ended. POST /control changes how it behaves, GET /counts says what it counted.
+
+engine:   --time-scale X  --max-running N  --prefill-per-s X  --decode-base-ms X
+          --decode-per-stream-ms X  --cache-tokens N  --load-lag-ms N  --event-lag-ms N
+          --event-loss SHARE  --model NAME=VERSION (again for more)  --load-time-ms N
+          --ignore-fence  --seed N
+log:      --appends-per-s X  --burst X  --retention-ms N  --retention-records N  --latency-ms N
+          --seed N
+service:  --work-ms N  --work-spread-ms N  --seed N
+vms:      --lag-ms N  --vms JSON
+weights:  --grants-per-s X  --burst X";
+
+/// Runs the stand-in that the arguments name, until the process is ended.
+pub async fn run(args: impl IntoIterator<Item = OsString>) -> anyhow::Result<()> {
+    let mut parser = Parser::from_args(args);
+    let Some(Value(kind)) = parser.next()? else {
+        bail!("no kind of stand-in is named\n\n{USAGE}");
+    };
+    let kind = kind.string()?;
+    match kind.as_str() {
+        "engine" => run_engine(&mut parser).await,
+        "log" => run_log(&mut parser).await,
+        "service" => run_service(&mut parser).await,
+        "vms" => run_vms(&mut parser).await,
+        "weights" => run_weights(&mut parser).await,
+        _ => bail!("there is no stand-in {kind:?}\n\n{USAGE}"),
+    }
+}
+
+/// Options of a kind of stand-in.
+trait Options {
+    /// Takes over an option that stands alone; `false` if there is none of that name.
+    fn flag(&mut self, _name: &str) -> bool {
+        false
+    }
+
+    /// Takes over an option with a value; `false` if there is none of that name.
+    fn option(&mut self, name: &str, value: &OsString) -> anyhow::Result<bool>;
+}
+
+/// Reads the arguments after the kind.
+fn read_options(parser: &mut Parser, options: &mut impl Options) -> anyhow::Result<SocketAddr> {
+    let mut listen = SocketAddr::from(([127, 0, 0, 1], 0));
+    while let Some(arg) = parser.next()? {
+        let Long(name) = arg else {
+            return Err(arg.unexpected().into());
+        };
+        let name = name.to_owned();
+        if options.flag(&name) {
+            continue;
+        }
+        let value = parser.value()?;
+        if name == "listen" {
+            listen = parse(&name, &value)?;
+        } else if !options.option(&name, &value)? {
+            return Err(Long(&name).unexpected().into());
+        }
+    }
+    Ok(listen)
+}
+
+/// Reads a value.
+fn parse<T: FromStr>(name: &str, value: &OsString) -> anyhow::Result<T>
+where
+    T::Err: std::error::Error + Send + Sync + 'static,
+{
+    let text = value.to_str().context("an argument is not UTF-8")?;
+    text.parse()
+        .with_context(|| format!("--{name} can't be {text:?}"))
+}
+
+/// Reads a number that must be above zero.
+fn positive(name: &str, value: &OsString) -> anyhow::Result<f64> {
+    let number: f64 = parse(name, value)?;
+    ensure!(
+        number.is_finite() && number > 0.0,
+        "--{name} must be above 0"
+    );
+    Ok(number)
+}
+
+/// Reads a share between 0 and 1.
+fn share(name: &str, value: &OsString) -> anyhow::Result<f64> {
+    let number: f64 = parse(name, value)?;
+    ensure!((0.0..=1.0).contains(&number), "--{name} must be 0 to 1");
+    Ok(number)
+}
+
+/// Reads milliseconds, which may have a fraction.
+fn millis(name: &str, value: &OsString) -> anyhow::Result<Duration> {
+    let number: f64 = parse(name, value)?;
+    Duration::try_from_secs_f64(number / 1000.0)
+        .with_context(|| format!("--{name} can't be {number}"))
+}
+
+/// Says where a stand-in listens, and keeps it running.
+async fn keep<T>(url: String, standin: T) -> anyhow::Result<()> {
+    println!("{url}");
+    pending::<()>().await;
+    drop(standin);
+    Ok(())
+}
+
+impl Options for EngineConfig {
+    fn flag(&mut self, name: &str) -> bool {
+        let is_known = name == "ignore-fence";
+        if is_known {
+            self.checks_fence = false;
+        }
+        is_known
+    }
+
+    fn option(&mut self, name: &str, value: &OsString) -> anyhow::Result<bool> {
+        match name {
+            "time-scale" => self.time_scale = positive(name, value)?,
+            "max-running" => self.max_running = parse(name, value)?,
+            "prefill-per-s" => self.prefill_tokens_per_s = positive(name, value)?,
+            "decode-base-ms" => self.decode_base = millis(name, value)?,
+            "decode-per-stream-ms" => self.decode_per_stream = millis(name, value)?,
+            "cache-tokens" => self.cache_tokens = parse(name, value)?,
+            "load-lag-ms" => self.load_lag = millis(name, value)?,
+            "event-lag-ms" => self.event_lag = millis(name, value)?,
+            "event-loss" => self.event_loss = share(name, value)?,
+            "model" => self.models.push(parse_model(value)?),
+            "load-time-ms" => self.load_time = millis(name, value)?,
+            "seed" => self.seed = parse(name, value)?,
+            _ => return Ok(false),
+        }
+        Ok(true)
+    }
+}
+
+/// Reads `NAME=VERSION`.
+fn parse_model(value: &OsString) -> anyhow::Result<(String, u32)> {
+    let text = value.to_str().context("an argument is not UTF-8")?;
+    let (name, version) = text
+        .split_once('=')
+        .with_context(|| format!("--model needs NAME=VERSION, not {text:?}"))?;
+    Ok((name.to_owned(), version.parse().context("--model")?))
+}
+
+impl Options for LogConfig {
+    fn option(&mut self, name: &str, value: &OsString) -> anyhow::Result<bool> {
+        match name {
+            "appends-per-s" => self.appends_per_s = positive(name, value)?,
+            "burst" => self.burst = positive(name, value)?,
+            "retention-ms" => self.retention = millis(name, value)?,
+            "retention-records" => self.retention_records = parse(name, value)?,
+            "latency-ms" => self.latency = millis(name, value)?,
+            "seed" => self.seed = parse(name, value)?,
+            _ => return Ok(false),
+        }
+        Ok(true)
+    }
+}
+
+impl Options for ServiceConfig {
+    fn option(&mut self, name: &str, value: &OsString) -> anyhow::Result<bool> {
+        match name {
+            "work-ms" => self.work = millis(name, value)?,
+            "work-spread-ms" => self.work_spread = millis(name, value)?,
+            "seed" => self.seed = parse(name, value)?,
+            _ => return Ok(false),
+        }
+        Ok(true)
+    }
+}
+
+impl Options for VmsConfig {
+    fn option(&mut self, name: &str, value: &OsString) -> anyhow::Result<bool> {
+        match name {
+            "lag-ms" => self.lag = millis(name, value)?,
+            "vms" => {
+                let text = value.to_str().context("an argument is not UTF-8")?;
+                self.vms = serde_json::from_str(text).context("--vms")?;
+            }
+            _ => return Ok(false),
+        }
+        Ok(true)
+    }
+}
+
+impl Options for WeightsConfig {
+    fn option(&mut self, name: &str, value: &OsString) -> anyhow::Result<bool> {
+        match name {
+            "grants-per-s" => self.grants_per_s = positive(name, value)?,
+            "burst" => self.burst = positive(name, value)?,
+            _ => return Ok(false),
+        }
+        Ok(true)
+    }
+}
+
+/// Runs an engine.
+async fn run_engine(parser: &mut Parser) -> anyhow::Result<()> {
+    let mut config = EngineConfig::default();
+    let listen = read_options(parser, &mut config)?;
+    let standin = EngineStandin::start_on(listen, config, Ledger::default()).await?;
+    keep(standin.url(), standin).await
+}
+
+/// Runs a log.
+async fn run_log(parser: &mut Parser) -> anyhow::Result<()> {
+    let mut config = LogConfig::default();
+    let listen = read_options(parser, &mut config)?;
+    let standin = LogStandin::start_on(listen, config).await?;
+    keep(standin.url(), standin).await
+}
+
+/// Runs a service.
+async fn run_service(parser: &mut Parser) -> anyhow::Result<()> {
+    let mut config = ServiceConfig::default();
+    let listen = read_options(parser, &mut config)?;
+    let standin = ServiceStandin::start_on(listen, config).await?;
+    keep(standin.url(), standin).await
+}
+
+/// Runs a list of VMs.
+async fn run_vms(parser: &mut Parser) -> anyhow::Result<()> {
+    let mut config = VmsConfig::default();
+    let listen = read_options(parser, &mut config)?;
+    let standin = VmsStandin::start_on(listen, config).await?;
+    keep(standin.url(), standin).await
+}
+
+/// Runs a weight store.
+async fn run_weights(parser: &mut Parser) -> anyhow::Result<()> {
+    let mut config = WeightsConfig::default();
+    let listen = read_options(parser, &mut config)?;
+    let standin = WeightsStandin::start_on(listen, config).await?;
+    keep(standin.url(), standin).await
+}
--- a/src/standin/engine/batch.rs
+++ b/src/standin/engine/batch.rs
@@ -22,7 +22,8 @@
     running: Vec<CallId>,
     /// Finished streams, oldest first.
     finished: VecDeque<(Instant, CallId)>,
-    pub(super) cache: PrefixCache,
+    /// The prefix cache.
+    pub(crate) cache: PrefixCache,
     loads: LoadReports,
     load_lag: Duration,
     events: CacheEvents,
--- a/src/standin/engine/handler.rs
+++ b/src/standin/engine/handler.rs
@@ -1,17 +1,15 @@
 //! Answers the requests to the engine stand-in.
 
-use super::batch::Batch;
 use super::config::{EngineConfig, EngineControl, EngineCounts};
+use super::core::Core;
 use super::ledger::Ledger;
-use super::orders::Orders;
-use crate::ids::{CallId, Epoch, ProgramId, format_id, parse_id};
-use crate::protocol::engine::{EngineOrder, GenerateRequest};
-use crate::protocol::message::Message;
-use crate::standin::server::{Answer, Handler, Request, Server};
+use super::wire::{Completion, Order, held, unknown};
+use crate::ids::{CallId, ProgramId, format_id, parse_id};
+use crate::protocol::engine::EngineOrder;
+use crate::standin::server::{Answer, Handler, Request, Server, ServerSlot};
 use async_channel::{Receiver, Sender};
-use serde::Deserialize;
 use smol::Timer;
-use std::sync::{Arc, Mutex, MutexGuard, OnceLock, PoisonError, Weak};
+use std::sync::Arc;
 use std::time::{Duration, Instant};
 use trillium_http::Method;
 use trillium_smol::async_global_executor::spawn;
@@ -21,86 +19,25 @@
     core: Arc<Core>,
     /// Wakes the stepper.
     work: Sender<()>,
-    server: OnceLock<Weak<Server<EngineHandler>>>,
+    server: ServerSlot<EngineHandler>,
 }
 
-/// What the handler and the stepper share.
-pub(crate) struct Core {
-    config: EngineConfig,
-    inner: Mutex<Inner>,
-}
-
-/// What changes.
-struct Inner {
-    batch: Batch,
-    orders: Orders,
-    paused: bool,
-    refuse: bool,
-    /// The share of its full speed at which the engine works.
-    speed: f64,
-}
-
-impl Core {
-    /// Tells whether the engine does no work for now.
-    pub(crate) fn is_paused(&self) -> bool {
-        self.lock().paused
-    }
-
-    /// Returns how long the next step takes; `None` if there is nothing to do.
-    pub(crate) fn plan(&self) -> Option<Duration> {
-        let mut inner = self.lock();
-        let slowness = 1.0 / inner.speed.max(MIN_SPEED);
-        inner
-            .batch
-            .plan(Instant::now())
-            .map(|step| step.mul_f64(slowness))
-    }
-
-    /// Does one step.
-    pub(crate) fn step(&self) {
-        self.lock().batch.step(Instant::now());
-    }
-
-    /// Turns a duration of the engine's life into one of ours.
-    fn scale(&self, time: Duration) -> Duration {
-        time.mul_f64(self.config.time_scale)
-    }
-
-    fn lock(&self) -> MutexGuard<'_, Inner> {
-        self.inner.lock().unwrap_or_else(PoisonError::into_inner)
-    }
-}
-
-/// The slowest that an engine can be made, as a share of its full speed.
-const MIN_SPEED: f64 = 1e-4;
-
 impl EngineHandler {
     /// Makes an engine, and the end by which its stepper is woken.
     pub(crate) fn new(config: EngineConfig, ledger: Ledger) -> (Self, Receiver<()>) {
         let (work, woken) = async_channel::bounded(1);
-        let inner = Inner {
-            batch: Batch::new(config.clone(), ledger, Instant::now()),
-            orders: Orders::new(config.checks_fence),
-            paused: false,
-            refuse: false,
-            speed: 1.0,
-        };
-        let core = Arc::new(Core {
-            config,
-            inner: Mutex::new(inner),
-        });
+        let core = Arc::new(Core::new(config, ledger));
         let handler = Self {
             core,
             work,
-            server: OnceLock::new(),
+            server: ServerSlot::default(),
         };
         (handler, woken)
     }
 
     /// Names the server, which a control can stop.
     pub(crate) fn attach(&self, server: &Arc<Server<EngineHandler>>) {
-        // A second server is not kept: there is one.
-        let _ = self.server.set(Arc::downgrade(server));
+        self.server.attach(server);
     }
 
     /// Returns what the stepper needs.
@@ -110,14 +47,9 @@
 
     /// Takes over a change.
     pub(crate) async fn control(&self, control: EngineControl) {
-        self.apply(&control);
+        self.core.apply(&control);
         self.wake();
-        let server = self.server.get().and_then(Weak::upgrade);
-        match (server, control.down) {
-            (Some(server), Some(true)) => server.stop().await,
-            (Some(server), Some(false)) => server.listen_again().await,
-            _ => {}
-        }
+        self.server.set_down(control.down).await;
     }
 
     /// Returns what was counted.
@@ -134,29 +66,6 @@
         self.core.lock().batch.held()
     }
 
-    /// Takes over the part of a change that is not the server's.
-    fn apply(&self, control: &EngineControl) {
-        let mut inner = self.core.lock();
-        if let Some(paused) = control.paused {
-            inner.paused = paused;
-        }
-        if let Some(speed) = control.speed {
-            inner.speed = speed;
-        }
-        if let Some(refuse) = control.refuse {
-            inner.refuse = refuse;
-        }
-        if control.silence == Some(true) {
-            inner.batch.silence();
-        }
-        if let Some(share) = control.event_loss {
-            inner.batch.set_event_loss(share);
-        }
-        if let Some(lag_ms) = control.load_lag_ms {
-            inner.batch.set_load_lag(Duration::from_millis(lag_ms));
-        }
-    }
-
     /// Tells the stepper that there may be something to do.
     fn wake(&self) {
         // A full channel already wakes it.
@@ -341,52 +250,3 @@
         }
     }
 }
-
-/// The body of a generation request.
-#[derive(Deserialize)]
-struct Completion {
-    model: String,
-    messages: Vec<Message>,
-    max_tokens: u32,
-    #[serde(default)]
-    stream: bool,
-    request_id: String,
-    program: String,
-}
-
-impl Completion {
-    /// Checks the request.
-    fn decode(self) -> Result<GenerateRequest, Answer> {
-        if !self.stream {
-            return Err(Answer::refused(400, "invalid", "Only streams are served."));
-        }
-        let ids = parse_id(&self.request_id).zip(parse_id(&self.program));
-        let Some((call, program)) = ids else {
-            return Err(Answer::refused(400, "invalid", "An id is malformed."));
-        };
-        Ok(GenerateRequest {
-            call,
-            program,
-            model: self.model,
-            messages: self.messages,
-            max_tokens: self.max_tokens,
-        })
-    }
-}
-
-/// The body of an order.
-#[derive(Deserialize)]
-struct Order {
-    fence: Epoch,
-    order: EngineOrder,
-}
-
-/// The answer about an unknown stream or cache.
-fn unknown() -> Answer {
-    Answer::refused(404, "unknown", "There is no such stream or cache.")
-}
-
-/// The answer with what a program holds.
-fn held(tokens: u64) -> Answer {
-    Answer::json(200, &serde_json::json!({"held_tokens": tokens}))
-}
--- a/src/standin/engine/mod.rs
+++ b/src/standin/engine/mod.rs
@@ -1,15 +1,17 @@
 //! The engine stand-in: continuous batching, a prefix cache, late reports, orders.
 
 pub(crate) mod answer;
-mod batch;
+pub(crate) mod batch;
 pub(crate) mod cache;
 mod config;
+mod core;
 mod handler;
 pub(crate) mod ledger;
-mod orders;
+pub(crate) mod orders;
 mod reports;
 mod stepper;
 mod stream;
+mod wire;
 
 pub use config::{ActedOrder, EngineConfig, EngineControl, EngineCounts};
 
--- a/src/standin/engine/stepper.rs
+++ b/src/standin/engine/stepper.rs
@@ -1,6 +1,6 @@
 //! Drives an engine's steps: one task and one timer for all streams.
 
-use super::handler::Core;
+use super::core::Core;
 use async_channel::Receiver;
 use smol::Timer;
 use std::sync::Arc;
--- a/src/standin/log/handler.rs
+++ b/src/standin/log/handler.rs
@@ -4,15 +4,16 @@
 use super::state::{LogConfig, LogCounts, LogState};
 use crate::ids::Offset;
 use crate::protocol::log::{LogPage, LogRecord};
+use crate::standin::bucket::wait_ms;
 use crate::standin::clock::now_ms;
-use crate::standin::server::{Answer, Handler, Request, Server};
+use crate::standin::server::{Answer, Handler, Request, Server, ServerSlot};
 use async_channel::{Receiver, Sender};
 use futures_lite::FutureExt;
 use serde::Serialize;
 use serde_bytes::ByteBuf;
 use smol::Timer;
 use std::convert::Infallible;
-use std::sync::{Arc, Mutex, MutexGuard, OnceLock, PoisonError, Weak};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::{Duration, Instant};
 use trillium_http::Method;
 use trillium_smol::async_global_executor::spawn;
@@ -26,7 +27,7 @@
 /// The log behind its server.
 pub(crate) struct LogHandler {
     inner: Arc<Mutex<Inner>>,
-    server: OnceLock<Weak<Server<LogHandler>>>,
+    server: ServerSlot<LogHandler>,
 }
 
 /// What changes.
@@ -57,14 +58,13 @@
         };
         Self {
             inner: Arc::new(Mutex::new(inner)),
-            server: OnceLock::new(),
+            server: ServerSlot::default(),
         }
     }
 
     /// Names the server, which an outage stops.
     pub(crate) fn attach(&self, server: &Arc<Server<LogHandler>>) {
-        // A second server is not kept: there is one.
-        let _ = self.server.set(Arc::downgrade(server));
+        self.server.attach(server);
     }
 
     /// Takes over a change.
@@ -82,7 +82,7 @@
             return;
         };
         self.begin(outage).await;
-        if let (Some(server), Some(outage_ms)) = (self.server(), control.outage_ms) {
+        if let (Some(server), Some(outage_ms)) = (self.server.get(), control.outage_ms) {
             let end = end_outage(
                 self.inner.clone(),
                 server,
@@ -115,14 +115,7 @@
 
     /// Begins or ends an outage at the server.
     async fn begin(&self, outage: Outage) {
-        let Some(server) = self.server() else {
-            return;
-        };
-        if outage == Outage::Refuse {
-            server.stop().await;
-        } else {
-            server.listen_again().await;
-        }
+        self.server.set_down(Some(outage == Outage::Refuse)).await;
     }
 
     /// Appends a record, with the faults in force.
@@ -197,10 +190,6 @@
         }
     }
 
-    fn server(&self) -> Option<Arc<Server<LogHandler>>> {
-        self.server.get()?.upgrade()
-    }
-
     fn lock(&self) -> MutexGuard<'_, Inner> {
         lock(&self.inner)
     }
@@ -274,8 +263,7 @@
 
 /// The answer to an append over the rate.
 fn throttled(wait: Duration) -> Answer {
-    let retry_after_ms = wait.as_millis() as u64 + 1;
-    Answer::json(429, &serde_json::json!({"retry_after_ms": retry_after_ms}))
+    Answer::json(429, &serde_json::json!({"retry_after_ms": wait_ms(wait)}))
 }
 
 /// The answer to a read of what is no longer kept.
--- a/src/standin/log/mod.rs
+++ b/src/standin/log/mod.rs
@@ -2,7 +2,7 @@
 
 mod control;
 mod handler;
-mod state;
+pub(crate) mod state;
 
 pub use control::{LogControl, Outage};
 pub use state::{LogConfig, LogCounts};
--- a/src/standin/log/state.rs
+++ b/src/standin/log/state.rs
@@ -3,6 +3,7 @@
 use super::control::LogControl;
 use crate::ids::Offset;
 use crate::protocol::log::{LogPage, LogRecord};
+use crate::standin::bucket::Bucket;
 use std::collections::{BTreeMap, VecDeque};
 use std::time::{Duration, Instant};
 
@@ -57,10 +58,7 @@
 pub(crate) struct LogState {
     config: LogConfig,
     streams: BTreeMap<String, Stream>,
-    /// Appends that may be accepted now.
-    tokens: f64,
-    /// When `tokens` was last filled up.
-    filled_at: Instant,
+    rate: Bucket,
     /// What was counted.
     pub(crate) counts: LogCounts,
 }
@@ -99,10 +97,9 @@
     /// Makes a log without streams.
     pub(crate) fn new(config: LogConfig, now: Instant) -> Self {
         Self {
-            tokens: config.burst,
+            rate: Bucket::new(config.appends_per_s, config.burst, now),
             config,
             streams: BTreeMap::new(),
-            filled_at: now,
             counts: LogCounts::default(),
         }
     }
@@ -110,7 +107,7 @@
     /// Takes over a change of the limits.
     pub(crate) fn apply(&mut self, control: &LogControl) {
         if let Some(appends_per_s) = control.appends_per_s {
-            self.config.appends_per_s = appends_per_s;
+            self.rate.set_rate(appends_per_s);
         }
         if let Some(retention_ms) = control.retention_ms {
             self.config.retention = Duration::from_millis(retention_ms);
@@ -119,17 +116,11 @@
 
     /// Takes one append off the rate, or tells when to try again.
     pub(crate) fn admit(&mut self, now: Instant) -> Result<(), Duration> {
-        let since = now.saturating_duration_since(self.filled_at);
-        let filled = self.tokens + since.as_secs_f64() * self.config.appends_per_s;
-        self.tokens = filled.min(self.config.burst);
-        self.filled_at = now;
-        if self.tokens >= 1.0 {
-            self.tokens -= 1.0;
-            return Ok(());
+        let admitted = self.rate.take(now);
+        if admitted.is_err() {
+            self.counts.throttled += 1;
         }
-        self.counts.throttled += 1;
-        let wait_s = (1.0 - self.tokens) / self.config.appends_per_s.max(f64::MIN_POSITIVE);
-        Err(Duration::try_from_secs_f64(wait_s).unwrap_or(Duration::MAX))
+        admitted
     }
 
     /// Appends a record and returns its offset.
--- a/src/standin/mod.rs
+++ b/src/standin/mod.rs
@@ -4,12 +4,17 @@
 //! counts, it counts here, and not in the code under test.
 
 mod body;
+mod bucket;
 mod clock;
+mod command;
 mod engine;
 mod log;
 mod server;
 mod service;
+mod vms;
+mod weights;
 
+pub use command::{USAGE, run};
 pub use engine::answer::{count_tokens, expected_answer, prompt_tokens};
 pub use engine::ledger::{Ledger, LedgerCounts};
 pub use engine::{ActedOrder, EngineConfig, EngineControl, EngineCounts, EngineStandin};
@@ -17,3 +22,8 @@
 pub use service::{
     ServiceAction, ServiceConfig, ServiceControl, ServiceCounts, ServiceStandin, expected_result,
 };
+pub use vms::{VmsConfig, VmsControl, VmsStandin};
+pub use weights::{WeightsConfig, WeightsControl, WeightsCounts, WeightsStandin};
+
+#[cfg(test)]
+mod tests;
--- a/src/standin/server.rs
+++ b/src/standin/server.rs
@@ -11,7 +11,7 @@
 use std::future::{Future, pending};
 use std::io;
 use std::net::SocketAddr;
-use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::sync::{Arc, Mutex, MutexGuard, OnceLock, PoisonError, Weak};
 use std::time::Duration;
 use trillium_http::{Body, Conn, HttpConfig, HttpContext, Method};
 use trillium_smol::SmolTransport;
@@ -180,6 +180,36 @@
     }
 }
 
+/// A handler's way to its own server.
+pub(crate) struct ServerSlot<H>(OnceLock<Weak<Server<H>>>);
+
+impl<H> Default for ServerSlot<H> {
+    fn default() -> Self {
+        Self(OnceLock::new())
+    }
+}
+
+impl<H: Handler> ServerSlot<H> {
+    /// Names the server; only the first one counts.
+    pub(crate) fn attach(&self, server: &Arc<Server<H>>) {
+        let _ = self.0.set(Arc::downgrade(server));
+    }
+
+    /// Returns the server while it lives.
+    pub(crate) fn get(&self) -> Option<Arc<Server<H>>> {
+        self.0.get()?.upgrade()
+    }
+
+    /// Stops the server with `Some(true)`, and lets it listen again with `Some(false)`.
+    pub(crate) async fn set_down(&self, down: Option<bool>) {
+        match (self.get(), down) {
+            (Some(server), Some(true)) => server.stop().await,
+            (Some(server), Some(false)) => server.listen_again().await,
+            _ => {}
+        }
+    }
+}
+
 /// Ends the connections that were opened before it was last closed.
 struct Gate {
     /// The sender is never used: dropping it closes the channel.
--- a/src/standin/service/handler.rs
+++ b/src/standin/service/handler.rs
@@ -5,9 +5,9 @@
     expected_result,
 };
 use crate::ids::{CallId, parse_id};
-use crate::standin::server::{Answer, Handler, Request, Server};
+use crate::standin::server::{Answer, Handler, Request, Server, ServerSlot};
 use smol::Timer;
-use std::sync::{Arc, Mutex, MutexGuard, OnceLock, PoisonError, Weak};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use trillium_http::Method;
 
 /// Begins the path of every operation.
@@ -16,7 +16,7 @@
 /// The service behind its server.
 pub(crate) struct ServiceHandler {
     state: Mutex<ServiceState>,
-    server: OnceLock<Weak<Server<ServiceHandler>>>,
+    server: ServerSlot<ServiceHandler>,
 }
 
 impl ServiceHandler {
@@ -24,26 +24,20 @@
     pub(crate) fn new(config: ServiceConfig) -> Self {
         Self {
             state: Mutex::new(ServiceState::new(&config)),
-            server: OnceLock::new(),
+            server: ServerSlot::default(),
         }
     }
 
     /// Names the server, which a control can stop.
     pub(crate) fn attach(&self, server: &Arc<Server<ServiceHandler>>) {
-        // A second server is not kept: there is one.
-        let _ = self.server.set(Arc::downgrade(server));
+        self.server.attach(server);
     }
 
     /// Takes over a change.
     pub(crate) async fn control(&self, control: ServiceControl) {
         let down = control.down;
         self.lock().apply(control);
-        let server = self.server.get().and_then(Weak::upgrade);
-        match (server, down) {
-            (Some(server), Some(true)) => server.stop().await,
-            (Some(server), Some(false)) => server.listen_again().await,
-            _ => {}
-        }
+        self.server.set_down(down).await;
     }
 
     /// Returns what was counted.
--- /dev/null
+++ b/src/standin/tests.rs
@@ -0,0 +1,301 @@
+//! Tests of the stand-ins' state machines, without sockets.
+
+use super::engine::batch::Batch;
+use super::engine::cache::{Prefix, PrefixCache};
+use super::engine::orders::Orders;
+use super::log::state::LogState;
+use super::vms::state::VmsState;
+use super::{EngineConfig, Ledger, LogConfig, VmsConfig, expected_answer};
+use crate::ids::{CallId, ProgramId};
+use crate::protocol::engine::{EngineOrder, GenerateRequest};
+use crate::protocol::message::{Message, Role};
+use googletest::prelude::*;
+use proptest::prelude::*;
+use std::time::{Duration, Instant};
+
+fn prefix(hash: u64, tokens: u32) -> Prefix {
+    Prefix { hash, tokens }
+}
+
+fn generation(call: CallId, program: ProgramId, messages: &[Message]) -> GenerateRequest {
+    GenerateRequest {
+        call,
+        program,
+        model: "helper-models".to_owned(),
+        messages: messages.to_vec(),
+        max_tokens: 8,
+    }
+}
+
+fn user(text: &str) -> Message {
+    Message::new(Role::User, text)
+}
+
+/// Steps an engine until it has nothing to do, and returns the time that this took.
+fn run_to_end(batch: &mut Batch, begin: Instant) -> Duration {
+    let mut now = begin;
+    while let Some(step) = batch.plan(now) {
+        now += step;
+        batch.step(now);
+    }
+    now - begin
+}
+
+#[gtest]
+fn log_keeps_offsets_when_records_are_removed() {
+    let config = LogConfig {
+        retention: Duration::from_millis(100),
+        retention_records: 3,
+        ..LogConfig::default()
+    };
+    let mut log = LogState::new(config, Instant::now());
+    for at_ms in 1000..1005 {
+        log.append("s", vec![0], at_ms);
+    }
+    expect_that!(log.read("s", 2, 100, 1005), err(eq(&3)));
+    let page = log.read("s", 4, 100, 1005).unwrap();
+    let offsets: Vec<_> = page.records.iter().map(|record| record.offset).collect();
+    expect_that!(offsets, elements_are![eq(&4), eq(&5)]);
+    let page = log.read("s", 6, 100, 1200).unwrap();
+    expect_that!((page.first, page.next), eq((6, 6)));
+    expect_that!(log.append("s", vec![0], 1200), eq(6));
+}
+
+#[gtest]
+fn log_returns_one_record_even_over_the_limit() {
+    let mut log = LogState::new(LogConfig::default(), Instant::now());
+    log.append("s", vec![0; 50], 1);
+    log.append("s", vec![0; 50], 1);
+    expect_that!(log.read("s", 1, 10, 1).unwrap().records.len(), eq(1));
+    expect_that!(log.read("s", 1, 100, 1).unwrap().records.len(), eq(2));
+}
+
+#[gtest]
+fn log_admits_at_its_rate() {
+    let now = Instant::now();
+    let config = LogConfig {
+        appends_per_s: 100.0,
+        burst: 10.0,
+        ..LogConfig::default()
+    };
+    let mut log = LogState::new(config, now);
+    let admitted = (0..5000)
+        .map(|ms| now + Duration::from_millis(ms))
+        .filter(|at| log.admit(*at).is_ok())
+        .count();
+    expect_that!(admitted, all![ge(505), le(511)]);
+    expect_that!(log.counts.throttled, eq(5000 - admitted as u64));
+}
+
+#[gtest]
+fn cache_drops_the_least_recently_used_program_and_none_in_use() {
+    let now = Instant::now();
+    let later = now + Duration::from_secs(2);
+    let mut cache = PrefixCache::new(100);
+    cache.insert(1, &[prefix(1, 40)], now);
+    cache.insert(2, &[prefix(2, 40)], now + Duration::from_secs(1));
+    expect_true!(cache.enter(1, 10, later));
+    expect_true!(cache.enter(3, 40, later));
+    expect_that!([1, 2, 3].map(|p| cache.held_tokens(p)), eq([40, 0, 0]));
+    expect_false!(cache.enter(4, 20, later));
+    expect_that!(cache.used_tokens(), eq(90));
+    let dropped = cache.take_changes().pop().unwrap();
+    expect_that!((dropped.program, dropped.held_tokens), eq((2, 0)));
+    expect_that!(dropped.unused_token_s, near(40.0, 1e-6));
+}
+
+#[gtest]
+fn cache_in_use_is_released_when_its_user_leaves() {
+    let now = Instant::now();
+    let mut cache = PrefixCache::new(100);
+    cache.insert(1, &[prefix(1, 40)], now);
+    expect_true!(cache.enter(1, 10, now));
+    expect_that!(cache.release(1, now), eq(40));
+    cache.leave(1, 10, now);
+    expect_that!(cache.release(1, now), eq(0));
+    expect_that!(cache.used_tokens(), eq(0));
+}
+
+#[gtest]
+fn cache_moves_between_engines() {
+    let now = Instant::now();
+    let prefixes = [prefix(1, 40), prefix(2, 5)];
+    let mut from = PrefixCache::new(100);
+    from.insert(1, &prefixes, now);
+    let bytes = from.export(1).unwrap();
+    let mut to = PrefixCache::new(100);
+    expect_true!(to.import(1, &bytes, now));
+    expect_that!(to.find(1, &prefixes), eq(45));
+    expect_that!(to.used_tokens(), eq(45));
+    expect_false!(PrefixCache::new(44).import(1, &bytes, now));
+    expect_false!(to.import(2, b"nonsense", now));
+}
+
+proptest! {
+    /// Whatever is done to it, a cache's use is the sum of what is held and reserved.
+    #[test]
+    fn cache_use_is_what_is_held_and_reserved(
+        steps in proptest::collection::vec((0..5_u8, 0..4_u128, 0..6_u64, 1..30_u32), 1..200),
+    ) {
+        let mut now = Instant::now();
+        let mut cache = PrefixCache::new(120);
+        let mut reserved: Vec<(ProgramId, u64)> = Vec::new();
+        for (action, program, hash, tokens) in steps {
+            now += Duration::from_millis(1);
+            match action {
+                0 => cache.insert(program, &[prefix(hash, 7)], now),
+                1 => {
+                    if cache.enter(program, u64::from(tokens), now) {
+                        reserved.push((program, u64::from(tokens)));
+                    }
+                }
+                2 => {
+                    if let Some((program, tokens)) = reserved.pop() {
+                        cache.leave(program, tokens, now);
+                    }
+                }
+                3 => {
+                    cache.release(program, now);
+                }
+                _ => {
+                    if let Some((_, left)) = reserved.last_mut() {
+                        cache.shrink(left, u64::from(tokens));
+                    }
+                }
+            }
+            let held: u64 = cache.held().iter().map(|(_, tokens)| tokens).sum();
+            let promised: u64 = reserved.iter().map(|(_, tokens)| tokens).sum();
+            prop_assert_eq!(cache.used_tokens(), held + promised);
+        }
+    }
+}
+
+#[gtest]
+fn batch_runs_first_come_first_served_and_slows_with_its_size() {
+    let now = Instant::now();
+    let config = EngineConfig {
+        max_running: 2,
+        ..EngineConfig::default()
+    };
+    let alone = {
+        let mut batch = Batch::new(config.clone(), Ledger::default(), now);
+        drop(batch.start(&generation(1, 1, &[user("one")]), now));
+        run_to_end(&mut batch, now)
+    };
+    let mut batch = Batch::new(config, Ledger::default(), now);
+    for call in 1..=3 {
+        let request = generation(call, call, &[user("one")]);
+        drop(batch.start(&request, now));
+    }
+    batch.plan(now);
+    let counts = batch.counts();
+    expect_that!((counts.running, counts.waiting), eq((2, 1)));
+    let together = run_to_end(&mut batch, now);
+    expect_that!(batch.counts().finished, eq(3));
+    expect_that!(together, gt(alone * 2));
+    expect_that!(together, lt(alone * 3));
+}
+
+#[gtest]
+fn batch_finds_the_prefix_of_the_turn_before() {
+    let now = Instant::now();
+    let ledger = Ledger::default();
+    let mut batch = Batch::new(EngineConfig::default(), ledger.clone(), now);
+    let first = [user("a repair offer for a carpenter")];
+    drop(batch.start(&generation(1, 7, &first), now));
+    run_to_end(&mut batch, now);
+    let held = batch.counts().held_tokens;
+    let answer = Message::new(Role::Assistant, expected_answer(&first, 8));
+    let second = [first[0].clone(), answer, user("and then?")];
+    drop(batch.start(&generation(2, 7, &second), now));
+    drop(batch.start(&generation(3, 8, &second), now));
+    run_to_end(&mut batch, now);
+    expect_that!(batch.counts().cached_tokens, eq(held));
+    expect_that!(batch.counts().recomputed_tokens, eq(0));
+    let mut other = Batch::new(EngineConfig::default(), ledger.clone(), now);
+    drop(other.start(&generation(4, 7, &second), now));
+    run_to_end(&mut other, now);
+    expect_that!(other.counts().recomputed_tokens, gt(held));
+    expect_that!(
+        ledger.counts().recomputed_tokens,
+        eq(other.counts().recomputed_tokens)
+    );
+}
+
+#[gtest]
+fn batch_frees_what_cancelled_and_released_programs_held() {
+    let now = Instant::now();
+    let mut batch = Batch::new(EngineConfig::default(), Ledger::default(), now);
+    drop(batch.start(&generation(1, 7, &[user("one")]), now));
+    drop(batch.start(&generation(2, 8, &[user("two")]), now));
+    let step = batch.plan(now).unwrap();
+    batch.step(now + step);
+    expect_true!(batch.cancel(1, now + step));
+    expect_false!(batch.cancel(1, now + step));
+    expect_that!(batch.release(7, now + step), eq(0));
+    run_to_end(&mut batch, now + step);
+    expect_that!(batch.release(8, now + step), eq(0));
+    expect_that!(batch.held(), is_empty());
+    expect_that!(batch.cache.used_tokens(), eq(0));
+    expect_that!(batch.counts().cancelled, eq(1));
+}
+
+#[gtest]
+fn batch_reports_late_and_with_gaps() {
+    let now = Instant::now();
+    let config = EngineConfig {
+        load_lag: Duration::from_secs(5),
+        event_lag: Duration::from_secs(5),
+        event_loss: 0.3,
+        seed: 3,
+        ..EngineConfig::default()
+    };
+    let mut batch = Batch::new(config, Ledger::default(), now);
+    for call in 1..=40 {
+        let request = generation(call, call, &[user("one")]);
+        drop(batch.start(&request, now));
+    }
+    let end = now + run_to_end(&mut batch, now);
+    expect_that!(batch.events(0, now + Duration::from_secs(4)), is_empty());
+    expect_that!(
+        batch.load(now + Duration::from_secs(4)).cache_used_tokens,
+        eq(0)
+    );
+    let events = batch.events(0, end + Duration::from_secs(5));
+    let last = events.last().map_or(0, |event| event.sequence);
+    expect_that!(events.len() as u64, all![gt(last / 2), lt(last)]);
+    let load = batch.load(end + Duration::from_secs(5));
+    expect_that!(load.cache_used_tokens, eq(batch.counts().held_tokens));
+}
+
+#[gtest]
+fn orders_check_the_fence_only_if_they_should() {
+    let order = EngineOrder::Unload {
+        model: "m".to_owned(),
+    };
+    let mut checking = Orders::new(true);
+    let accepted = [5, 4, 5, 6].map(|fence| checking.accept(fence, &order));
+    expect_that!(accepted, eq([true, false, true, true]));
+    let mut careless = Orders::new(false);
+    let accepted = [5, 4].map(|fence| careless.accept(fence, &order));
+    expect_that!(accepted, eq([true, true]));
+    expect_that!(careless.acted().len(), eq(2));
+}
+
+#[gtest]
+fn vms_lag_behind() {
+    let now = Instant::now();
+    let config = VmsConfig {
+        vms: Vec::new(),
+        lag: Duration::from_secs(3),
+    };
+    let vm: crate::protocol::vms::Vm = serde_json::from_value(serde_json::json!({
+        "node": "e1", "role": "entry", "address": "127.0.0.1:1", "failure_domain": "pnw-a",
+        "state": "live",
+    }))
+    .unwrap();
+    let mut list = VmsState::new(config, now);
+    list.set(vec![vm], now + Duration::from_secs(1));
+    expect_that!(list.read(now + Duration::from_secs(3)), is_empty());
+    expect_that!(list.read(now + Duration::from_secs(4)).len(), eq(1));
+}
--- /dev/null
+++ b/src/standin/vms/handler.rs
@@ -0,0 +1,65 @@
+//! Answers the requests to the VM list stand-in.
+
+use super::state::{VmsConfig, VmsControl, VmsState};
+use crate::protocol::vms::Vm;
+use crate::standin::server::{Answer, Handler, Request, Server, ServerSlot};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::{Duration, Instant};
+use trillium_http::Method;
+
+/// The VM list behind its server.
+pub(crate) struct VmsHandler {
+    state: Mutex<VmsState>,
+    server: ServerSlot<VmsHandler>,
+}
+
+impl VmsHandler {
+    /// Makes a list that is visible at once.
+    pub(crate) fn new(config: VmsConfig) -> Self {
+        Self {
+            state: Mutex::new(VmsState::new(config, Instant::now())),
+            server: ServerSlot::default(),
+        }
+    }
+
+    /// Names the server, which a control can stop.
+    pub(crate) fn attach(&self, server: &Arc<Server<VmsHandler>>) {
+        self.server.attach(server);
+    }
+
+    /// Changes the truth.
+    pub(crate) fn set(&self, vms: Vec<Vm>) {
+        self.lock().set(vms, Instant::now());
+    }
+
+    /// Takes over a change.
+    pub(crate) async fn control(&self, control: VmsControl) {
+        if let Some(lag_ms) = control.lag_ms {
+            self.lock().set_lag(Duration::from_millis(lag_ms));
+        }
+        if let Some(vms) = control.vms {
+            self.set(vms);
+        }
+        self.server.set_down(control.down).await;
+    }
+
+    fn lock(&self) -> MutexGuard<'_, VmsState> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+impl Handler for VmsHandler {
+    async fn handle(&self, request: Request) -> Answer {
+        match (request.method, request.path.as_str()) {
+            (Method::Get, "/v1/vms") => Answer::json(200, &self.lock().read(Instant::now())),
+            (Method::Post, "/control") => match request.json() {
+                Ok(control) => {
+                    self.control(control).await;
+                    Answer::json(200, &())
+                }
+                Err(refused) => refused,
+            },
+            _ => Answer::not_found(),
+        }
+    }
+}
--- /dev/null
+++ b/src/standin/weights/handler.rs
@@ -0,0 +1,130 @@
+//! Answers the requests to the weight store stand-in.
+
+use crate::ids::ModelId;
+use crate::standin::bucket::{Bucket, wait_ms};
+use crate::standin::server::{Answer, Handler, Request, Server, ServerSlot};
+use serde::{Deserialize, Serialize};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::Instant;
+use trillium_http::Method;
+
+/// How a weight store stand-in behaves.
+#[derive(Clone, Debug)]
+pub struct WeightsConfig {
+    /// Loads granted a second.
+    pub grants_per_s: f64,
+    /// Loads granted at once after a quiet time.
+    pub burst: f64,
+}
+
+impl Default for WeightsConfig {
+    fn default() -> Self {
+        Self {
+            grants_per_s: 0.5,
+            burst: 2.0,
+        }
+    }
+}
+
+/// A change in how the store behaves; what is left out stays as it is.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct WeightsControl {
+    /// Loads granted a second.
+    pub grants_per_s: Option<f64>,
+    /// With `true`, stops listening and closes every connection; with `false`, listens again.
+    pub down: Option<bool>,
+}
+
+/// What a weight store stand-in has counted.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct WeightsCounts {
+    /// Loads granted.
+    pub granted: u64,
+    /// Requests told to wait.
+    pub waits: u64,
+}
+
+/// The weight store behind its server.
+pub(crate) struct WeightsHandler {
+    inner: Mutex<(Bucket, WeightsCounts)>,
+    server: ServerSlot<WeightsHandler>,
+}
+
+impl WeightsHandler {
+    /// Makes a store that has granted nothing.
+    pub(crate) fn new(config: &WeightsConfig) -> Self {
+        let bucket = Bucket::new(config.grants_per_s, config.burst, Instant::now());
+        Self {
+            inner: Mutex::new((bucket, WeightsCounts::default())),
+            server: ServerSlot::default(),
+        }
+    }
+
+    /// Names the server, which a control can stop.
+    pub(crate) fn attach(&self, server: &Arc<Server<WeightsHandler>>) {
+        self.server.attach(server);
+    }
+
+    /// Takes over a change.
+    pub(crate) async fn control(&self, control: &WeightsControl) {
+        if let Some(grants_per_s) = control.grants_per_s {
+            self.lock().0.set_rate(grants_per_s);
+        }
+        self.server.set_down(control.down).await;
+    }
+
+    /// Returns what was counted.
+    pub(crate) fn counts(&self) -> WeightsCounts {
+        self.lock().1
+    }
+
+    /// Grants a load, or tells when to ask again.
+    fn grant(&self, request: &Request) -> Answer {
+        if let Err(refused) = request.json::<Grant>() {
+            return refused;
+        }
+        let mut inner = self.lock();
+        let (bucket, counts) = &mut *inner;
+        match bucket.take(Instant::now()) {
+            Ok(()) => {
+                counts.granted += 1;
+                Answer::json(200, &serde_json::json!({"granted": true}))
+            }
+            Err(wait) => {
+                counts.waits += 1;
+                Answer::json(429, &serde_json::json!({"retry_after_ms": wait_ms(wait)}))
+            }
+        }
+    }
+
+    fn lock(&self) -> MutexGuard<'_, (Bucket, WeightsCounts)> {
+        self.inner.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+/// The body of a request for a grant.
+#[derive(Deserialize)]
+struct Grant {
+    #[serde(rename = "model")]
+    _model: ModelId,
+    #[serde(rename = "version")]
+    _version: u32,
+}
+
+impl Handler for WeightsHandler {
+    async fn handle(&self, request: Request) -> Answer {
+        match (request.method, request.path.as_str()) {
+            (Method::Post, "/v1/grants") => self.grant(&request),
+            (Method::Get, "/counts") => Answer::json(200, &self.counts()),
+            (Method::Post, "/control") => match request.json() {
+                Ok(control) => {
+                    self.control(&control).await;
+                    Answer::json(200, &())
+                }
+                Err(refused) => refused,
+            },
+            _ => Answer::not_found(),
+        }
+    }
+}
