--- a/src/lib.rs
+++ b/src/lib.rs
@@ -18,14 +18,20 @@
 mod logging;
 
 mod client;
-
+mod load;
 pub mod protocol;
+mod proxy;
 #[allow(dead_code, unused_imports, reason = "the roles are wired onto it next")]
 mod settings;
+pub mod standin;
+#[allow(dead_code, unused_imports, reason = "the roles are wired onto it next")]
+mod state;
 #[allow(dead_code, unused_imports, reason = "the roles are wired onto it next")]
 mod telemetry;
 
-pub mod standin;
+#[allow(dead_code, unused_imports, reason = "the roles are wired onto it next")]
+mod configuration;
+mod workload;
 
 mod adapter;
 
@@ -47,6 +53,7 @@
 };
 pub use coordination::hedge::{HedgeCandidate, HedgeConfig, hedge_at};
 pub use coordination::limits::{Limit, Limits, TokenBucket};
+pub use coordination::rendezvous::rendezvous;
 pub use coordination::retry::{FailedCall, Retries, RetryBudget, RetryConfig};
 pub use coordination::watchdog::{Watchdog, WatchdogConfig, WatchdogVerdict};
 
@@ -54,12 +61,19 @@
     AnswerStream, Attempts, CallError, Client, Collector, Patience, StreamEvent, StreamFault,
     Timeouts,
 };
-pub use environment::{Environment, EnvironmentErrors, Stage};
+pub use environment::{Difference, Environment, EnvironmentErrors};
 pub use ini::{Fault, FaultKind, Faults};
+pub use load::{LoadOptions, LoadReport, LoadRow, run_load};
+pub use protocol::configuration::Stage;
 pub use protocol::message::{Message, Role, Usage};
 pub use protocol::record::{
     ActionResult, Batch, Claim, Created, EndReason, Ended, Entry, Intent, Outcome, Record,
     Snapshot, Turn,
 };
 pub use protocol::refusal::{Ran, Refusal, RefusalCode};
+pub use proxy::{FaultProxy, FlowDirection};
 pub use settings::{EXIT_FAILURE, EXIT_OK, EXIT_SETTINGS, EXIT_USAGE, SettingErrors, Settings};
+pub use workload::{
+    ActionRuns, ActionSeen, ActionVerdict, Deployment, Latencies, Percentiles, Plan, PlanKind,
+    Planner, ProgramResult, RunOptions, Step, audit_actions, count_actions, run_program,
+};
