--- a/src/adapter/http.rs
+++ b/src/adapter/http.rs
@@ -14,7 +14,7 @@
 const MAX_DIRECT_BODY_BYTES: usize = 1 << 30;
 
 /// Bytes read at a time.
-const READ_BYTES: usize = 16 << 10;
+const READ_BYTES: usize = 4 << 10;
 
 /// The longest time to wait that an answer can ask for.
 const MAX_RETRY: Duration = Duration::from_secs(3600);
@@ -168,7 +168,8 @@
         .take_response_body()
         .ok_or_else(|| HttpError::Failed("no answer".to_owned()))?
         .with_max_len(u64::MAX);
-    Ok(HttpBody { status, body })
+    let part = vec![0; READ_BYTES].into_boxed_slice();
+    Ok(HttpBody { status, body, part })
 }
 
 /// Ends a future with [`HttpError::TimedOut`] after a time.
@@ -194,6 +195,8 @@
     /// The status code.
     pub(crate) status: u16,
     body: ResponseBody<'static>,
+    /// Takes the bytes of each read.
+    part: Box<[u8]>,
 }
 
 impl HttpBody {
@@ -201,13 +204,12 @@
     ///
     /// Dropping the future loses nothing.
     pub(crate) async fn read_some(&mut self, buf: &mut Vec<u8>) -> Result<usize, HttpError> {
-        let mut part = [0; READ_BYTES];
         let count = self
             .body
-            .read(&mut part)
+            .read(&mut self.part)
             .await
             .map_err(|error| failed(&error))?;
-        buf.extend_from_slice(&part[..count]);
+        buf.extend_from_slice(&self.part[..count]);
         Ok(count)
     }
 
--- a/src/adapter/tests.rs
+++ b/src/adapter/tests.rs
@@ -203,6 +203,29 @@
     });
 }
 
+#[gtest]
+fn engine_sends_chunks_and_resumes_within_one() {
+    block_on(async {
+        let config = EngineConfig {
+            chunk_tokens: 16,
+            ..fast_engine()
+        };
+        let standin = EngineStandin::start(config, Ledger::default())
+            .await
+            .unwrap();
+        let engine = HttpEngine::new(&standin.url(), TIMEOUT);
+        let request = generation(1, 7, "a booking", 200);
+        let answer = expected_answer(&request.messages, 200);
+        let mut stream = engine.generate(request).await.unwrap();
+        let mut resumed = engine.resume(1, 25).await.unwrap();
+        expect_that!(read_all(&mut stream, 0).await, ok(eq(&answer)));
+        let rest = read_all(&mut resumed, 25).await;
+        expect_that!(rest, ok(eq(&answer[25 * 5 - 1..])));
+        let mut late = engine.resume(1, 30).await.unwrap();
+        expect_that!(read_all(&mut late, 30).await, ok(eq(&answer[30 * 5 - 1..])));
+    });
+}
+
 #[gtest]
 fn engine_cut_mid_stream_is_an_error() {
     block_on(async {
--- a/src/standin/command.rs
+++ b/src/standin/command.rs
@@ -21,9 +21,9 @@
 is ended. POST /control changes how it behaves, GET /counts says what it counted.
 
 engine:   --time-scale X  --max-running N  --prefill-per-s X  --decode-base-ms X
-          --decode-per-stream-ms X  --cache-tokens N  --load-lag-ms N  --event-lag-ms N
-          --event-loss SHARE  --model NAME=VERSION (again for more)  --load-time-ms N
-          --ignore-fence  --seed N
+          --decode-per-stream-ms X  --chunk-tokens N  --cache-tokens N  --load-lag-ms N
+          --event-lag-ms N  --event-loss SHARE  --model NAME=VERSION (again for more)
+          --load-time-ms N  --ignore-fence  --seed N
 log:      --appends-per-s X  --burst X  --retention-ms N  --retention-records N  --latency-ms N
           --seed N
 service:  --work-ms N  --work-spread-ms N  --seed N
@@ -137,6 +137,7 @@
             "prefill-per-s" => self.prefill_tokens_per_s = positive(name, value)?,
             "decode-base-ms" => self.decode_base = millis(name, value)?,
             "decode-per-stream-ms" => self.decode_per_stream = millis(name, value)?,
+            "chunk-tokens" => self.chunk_tokens = parse(name, value)?,
             "cache-tokens" => self.cache_tokens = parse(name, value)?,
             "load-lag-ms" => self.load_lag = millis(name, value)?,
             "event-lag-ms" => self.event_lag = millis(name, value)?,
--- a/src/standin/engine/batch.rs
+++ b/src/standin/engine/batch.rs
@@ -214,7 +214,7 @@
                 }
                 Phase::Decode => {
                     self.counts.completion_tokens += 1;
-                    if stream.advance() {
+                    if stream.advance(self.config.chunk_tokens) {
                         finished.push(call);
                     }
                 }
--- a/src/standin/engine/config.rs
+++ b/src/standin/engine/config.rs
@@ -20,6 +20,8 @@
     pub decode_base: Duration,
     /// Added to it for each stream that runs.
     pub decode_per_stream: Duration,
+    /// Tokens that go out together; the first one goes out alone.
+    pub chunk_tokens: u32,
     /// Memory for prompts and answers.
     pub cache_tokens: u64,
     /// Tokens of cache exported or imported a second.
@@ -51,6 +53,7 @@
             prefill_chunk_tokens: 128,
             decode_base: Duration::from_millis(10),
             decode_per_stream: Duration::from_micros(250),
+            chunk_tokens: 1,
             cache_tokens: 400_000,
             transfer_tokens_per_s: 200_000.0,
             keep_finished: Duration::from_secs(60),
--- a/src/standin/engine/stream.rs
+++ b/src/standin/engine/stream.rs
@@ -45,6 +45,8 @@
     pub(crate) reserved_tokens: u64,
     /// Tokens generated.
     pub(crate) generated: u32,
+    /// Tokens that the readers have been sent; at most `generated`.
+    sent: u32,
     /// Tokens of the whole answer.
     pub(crate) answer_tokens: u32,
     /// The prompt's hash, which the answer is made from.
@@ -69,6 +71,7 @@
             cached_tokens: 0,
             reserved_tokens: 0,
             generated: 0,
+            sent: 0,
             answer_tokens: answer_tokens(hash, request.max_tokens),
             hash,
             head: format!(
@@ -84,9 +87,9 @@
     /// Opens a body that yields the tokens from `from` on.
     pub(crate) fn read(&mut self, from: u32) -> PieceBody {
         let (tx, body) = piece_body();
-        if from < self.generated {
+        if from < self.sent {
             // The channel is open: its other end was just made.
-            let _ = tx.try_send(self.chunk(from, self.generated));
+            let _ = tx.try_send(self.chunk(from, self.sent));
         }
         if matches!(self.phase, Phase::Finished(_)) {
             let _ = tx.try_send(self.last_chunk());
@@ -96,29 +99,29 @@
         body
     }
 
-    /// Adds one token and sends it; `true` if the answer is whole.
-    pub(crate) fn advance(&mut self) -> bool {
-        let index = self.generated;
+    /// Adds one token, and sends what there is if it makes a chunk of `chunk_tokens`. The first
+    /// token and the last ones go out at once. Returns `true` if the answer is whole.
+    pub(crate) fn advance(&mut self, chunk_tokens: u32) -> bool {
         self.generated += 1;
-        if !self.readers.is_empty() {
-            let chunk = self.chunk(index, self.generated);
-            self.send(&chunk, index);
+        let is_whole = self.generated >= self.answer_tokens;
+        if is_whole || self.sent == 0 || self.generated - self.sent >= chunk_tokens {
+            self.send_tokens();
         }
-        self.generated >= self.answer_tokens
+        is_whole
     }
 
     /// Sends the token counts and closes the readers' bodies.
     pub(crate) fn finish(&mut self, now: Instant) {
         self.phase = Phase::Finished(now);
         let chunk = self.last_chunk();
-        self.send(&chunk, u32::MAX);
+        self.send(&chunk);
         self.readers.clear();
     }
 
     /// Tells the readers that the generation was stopped, and closes their bodies.
     pub(crate) fn stop(&mut self) {
         let error = r#"{"error":{"code":"cancelled","message":"The stream was cancelled."}}"#;
-        self.send(format!("data: {error}\n\n").as_bytes(), u32::MAX);
+        self.send(format!("data: {error}\n\n").as_bytes());
         self.readers.clear();
     }
 
@@ -146,10 +149,34 @@
         }
     }
 
-    /// Sends a chunk to the readers that want token `index`, and forgets those who left.
-    fn send(&mut self, chunk: &[u8], index: u32) {
-        self.readers
-            .retain(|reader| index < reader.from || reader.tx.try_send(chunk.to_vec()).is_ok());
+    /// Sends the readers the tokens that they have not, and forgets the readers who left.
+    fn send_tokens(&mut self) {
+        let (from, to) = (self.sent, self.generated);
+        self.sent = to;
+        if self.readers.is_empty() {
+            return;
+        }
+        let chunk = self.chunk(from, to);
+        let readers = std::mem::take(&mut self.readers);
+        let stay = readers.into_iter().filter(|reader| {
+            if reader.from >= to {
+                return true;
+            }
+            let part = match reader.from > from {
+                true => self.chunk(reader.from, to),
+                false => chunk.clone(),
+            };
+            reader.tx.try_send(part).is_ok()
+        });
+        self.readers = stay.collect();
+    }
+
+    /// Sends a chunk to all readers.
+    fn send(&self, chunk: &[u8]) {
+        for reader in &self.readers {
+            // One who left needs no more.
+            let _ = reader.tx.try_send(chunk.to_vec());
+        }
     }
 
     /// Writes the chunk with the tokens from `from` up to `to`.
--- a/src/standin/server.rs
+++ b/src/standin/server.rs
@@ -20,6 +20,13 @@
 /// The longest request body, in bytes.
 const MAX_BODY_BYTES: u64 = 256 << 20;
 
+/// Bytes of an event stream that are written at a time.
+const EVENT_BYTES: usize = 1 << 10;
+
+/// Connections that wait to be taken. The standard library asks for 128, and Linux resets what comes
+/// on top of that while it answers with SYN cookies.
+const BACKLOG: i32 = 4096;
+
 /// How long to wait after a failed accept or bind.
 const PAUSE: Duration = Duration::from_millis(20);
 
@@ -115,7 +122,7 @@
 impl<H: Handler> Server<H> {
     /// Begins to serve; port 0 lets the system choose.
     pub(crate) async fn start(listen: SocketAddr, handler: Arc<H>) -> io::Result<Self> {
-        let listener = TcpListener::bind(listen).await?;
+        let listener = bind(listen).await?;
         let server = Self {
             handler,
             address: listener.local_addr()?,
@@ -142,7 +149,7 @@
     /// Listens again on the same address.
     pub(crate) async fn listen_again(&self) {
         while self.accept().is_none() {
-            match TcpListener::bind(self.address).await {
+            match bind(self.address).await {
                 Ok(listener) => self.serve(listener),
                 Err(error) => {
                     log::warn!(target: "standin", "standin: can't listen: {error}");
@@ -180,6 +187,13 @@
     }
 }
 
+/// Listens on an address.
+async fn bind(address: SocketAddr) -> io::Result<TcpListener> {
+    let listener = TcpListener::bind(address).await?;
+    rustix::net::listen(&listener, BACKLOG)?;
+    Ok(listener)
+}
+
 /// A handler's way to its own server.
 pub(crate) struct ServerSlot<H>(OnceLock<Weak<Server<H>>>);
 
@@ -240,7 +254,9 @@
 
 /// Takes connections until the task is cancelled.
 async fn accept_all<H: Handler>(listener: TcpListener, handler: Arc<H>, gate: Arc<Gate>) {
-    let config = HttpConfig::default().with_received_body_max_len(MAX_BODY_BYTES);
+    let config = HttpConfig::default()
+        .with_received_body_max_len(MAX_BODY_BYTES)
+        .with_body_write_chunk_len(EVENT_BYTES);
     let mut context = HttpContext::new();
     *context.config_mut() = config;
     let context = Arc::new(context);
--- a/src/standin/tests.rs
+++ b/src/standin/tests.rs
@@ -11,6 +11,7 @@
 use crate::protocol::message::{Message, Role};
 use googletest::prelude::*;
 use proptest::prelude::*;
+use std::ffi::OsString;
 use std::time::{Duration, Instant};
 
 fn prefix(hash: u64, tokens: u32) -> Prefix {
@@ -299,3 +300,26 @@
     expect_that!(list.read(now + Duration::from_secs(3)), is_empty());
     expect_that!(list.read(now + Duration::from_secs(4)).len(), eq(1));
 }
+
+#[gtest]
+fn command_refuses_what_it_does_not_know() {
+    let lines = [
+        "",
+        "enigne",
+        "engine --time-scale 0",
+        "engine --model matcher-llm",
+        "engine --event-loss 1.5",
+        "engine --listen nowhere",
+        "log --appends-per-s nan",
+        "log --model a=1",
+        "log stray",
+        "vms --vms nonsense",
+        "service --work-ms -1",
+        "weights --burst",
+    ];
+    for line in lines {
+        let args = line.split_whitespace().map(OsString::from);
+        let run = futures_lite::future::block_on(super::run(args));
+        expect_that!(run, err(anything()), "{line}");
+    }
+}
