--- a/src/lib.rs
+++ b/src/lib.rs
@@ -25,6 +25,11 @@
 #[allow(dead_code, unused_imports, reason = "the roles are wired onto it next")]
 mod telemetry;
 
+pub mod standin;
+
+mod adapter;
+
+pub use adapter::{HttpEngine, HttpEngineStream, HttpLog, HttpService};
 mod coordination;
 
 pub use coordination::admission::{
