--- a/src/coordination/admission/mod.rs
+++ b/src/coordination/admission/mod.rs
@@ -5,6 +5,7 @@
 
 mod cap;
 mod order;
+mod prefill;
 #[cfg(test)]
 mod tests;
 
@@ -19,13 +20,11 @@
 use cap::ConcurrencyCap;
 use order::Members;
 pub use order::OrderWeights;
+use prefill::PrefillMeter;
 
 /// Least time after which a refused caller is told to try again, in milliseconds.
 const MIN_RETRY_AFTER_MS: u64 = 100;
 
-/// Prefill speed assumed before any call has finished, in tokens a second.
-const DEFAULT_PREFILL_TOKENS_PER_S: f64 = 8_000.0;
-
 /// Settings of an [`Admission`].
 #[derive(Clone, Debug, PartialEq)]
 pub struct AdmissionConfig {
@@ -153,11 +152,13 @@
     cap: ConcurrencyCap,
     /// Sum of the waiting calls' cost.
     queued_tokens: u64,
+    /// Sum of the waiting calls' uncached tokens.
+    queued_prompt_tokens: u64,
     /// Sum of the uncached tokens of running calls without a first token.
     prefilling_tokens: u64,
     /// Hand-overs that trial environments have earned and not used.
     trial_credit: f64,
-    prefill_tokens_per_s: Smoothed,
+    prefill: PrefillMeter,
     token_gap_ms: Smoothed,
     call_ms: Smoothed,
 }
@@ -172,9 +173,10 @@
             running: HashMap::new(),
             members: Members::default(),
             queued_tokens: 0,
+            queued_prompt_tokens: 0,
             prefilling_tokens: 0,
             trial_credit: 0.0,
-            prefill_tokens_per_s: Smoothed::default(),
+            prefill: PrefillMeter::default(),
             token_gap_ms: Smoothed::default(),
             call_ms: Smoothed::default(),
         }
@@ -188,6 +190,7 @@
         let member = self.members.enter(&priority.member, priority.share);
         let deadline = now + Duration::from_millis(priority.slack_ms);
         self.queued_tokens += waiting.cost.tokens();
+        self.queued_prompt_tokens += u64::from(waiting.cost.uncached_tokens);
         self.queue.push(Queued {
             waiting,
             member,
@@ -213,7 +216,7 @@
         }
         self.spend_trial_credit(index);
         let queued = self.take(index);
-        self.start(&queued);
+        self.start(now, &queued);
         Some(queued.waiting.item)
     }
 
@@ -244,9 +247,12 @@
     }
 
     /// Notes a call's first token.
-    pub fn first_token(&mut self, call: CallId) {
-        if let Some(running) = self.running.get_mut(&call) {
-            end_prefill(running, &mut self.prefilling_tokens);
+    pub fn first_token(&mut self, now: Instant, call: CallId) {
+        if let Some(running) = self.running.get_mut(&call)
+            && end_prefill(running, &mut self.prefilling_tokens)
+        {
+            let tokens = u64::from(running.cost.uncached_tokens);
+            self.prefill.done(now, tokens, self.prefilling_tokens > 0);
         }
     }
 
@@ -272,9 +278,6 @@
         if observed.ran > Duration::ZERO {
             self.call_ms.add(observed.ran.as_secs_f64() * 1e3);
         }
-        if let Some(first) = observed.first_token {
-            self.note_prefill(observed.uncached_tokens, first);
-        }
     }
 
     /// Returns the load of this queue; the engine's own report is left empty.
@@ -284,7 +287,7 @@
             queued_tokens: self.queued_tokens,
             running: self.running.len() as u32,
             cap: self.cap.calls(),
-            prefill_tokens_per_s: self.prefill_speed(),
+            prefill_tokens_per_s: self.prefill.tokens_per_s(),
             token_gap_ms: self.token_gap_ms.get().unwrap_or(0.0),
             call_ms: self.call_ms.get().unwrap_or(0.0),
             wait_ms: self.wait_ms(),
@@ -292,18 +295,15 @@
         }
     }
 
-    /// Returns the prefill speed, in tokens a second.
-    fn prefill_speed(&self) -> f64 {
-        let speed = self.prefill_tokens_per_s.get();
-        speed.unwrap_or(DEFAULT_PREFILL_TOKENS_PER_S)
-    }
-
     /// Estimates the wait of a call that comes now, in milliseconds.
     fn wait_ms(&self) -> u64 {
         let cap = self.cap.calls() as usize;
         let ahead = (self.queue.len() + self.running.len() + 1).saturating_sub(cap);
         let call_ms = self.call_ms.get().unwrap_or(0.0);
-        (ahead as f64 * call_ms / cap as f64) as u64
+        let slot_ms = ahead as f64 * call_ms / cap as f64;
+        let prompt_tokens = self.queued_prompt_tokens + self.prefilling_tokens;
+        let prefill_ms = prompt_tokens as f64 * 1e3 / self.prefill.tokens_per_s();
+        slot_ms.max(prefill_ms) as u64
     }
 
     /// Refuses what does not fit into the queue.
@@ -321,7 +321,7 @@
 
     /// Refuses what cannot start before its program's deadline.
     fn check_deadline(&self, waiting: &Waiting<T>) -> Result<(), Refusal> {
-        let prefill_s = f64::from(waiting.cost.uncached_tokens) / self.prefill_speed();
+        let prefill_s = f64::from(waiting.cost.uncached_tokens) / self.prefill.tokens_per_s();
         let ahead = self.ahead_of(waiting);
         let free = (self.cap.calls() as usize).saturating_sub(self.running.len());
         let behind = (ahead + 1).saturating_sub(free) as f64;
@@ -388,7 +388,9 @@
     /// Takes a call out of the queue.
     fn take(&mut self, index: usize) -> Queued<T> {
         let queued = self.queue.swap_remove(index);
-        self.queued_tokens -= queued.waiting.cost.tokens();
+        let cost = queued.waiting.cost;
+        self.queued_tokens -= cost.tokens();
+        self.queued_prompt_tokens -= u64::from(cost.uncached_tokens);
         queued
     }
 
@@ -404,9 +406,10 @@
     }
 
     /// Counts a call as handed over.
-    fn start(&mut self, queued: &Queued<T>) {
+    fn start(&mut self, now: Instant, queued: &Queued<T>) {
         let cost = queued.waiting.cost;
         self.members.charge(queued.member, cost.tokens());
+        self.prefill.begin(now);
         self.prefilling_tokens += u64::from(cost.uncached_tokens);
         let running = Running {
             member: queued.member,
@@ -423,20 +426,14 @@
         self.members.leave(running.member);
         Some(running)
     }
-
-    /// Learns the prefill speed from one call.
-    fn note_prefill(&mut self, uncached_tokens: u32, first_token: Duration) {
-        if uncached_tokens > 0 && first_token > Duration::ZERO {
-            let speed = f64::from(uncached_tokens) / first_token.as_secs_f64();
-            self.prefill_tokens_per_s.add(speed);
-        }
-    }
 }
 
-/// Takes a running call out of the sum of prefilling tokens, once.
-fn end_prefill(running: &mut Running, prefilling_tokens: &mut u64) {
-    if running.prefilling {
-        running.prefilling = false;
-        *prefilling_tokens -= u64::from(running.cost.uncached_tokens);
+/// Takes a running call out of the sum of prefilling tokens; returns whether it was in it.
+fn end_prefill(running: &mut Running, prefilling_tokens: &mut u64) -> bool {
+    if !running.prefilling {
+        return false;
     }
+    running.prefilling = false;
+    *prefilling_tokens -= u64::from(running.cost.uncached_tokens);
+    true
 }
--- /dev/null
+++ b/src/coordination/admission/prefill.rs
@@ -0,0 +1,48 @@
+//! Prefill speed of an endpoint, over all of its streams.
+
+use crate::coordination::smooth::Smoothed;
+use std::time::{Duration, Instant};
+
+/// Prefill speed assumed before it was measured, in tokens a second.
+const DEFAULT_TOKENS_PER_S: f64 = 8_000.0;
+
+/// Shortest busy time over which the speed is measured.
+const WINDOW: Duration = Duration::from_millis(250);
+
+/// Measures prompt tokens computed in the time in which there were any to compute.
+#[derive(Debug, Default)]
+pub(super) struct PrefillMeter {
+    /// Since when prompts are being computed; `None` if there are none.
+    busy_since: Option<Instant>,
+    busy: Duration,
+    tokens: u64,
+    tokens_per_s: Smoothed,
+}
+
+impl PrefillMeter {
+    /// Notes that a prompt begins.
+    pub(super) fn begin(&mut self, now: Instant) {
+        self.busy_since.get_or_insert(now);
+    }
+
+    /// Notes that a prompt of so many uncached tokens is computed, and whether there are others.
+    pub(super) fn done(&mut self, now: Instant, tokens: u64, others: bool) {
+        if let Some(since) = self.busy_since {
+            self.busy += now.saturating_duration_since(since);
+        }
+        self.busy_since = others.then_some(now);
+        self.tokens += tokens;
+        if self.busy >= WINDOW {
+            let speed = self.tokens as f64 / self.busy.as_secs_f64();
+            self.tokens_per_s.add(speed);
+            self.tokens = 0;
+            self.busy = Duration::ZERO;
+        }
+    }
+
+    /// Returns the speed.
+    pub(super) fn tokens_per_s(&self) -> f64 {
+        let measured = self.tokens_per_s.get().filter(|speed| *speed > 0.0);
+        measured.unwrap_or(DEFAULT_TOKENS_PER_S)
+    }
+}
--- a/src/coordination/choice/mod.rs
+++ b/src/coordination/choice/mod.rs
@@ -151,6 +151,8 @@
 struct Candidate {
     index: usize,
     cost_ms: f64,
+    /// Part of the cost that differs between endpoints by load and cache.
+    delay_ms: f64,
     wait_ms: f64,
     cached_tokens: u32,
 }
@@ -386,13 +388,11 @@
         let decode_ms = endpoint.decode_ms(want.answer_tokens);
         let near = endpoint.info.failure_domain == want.near;
         let far_ms = if near { 0.0 } else { self.cfg.far_ms };
-        let cost_ms = self.cfg.wait_weight * wait_ms
-            + self.cfg.prefill_weight * prefill_ms
-            + decode_ms
-            + far_ms;
+        let delay_ms = self.cfg.wait_weight * wait_ms + self.cfg.prefill_weight * prefill_ms;
         Candidate {
             index,
-            cost_ms,
+            cost_ms: delay_ms + decode_ms + far_ms,
+            delay_ms,
             wait_ms,
             cached_tokens,
         }
@@ -400,9 +400,11 @@
 
     /// Takes the better of two random ones among those that are as good as the best.
     fn pick(&self, candidates: &[Candidate], rng: &mut Rng) -> Option<Candidate> {
-        let costs = candidates.iter().map(|c| c.cost_ms);
-        let best = costs.min_by(f64::total_cmp)?;
-        let limit = best + self.cfg.equal_ms.max(best * self.cfg.equal_share);
+        let best = candidates
+            .iter()
+            .min_by(|a, b| a.cost_ms.total_cmp(&b.cost_ms))?;
+        let margin_ms = self.cfg.equal_ms.max(best.delay_ms * self.cfg.equal_share);
+        let limit = best.cost_ms + margin_ms;
         let equals = candidates.iter().filter(|c| c.cost_ms <= limit);
         let equals: Vec<_> = equals.collect();
         let first = equals[rng.usize(..equals.len())];
--- a/src/experiment/mix.rs
+++ b/src/experiment/mix.rs
@@ -240,7 +240,11 @@
     fn rate_factor(&self, part: f64) -> f64 {
         let mean = 0.8 + 0.2 * self.rush;
         let is_rush = (0.4..0.6).contains(&part);
-        if is_rush { self.rush / mean } else { 1.0 / mean }
+        if is_rush {
+            self.rush / mean
+        } else {
+            1.0 / mean
+        }
     }
 
     fn draw_one(&self, arrives: Duration, rng: &mut Rng) -> ProgramSpec {
--- a/src/experiment/node.rs
+++ b/src/experiment/node.rs
@@ -1,5 +1,6 @@
 //! One endpoint with its sidecar, driven in virtual time.
 
+use super::driver::Attempt;
 use super::policy::Policy;
 use crate::coordination::admission::{Admission, Cost, Observed, Waiting};
 use crate::ids::{CallId, ProgramId};
@@ -7,7 +8,7 @@
 use crate::protocol::link::{Priority, SidecarLoad};
 use crate::protocol::refusal::Refusal;
 use crate::standin::engine::batch::Batch;
-use std::collections::VecDeque;
+use std::collections::{HashMap, VecDeque};
 use std::time::{Duration, Instant};
 
 /// Calls that a service runs at a time.
@@ -23,8 +24,8 @@
 
 /// A call that waits at a sidecar.
 pub(crate) struct Arrived {
-    /// The call.
-    pub(crate) call: CallId,
+    /// The call and its number of sendings.
+    pub(crate) attempt: Attempt,
     /// What it does.
     pub(crate) work: Work,
 }
@@ -58,16 +59,16 @@
     queue: Queue,
     /// The engine; `None` for a service.
     pub(crate) engine: Option<Box<Batch>>,
-    /// Generations in the engine.
-    pub(crate) live: Vec<CallId>,
+    /// Calls handed over.
+    pub(crate) live: Vec<Attempt>,
     /// Whether a step of the engine is scheduled.
     pub(crate) stepping: bool,
     /// Share of its full speed.
     pub(crate) speed: f64,
     /// Whether it answers.
     pub(crate) alive: bool,
-    /// Last cache event that was read.
-    pub(crate) events_read: u64,
+    /// Last cache event that each entry has read.
+    events_read: HashMap<usize, u64>,
 }
 
 impl Node {
@@ -83,7 +84,11 @@
             Queue::Fifo {
                 waiting: VecDeque::new(),
                 running: 0,
-                cap: if engine.is_some() { u32::MAX } else { SERVICE_CALLS },
+                cap: if engine.is_some() {
+                    u32::MAX
+                } else {
+                    SERVICE_CALLS
+                },
             }
         };
         Self {
@@ -93,7 +98,7 @@
             stepping: false,
             speed: 1.0,
             alive: true,
-            events_read: 0,
+            events_read: HashMap::new(),
         }
     }
 
@@ -107,7 +112,7 @@
             Queue::Ordered(admission) => admission.push(
                 now,
                 Waiting {
-                    call: offer.arrived.call,
+                    call: offer.arrived.attempt.call,
                     program: offer.program,
                     priority: offer.priority,
                     cost: offer.cost,
@@ -138,8 +143,8 @@
 
     /// Stops a call, waiting or running.
     pub(crate) fn cancel(&mut self, now: Instant, call: CallId) {
-        let was_live = self.live.contains(&call);
-        self.live.retain(|other| *other != call);
+        let was_live = self.live.iter().any(|other| other.call == call);
+        self.live.retain(|other| other.call != call);
         if let Some(engine) = &mut self.engine {
             engine.cancel(call, now);
         }
@@ -147,7 +152,7 @@
             Queue::Fifo {
                 waiting, running, ..
             } => {
-                waiting.retain(|other| other.call != call);
+                waiting.retain(|other| other.attempt.call != call);
                 if was_live {
                     *running -= 1;
                 }
@@ -159,9 +164,9 @@
     }
 
     /// Notes a first token.
-    pub(crate) fn first_token(&mut self, call: CallId) {
+    pub(crate) fn first_token(&mut self, now: Instant, call: CallId) {
         if let Queue::Ordered(admission) = &mut self.queue {
-            admission.first_token(call);
+            admission.first_token(now, call);
         }
     }
 
@@ -199,14 +204,15 @@
         load
     }
 
-    /// Reads new cache events.
-    pub(crate) fn events(&mut self, now: Instant) -> Vec<CacheEvent> {
+    /// Reads the cache events that are new to an entry.
+    pub(crate) fn events(&mut self, now: Instant, entry: usize) -> Vec<CacheEvent> {
         let Some(engine) = &self.engine else {
             return Vec::new();
         };
-        let events = engine.events(self.events_read, now);
+        let read = self.events_read.entry(entry).or_default();
+        let events = engine.events(*read, now);
         if let Some(last) = events.last() {
-            self.events_read = last.sequence;
+            *read = last.sequence;
         }
         events
     }
--- a/src/experiment/policy.rs
+++ b/src/experiment/policy.rs
@@ -9,7 +9,7 @@
     Clone, Copy, Debug, PartialEq, Eq, Hash, strum::Display, strum::EnumIter, strum::EnumString,
 )]
 #[strum(serialize_all = "kebab-case")]
-pub enum Part {
+pub(crate) enum Part {
     /// Order of the queue by attained service.
     Attained,
     /// Order of the queue by deadline slack.
--- a/src/experiment/router.rs
+++ b/src/experiment/router.rs
@@ -2,9 +2,7 @@
 
 use super::policy::{Part, Policy};
 use crate::coordination::cache::{CacheTable, CacheTableConfig};
-use crate::coordination::choice::{
-    Chooser, EndpointInfo, EndpointKind, Sent, SentEnd, Target, Want,
-};
+use crate::coordination::choice::{Chooser, EndpointInfo, Sent, SentEnd, Target, Want};
 use crate::ids::{CallId, EndpointId, ProgramId};
 use crate::protocol::engine::{CacheEvent, EngineUsage};
 use crate::protocol::link::SidecarLoad;
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -32,6 +32,8 @@
 pub use adapter::{HttpEngine, HttpEngineStream, HttpLog, HttpService};
 mod coordination;
 
+mod experiment;
+
 pub use coordination::admission::{
     Admission, AdmissionConfig, CapConfig, Cost, Observed, OrderWeights, Waiting,
 };
@@ -53,6 +55,7 @@
     Timeouts,
 };
 pub use environment::{Environment, EnvironmentErrors, Stage};
+pub use experiment::PolicyExperiment;
 pub use ini::{Fault, FaultKind, Faults};
 pub use protocol::message::{Message, Role, Usage};
 pub use protocol::record::{
--- a/src/standin/engine/batch.rs
+++ b/src/standin/engine/batch.rs
@@ -1,7 +1,7 @@
 //! Continuous batching: which streams run, and what one step of the engine does.
 
 use crate::ids::{CallId, ProgramId};
-use crate::protocol::engine::{CacheEvent, EngineLoad, GenerateRequest};
+use crate::protocol::engine::{CacheEvent, EngineLoad, EngineUsage, GenerateRequest};
 use crate::standin::body::PieceBody;
 use crate::standin::engine::cache::PrefixCache;
 use crate::standin::engine::config::{EngineConfig, EngineCounts};
@@ -136,6 +136,13 @@
         self.report(now);
     }
 
+    /// Returns the token counts of a known generation, and whether its answer is whole.
+    pub(crate) fn progress(&self, call: CallId) -> Option<(EngineUsage, bool)> {
+        let stream = self.streams.get(&call)?;
+        let is_whole = matches!(stream.phase, Phase::Finished(_));
+        Some((stream.usage(), is_whole))
+    }
+
     /// Returns what each program holds.
     pub(crate) fn held(&self) -> Vec<(ProgramId, u64)> {
         self.cache.held()
--- a/src/standin/engine/mod.rs
+++ b/src/standin/engine/mod.rs
@@ -1,7 +1,7 @@
 //! The engine stand-in: continuous batching, a prefix cache, late reports, orders.
 
 pub(crate) mod answer;
-mod batch;
+pub(crate) mod batch;
 pub(crate) mod cache;
 mod config;
 mod handler;
--- a/src/standin/mod.rs
+++ b/src/standin/mod.rs
@@ -5,7 +5,7 @@
 
 mod body;
 mod clock;
-mod engine;
+pub(crate) mod engine;
 mod log;
 mod server;
 mod service;
