--- a/src/coordination/admission/cap.rs
+++ b/src/coordination/admission/cap.rs
@@ -1,5 +1,6 @@
 //! The cap on what an endpoint holds: additive increase, multiplicative decrease.
 
+use crate::coordination::smooth::Smoothed;
 use std::time::{Duration, Instant};
 
 /// Bounds and target of the cap.
@@ -36,7 +37,10 @@
 const WINDOW_GAPS: u32 = 40;
 
 /// Factor of a decrease.
-const DECREASE: f64 = 0.85;
+const DECREASE: f64 = 0.92;
+
+/// Part of the allowed late share below which the cap may grow.
+const NEARLY: f64 = 0.8;
 
 /// Part of the cap added in one step before the first decrease.
 const STARTUP_STEP: f64 = 0.25;
@@ -51,6 +55,12 @@
     window_start: Option<Instant>,
     gaps: u32,
     late: u32,
+    /// Sum of the window's gaps, in milliseconds.
+    sum_ms: f64,
+    /// Smoothed mean gap of the windows, in milliseconds.
+    mean_gap_ms: Smoothed,
+    /// Smoothed share of late gaps.
+    late_share: Smoothed,
     /// Whether the cap has kept a call waiting in this window.
     limiting: bool,
     /// Whether the cap has been decreased once.
@@ -66,6 +76,9 @@
             window_start: None,
             gaps: 0,
             late: 0,
+            sum_ms: 0.0,
+            mean_gap_ms: Smoothed::default(),
+            late_share: Smoothed::default(),
             limiting: false,
             settled: false,
         }
@@ -76,6 +89,11 @@
         self.cap as u32
     }
 
+    /// Returns the smoothed time between tokens, 0 if there was none.
+    pub(super) fn mean_gap_ms(&self) -> f64 {
+        self.mean_gap_ms.get().unwrap_or(0.0)
+    }
+
     /// Notes that a call had to wait because of the cap.
     pub(super) fn was_limiting(&mut self) {
         self.limiting = true;
@@ -84,6 +102,7 @@
     /// Notes one gap while `running` calls were held.
     pub(super) fn token_gap(&mut self, now: Instant, gap_ms: f64, running: u32) {
         self.gaps += 1;
+        self.sum_ms += gap_ms;
         if gap_ms > self.cfg.gap_target_ms {
             self.late += 1;
         }
@@ -101,6 +120,8 @@
             return;
         }
         self.adapt();
+        self.mean_gap_ms.add(self.sum_ms / f64::from(self.gaps));
+        self.sum_ms = 0.0;
         self.window_start = Some(now);
         self.gaps = 0;
         self.late = 0;
@@ -109,11 +130,13 @@
 
     /// Changes the cap by the share of late gaps.
     fn adapt(&mut self) {
-        let late_share = f64::from(self.late) / f64::from(self.gaps);
-        if late_share > self.cfg.late_share {
+        let now_late = f64::from(self.late) / f64::from(self.gaps);
+        self.late_share.add(now_late);
+        let late_share = self.late_share.get().unwrap_or(0.0);
+        if late_share > self.cfg.late_share && now_late > self.cfg.late_share {
             self.settled = true;
             self.cap *= DECREASE;
-        } else if self.limiting && late_share < self.cfg.late_share / 2.0 {
+        } else if self.limiting && late_share < self.cfg.late_share * NEARLY {
             self.cap += self.step();
         }
         let min = f64::from(self.cfg.min_calls.max(1));
--- a/src/coordination/admission/mod.rs
+++ b/src/coordination/admission/mod.rs
@@ -34,8 +34,10 @@
     pub trial_queue_share: f64,
     /// Part of the hand-overs that trial environments get while production waits too.
     pub trial_share: f64,
-    /// Uncached prompt tokens handed over and not yet answered by a first token, at most.
+    /// Uncached prompt tokens of long calls that are handed over and have no first token, at most.
     pub prefill_tokens: u64,
+    /// Calls with at most so many uncached tokens are short: they do not count in that sum.
+    pub short_tokens: u32,
     /// Weights of the order.
     pub weights: OrderWeights,
     /// Bounds and target of the cap.
@@ -48,7 +50,8 @@
             queue_calls: 512,
             trial_queue_share: 0.5,
             trial_share: 0.1,
-            prefill_tokens: 16_384,
+            prefill_tokens: 8_192,
+            short_tokens: 512,
             weights: OrderWeights::default(),
             cap: CapConfig::default(),
         }
@@ -156,10 +159,11 @@
     queued_prompt_tokens: u64,
     /// Sum of the uncached tokens of running calls without a first token.
     prefilling_tokens: u64,
+    /// Part of `prefilling_tokens` that belongs to long calls.
+    long_prefilling_tokens: u64,
     /// Hand-overs that trial environments have earned and not used.
     trial_credit: f64,
     prefill: PrefillMeter,
-    token_gap_ms: Smoothed,
     call_ms: Smoothed,
 }
 
@@ -175,9 +179,9 @@
             queued_tokens: 0,
             queued_prompt_tokens: 0,
             prefilling_tokens: 0,
+            long_prefilling_tokens: 0,
             trial_credit: 0.0,
             prefill: PrefillMeter::default(),
-            token_gap_ms: Smoothed::default(),
             call_ms: Smoothed::default(),
         }
     }
@@ -211,9 +215,6 @@
         }
         self.members.decay(now);
         let index = self.first(now)?;
-        if !self.prefill_fits(index) {
-            return None;
-        }
         self.spend_trial_credit(index);
         let queued = self.take(index);
         self.start(now, &queued);
@@ -248,10 +249,13 @@
 
     /// Notes a call's first token.
     pub fn first_token(&mut self, now: Instant, call: CallId) {
-        if let Some(running) = self.running.get_mut(&call)
-            && end_prefill(running, &mut self.prefilling_tokens)
-        {
-            let tokens = u64::from(running.cost.uncached_tokens);
+        let Some(running) = self.running.get_mut(&call) else {
+            return;
+        };
+        if std::mem::take(&mut running.prefilling) {
+            let cost = running.cost;
+            self.end_prefill(cost);
+            let tokens = u64::from(cost.uncached_tokens);
             self.prefill.done(now, tokens, self.prefilling_tokens > 0);
         }
     }
@@ -259,7 +263,6 @@
     /// Notes the time between two tokens of one stream.
     pub fn token_gap(&mut self, now: Instant, gap: Duration) {
         let gap_ms = gap.as_secs_f64() * 1e3;
-        self.token_gap_ms.add(gap_ms);
         self.cap.token_gap(now, gap_ms, self.running.len() as u32);
     }
 
@@ -288,9 +291,10 @@
             running: self.running.len() as u32,
             cap: self.cap.calls(),
             prefill_tokens_per_s: self.prefill.tokens_per_s(),
-            token_gap_ms: self.token_gap_ms.get().unwrap_or(0.0),
+            token_gap_ms: self.cap.mean_gap_ms(),
             call_ms: self.call_ms.get().unwrap_or(0.0),
             wait_ms: self.wait_ms(),
+            prefill_backlog_tokens: self.queued_prompt_tokens + self.prefilling_tokens,
             ..SidecarLoad::default()
         }
     }
@@ -300,10 +304,7 @@
         let cap = self.cap.calls() as usize;
         let ahead = (self.queue.len() + self.running.len() + 1).saturating_sub(cap);
         let call_ms = self.call_ms.get().unwrap_or(0.0);
-        let slot_ms = ahead as f64 * call_ms / cap as f64;
-        let prompt_tokens = self.queued_prompt_tokens + self.prefilling_tokens;
-        let prefill_ms = prompt_tokens as f64 * 1e3 / self.prefill.tokens_per_s();
-        slot_ms.max(prefill_ms) as u64
+        (ahead as f64 * call_ms / cap as f64) as u64
     }
 
     /// Refuses what does not fit into the queue.
@@ -352,7 +353,7 @@
         self.queue.iter().filter(trial).count()
     }
 
-    /// Finds the call that comes first.
+    /// Finds the call that comes first among those whose prompt may be handed over now.
     fn first(&self, now: Instant) -> Option<usize> {
         let trial_turn = self.trial_credit >= 1.0;
         let floor = self.members.floor();
@@ -363,15 +364,25 @@
             let rank = (self.cfg.weights).rank(&waiting.priority, waiting.cost, waited, excess);
             (waiting.priority.production == trial_turn, rank)
         };
-        let keyed = self.queue.iter().map(key).enumerate();
+        let fits = |(_, queued): &(usize, &Queued<T>)| self.prefill_fits(queued);
+        let fitting = self.queue.iter().enumerate().filter(fits);
+        let keyed = fitting.map(|(index, queued)| (index, key(queued)));
         let least = keyed.min_by(|(_, a), (_, b)| a.0.cmp(&b.0).then(a.1.total_cmp(&b.1)));
         least.map(|(index, _)| index)
     }
 
     /// Tells whether the call's prompt may be handed over now.
-    fn prefill_fits(&self, index: usize) -> bool {
-        let tokens = u64::from(self.queue[index].waiting.cost.uncached_tokens);
-        self.prefilling_tokens == 0 || self.prefilling_tokens + tokens <= self.cfg.prefill_tokens
+    fn prefill_fits(&self, queued: &Queued<T>) -> bool {
+        let tokens = self.long_tokens(queued.waiting.cost);
+        tokens == 0
+            || self.long_prefilling_tokens == 0
+            || self.long_prefilling_tokens + tokens <= self.cfg.prefill_tokens
+    }
+
+    /// Returns the uncached tokens of a long call, 0 for a short one.
+    fn long_tokens(&self, cost: Cost) -> u64 {
+        let is_long = cost.uncached_tokens > self.cfg.short_tokens;
+        u64::from(cost.uncached_tokens) * u64::from(is_long)
     }
 
     /// Accounts for the choice between production and trial.
@@ -411,6 +422,7 @@
         self.members.charge(queued.member, cost.tokens());
         self.prefill.begin(now);
         self.prefilling_tokens += u64::from(cost.uncached_tokens);
+        self.long_prefilling_tokens += self.long_tokens(cost);
         let running = Running {
             member: queued.member,
             cost,
@@ -421,19 +433,17 @@
 
     /// Forgets a running call.
     fn remove_running(&mut self, call: CallId) -> Option<Running> {
-        let mut running = self.running.remove(&call)?;
-        end_prefill(&mut running, &mut self.prefilling_tokens);
+        let running = self.running.remove(&call)?;
+        if running.prefilling {
+            self.end_prefill(running.cost);
+        }
         self.members.leave(running.member);
         Some(running)
     }
-}
 
-/// Takes a running call out of the sum of prefilling tokens; returns whether it was in it.
-fn end_prefill(running: &mut Running, prefilling_tokens: &mut u64) -> bool {
-    if !running.prefilling {
-        return false;
+    /// Takes a call out of the sums of prefilling tokens.
+    fn end_prefill(&mut self, cost: Cost) {
+        self.prefilling_tokens -= u64::from(cost.uncached_tokens);
+        self.long_prefilling_tokens -= self.long_tokens(cost);
     }
-    running.prefilling = false;
-    *prefilling_tokens -= u64::from(running.cost.uncached_tokens);
-    true
 }
--- a/src/coordination/choice/endpoint.rs
+++ b/src/coordination/choice/endpoint.rs
@@ -1,20 +1,18 @@
 //! One endpoint as an entry sees it.
 
+use super::typical::Typical;
 use super::{ChoiceConfig, EndpointInfo, EndpointKind, EndpointState, Sent, SentEnd, Target};
 use crate::coordination::breaker::Breaker;
 use crate::ids::{CallId, EndpointId};
 use crate::protocol::link::SidecarLoad;
 use std::time::{Duration, Instant};
 
-/// Prefill speed assumed before any report, in tokens a second.
-const DEFAULT_PREFILL_TOKENS_PER_S: f64 = 8_000.0;
-
-/// Time between tokens assumed before any report, in milliseconds.
-const DEFAULT_GAP_MS: f64 = 20.0;
-
 /// Time of a call assumed before any report, in milliseconds.
 const DEFAULT_CALL_MS: f64 = 2_000.0;
 
+/// Prompts that are computed at once, as far as delays are concerned.
+const SHARING: u64 = 3;
+
 /// A call that this entry has sent.
 #[derive(Clone, Copy, Debug)]
 struct Outstanding {
@@ -30,7 +28,7 @@
     pub(super) info: EndpointInfo,
     pub(super) state: EndpointState,
     pub(super) breaker: Breaker,
-    load: SidecarLoad,
+    pub(super) load: SidecarLoad,
     /// When `load` came, or when the endpoint was added.
     load_at: Instant,
     /// Last sign of life.
@@ -153,17 +151,12 @@
         }
     }
 
-    /// Wait as reported, in milliseconds.
-    pub(super) fn reported_wait_ms(&self) -> f64 {
-        self.load.wait_ms as f64
-    }
-
     /// Expected wait now: old reports are drawn to the mean, own unseen calls are added.
     pub(super) fn wait_ms(&self, now: Instant, mean_wait_ms: f64, half_life: Duration) -> f64 {
         let age = now.saturating_duration_since(self.load_at);
         let halvings = age.as_secs_f64() / half_life.as_secs_f64();
         let trust = (-halvings).exp2();
-        let reported = self.reported_wait_ms();
+        let reported = self.load.wait_ms as f64;
         let wait_ms = mean_wait_ms + (reported - mean_wait_ms) * trust;
         wait_ms + self.unseen_wait_ms()
     }
@@ -174,24 +167,46 @@
         let busy = self.load.running + self.load.queued;
         let free = cap.saturating_sub(busy);
         let queued = self.unseen.saturating_sub(free);
-        let prefill_ms = self.prefill_ms(self.unseen_tokens);
-        f64::from(queued) * self.call_ms() / f64::from(cap) + prefill_ms
+        f64::from(queued) * self.call_ms() / f64::from(cap)
+    }
+
+    /// Calls that it has or will soon have, as a part of its cap.
+    pub(super) fn busy(&self) -> f64 {
+        let calls = self.load.running + self.load.queued + self.unseen;
+        f64::from(calls) / f64::from(self.load.cap.max(1))
+    }
+
+    /// Part of the engine's cache in use.
+    pub(super) fn cache_used(&self) -> f64 {
+        let engine = &self.load.engine;
+        engine.cache_used_tokens as f64 / engine.cache_total_tokens.max(1) as f64
     }
 
     /// Time of an average call, in milliseconds.
     fn call_ms(&self) -> f64 {
-        positive_or(self.load.call_ms, DEFAULT_CALL_MS)
+        if self.load.call_ms > 0.0 {
+            self.load.call_ms
+        } else {
+            DEFAULT_CALL_MS
+        }
     }
 
     /// Time to compute so many prompt tokens, in milliseconds.
-    pub(super) fn prefill_ms(&self, tokens: u64) -> f64 {
-        let speed = positive_or(self.load.prefill_tokens_per_s, DEFAULT_PREFILL_TOKENS_PER_S);
-        tokens as f64 * 1e3 / speed
+    pub(super) fn prefill_ms(&self, tokens: u64, typical: &Typical) -> f64 {
+        tokens as f64 * 1e3 / typical.prefill_speed(&self.load)
+    }
+
+    /// Time by which prompts under way delay a prompt with so many uncached tokens.
+    ///
+    /// Engines share each step among prompts, so a short prompt is not delayed by a long backlog.
+    pub(super) fn contention_ms(&self, tokens: u64, typical: &Typical) -> f64 {
+        let backlog = self.load.prefill_backlog_tokens + self.unseen_tokens;
+        self.prefill_ms(backlog.min(tokens * SHARING), typical)
     }
 
     /// Time to generate so many tokens, in milliseconds.
-    pub(super) fn decode_ms(&self, tokens: u32) -> f64 {
-        f64::from(tokens) * positive_or(self.load.token_gap_ms, DEFAULT_GAP_MS)
+    pub(super) fn decode_ms(&self, tokens: u32, typical: &Typical) -> f64 {
+        f64::from(tokens) * typical.gap_ms(&self.load)
     }
 }
 
@@ -199,8 +214,3 @@
 fn is_older(now: Instant, since: Instant, limit: Duration) -> bool {
     now.saturating_duration_since(since) >= limit
 }
-
-/// Returns `value` if something has been measured, else `default`.
-fn positive_or(value: f64, default: f64) -> f64 {
-    if value > 0.0 { value } else { default }
-}
--- a/src/coordination/choice/mod.rs
+++ b/src/coordination/choice/mod.rs
@@ -3,6 +3,7 @@
 mod endpoint;
 #[cfg(test)]
 mod tests;
+mod typical;
 
 use crate::coordination::breaker::{Breaker, BreakerConfig};
 use crate::ids::{CallId, EndpointId, FailureDomain, ModelId};
@@ -11,6 +12,7 @@
 use fastrand::Rng;
 use std::collections::HashMap;
 use std::time::{Duration, Instant};
+use typical::Typical;
 
 /// Settings of a [`Chooser`].
 #[derive(Clone, Debug, PartialEq)]
@@ -19,6 +21,12 @@
     pub prefill_weight: f64,
     /// Weight of the expected wait.
     pub wait_weight: f64,
+    /// Weight of the slow-down that the call causes to others, by how busy the endpoint is.
+    pub busy_weight: f64,
+    /// Added for an engine whose cache is full, in milliseconds; in proportion for others.
+    ///
+    /// Programs come back to their cache, so cache in use foretells load.
+    pub resident_ms: f64,
     /// Added for an endpoint in another failure domain, in milliseconds.
     pub far_ms: f64,
     /// Costs that differ by less than this count as equal, in milliseconds.
@@ -38,8 +46,10 @@
 impl Default for ChoiceConfig {
     fn default() -> Self {
         Self {
-            prefill_weight: 1.5,
+            prefill_weight: 20.0,
             wait_weight: 1.0,
+            busy_weight: 0.5,
+            resident_ms: 1_000.0,
             far_ms: 3.0,
             equal_ms: 10.0,
             equal_share: 0.1,
@@ -326,12 +336,12 @@
         let Some(group) = self.groups.get(name) else {
             return Vec::new();
         };
-        let mean_wait_ms = self.mean_wait_ms(now, group);
+        let typical = self.typical(now, group);
         let mut candidates = Vec::with_capacity(self.cfg.compared + want.cached.len());
         let mut consider = |index: usize, cached: u32| {
             let endpoint = &self.endpoints[index];
             if self.eligible(now, endpoint, want) {
-                candidates.push(self.candidate(now, index, want, cached, mean_wait_ms));
+                candidates.push(self.candidate(now, index, want, cached, &typical));
             }
         };
         for (holder, tokens) in want.cached {
@@ -360,16 +370,12 @@
             && !want.exclude.contains(&endpoint.name)
     }
 
-    /// Averages the reported waits, to which old reports are drawn.
-    fn mean_wait_ms(&self, now: Instant, group: &[usize]) -> f64 {
+    /// Averages what the endpoints of a group report.
+    fn typical(&self, now: Instant, group: &[usize]) -> Typical {
         let compared = &group[..group.len().min(self.cfg.compared)];
-        let waits = compared.iter().map(|index| &self.endpoints[*index]);
-        let (mut sum, mut count) = (0.0, 0.0);
-        for endpoint in waits.filter(|e| e.usable(now, &self.cfg)) {
-            sum += endpoint.reported_wait_ms();
-            count += 1.0;
-        }
-        if count > 0.0 { sum / count } else { 0.0 }
+        let endpoints = compared.iter().map(|index| &self.endpoints[*index]);
+        let usable = endpoints.filter(|e| e.usable(now, &self.cfg));
+        Typical::of(usable.map(|endpoint| &endpoint.load))
     }
 
     /// Works out what a call would cost at an endpoint.
@@ -379,16 +385,21 @@
         index: usize,
         want: &Want<'_>,
         cached_tokens: u32,
-        mean_wait_ms: f64,
+        typical: &Typical,
     ) -> Candidate {
         let endpoint = &self.endpoints[index];
-        let wait_ms = endpoint.wait_ms(now, mean_wait_ms, self.cfg.load_half_life);
+        let wait_ms = endpoint.wait_ms(now, typical.wait_ms, self.cfg.load_half_life);
         let uncached = want.prompt_tokens - cached_tokens;
-        let prefill_ms = endpoint.prefill_ms(u64::from(uncached));
-        let decode_ms = endpoint.decode_ms(want.answer_tokens);
+        let uncached = u64::from(uncached);
+        let prefill_ms = endpoint.prefill_ms(uncached, typical);
+        let contention_ms = endpoint.contention_ms(uncached, typical);
+        let decode_ms = endpoint.decode_ms(want.answer_tokens, typical);
         let near = endpoint.info.failure_domain == want.near;
         let far_ms = if near { 0.0 } else { self.cfg.far_ms };
-        let delay_ms = self.cfg.wait_weight * wait_ms + self.cfg.prefill_weight * prefill_ms;
+        let delay_ms = self.cfg.wait_weight * (wait_ms + contention_ms)
+            + self.cfg.prefill_weight * prefill_ms
+            + self.cfg.busy_weight * endpoint.busy() * decode_ms
+            + self.cfg.resident_ms * endpoint.cache_used();
         Candidate {
             index,
             cost_ms: delay_ms + decode_ms + far_ms,
--- a/src/protocol/link.rs
+++ b/src/protocol/link.rs
@@ -341,8 +341,10 @@
     pub token_gap_ms: f64,
     /// Smoothed time of a call in the endpoint, in milliseconds; 0 when none has finished.
     pub call_ms: f64,
-    /// Expected wait of a call that comes now, in milliseconds.
+    /// Expected wait of a call that comes now until it is handed over, in milliseconds.
     pub wait_ms: u64,
+    /// Prompt tokens still to be computed, of calls waiting and handed over.
+    pub prefill_backlog_tokens: u64,
     /// Whether the endpoint takes no new work.
     pub leaving: bool,
     /// The engine's own report.
