Add links between processes

Cause: entries and sidecars need one connection that carries many answers at once. Change: transport with a handshake that proves the shared secret, credit a stream, heartbeats in both directions and a pool that dials again with jitter. Conclusion: the roles can be wired.

--- a/src/lib.rs
+++ b/src/lib.rs
@@ -14,6 +14,8 @@
 
 pub mod protocol;
 
+mod transport;
+
 pub use protocol::message::{Message, Role, Usage};
 pub use protocol::record::{
     ActionResult, Batch, Claim, Created, EndReason, Ended, Entry, Intent, Outcome, Record,
--- a/src/protocol/link.rs
+++ b/src/protocol/link.rs
@@ -397,4 +397,13 @@
     pub leaving: bool,
 }
 
+/// The messages of this system's links.
+pub(crate) enum Messages {}
+
+impl crate::transport::link::Wire for Messages {
+    type Request = Request;
+    type Event = Event;
+    type Reply = Reply;
+}
+
 mod tokens;
--- /dev/null
+++ b/src/transport/mod.rs
@@ -0,0 +1,6 @@
+//! Sockets, links between processes and the tasks that drive them. Knows no message.
+
+pub(crate) mod handshake;
+pub(crate) mod link;
+pub(crate) mod pool;
+pub(crate) mod spawn;
