--- /dev/null
+++ b/src/coordination/membership.rs
@@ -0,0 +1,284 @@
+//! Membership: which nodes are live, suspect or leaving, from probes, hearsay and the VM list.
+//!
+//! It only proposes. Two nodes that disagree cost time, never correctness.
+
+use crate::ids::{Epoch, FailureDomain, Incarnation, NodeId, Offset, Partition};
+use crate::protocol::link::{Digest, Heard, SidecarLoad};
+use crate::protocol::vms::{NodeRole, Vm, VmState};
+use fastrand::Rng;
+use std::collections::HashMap;
+use std::time::{Duration, Instant};
+
+/// Bounds of the view.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct MembershipConfig {
+    /// A node is suspect after so much silence.
+    pub suspect_after: Duration,
+    /// A node counts as failed after so much silence.
+    pub failed_after: Duration,
+    /// Other nodes told of in one digest at most.
+    pub heard_max: usize,
+}
+
+impl Default for MembershipConfig {
+    fn default() -> Self {
+        Self {
+            suspect_after: Duration::from_millis(1_500),
+            failed_after: Duration::from_millis(2_500),
+            heard_max: 8,
+        }
+    }
+}
+
+/// What is believed of a node.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, strum::Display)]
+#[strum(serialize_all = "lowercase")]
+pub enum NodeState {
+    /// Heard of a moment ago.
+    Live,
+    /// Silent for a while.
+    Suspect,
+    /// Silent for long.
+    Failed,
+    /// It says, or the platform says, that it will stop.
+    Leaving,
+}
+
+/// A node as this one knows it.
+///
+/// Invariant: `heard` never goes back within one incarnation.
+#[derive(Clone, Debug)]
+pub struct Node {
+    /// Its role.
+    pub role: NodeRole,
+    /// Where its links are accepted.
+    pub address: String,
+    /// Its failure domain; empty if it is not known.
+    pub failure_domain: FailureDomain,
+    /// Its run; 0 before anything was heard.
+    pub incarnation: Incarnation,
+    /// When anything was heard of it last.
+    pub heard: Instant,
+    /// Whether it will stop.
+    pub leaving: bool,
+    /// The configuration version it runs.
+    pub configuration: Offset,
+    /// Its load, if it is a sidecar.
+    pub load: Option<SidecarLoad>,
+    /// Whether it is in the settings and so never forgotten.
+    fixed: bool,
+}
+
+/// This node's view of all nodes.
+///
+/// ```
+/// use galenapick::protocol::vms::NodeRole;
+/// use galenapick::{Membership, MembershipConfig, NodeState};
+/// use std::time::Instant;
+///
+/// let now = Instant::now();
+/// let cfg = MembershipConfig::default();
+/// let mut members = Membership::new("entry-1", 1, cfg);
+/// members.add(now, "entry-2", NodeRole::Entry, "127.0.0.1:7001", "a");
+/// assert_eq!(members.state(now, "entry-2"), Some(NodeState::Live));
+/// assert_eq!(members.state(now + cfg.failed_after, "entry-2"), Some(NodeState::Failed));
+/// ```
+pub struct Membership {
+    node: NodeId,
+    incarnation: Incarnation,
+    config: MembershipConfig,
+    nodes: HashMap<NodeId, Node>,
+    owners: HashMap<Partition, (NodeId, Epoch)>,
+    next_heard: usize,
+}
+
+impl Membership {
+    /// Makes a view that knows only this node.
+    pub fn new(node: &str, incarnation: Incarnation, config: MembershipConfig) -> Self {
+        Self {
+            node: node.to_string(),
+            incarnation,
+            config,
+            nodes: HashMap::new(),
+            owners: HashMap::new(),
+            next_heard: 0,
+        }
+    }
+
+    /// Adds a node from the settings. It counts as heard of now.
+    pub fn add(&mut self, now: Instant, node: &str, role: NodeRole, address: &str, domain: &str) {
+        if node == self.node {
+            return;
+        }
+        let new = new_node(now, role, address, domain, true);
+        self.nodes.insert(node.to_string(), new);
+    }
+
+    /// Takes the platform's list, which lags.
+    pub fn merge_list(&mut self, now: Instant, vms: &[Vm]) {
+        for vm in vms.iter().filter(|vm| vm.node != self.node) {
+            let node = self.nodes.entry(vm.node.clone()).or_insert_with(|| {
+                new_node(now, vm.role, &vm.address, &vm.failure_domain, false)
+            });
+            if node.address != vm.address {
+                *node = new_node(now, vm.role, &vm.address, &vm.failure_domain, node.fixed);
+            }
+            node.failure_domain.clone_from(&vm.failure_domain);
+            node.leaving |= vm.state == VmState::Leaving;
+        }
+        let failed_after = self.config.failed_after;
+        self.nodes.retain(|name, node| {
+            let listed = vms.iter().any(|vm| vm.node == *name);
+            listed || node.fixed || now.saturating_duration_since(node.heard) < failed_after
+        });
+    }
+
+    /// Takes what a node says of itself and of others.
+    pub fn take(&mut self, now: Instant, digest: &Digest) {
+        self.hear(now, &digest.node, digest.incarnation, digest.leaving);
+        if let Some(node) = self.nodes.get_mut(&digest.node) {
+            node.configuration = node.configuration.max(digest.configuration);
+            if digest.load.is_some() {
+                node.load.clone_from(&digest.load);
+            }
+        }
+        for (partition, epoch) in &digest.owned {
+            self.set_owner(*partition, &digest.node, *epoch);
+        }
+        for heard in &digest.heard {
+            let at = now.checked_sub(Duration::from_millis(heard.age_ms));
+            if let Some(at) = at {
+                self.hear(at, &heard.node, heard.incarnation, heard.leaving);
+            }
+        }
+    }
+
+    /// Notes a sign of life of a node.
+    pub fn hear(&mut self, at: Instant, name: &str, incarnation: Incarnation, leaving: bool) {
+        let Some(node) = self.nodes.get_mut(name) else {
+            return;
+        };
+        if incarnation != node.incarnation && at > node.heard {
+            node.incarnation = incarnation;
+            node.leaving = leaving;
+        }
+        if incarnation == node.incarnation {
+            node.heard = node.heard.max(at);
+            node.leaving |= leaving;
+        }
+    }
+
+    /// Notes the owner of a partition; a lower epoch is old news.
+    pub fn set_owner(&mut self, partition: Partition, node: &str, epoch: Epoch) {
+        let known = self.owners.get(&partition);
+        if known.is_none_or(|(_, known)| epoch > *known) {
+            self.owners.insert(partition, (node.to_string(), epoch));
+        }
+    }
+
+    /// Returns the owner of a partition as far as is known.
+    pub fn owner(&self, partition: Partition) -> Option<&NodeId> {
+        self.owners.get(&partition).map(|(node, _)| node)
+    }
+
+    /// Returns what is believed of a node.
+    pub fn state(&self, now: Instant, name: &str) -> Option<NodeState> {
+        let node = self.nodes.get(name)?;
+        let silence = now.saturating_duration_since(node.heard);
+        Some(if silence >= self.config.failed_after {
+            NodeState::Failed
+        } else if node.leaving {
+            NodeState::Leaving
+        } else if silence >= self.config.suspect_after {
+            NodeState::Suspect
+        } else {
+            NodeState::Live
+        })
+    }
+
+    /// Tells whether a run of a node may still be at work.
+    pub fn is_alive(&self, now: Instant, name: &str, incarnation: Incarnation) -> bool {
+        if name == self.node {
+            return incarnation == self.incarnation;
+        }
+        let Some(node) = self.nodes.get(name) else {
+            return false;
+        };
+        let replaced = node.incarnation != 0 && node.incarnation != incarnation;
+        !replaced && self.state(now, name) != Some(NodeState::Failed)
+    }
+
+    /// Returns the nodes of a role that may take work, this one included if it is of that role.
+    pub fn candidates(&self, now: Instant, role: NodeRole, own: Option<&str>) -> Vec<NodeId> {
+        let usable = |name: &str| {
+            let state = self.state(now, name);
+            matches!(state, Some(NodeState::Live | NodeState::Suspect))
+        };
+        let nodes = self.nodes.iter().filter(|(_, node)| node.role == role);
+        let names = nodes.map(|(name, _)| name).filter(|name| usable(name));
+        names.cloned().chain(own.map(str::to_string)).collect()
+    }
+
+    /// Returns all nodes.
+    pub fn nodes(&self) -> impl Iterator<Item = (&NodeId, &Node)> {
+        self.nodes.iter()
+    }
+
+    /// Finds a node.
+    pub fn node(&self, name: &str) -> Option<&Node> {
+        self.nodes.get(name)
+    }
+
+    /// Picks up to `count` nodes of a role to be probed.
+    pub fn pick(&self, role: NodeRole, count: usize, rng: &mut Rng) -> Vec<NodeId> {
+        let nodes = self.nodes.iter().filter(|(_, node)| node.role == role);
+        let names: Vec<&NodeId> = nodes.map(|(name, _)| name).collect();
+        let picked = rng.choose_multiple(names, count);
+        picked.into_iter().cloned().collect()
+    }
+
+    /// Writes what this node tells others.
+    pub fn digest(&mut self, now: Instant, owned: Vec<(Partition, Epoch)>) -> Digest {
+        Digest {
+            node: self.node.clone(),
+            incarnation: self.incarnation,
+            owned,
+            heard: self.hearsay(now),
+            ..Digest::default()
+        }
+    }
+
+    /// Tells of some entries, others each time.
+    fn hearsay(&mut self, now: Instant) -> Vec<Heard> {
+        let known = |node: &Node| node.incarnation != 0 && node.role == NodeRole::Entry;
+        let mut names: Vec<&NodeId> = self.nodes.keys().collect();
+        names.sort_unstable();
+        let nodes = names.iter().map(|name| (*name, &self.nodes[*name]));
+        let all: Vec<(&NodeId, &Node)> = nodes.filter(|(_, node)| known(node)).collect();
+        let count = all.len().min(self.config.heard_max);
+        let start = self.next_heard % all.len().max(1);
+        self.next_heard = start + count;
+        let window = all.iter().cycle().skip(start).take(count);
+        let tell = |(name, node): &(&NodeId, &Node)| Heard {
+            node: (*name).clone(),
+            incarnation: node.incarnation,
+            age_ms: now.saturating_duration_since(node.heard).as_millis() as u64,
+            leaving: node.leaving,
+        };
+        window.map(tell).collect()
+    }
+}
+
+fn new_node(now: Instant, role: NodeRole, address: &str, domain: &str, fixed: bool) -> Node {
+    Node {
+        role,
+        address: address.to_string(),
+        failure_domain: domain.to_string(),
+        incarnation: 0,
+        heard: now,
+        leaving: false,
+        configuration: 0,
+        load: None,
+        fixed,
+    }
+}
--- /dev/null
+++ b/src/entry/members.rs
@@ -0,0 +1,189 @@
+//! Background work on membership: the VM list, probes, and who should own which partition.
+
+use crate::coordination::choice::{EndpointInfo, EndpointKind, EndpointState};
+use crate::coordination::membership::NodeState;
+use crate::coordination::rendezvous::rendezvous;
+use crate::entry::{Entry, lock};
+use crate::ids::{Epoch, NodeId, Partition};
+use crate::protocol::link::{Digest, Reply, Request, Serving};
+use crate::protocol::log::Log;
+use crate::protocol::vms::{NodeRole, VmList};
+use futures_lite::FutureExt;
+use smol::Timer;
+use std::time::Instant;
+
+impl<L: Log> Entry<L> {
+    /// Adds a node from the settings.
+    pub(crate) fn add_node(&self, node: &str, role: NodeRole, address: &str, domain: &str) {
+        if node == self.0.config.node {
+            return;
+        }
+        lock(&self.0.members).add(Instant::now(), node, role, address, domain);
+        self.0.links.set_address(node, address);
+    }
+
+    /// Reads the VM list again and again.
+    pub(crate) fn watch_vms(&self, list: impl VmList) {
+        let entry = self.clone();
+        self.0.spawner.spawn(async move {
+            loop {
+                if let Some(vms) = list.vms().await {
+                    entry.take_vms(&vms);
+                }
+                Timer::after(entry.0.config.vms_interval).await;
+            }
+        });
+    }
+
+    fn take_vms(&self, vms: &[crate::protocol::vms::Vm]) {
+        lock(&self.0.members).merge_list(Instant::now(), vms);
+        for vm in vms.iter().filter(|vm| vm.node != self.0.config.node) {
+            self.0.links.set_address(&vm.node, &vm.address);
+        }
+    }
+
+    /// Probes other nodes and proposes owners, round by round.
+    pub(super) fn watch_members(&self) {
+        let entry = self.clone();
+        self.0.spawner.spawn(async move {
+            let mut rng = fastrand::Rng::new();
+            loop {
+                entry.probe_round(&mut rng);
+                entry.propose_owners();
+                entry.update_endpoints();
+                let jitter = 0.75 + rng.f64() / 2.0;
+                Timer::after(entry.0.config.probe_interval.mul_f64(jitter)).await;
+            }
+        });
+    }
+
+    fn probe_round(&self, rng: &mut fastrand::Rng) {
+        let digest = self.digest();
+        let picked = {
+            let members = lock(&self.0.members);
+            let mut picked = members.pick(NodeRole::Entry, self.0.config.probes, rng);
+            picked.extend(members.pick(NodeRole::Sidecar, self.0.config.probes, rng));
+            picked
+        };
+        for node in picked {
+            let entry = self.clone();
+            let digest = digest.clone();
+            self.0.spawner.spawn(async move { entry.probe(node, digest).await });
+        }
+    }
+
+    async fn probe(&self, node: NodeId, digest: Digest) {
+        let late = async {
+            Timer::after(self.0.config.membership.suspect_after).await;
+            None
+        };
+        let ask = async { self.0.links.ask(&node, Request::Probe(digest)).await.ok() };
+        if let Some(Reply::Probed(digest)) = ask.or(late).await {
+            self.take_digest(&digest);
+        }
+    }
+
+    /// Takes what a node says of itself.
+    pub(super) fn take_digest(&self, digest: &Digest) {
+        let now = Instant::now();
+        lock(&self.0.members).take(now, digest);
+        let Some(load) = &digest.load else {
+            return;
+        };
+        let mut chooser = lock(&self.0.chooser);
+        if let Some(serving) = &digest.serving {
+            let domain = self.failure_domain(&digest.node);
+            chooser.upsert(now, &digest.node, endpoint_info(serving, domain));
+        }
+        chooser.observe(now, &digest.node, load);
+        if digest.leaving {
+            chooser.set_state(&digest.node, EndpointState::Leaving);
+        }
+    }
+
+    fn failure_domain(&self, node: &str) -> String {
+        let members = lock(&self.0.members);
+        let known = members.node(node).map(|node| node.failure_domain.clone());
+        known.unwrap_or_default()
+    }
+
+    /// Writes what this node tells others.
+    pub(super) fn digest(&self) -> Digest {
+        let digest = lock(&self.0.members).digest(Instant::now(), self.owned_epochs());
+        Digest {
+            leaving: self.is_leaving(),
+            configuration: self.0.environments.version(),
+            ..digest
+        }
+    }
+
+    fn owned_epochs(&self) -> Vec<(Partition, Epoch)> {
+        let epochs = self.0.partitions.iter().zip(0..);
+        epochs
+            .filter_map(|(handle, partition)| Some((partition, handle.epoch()?)))
+            .collect()
+    }
+
+    /// Says for each partition whether this node should own it.
+    fn propose_owners(&self) {
+        let own = (!self.is_leaving()).then_some(self.0.config.node.as_str());
+        let now = Instant::now();
+        let live = lock(&self.0.members).candidates(now, NodeRole::Entry, own);
+        for (handle, partition) in self.0.partitions.iter().zip(0..) {
+            let key = partition_key(partition);
+            let ranked = rendezvous(&key, live.iter().map(String::as_str));
+            handle.want(ranked.first() == Some(&self.0.config.node.as_str()));
+        }
+    }
+
+    /// Returns the node that should own a partition.
+    pub(super) fn proposed_owner(&self, partition: Partition) -> Option<NodeId> {
+        let own = (!self.is_leaving()).then_some(self.0.config.node.as_str());
+        let live = lock(&self.0.members).candidates(Instant::now(), NodeRole::Entry, own);
+        let key = partition_key(partition);
+        let ranked = rendezvous(&key, live.iter().map(String::as_str));
+        ranked.first().map(|node| (*node).to_string())
+    }
+
+    /// Tells the chooser which endpoints are suspect or leaving.
+    fn update_endpoints(&self) {
+        let now = Instant::now();
+        let members = lock(&self.0.members);
+        let sidecars = members.nodes().filter(|(_, n)| n.role == NodeRole::Sidecar);
+        let states: Vec<(NodeId, EndpointState)> = sidecars
+            .map(|(name, _)| (name.clone(), endpoint_state(members.state(now, name))))
+            .collect();
+        drop(members);
+        let mut chooser = lock(&self.0.chooser);
+        for (endpoint, state) in states {
+            chooser.set_state(&endpoint, state);
+        }
+    }
+}
+
+fn partition_key(partition: Partition) -> String {
+    format!("partition/{partition}")
+}
+
+fn endpoint_state(state: Option<NodeState>) -> EndpointState {
+    match state {
+        Some(NodeState::Live) => EndpointState::Live,
+        Some(NodeState::Leaving) => EndpointState::Leaving,
+        Some(NodeState::Suspect | NodeState::Failed) | None => EndpointState::Suspect,
+    }
+}
+
+fn endpoint_info(serving: &Serving, failure_domain: String) -> EndpointInfo {
+    match serving {
+        Serving::Models(models) => EndpointInfo {
+            kind: EndpointKind::Engine,
+            models: models.clone(),
+            failure_domain,
+        },
+        Serving::Service(service) => EndpointInfo {
+            kind: EndpointKind::Service(service.clone()),
+            models: Vec::new(),
+            failure_domain,
+        },
+    }
+}
--- a/src/protocol/link.rs
+++ b/src/protocol/link.rs
@@ -217,6 +217,12 @@
         /// The call.
         call: CallId,
     },
+    /// A run of the call has started; tokens that follow belong to it. A run that differs from
+    /// the one before replaces its tokens.
+    Started {
+        /// Names the run.
+        run: u64,
+    },
     /// Some text.
     Tokens(Tokens),
 }
@@ -386,6 +392,17 @@
     pub heard: Vec<Heard>,
     /// Load, if it is a sidecar.
     pub load: Option<SidecarLoad>,
+    /// What its endpoint serves, if it is a sidecar.
+    pub serving: Option<Serving>,
+}
+
+/// What an endpoint serves.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Serving {
+    /// Models and adapters with their versions.
+    Models(Vec<(ModelId, u32)>),
+    /// A service, by its name in the environment documents.
+    Service(String),
 }
 
 /// What a node has heard of another.
@@ -410,4 +427,5 @@
     type Reply = Reply;
 }
 
+mod part;
 mod tokens;
--- /dev/null
+++ b/src/sidecar/serve.rs
@@ -0,0 +1,121 @@
+//! Requests of owners and other nodes to a sidecar.
+
+use crate::protocol::engine::Engine;
+use crate::protocol::link::{Event, Generated, Messages, Reply, Request, Tokens};
+use crate::protocol::refusal::{Refusal, RefusalCode};
+use crate::protocol::service::Service;
+use crate::sidecar::generation::{Generation, Whole};
+use crate::sidecar::{Sidecar, lock};
+use crate::transport::handshake::Remote;
+use crate::transport::link::{Gone, Responder, Serve};
+use crate::transport::replay::Followed;
+use futures_lite::FutureExt;
+
+impl<E: Engine, S: Service> Serve<Messages> for Sidecar<E, S> {
+    async fn serve(&self, _from: Remote, request: Request, mut responder: Responder<Messages>) {
+        match request {
+            Request::Generate(generate) => match self.generation(generate) {
+                Ok(generation) => self.follow(generation, 0, responder).await,
+                Err(refusal) => responder.reply(Reply::Refused(refusal)),
+            },
+            Request::Resume { call, from } => {
+                let known = lock(&self.0.generations).get(&call).cloned();
+                match known {
+                    Some(generation) => self.follow(generation, from, responder).await,
+                    None => responder.reply(Reply::Refused(unknown_call())),
+                }
+            }
+            other => {
+                let answer = self.answer(other);
+                let gone = async {
+                    responder.gone().await;
+                    None
+                };
+                if let Some(reply) = async { Some(answer.await) }.or(gone).await {
+                    responder.reply(reply);
+                }
+            }
+        }
+    }
+}
+
+fn unknown_call() -> Refusal {
+    Refusal::not_run(RefusalCode::NotFound, "The call is not known here.")
+}
+
+impl<E: Engine, S: Service> Sidecar<E, S> {
+    async fn answer(&self, request: Request) -> Reply {
+        match request {
+            Request::Cancel { call } => {
+                if let Some(generation) = lock(&self.0.generations).remove(&call) {
+                    generation.stop();
+                }
+                Reply::Done
+            }
+            Request::Invoke(invoke) => self.invoke(invoke).await,
+            Request::Settle {
+                partition,
+                epoch,
+                call,
+            } => self.settle(partition, epoch, call),
+            Request::Release { program } => self.release(program).await,
+            Request::Confirm { programs } => {
+                lock(&self.0.memory).confirm(&programs);
+                Reply::Done
+            }
+            Request::Order { order, fence } => self.order(order, fence).await,
+            Request::Probe(digest) => Reply::Probed(self.probe(&digest)),
+            _ => Reply::Refused(Refusal::not_run(
+                RefusalCode::Invalid,
+                "A sidecar does not serve this request.",
+            )),
+        }
+    }
+
+    /// Sends a generation's text from a position on.
+    async fn follow(&self, generation: Generation, from: u32, mut responder: Responder<Messages>) {
+        generation.enter();
+        let sent = self.send_text(&generation, from, &mut responder).await;
+        generation.leave();
+        if let Ok(reply) = sent {
+            responder.reply(reply);
+        }
+    }
+
+    async fn send_text(
+        &self,
+        generation: &Generation,
+        from: u32,
+        responder: &mut Responder<Messages>,
+    ) -> Result<Reply, Gone> {
+        let mut follower = generation.text.follow(from);
+        loop {
+            let next = async { Ok(follower.next().await) };
+            let gone = async {
+                responder.gone().await;
+                Err(Gone)
+            };
+            let event = match next.or(gone).await? {
+                Followed::Started(run) => Event::Started { run },
+                Followed::Part(tokens) => Event::Tokens(tokens),
+                Followed::End(Ok(whole)) => return Ok(Reply::Generated(self.generated(whole))),
+                Followed::End(Err(refusal)) => return Ok(Reply::Refused(refusal)),
+            };
+            responder.event(event).await?;
+        }
+    }
+
+    fn generated(&self, whole: Whole) -> Generated {
+        Generated {
+            usage: whole.usage,
+            load: self.load(),
+            queued_ms: whole.queued.as_millis() as u64,
+            ran_ms: whole.ran.as_millis() as u64,
+        }
+    }
+}
+
+/// Joins the texts of parts.
+pub(crate) fn join(parts: &[Tokens]) -> String {
+    parts.iter().map(|part| part.text.as_str()).collect()
+}
--- a/src/transport/mod.rs
+++ b/src/transport/mod.rs
@@ -3,4 +3,5 @@
 pub(crate) mod handshake;
 pub(crate) mod link;
 pub(crate) mod pool;
+pub(crate) mod replay;
 pub(crate) mod spawn;
