--- /dev/null
+++ b/src/entry/route.rs
@@ -0,0 +1,156 @@
+//! Routing a request to the owner of its program's partition, also when the owner changes.
+
+use crate::entry::{Entry, lock};
+use crate::ids::{NodeId, Partition, ProgramId, partition_of};
+use crate::protocol::link::{Event, Messages, Reply, Request};
+use crate::protocol::log::Log;
+use crate::protocol::refusal::{Ran, Refusal, RefusalCode};
+use crate::transport::link::{Exchange, Inbound};
+use crate::transport::replay::{Followed, Follower};
+use smol::Timer;
+use std::time::{Duration, Instant};
+
+use super::owner::AnswerEnd;
+use crate::protocol::link::Tokens;
+
+/// How long a request waits for an owner, such as during a takeover.
+const OWNER_PATIENCE: Duration = Duration::from_secs(8);
+
+/// Pause before the owner is asked again.
+const OWNER_PAUSE: Duration = Duration::from_millis(100);
+
+/// When a caller should come back after no owner was found.
+const OWNER_RETRY_MS: u64 = 1_000;
+
+/// What comes next on a route.
+pub(crate) enum Step {
+    /// Part of the answer.
+    Event(Event),
+    /// The end.
+    Reply(Reply),
+}
+
+/// An answer on its way from this node's own partition or from another node.
+pub(super) enum Source {
+    /// From a partition of this node: events, then an answer.
+    Local(Follower<Tokens, AnswerEnd>),
+    /// From a partition of this node: an answer at once.
+    Ready(Reply),
+    /// From another node.
+    Remote(Exchange<Messages>),
+}
+
+/// A request on its way to the owner of its partition.
+///
+/// A request is sent again, with the same ids, when its owner is lost; owners take the second one
+/// for the first.
+pub(crate) struct Route<L> {
+    entry: Entry<L>,
+    partition: Partition,
+    request: Request,
+    source: Option<Source>,
+    give_up: Instant,
+}
+
+impl<L: Log> Entry<L> {
+    /// Sends a request to the owner of a program.
+    pub(crate) fn route(&self, program: ProgramId, request: Request) -> Route<L> {
+        Route {
+            partition: partition_of(program, self.0.config.partitions),
+            entry: self.clone(),
+            request,
+            source: None,
+            give_up: Instant::now() + OWNER_PATIENCE,
+        }
+    }
+
+    /// Returns the node that owns a partition, or that should.
+    fn owner_of(&self, partition: Partition) -> Option<NodeId> {
+        let handle = &self.0.partitions[usize::from(partition)];
+        if handle.epoch().is_some() {
+            return Some(self.0.config.node.clone());
+        }
+        let members = lock(&self.0.members);
+        let known = members.owner(partition).cloned();
+        let now = Instant::now();
+        let alive = known.filter(|node| {
+            let state = members.state(now, node);
+            state.is_some_and(|s| s != crate::coordination::membership::NodeState::Failed)
+        });
+        drop(members);
+        alive.or_else(|| self.proposed_owner(partition))
+    }
+}
+
+impl<L: Log> Route<L> {
+    /// Waits for what comes next.
+    pub(crate) async fn next(&mut self) -> Step {
+        loop {
+            if self.source.is_none() {
+                self.source = self.connect().await;
+            }
+            let step = match &mut self.source {
+                Some(source) => take_next(source).await,
+                None => None,
+            };
+            match step {
+                Some(step) if !is_no_owner(&step) => {
+                    self.give_up = Instant::now() + OWNER_PATIENCE;
+                    return step;
+                }
+                _ if Instant::now() >= self.give_up => return Step::Reply(no_owner()),
+                _ => {
+                    self.source = None;
+                    Timer::after(OWNER_PAUSE).await;
+                }
+            }
+        }
+    }
+
+    /// Waits for the end.
+    pub(crate) async fn reply(&mut self) -> Reply {
+        loop {
+            if let Step::Reply(reply) = self.next().await {
+                return reply;
+            }
+        }
+    }
+
+    async fn connect(&self) -> Option<Source> {
+        let owner = self.entry.owner_of(self.partition)?;
+        if owner == self.entry.0.config.node {
+            return Some(self.entry.serve_local(self.request.clone()).await);
+        }
+        let opened = self.entry.0.links.open(&owner, self.request.clone()).await;
+        opened.ok().map(Source::Remote)
+    }
+}
+
+async fn take_next(source: &mut Source) -> Option<Step> {
+    match source {
+        Source::Ready(reply) => Some(Step::Reply(reply.clone())),
+        Source::Local(follower) => Some(match follower.next().await {
+            Followed::Started(run) => Step::Event(Event::Started { run }),
+            Followed::Part(tokens) => Step::Event(Event::Tokens(tokens)),
+            Followed::End(Ok(answer)) => Step::Reply(Reply::Answer(answer)),
+            Followed::End(Err(refusal)) => Step::Reply(Reply::Refused(refusal)),
+        }),
+        Source::Remote(exchange) => match exchange.next().await {
+            Ok(Inbound::Event(event)) => Some(Step::Event(event)),
+            Ok(Inbound::Reply(reply)) => Some(Step::Reply(reply)),
+            Err(_) => None,
+        },
+    }
+}
+
+fn is_no_owner(step: &Step) -> bool {
+    let Step::Reply(Reply::Refused(refusal)) = step else {
+        return false;
+    };
+    refusal.code == RefusalCode::NoOwner && refusal.ran == Ran::No
+}
+
+fn no_owner() -> Reply {
+    let refusal = Refusal::not_run(RefusalCode::NoOwner, "No node answers for the program.");
+    Reply::Refused(refusal.retry_after_ms(OWNER_RETRY_MS))
+}
--- a/src/sidecar/generation.rs
+++ b/src/sidecar/generation.rs
@@ -13,8 +13,6 @@
 use async_channel::{Receiver, Sender};
 use futures_lite::FutureExt;
 use smol::Timer;
-use std::sync::Arc;
-use std::sync::atomic::{AtomicUsize, Ordering};
 use std::time::{Duration, Instant};
 
 /// How often a stream is opened again before the call fails.
@@ -30,10 +28,6 @@
     pub(crate) program: ProgramId,
     /// Its text.
     pub(crate) text: Text,
-    /// Who reads it now.
-    pub(crate) readers: Arc<AtomicUsize>,
-    /// When the last reader left or the text ended, whichever is later.
-    pub(crate) idle_since: Arc<std::sync::Mutex<Instant>>,
     stop: Sender<()>,
 }
 
@@ -42,25 +36,6 @@
     pub(crate) fn stop(&self) {
         self.stop.close();
     }
-
-    /// Notes that somebody reads.
-    pub(crate) fn enter(&self) {
-        self.readers.fetch_add(1, Ordering::Relaxed);
-    }
-
-    /// Notes that a reader left.
-    pub(crate) fn leave(&self) {
-        *lock(&self.idle_since) = Instant::now();
-        self.readers.fetch_sub(1, Ordering::Relaxed);
-    }
-
-    /// Returns for how long nobody has read.
-    pub(crate) fn idle(&self) -> Duration {
-        if self.readers.load(Ordering::Relaxed) > 0 {
-            return Duration::ZERO;
-        }
-        lock(&self.idle_since).elapsed()
-    }
 }
 
 /// What is known when a generation is whole.
@@ -114,8 +89,6 @@
         let generation = Generation {
             program: generate.request.program,
             text: Text::new(),
-            readers: Arc::default(),
-            idle_since: Arc::new(std::sync::Mutex::new(Instant::now())),
             stop,
         };
         generation.text.start(self.run_id(call));
@@ -158,7 +131,6 @@
             // The engine may still generate, also when it does not answer now.
             self.0.spawner.spawn(self.clone().cancel(engine, call));
         }
-        *lock(&generation.idle_since) = Instant::now();
         generation.text.finish(result);
     }
 
--- a/src/sidecar/probe.rs
+++ b/src/sidecar/probe.rs
@@ -41,7 +41,7 @@
     fn forget_answers(&self) {
         let config = &self.0.config;
         lock(&self.0.generations).retain(|_, generation| {
-            let idle = generation.idle();
+            let idle = generation.text.idle();
             if generation.text.end().is_some() {
                 return idle < config.keep_answers;
             }
--- a/src/sidecar/serve.rs
+++ b/src/sidecar/serve.rs
@@ -1,7 +1,7 @@
 //! Requests of owners and other nodes to a sidecar.
 
 use crate::protocol::engine::Engine;
-use crate::protocol::link::{Event, Generated, Messages, Reply, Request, Tokens};
+use crate::protocol::link::{Event, Generated, Messages, Reply, Request};
 use crate::protocol::refusal::{Refusal, RefusalCode};
 use crate::protocol::service::Service;
 use crate::sidecar::generation::{Generation, Whole};
@@ -74,9 +74,7 @@
 
     /// Sends a generation's text from a position on.
     async fn follow(&self, generation: Generation, from: u32, mut responder: Responder<Messages>) {
-        generation.enter();
         let sent = self.send_text(&generation, from, &mut responder).await;
-        generation.leave();
         if let Ok(reply) = sent {
             responder.reply(reply);
         }
@@ -114,8 +112,3 @@
         }
     }
 }
-
-/// Joins the texts of parts.
-pub(crate) fn join(parts: &[Tokens]) -> String {
-    parts.iter().map(|part| part.text.as_str()).collect()
-}
--- a/src/transport/replay.rs
+++ b/src/transport/replay.rs
@@ -2,6 +2,7 @@
 
 use event_listener::Event;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::{Duration, Instant};
 
 /// Part of an answer that has a position.
 pub(crate) trait Part: Clone + Send + 'static {
@@ -27,11 +28,14 @@
     End(R),
 }
 
-/// Invariants: `parts` are contiguous and belong to `run`; nothing changes after `end` is set.
+/// Invariants: `parts` are contiguous and belong to `run`; neither changes after `end` is set.
 struct State<P, R> {
     run: u64,
     parts: Vec<P>,
     end: Option<R>,
+    followers: usize,
+    /// When the last follower left or the end came, whichever is later.
+    idle_since: Instant,
 }
 
 struct Shared<P, R> {
@@ -56,6 +60,8 @@
                 run: 0,
                 parts: Vec::new(),
                 end: None,
+                followers: 0,
+                idle_since: Instant::now(),
             }),
             changed: Event::new(),
         }))
@@ -99,6 +105,7 @@
     pub(crate) fn finish(&self, end: R) {
         let mut state = self.state();
         state.end.get_or_insert(end);
+        state.idle_since = Instant::now();
         drop(state);
         self.0.changed.notify(usize::MAX);
     }
@@ -108,6 +115,15 @@
         self.state().end.clone()
     }
 
+    /// Returns for how long nobody has followed.
+    pub(crate) fn idle(&self) -> Duration {
+        let state = self.state();
+        match state.followers {
+            0 => state.idle_since.elapsed(),
+            _ => Duration::ZERO,
+        }
+    }
+
     /// Returns the position after the last part.
     pub(crate) fn next_index(&self) -> u32 {
         self.state().parts.last().map_or(0, Part::end)
@@ -122,6 +138,7 @@
     ///
     /// The first part may begin before it if the position is inside a part.
     pub(crate) fn follow(&self, from: u32) -> Follower<P, R> {
+        self.state().followers += 1;
         Follower {
             replay: self.clone(),
             run: 0,
@@ -130,24 +147,13 @@
         }
     }
 
-    /// Waits for the end.
-    pub(crate) async fn wait(&self) -> R {
-        loop {
-            let listener = self.0.changed.listen();
-            if let Some(end) = self.end() {
-                return end;
-            }
-            listener.await;
-        }
-    }
-
     fn state(&self) -> MutexGuard<'_, State<P, R>> {
         self.0.state.lock().unwrap_or_else(PoisonError::into_inner)
     }
 }
 
 /// Reads a [`Replay`] part by part.
-pub(crate) struct Follower<P, R> {
+pub(crate) struct Follower<P: Part, R: Clone> {
     replay: Replay<P, R>,
     run: u64,
     from: u32,
@@ -182,3 +188,11 @@
         state.end.clone().map(Followed::End)
     }
 }
+
+impl<P: Part, R: Clone> Drop for Follower<P, R> {
+    fn drop(&mut self) {
+        let mut state = self.replay.state();
+        state.followers -= 1;
+        state.idle_since = Instant::now();
+    }
+}
