--- /dev/null
+++ b/src/entry/http/body.rs
@@ -0,0 +1,55 @@
+//! A response body that is written while it is sent.
+
+use async_channel::{Receiver, Sender};
+use futures_lite::{AsyncRead, Stream};
+use std::io;
+use std::pin::Pin;
+use std::task::{Context, Poll};
+use trillium::Body;
+
+/// Chunks that wait for a slow reader.
+const CHUNKS: usize = 16;
+
+/// Makes a body and the channel that fills it; closing the channel ends the body.
+pub(super) fn channel() -> (Sender<Vec<u8>>, Body) {
+    let (tx, rx) = async_channel::bounded(CHUNKS);
+    let reader = Reader {
+        rx: Box::pin(rx),
+        chunk: Vec::new(),
+        read: 0,
+    };
+    (tx, Body::new_streaming(reader, None))
+}
+
+/// Reads chunks as bytes.
+///
+/// Invariant: `read` is at most the length of `chunk`.
+struct Reader {
+    rx: Pin<Box<Receiver<Vec<u8>>>>,
+    chunk: Vec<u8>,
+    read: usize,
+}
+
+impl AsyncRead for Reader {
+    fn poll_read(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        buf: &mut [u8],
+    ) -> Poll<io::Result<usize>> {
+        while self.read == self.chunk.len() {
+            match self.rx.as_mut().poll_next(cx) {
+                Poll::Ready(Some(chunk)) => {
+                    self.chunk = chunk;
+                    self.read = 0;
+                }
+                Poll::Ready(None) => return Poll::Ready(Ok(0)),
+                Poll::Pending => return Poll::Pending,
+            }
+        }
+        let rest = &self.chunk[self.read..];
+        let count = rest.len().min(buf.len());
+        buf[..count].copy_from_slice(&rest[..count]);
+        self.read += count;
+        Poll::Ready(Ok(count))
+    }
+}
--- /dev/null
+++ b/src/entry/owner.rs
@@ -0,0 +1,216 @@
+//! The owner's part of an entry: programs whose partition this node owns.
+
+mod action;
+mod answer;
+mod branch;
+mod budget;
+mod end;
+mod lookup;
+mod model;
+mod program;
+mod settle;
+mod tool;
+
+pub(crate) use answer::refuse_no_owner;
+pub(crate) use program::{AnswerEnd, Answers, Programs};
+
+use crate::coordination::partition::PartitionHandle;
+use crate::entry::Entry;
+use crate::ids::{CallId, Epoch, ProgramId};
+use crate::protocol::link::{Call, Caller, Create, Durability, HistoryTurn, Reply};
+use crate::protocol::log::Log;
+use crate::protocol::record::{Created, Turn};
+use crate::protocol::refusal::{Refusal, RefusalCode};
+use crate::state::history::HistoryError;
+use answer::{refuse_commit, refuse_history};
+use program::{LiveProgram, Owned};
+use smol::Timer;
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+/// Pause between two looks for a program that another request is beginning.
+const CREATED_PAUSE: Duration = Duration::from_millis(10);
+
+impl<L: Log> Entry<L> {
+    /// Begins a program.
+    pub(super) async fn create(&self, create: Create) -> Result<Reply, Refusal> {
+        let handle = self.partition(create.program);
+        let epoch = owned_epoch(handle)?;
+        if let Some(known) = self.find_created(handle, &create) {
+            return Ok(created(known, handle.with_state(|state| state.accepted())));
+        }
+        if self.is_leaving() {
+            return Err(refuse_no_owner());
+        }
+        let live = LiveProgram::begin(&create, epoch);
+        let entry = Created {
+            program: create.program,
+            member: create.caller.member,
+            environment: create.caller.environment,
+            key: create.key,
+            budget: create.budget,
+            deadline_ms: create.deadline_ms,
+            reserved: live.reserve_ahead(),
+        };
+        let live = match self.0.programs.insert(entry.key.as_deref(), live) {
+            Ok(live) => live,
+            Err(first) => return self.await_created(handle, first).await,
+        };
+        let committed = self.commit(handle, vec![entry.into()]).await;
+        match committed {
+            Ok(Some(offset)) => Ok(created(live.id, offset)),
+            Ok(None) => Ok(pending(live.id)),
+            Err(error) => {
+                self.0.programs.remove(live.id);
+                Err(refuse_commit(&error))
+            }
+        }
+    }
+
+    /// Finds a program begun before under the same id or key.
+    fn find_created(&self, handle: &PartitionHandle<L>, create: &Create) -> Option<ProgramId> {
+        let caller = &create.caller;
+        handle.with_state(|state| {
+            let same = state.program(create.program);
+            let same = same.filter(|program| program.is_of(&caller.member));
+            let by_key = create.key.as_deref().and_then(|key| {
+                state.program_by_key(&caller.environment, &caller.member, key)
+            });
+            same.or(by_key).map(|program| program.program)
+        })
+    }
+
+    /// Waits for a program that another request with the same key is beginning.
+    async fn await_created(
+        &self,
+        handle: &PartitionHandle<L>,
+        first: ProgramId,
+    ) -> Result<Reply, Refusal> {
+        let give_up = Instant::now() + self.0.config.commit_patience;
+        while Instant::now() < give_up {
+            if handle.with_state(|state| state.program(first).is_some()) {
+                return Ok(created(first, handle.with_state(|state| state.accepted())));
+            }
+            if !self.0.programs.contains(first) {
+                return Err(refuse_no_owner());
+            }
+            Timer::after(CREATED_PAUSE).await;
+        }
+        Ok(pending(first))
+    }
+
+    /// Runs a call, or finds the one that it repeats.
+    pub(super) async fn call(&self, call: Call) -> Result<(CallId, Answers), Refusal> {
+        let owned = self.owned_program(&call.caller, call.program)?;
+        if let Some(known) = self.find_call(&owned, call.call, call.key.as_deref()).await? {
+            return Ok(known);
+        }
+        if let Some(reason) = owned.live.ended() {
+            let message = format!("The program has ended: {reason}.");
+            return Err(Refusal::not_run(RefusalCode::Ended, message));
+        }
+        Ok(self.enqueue(owned, call))
+    }
+
+    /// Finds a call's answer.
+    pub(super) async fn attach(
+        &self,
+        caller: &Caller,
+        program: ProgramId,
+        call: CallId,
+    ) -> Result<Answers, Refusal> {
+        let owned = self.owned_program(caller, program)?;
+        let found = self.find_call(&owned, call, None).await?;
+        let found = found.map(|(_, text)| text);
+        found.ok_or_else(|| Refusal::not_run(RefusalCode::NotFound, "There is no such call."))
+    }
+
+    /// Reads a program's turns.
+    pub(super) async fn history(
+        &self,
+        caller: &Caller,
+        program: ProgramId,
+    ) -> Result<Reply, Refusal> {
+        let owned = self.owned_program(caller, program)?;
+        let branches = owned.handle.with_state(|state| {
+            let known = state.program(program);
+            let branches = known.map(|p| p.branches.iter().map(|b| b.branch).collect());
+            branches.unwrap_or_default()
+        });
+        let branches: Vec<_> = branches;
+        let mut turns = Vec::new();
+        for branch in branches {
+            let read = owned.handle.history(&caller.member, program, branch).await;
+            let read = read.map_err(|e| refuse_history(&e))?;
+            turns.extend(read.iter().map(|turn| history_turn(turn, true)));
+        }
+        let pending = owned.live.pending_turns();
+        turns.extend(pending.iter().map(|turn| history_turn(turn, false)));
+        turns.sort_by_key(|turn| (turn.branch, turn.number, !turn.committed));
+        turns.dedup_by_key(|turn| (turn.branch, turn.number));
+        Ok(Reply::History(turns))
+    }
+
+    /// Returns a program of the caller that this node owns.
+    fn owned_program(&self, caller: &Caller, program: ProgramId) -> Result<Owned<L>, Refusal> {
+        let handle = self.partition(program).clone();
+        let epoch = owned_epoch(&handle)?;
+        let live = self.0.programs.get(program, epoch);
+        let live = live.or_else(|| self.load(&handle, program, epoch));
+        let live = live.filter(|live| {
+            live.member == caller.member && live.environment == caller.environment
+        });
+        match live {
+            Some(live) => Ok(Owned {
+                handle,
+                epoch,
+                live,
+            }),
+            None => Err(refuse_history(&HistoryError::NotFound)),
+        }
+    }
+
+    fn load(
+        &self,
+        handle: &PartitionHandle<L>,
+        program: ProgramId,
+        epoch: Epoch,
+    ) -> Option<Arc<LiveProgram>> {
+        let loaded = handle.with_state(|state| {
+            let known = state.program(program)?;
+            Some(LiveProgram::load(known, epoch))
+        })?;
+        Some(self.0.programs.adopt(loaded))
+    }
+}
+
+/// Returns the epoch in which this node owns a partition.
+fn owned_epoch<L: Log>(handle: &PartitionHandle<L>) -> Result<Epoch, Refusal> {
+    handle.epoch().ok_or_else(refuse_no_owner)
+}
+
+fn created(program: ProgramId, offset: u64) -> Reply {
+    Reply::Created {
+        program,
+        durability: Durability::Committed { offset },
+    }
+}
+
+fn pending(program: ProgramId) -> Reply {
+    Reply::Created {
+        program,
+        durability: Durability::Pending {
+            receipt: String::new(),
+        },
+    }
+}
+
+fn history_turn(turn: &Turn, committed: bool) -> HistoryTurn {
+    HistoryTurn {
+        branch: turn.branch,
+        number: turn.number,
+        call: turn.call,
+        messages: turn.messages.clone(),
+        committed,
+    }
+}
--- /dev/null
+++ b/src/entry/owner/answer.rs
@@ -0,0 +1,49 @@
+//! Refusals that an owner gives.
+
+use crate::coordination::partition::CommitError;
+use crate::protocol::refusal::{Refusal, RefusalCode};
+use crate::state::history::HistoryError;
+
+/// When to come back while the log is down, in milliseconds.
+pub(super) const LOG_RETRY_MS: u64 = 1_000;
+
+/// When to come back while a partition changes its owner, in milliseconds.
+const OWNER_RETRY_MS: u64 = 200;
+
+/// Refuses since this node does not own the program's partition.
+pub(crate) fn refuse_no_owner() -> Refusal {
+    let message = "This node does not own the program's partition.";
+    Refusal::not_run(RefusalCode::NoOwner, message).retry_after_ms(OWNER_RETRY_MS)
+}
+
+/// Refuses since an entry could not be put in line for the log.
+pub(super) fn refuse_commit(error: &CommitError) -> Refusal {
+    match error {
+        CommitError::Full => {
+            let message = "The backlog of the log is full.";
+            Refusal::not_run(RefusalCode::LogDown, message).retry_after_ms(LOG_RETRY_MS)
+        }
+        CommitError::Ignored(why) => {
+            log::error!(target: "owner", "owner: the fold ignored an entry: {why}");
+            Refusal::unknown(RefusalCode::Conflict, "The program's state has changed.")
+        }
+        _ => refuse_no_owner(),
+    }
+}
+
+/// Refuses since a history cannot be read.
+pub(super) fn refuse_history(error: &HistoryError) -> Refusal {
+    match error {
+        HistoryError::NotFound => {
+            Refusal::not_run(RefusalCode::NotFound, "There is no such program.")
+        }
+        HistoryError::Unavailable(_) => {
+            let message = "The log does not give the history now.";
+            Refusal::not_run(RefusalCode::LogDown, message).retry_after_ms(LOG_RETRY_MS)
+        }
+        error => {
+            log::error!(target: "owner", "owner: history cannot be used: {error}");
+            Refusal::not_run(RefusalCode::Conflict, "The history cannot be read.")
+        }
+    }
+}
--- /dev/null
+++ b/src/entry/owner/settle.rs
@@ -0,0 +1,179 @@
+//! Settling actions whose outcome is not known: asking the one sidecar that may have run them.
+
+use crate::coordination::partition::{Change, PartitionHandle};
+use crate::entry::owner::action::{Settled, not_run, spent_on};
+use crate::entry::owner::answer::refuse_no_owner;
+use crate::entry::owner::program::Owned;
+use crate::entry::{Entry, lock};
+use crate::ids::{CallId, EndpointId, Epoch, ProgramId, partition_of};
+use crate::protocol::image::{Action, ActionPhase};
+use crate::protocol::link::{ActionReply, ActionState, Caller, Once, Reply, Request};
+use crate::protocol::log::Log;
+use crate::protocol::message::Usage;
+use crate::protocol::record::{ActionResult, Outcome};
+use futures_lite::FutureExt;
+use smol::Timer;
+use std::time::{Duration, Instant};
+
+/// Pause between two questions about one action.
+const SETTLE_PAUSE: Duration = Duration::from_millis(250);
+
+/// Longest wait for one answer about an action.
+const SETTLE_ANSWER: Duration = Duration::from_secs(2);
+
+/// How long a sidecar that does not answer is asked before the outcome is left to a person.
+const SETTLE_LIMIT: Duration = Duration::from_secs(20);
+
+impl<L: Log> Entry<L> {
+    /// Follows the ownership of all partitions.
+    pub(in crate::entry) fn watch_partitions(&self) {
+        for handle in &self.0.partitions {
+            let changes = handle.changes();
+            let entry = self.clone();
+            let handle = handle.clone();
+            self.0.spawner.spawn(async move {
+                while let Ok(change) = changes.recv().await {
+                    match change {
+                        Change::Gained(epoch) => entry.settle_partition(&handle, epoch),
+                        Change::Lost(epoch) => entry.drop_epoch(&handle, epoch),
+                        Change::Applied { .. } => {}
+                    }
+                }
+            });
+        }
+    }
+
+    /// Ends what this node did for a partition in an epoch that is over.
+    fn drop_epoch(&self, _handle: &PartitionHandle<L>, epoch: Epoch) {
+        log::info!(target: "owner", "owner: epoch {epoch} is over");
+        let refusal = refuse_no_owner();
+        for live in self.0.programs.all() {
+            if live.epoch == epoch {
+                live.abandon(&refusal);
+                self.0.programs.remove(live.id);
+            }
+        }
+    }
+
+    /// Settles the actions that the owner before has left open.
+    fn settle_partition(&self, handle: &PartitionHandle<L>, epoch: Epoch) {
+        log::info!(target: "owner", "owner: epoch {epoch} begins");
+        for (caller, program, action) in open_actions(handle) {
+            let entry = self.clone();
+            self.0.spawner.spawn(async move {
+                entry.settle_open(&caller, program, action).await;
+            });
+        }
+    }
+
+    async fn settle_open(&self, caller: &Caller, program: ProgramId, action: Action) {
+        let Ok(owned) = self.owned_program(caller, program) else {
+            return;
+        };
+        let once = Once {
+            incarnation: action.incarnation,
+            intent: action.offset,
+        };
+        let settled = self
+            .settle_action(&owned, action.call, &action.endpoint, once, action.reserved)
+            .await;
+        let outcome = Outcome {
+            program,
+            call: action.call,
+            result: settled.result,
+            spent: settled.spent,
+            resolved_by: None,
+        };
+        owned
+            .live
+            .with_ledger(|ledger| ledger.settle(action.reserved, settled.spent));
+        if let Err(error) = owned.handle.commit(vec![outcome.into()]).await {
+            log::info!(target: "owner", "owner: settlement left to the next owner: {error}");
+        }
+    }
+
+    /// Finds out what became of an action.
+    pub(super) async fn settle_action(
+        &self,
+        owned: &Owned<L>,
+        call: CallId,
+        endpoint: &EndpointId,
+        once: Once,
+        cost: Usage,
+    ) -> Settled {
+        let unknown = |why: &str| Settled {
+            result: ActionResult::Unknown(why.to_string()),
+            spent: cost,
+        };
+        let mut give_up = Instant::now() + SETTLE_LIMIT;
+        while Instant::now() < give_up {
+            match self.ask_settle(owned, call, endpoint, once).await {
+                Some(reply) => match reply.state {
+                    ActionState::Over(result) => {
+                        return Settled {
+                            spent: spent_on(&result, reply.ran_ms, cost),
+                            result,
+                        };
+                    }
+                    ActionState::Voided => return not_run("voided before it was dispatched"),
+                    ActionState::Unknown => return unknown("the sidecar cannot tell"),
+                    ActionState::Running => give_up = Instant::now() + SETTLE_LIMIT,
+                },
+                None if self.is_replaced(endpoint, once) => {
+                    return unknown("the sidecar that may have run it is no more");
+                }
+                None => {}
+            }
+            Timer::after(SETTLE_PAUSE).await;
+        }
+        unknown("the sidecar that may have run it does not answer")
+    }
+
+    async fn ask_settle(
+        &self,
+        owned: &Owned<L>,
+        call: CallId,
+        endpoint: &EndpointId,
+        once: Once,
+    ) -> Option<ActionReply> {
+        let request = Request::Settle {
+            partition: partition_of(owned.live.id, self.0.config.partitions),
+            epoch: owned.epoch,
+            call,
+            once,
+        };
+        let late = async {
+            Timer::after(SETTLE_ANSWER).await;
+            None
+        };
+        let ask = async { self.0.links.ask(endpoint, request).await.ok() };
+        match ask.or(late).await? {
+            Reply::Action(reply) => Some(reply),
+            _ => None,
+        }
+    }
+
+    /// Tells whether another run of a sidecar has taken the place of the one that matters.
+    fn is_replaced(&self, endpoint: &EndpointId, once: Once) -> bool {
+        let members = lock(&self.0.members);
+        let known = members.node(endpoint).map(|node| node.incarnation);
+        known.is_some_and(|known| known != 0 && known != once.incarnation)
+    }
+}
+
+fn open_actions<L: Log>(handle: &PartitionHandle<L>) -> Vec<(Caller, ProgramId, Action)> {
+    handle.with_state(|state| {
+        let mut open = Vec::new();
+        for program in state.programs() {
+            let caller = Caller {
+                environment: program.environment.clone(),
+                member: program.member.clone(),
+            };
+            let actions = program.actions.iter();
+            for action in actions.filter(|action| action.state == ActionPhase::Open) {
+                open.push((caller.clone(), program.program, action.clone()));
+            }
+        }
+        open
+    })
+}
--- a/src/entry/route.rs
+++ b/src/entry/route.rs
@@ -1,18 +1,18 @@
 //! Routing a request to the owner of its program's partition, also when the owner changes.
 
+use crate::coordination::membership::NodeState;
+use crate::entry::owner::AnswerEnd;
 use crate::entry::{Entry, lock};
-use crate::ids::{NodeId, Partition, ProgramId, partition_of};
-use crate::protocol::link::{Event, Messages, Reply, Request};
+use crate::ids::{CallId, NodeId, Partition, ProgramId, partition_of};
+use crate::protocol::link::{Event, Messages, Reply, Request, Tokens};
 use crate::protocol::log::Log;
 use crate::protocol::refusal::{Ran, Refusal, RefusalCode};
 use crate::transport::link::{Exchange, Inbound};
 use crate::transport::replay::{Followed, Follower};
+use crate::transport::spawn::Spawner;
 use smol::Timer;
 use std::time::{Duration, Instant};
 
-use super::owner::AnswerEnd;
-use crate::protocol::link::Tokens;
-
 /// How long a request waits for an owner, such as during a takeover.
 const OWNER_PATIENCE: Duration = Duration::from_secs(8);
 
@@ -33,7 +33,12 @@
 /// An answer on its way from this node's own partition or from another node.
 pub(super) enum Source {
     /// From a partition of this node: events, then an answer.
-    Local(Follower<Tokens, AnswerEnd>),
+    Local {
+        /// The call, until it has been told.
+        accepted: Option<CallId>,
+        /// What follows.
+        follower: Follower<Tokens, AnswerEnd>,
+    },
     /// From a partition of this node: an answer at once.
     Ready(Reply),
     /// From another node.
@@ -75,7 +80,7 @@
         let now = Instant::now();
         let alive = known.filter(|node| {
             let state = members.state(now, node);
-            state.is_some_and(|s| s != crate::coordination::membership::NodeState::Failed)
+            state.is_some_and(|s| s != NodeState::Failed)
         });
         drop(members);
         alive.or_else(|| self.proposed_owner(partition))
@@ -83,6 +88,11 @@
 }
 
 impl<L: Log> Route<L> {
+    /// Returns where the work on this route's answer runs.
+    pub(crate) fn spawner(&self) -> Spawner {
+        self.entry.0.spawner.clone()
+    }
+
     /// Waits for what comes next.
     pub(crate) async fn next(&mut self) -> Step {
         loop {
@@ -126,15 +136,21 @@
     }
 }
 
-async fn take_next(source: &mut Source) -> Option<Step> {
+/// Waits for the next step of a source; `None` if the source is lost.
+pub(super) async fn take_next(source: &mut Source) -> Option<Step> {
     match source {
         Source::Ready(reply) => Some(Step::Reply(reply.clone())),
-        Source::Local(follower) => Some(match follower.next().await {
-            Followed::Started(run) => Step::Event(Event::Started { run }),
-            Followed::Part(tokens) => Step::Event(Event::Tokens(tokens)),
-            Followed::End(Ok(answer)) => Step::Reply(Reply::Answer(answer)),
-            Followed::End(Err(refusal)) => Step::Reply(Reply::Refused(refusal)),
-        }),
+        Source::Local { accepted, follower } => {
+            if let Some(call) = accepted.take() {
+                return Some(Step::Event(Event::Accepted { call }));
+            }
+            Some(match follower.next().await {
+                Followed::Started(run) => Step::Event(Event::Started { run }),
+                Followed::Part(tokens) => Step::Event(Event::Tokens(tokens)),
+                Followed::End(Ok(answer)) => Step::Reply(Reply::Answer(answer)),
+                Followed::End(Err(refusal)) => Step::Reply(Reply::Refused(refusal)),
+            })
+        }
         Source::Remote(exchange) => match exchange.next().await {
             Ok(Inbound::Event(event)) => Some(Step::Event(event)),
             Ok(Inbound::Reply(reply)) => Some(Step::Reply(reply)),
--- a/src/entry/serve.rs
+++ b/src/entry/serve.rs
@@ -2,13 +2,12 @@
 
 use crate::entry::Entry;
 use crate::entry::owner::refuse_no_owner;
-use crate::entry::route::Source;
-use crate::protocol::link::{Event, Messages, Reply, Request};
+use crate::entry::route::{Source, Step, take_next};
+use crate::protocol::link::{Messages, Reply, Request};
 use crate::protocol::log::Log;
 use crate::protocol::refusal::{Refusal, RefusalCode};
 use crate::transport::handshake::Remote;
 use crate::transport::link::{Gone, Responder, Serve};
-use crate::transport::replay::Followed;
 use futures_lite::FutureExt;
 
 impl<L: Log> Serve<Messages> for Entry<L> {
@@ -33,7 +32,10 @@
         match request {
             Request::Create(create) => ready(self.create(create).await),
             Request::Call(call) => match self.call(call).await {
-                Ok(text) => Source::Local(text.follow(0)),
+                Ok((id, text)) => Source::Local {
+                    accepted: Some(id),
+                    follower: text.follow(0),
+                },
                 Err(refusal) => Source::Ready(Reply::Refused(refusal)),
             },
             Request::Attach {
@@ -42,7 +44,10 @@
                 call,
                 from,
             } => match self.attach(&caller, program, call).await {
-                Ok(text) => Source::Local(text.follow(from)),
+                Ok(text) => Source::Local {
+                    accepted: None,
+                    follower: text.follow(from),
+                },
                 Err(refusal) => Source::Ready(Reply::Refused(refusal)),
             },
             Request::History { caller, program } => ready(self.history(&caller, program).await),
@@ -63,22 +68,21 @@
     Source::Ready(result.unwrap_or_else(Reply::Refused))
 }
 
-async fn send_answer(source: Source, responder: &mut Responder<Messages>) -> Result<Reply, Gone> {
-    let Source::Local(mut follower) = source else {
-        return Ok(Reply::Refused(refuse_no_owner()));
-    };
+/// Sends what a source gives until its end.
+async fn send_answer(
+    mut source: Source,
+    responder: &mut Responder<Messages>,
+) -> Result<Reply, Gone> {
     loop {
-        let next = async { Ok(follower.next().await) };
+        let next = async { Ok(take_next(&mut source).await) };
         let gone = async {
             responder.gone().await;
             Err(Gone)
         };
-        let event = match next.or(gone).await? {
-            Followed::Started(run) => Event::Started { run },
-            Followed::Part(tokens) => Event::Tokens(tokens),
-            Followed::End(Ok(answer)) => return Ok(Reply::Answer(answer)),
-            Followed::End(Err(refusal)) => return Ok(Reply::Refused(refusal)),
-        };
-        responder.event(event).await?;
+        match next.or(gone).await? {
+            Some(Step::Event(event)) => responder.event(event).await?,
+            Some(Step::Reply(reply)) => return Ok(reply),
+            None => return Ok(Reply::Refused(refuse_no_owner())),
+        }
     }
 }
--- a/src/protocol/link.rs
+++ b/src/protocol/link.rs
@@ -72,6 +72,8 @@
         epoch: Epoch,
         /// The call.
         call: CallId,
+        /// The run and the intent that the call was to be dispatched under.
+        once: Once,
     },
     /// Owner to sidecar: free the engine's memory of a program that is gone.
     Release {
@@ -205,8 +207,19 @@
     pub partition: Partition,
     /// The owner's epoch.
     pub epoch: Epoch,
-    /// The run of the sidecar that may run it; `None` for a repeatable call.
-    pub only_incarnation: Option<Incarnation>,
+    /// What limits it to one run; `None` for a repeatable call.
+    pub once: Option<Once>,
+    /// Longest time in the service, in milliseconds.
+    pub limit_ms: u64,
+}
+
+/// What limits a call that may not be repeated to one run.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Once {
+    /// The only run of the sidecar that may run it.
+    pub incarnation: Incarnation,
+    /// Offset of its intent in the partition's stream.
+    pub intent: Offset,
 }
 
 /// Part of an answer.
@@ -373,6 +386,10 @@
     Over(ActionResult),
     /// Still running.
     Running,
+    /// It never came, and it will be refused if it comes.
+    Voided,
+    /// This run of the sidecar cannot tell.
+    Unknown,
 }
 
 /// What nodes tell each other with every probe.
--- a/src/sidecar/mod.rs
+++ b/src/sidecar/mod.rs
@@ -8,16 +8,17 @@
 mod serve;
 
 use crate::coordination::admission::AdmissionConfig;
-use crate::coordination::dispatch::DispatchTable;
+use crate::coordination::dispatch::{DispatchLimits, DispatchTable};
 use crate::ids::{CallId, EndpointId, Epoch, Incarnation, Partition};
 use crate::protocol::engine::{Engine, EngineLoad};
-use crate::protocol::link::{SidecarLoad, Tokens};
+use crate::protocol::link::{Serving, SidecarLoad, Tokens};
 use crate::protocol::refusal::{Refusal, RefusalCode};
 use crate::protocol::service::Service;
 use crate::sidecar::generation::Generation;
 use crate::sidecar::memory::Memory;
 use crate::sidecar::queue::Queue;
 use crate::transport::spawn::Spawner;
+use event_listener::Event;
 use std::collections::HashMap;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
@@ -51,6 +52,8 @@
     pub(crate) keep_answers: Duration,
     /// How long a call runs on when nobody reads its answer.
     pub(crate) orphan_after: Duration,
+    /// What the endpoint serves.
+    pub(crate) serving: Serving,
     /// How long a program's cache is held without word from an owner.
     pub(crate) confirm_lapse: Duration,
 }
@@ -72,6 +75,7 @@
     queue: Queue,
     generations: Mutex<HashMap<CallId, Generation>>,
     dispatches: Mutex<DispatchTable>,
+    action_over: Event,
     fences: Mutex<HashMap<Partition, Epoch>>,
     memory: Mutex<Memory>,
     engine_load: Mutex<EngineLoad>,
@@ -90,15 +94,19 @@
     ) -> Self {
         let sidecar = Self(Arc::new(Inner {
             queue: Queue::new(config.admission.clone()),
-            config,
             endpoint,
             spawner: spawner.clone(),
             generations: Mutex::default(),
-            dispatches: Mutex::new(DispatchTable::default()),
+            dispatches: Mutex::new(DispatchTable::new(
+                config.incarnation,
+                DispatchLimits::default(),
+            )),
+            action_over: Event::new(),
             fences: Mutex::default(),
             memory: Mutex::default(),
             engine_load: Mutex::default(),
             leaving: AtomicBool::new(false),
+            config,
         }));
         spawner.spawn(sidecar.clone().watch_engine());
         spawner.spawn(sidecar.clone().sweep());
--- a/src/sidecar/probe.rs
+++ b/src/sidecar/probe.rs
@@ -110,6 +110,7 @@
             incarnation: config.incarnation,
             leaving: self.is_leaving(),
             load: Some(self.load()),
+            serving: Some(config.serving.clone()),
             ..Digest::default()
         }
     }
--- a/src/sidecar/serve.rs
+++ b/src/sidecar/serve.rs
@@ -57,7 +57,8 @@
                 partition,
                 epoch,
                 call,
-            } => self.settle(partition, epoch, call),
+                once,
+            } => self.settle(partition, epoch, call, once),
             Request::Release { program } => self.release(program).await,
             Request::Confirm { programs } => {
                 lock(&self.0.memory).confirm(&programs);
