--- a/src/lib.rs
+++ b/src/lib.rs
@@ -21,6 +21,11 @@
 mod settings;
 mod telemetry;
 
+pub mod standin;
+
+mod adapter;
+
+pub use adapter::{HttpEngine, HttpEngineStream, HttpLog, HttpService};
 mod coordination;
 mod entry;
 mod sidecar;
