--- a/src/bin/galenapickd.rs
+++ b/src/bin/galenapickd.rs
@@ -1,3 +1,7 @@
 //! The daemon.
 
-fn main() {}
+use std::process::ExitCode;
+
+fn main() -> ExitCode {
+    galenapick::run_daemon(std::env::args_os().skip(1))
+}
--- a/src/entry/environments.rs
+++ b/src/entry/environments.rs
@@ -61,6 +61,11 @@
         self.view().version
     }
 
+    /// Tells whether there is no environment.
+    pub(crate) fn is_empty(&self) -> bool {
+        self.view().environments.is_empty()
+    }
+
     /// Finds an environment.
     pub(crate) fn get(&self, environment: &EnvironmentId) -> Option<Served> {
         self.view().environments.get(environment).cloned()
--- a/src/entry/mod.rs
+++ b/src/entry/mod.rs
@@ -8,7 +8,8 @@
 mod route;
 mod serve;
 
-pub(crate) use environments::Environments;
+pub(crate) use environments::{Environments, Served};
+pub(crate) use http::handler;
 
 use crate::coordination::cache::{CacheTable, CacheTableConfig};
 use crate::coordination::choice::{ChoiceConfig, Chooser};
@@ -62,8 +63,6 @@
     pub(crate) idle_limit: Duration,
     /// Callers' requests at once.
     pub(crate) open_calls: usize,
-    /// Largest request body.
-    pub(crate) max_body_bytes: usize,
 }
 
 /// Links to other nodes; this node's own requests alone travel on them.
@@ -139,14 +138,10 @@
         }));
         entry.watch_members();
         entry.watch_partitions();
+        entry.watch_programs();
         entry
     }
 
-    /// Returns what the links that others dial to this entry need.
-    pub(crate) fn link_context(&self) -> Context<Self> {
-        link_context(&self.0.config, &self.0.spawner, self.clone())
-    }
-
     /// Returns the environments that this entry serves.
     pub(crate) fn environments(&self) -> &Environments {
         &self.0.environments
@@ -168,6 +163,13 @@
         self.0.partitions.iter().filter(owned).count()
     }
 
+    /// Tells whether callers may be sent here: there is something to serve, and an owner for it.
+    pub(crate) fn is_ready(&self) -> bool {
+        let served = !self.0.environments.is_empty();
+        let owner = |p: Partition| self.owner_of(p).is_some();
+        served && !self.is_leaving() && (0..self.0.config.partitions).all(owner)
+    }
+
     fn is_leaving(&self) -> bool {
         self.0.leaving.load(Ordering::Relaxed)
     }
--- a/src/entry/owner/model.rs
+++ b/src/entry/owner/model.rs
@@ -17,7 +17,7 @@
 use crate::protocol::message::{Message, Role, Usage};
 use crate::protocol::record::Turn;
 use crate::protocol::refusal::{Refusal, RefusalCode};
-use crate::state::receipt;
+use crate::state::receipt::ReceiptKey;
 use futures_lite::FutureExt;
 use smallvec::SmallVec;
 use smol::Timer;
@@ -249,7 +249,7 @@
             Some(Err(CommitError::Uncertain(_))) => Err(uncertain()),
             Some(Err(_)) => Err(refuse_no_owner()),
             None => Ok(Durability::Pending {
-                receipt: receipt::sign(&self.0.config.secret, turn),
+                receipt: ReceiptKey::new(&self.0.config.secret).sign(turn),
             }),
         }
     }
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -10,27 +10,24 @@
 //! assert_eq!(format_id(id).len(), 32);
 //! ```
 
+mod adapter;
+mod client;
+mod coordination;
+mod daemon;
+mod entry;
 mod environment;
 pub mod ids;
 mod ini;
 mod logging;
-
-mod client;
-
 pub mod protocol;
 mod settings;
-mod telemetry;
-
-pub mod standin;
-
-mod adapter;
-
-pub use adapter::{HttpEngine, HttpEngineStream, HttpLog, HttpService};
-mod coordination;
-mod entry;
 mod sidecar;
+pub mod standin;
+mod state;
+mod telemetry;
 mod transport;
 
+pub use adapter::{HttpEngine, HttpEngineStream, HttpLog, HttpService};
 pub use coordination::admission::{
     Admission, AdmissionConfig, CapConfig, Cost, Observed, OrderWeights, Waiting,
 };
@@ -46,17 +43,33 @@
 pub use coordination::limits::{Limit, Limits, TokenBucket};
 pub use coordination::retry::{FailedCall, Retries, RetryBudget, RetryConfig};
 pub use coordination::watchdog::{Watchdog, WatchdogConfig, WatchdogVerdict};
-
 pub use client::{
     AnswerStream, Attempts, CallError, Client, Collector, Patience, StreamEvent, StreamFault,
     Timeouts,
 };
+pub use daemon::{Daemon, run_daemon};
 pub use environment::{Environment, EnvironmentErrors, Stage};
 pub use ini::{Fault, FaultKind, Faults};
+pub use coordination::commit::{CommitEffect, CommitLimits, Committed, Full, GroupCommit, Ticket};
+pub use coordination::dispatch::{
+    Dispatch, DispatchError, DispatchLimits, DispatchTable, Dispatched, Settled,
+};
+pub use coordination::membership::{Membership, MembershipConfig, Node, NodeState};
+pub use coordination::ownership::{ClaimView, Claimant};
+pub use coordination::partition::{
+    Change, Commit, CommitError, LogHealth, PartitionConfig, PartitionHandle, PartitionIdentity,
+};
+pub use coordination::rendezvous::rendezvous;
+pub use protocol::image::{Action, ActionPhase, Branch, End, Program, SupersededTurn, TurnPlace};
 pub use protocol::message::{Message, Role, Usage};
 pub use protocol::record::{
-    ActionResult, Batch, Claim, Created, EndReason, Ended, Entry, Intent, Outcome, Record,
-    Snapshot, Turn,
+    ActionResult, Batch, Claim, Created, EndReason, Ended, Entry, Intent, Outcome, RESET_EPOCH,
+    Record, Reserved, Snapshot, Turn,
 };
 pub use protocol::refusal::{Ran, Refusal, RefusalCode};
 pub use settings::{EXIT_FAILURE, EXIT_OK, EXIT_SETTINGS, EXIT_USAGE, SettingErrors, Settings};
+pub use state::budget::Ledger;
+pub use state::history::{HistoryError, beginning, turn_hash, verify};
+pub use state::partition::{Applied, Owner, PartitionState, Void};
+pub use state::program::{EntryError, Head, TurnRef};
+pub use state::receipt::{ReceiptError, ReceiptKey};
--- a/src/protocol/mod.rs
+++ b/src/protocol/mod.rs
@@ -2,6 +2,7 @@
 
 pub mod caller;
 pub mod engine;
+pub mod image;
 pub mod link;
 pub mod log;
 pub mod message;
