--- a/src/coordination/membership.rs
+++ b/src/coordination/membership.rs
@@ -117,9 +117,10 @@
     /// Takes the platform's list, which lags.
     pub fn merge_list(&mut self, now: Instant, vms: &[Vm]) {
         for vm in vms.iter().filter(|vm| vm.node != self.node) {
-            let node = self.nodes.entry(vm.node.clone()).or_insert_with(|| {
-                new_node(now, vm.role, &vm.address, &vm.failure_domain, false)
-            });
+            let node = self
+                .nodes
+                .entry(vm.node.clone())
+                .or_insert_with(|| new_node(now, vm.role, &vm.address, &vm.failure_domain, false));
             if node.address != vm.address {
                 *node = new_node(now, vm.role, &vm.address, &vm.failure_domain, node.fixed);
             }
--- a/src/daemon.rs
+++ b/src/daemon.rs
@@ -5,7 +5,6 @@
 mod signals;
 
 use crate::adapter::{HttpEngine, HttpLog, HttpService};
-use build::Build;
 use crate::entry::Entry;
 use crate::environment::Environment;
 use crate::protocol::link::Messages;
@@ -16,6 +15,7 @@
 use crate::transport::link::{Serve, accept};
 use crate::transport::spawn::Runtime;
 use anyhow::Context;
+use build::Build;
 use smol::Timer;
 use smol::net::TcpListener;
 use std::net::SocketAddr;
@@ -57,8 +57,12 @@
     pub async fn start(settings: Settings) -> anyhow::Result<Self> {
         let link = listen(settings.listen.link).await?;
         let http = listen(settings.listen.http).await?;
-        let link_address = link.local_addr().context("the link listener has no address")?;
-        let http_address = http.local_addr().context("the HTTP listener has no address")?;
+        let link_address = link
+            .local_addr()
+            .context("the link listener has no address")?;
+        let http_address = http
+            .local_addr()
+            .context("the HTTP listener has no address")?;
         let runtime = Runtime::start(&settings.node.name, build::threads(&settings))
             .context("the daemon's threads cannot be started")?;
         let build = Build::new(&settings, runtime.spawner());
@@ -97,13 +101,7 @@
     }
 
     /// Adds a node that is not in the settings.
-    pub fn add_node(
-        &self,
-        name: &str,
-        role: NodeRole,
-        address: SocketAddr,
-        failure_domain: &str,
-    ) {
+    pub fn add_node(&self, name: &str, role: NodeRole, address: SocketAddr, failure_domain: &str) {
         if let Node::Entry(entry) = &self.node {
             entry.add_node(name, role, &address.to_string(), failure_domain);
         }
@@ -185,9 +183,10 @@
         .with_prebound_server(listener);
     let telemetry = Telemetry::start();
     match node {
-        Node::Entry(entry) => {
-            config.spawn((health(node.clone(), telemetry), crate::entry::handler(entry)))
-        }
+        Node::Entry(entry) => config.spawn((
+            health(node.clone(), telemetry),
+            crate::entry::handler(entry),
+        )),
         Node::Sidecar(_) => config.spawn(health(node.clone(), telemetry)),
     }
 }
--- a/src/daemon/build.rs
+++ b/src/daemon/build.rs
@@ -1,7 +1,7 @@
 //! From settings to a node.
 
 use super::Node;
-use crate::adapter::{HttpEngine, HttpLog, HttpService, HttpVmList};
+use crate::adapter::{HttpEngine, HttpLog, HttpService};
 use crate::coordination::admission::AdmissionConfig;
 use crate::coordination::commit::CommitLimits;
 use crate::coordination::membership::MembershipConfig;
@@ -105,9 +105,6 @@
         for (node, address) in &settings.peers {
             entry.add_node(node, NodeRole::Sidecar, &address.to_string(), "");
         }
-        if let Some(url) = &settings.platform.vms_url {
-            entry.watch_vms(HttpVmList::new(url, timeout));
-        }
         Ok(entry)
     }
 
@@ -148,7 +145,8 @@
             },
             retention: Duration::from_secs(settings.partition.retention_s),
             keep_ended: Duration::from_secs(settings.partition.ended_program_s),
-            cache_bytes: settings.limits.history_cache_bytes / usize::from(settings.partition.count),
+            cache_bytes: settings.limits.history_cache_bytes
+                / usize::from(settings.partition.count),
             answer_timeout: Duration::from_millis(settings.timing.log_timeout_ms),
             ..default
         }
--- a/src/entry/dispatch.rs
+++ b/src/entry/dispatch.rs
@@ -71,8 +71,7 @@
         let choice = lock(&self.0.chooser).choose(now, &want, &mut rng);
         choice.ok_or_else(|| {
             let message = "No endpoint can take the call now.";
-            Refusal::not_run(RefusalCode::NoEndpoint, message)
-                .retry_after_ms(NO_ENDPOINT_RETRY_MS)
+            Refusal::not_run(RefusalCode::NoEndpoint, message).retry_after_ms(NO_ENDPOINT_RETRY_MS)
         })
     }
 
@@ -299,6 +298,9 @@
 fn unexpected_reply() -> Refusal {
     Refusal {
         ran: Ran::No,
-        ..Refusal::unknown(RefusalCode::EndpointFailed, "The sidecar gave another reply.")
+        ..Refusal::unknown(
+            RefusalCode::EndpointFailed,
+            "The sidecar gave another reply.",
+        )
     }
 }
--- a/src/entry/members.rs
+++ b/src/entry/members.rs
@@ -68,7 +68,9 @@
         for node in picked {
             let entry = self.clone();
             let digest = digest.clone();
-            self.0.spawner.spawn(async move { entry.probe(node, digest).await });
+            self.0
+                .spawner
+                .spawn(async move { entry.probe(node, digest).await });
         }
     }
 
--- a/src/entry/owner.rs
+++ b/src/entry/owner.rs
@@ -73,9 +73,10 @@
         handle.with_state(|state| {
             let same = state.program(create.program);
             let same = same.filter(|program| program.is_of(&caller.member));
-            let by_key = create.key.as_deref().and_then(|key| {
-                state.program_by_key(&caller.environment, &caller.member, key)
-            });
+            let by_key = create
+                .key
+                .as_deref()
+                .and_then(|key| state.program_by_key(&caller.environment, &caller.member, key));
             same.or(by_key).map(|program| program.program)
         })
     }
@@ -102,7 +103,10 @@
     /// Runs a call, or finds the one that it repeats.
     pub(super) async fn call(&self, call: Call) -> Result<(CallId, Answers), Refusal> {
         let owned = self.owned_program(&call.caller, call.program)?;
-        if let Some(known) = self.find_call(&owned, call.call, call.key.as_deref()).await? {
+        if let Some(known) = self
+            .find_call(&owned, call.call, call.key.as_deref())
+            .await?
+        {
             return Ok(known);
         }
         if let Some(reason) = owned.live.ended() {
@@ -157,9 +161,8 @@
         let epoch = owned_epoch(&handle)?;
         let live = self.0.programs.get(program, epoch);
         let live = live.or_else(|| self.load(&handle, program, epoch));
-        let live = live.filter(|live| {
-            live.member == caller.member && live.environment == caller.environment
-        });
+        let live = live
+            .filter(|live| live.member == caller.member && live.environment == caller.environment);
         match live {
             Some(live) => Ok(Owned {
                 handle,
--- a/src/entry/owner/action.rs
+++ b/src/entry/owner/action.rs
@@ -267,12 +267,7 @@
 }
 
 /// Makes the answer of an action whose outcome is in the log.
-fn answer<L: Log>(
-    owned: &Owned<L>,
-    job: &Job,
-    result: ActionResult,
-    offset: Offset,
-) -> AnswerEnd {
+fn answer<L: Log>(owned: &Owned<L>, job: &Job, result: ActionResult, offset: Offset) -> AnswerEnd {
     match result {
         ActionResult::Done(reply) => Ok(Answer {
             call: job.call.call,
--- a/src/entry/owner/branch.rs
+++ b/src/entry/owner/branch.rs
@@ -188,7 +188,10 @@
 }
 
 fn ended() -> Refusal {
-    Refusal::not_run(RefusalCode::Ended, "The program has ended or the call was stopped.")
+    Refusal::not_run(
+        RefusalCode::Ended,
+        "The program has ended or the call was stopped.",
+    )
 }
 
 fn deadline() -> Refusal {
--- a/src/entry/owner/end.rs
+++ b/src/entry/owner/end.rs
@@ -80,7 +80,11 @@
 
     async fn release_at(&self, program: ProgramId, endpoint: EndpointId) {
         for _ in 0..RELEASES_MAX {
-            let asked = self.0.links.ask(&endpoint, Request::Release { program }).await;
+            let asked = self
+                .0
+                .links
+                .ask(&endpoint, Request::Release { program })
+                .await;
             if let Ok(Reply::Held { tokens: 0 }) = asked {
                 return;
             }
@@ -148,7 +152,9 @@
                 .await;
         }
         for live in self.0.programs.all() {
-            let lapsed = live.idle().is_some_and(|idle| idle >= self.0.config.idle_limit);
+            let lapsed = live
+                .idle()
+                .is_some_and(|idle| idle >= self.0.config.idle_limit);
             if live.epoch == epoch && lapsed && live.ended().is_none() {
                 let caller = Caller {
                     environment: live.environment.clone(),
--- a/src/entry/owner/lookup.rs
+++ b/src/entry/owner/lookup.rs
@@ -1,11 +1,11 @@
 //! Finding the answer of a call that ran before, in memory or in the log.
 
 use crate::coordination::partition::CommitError;
+use crate::coordination::partition::{LogHealth, PartitionHandle};
 use crate::entry::Entry;
 use crate::entry::owner::answer::refuse_history;
 use crate::entry::owner::program::{Answers, Owned};
 use crate::ids::{CallId, Offset};
-use crate::coordination::partition::{LogHealth, PartitionHandle};
 use crate::protocol::engine::EngineUsage;
 use crate::protocol::image::{Action, ActionPhase};
 use crate::protocol::link::{Answer, Durability};
--- a/src/entry/owner/model.rs
+++ b/src/entry/owner/model.rs
@@ -100,7 +100,9 @@
             calls: 1,
             time_ms: limit.as_millis() as u64,
         };
-        let cost = owned.live.with_ledger(|ledger| cap_time(cost, ledger.left()));
+        let cost = owned
+            .live
+            .with_ledger(|ledger| cap_time(cost, ledger.left()));
         self.reserve(owned, cost).await?;
         let mut reservation = Reservation::new(self, owned, cost);
         let generate = self.generate_request(owned, tail, job, &call)?;
@@ -243,9 +245,7 @@
         };
         match async { result.recv().await.ok() }.or(late).await {
             Some(Ok(offset)) => Ok(Durability::Committed { offset }),
-            Some(Err(CommitError::Ignored(why))) => {
-                Err(refuse_commit(&CommitError::Ignored(why)))
-            }
+            Some(Err(CommitError::Ignored(why))) => Err(refuse_commit(&CommitError::Ignored(why))),
             Some(Err(CommitError::Uncertain(_))) => Err(uncertain()),
             Some(Err(_)) => Err(refuse_no_owner()),
             None => Ok(Durability::Pending {
@@ -283,9 +283,12 @@
 
 fn product(tail: &Tail, job: &Job, asked: &[Message], finished: Finished) -> Product {
     let spent = spent_of(&finished);
-    let content = job
-        .text
-        .with_parts(|parts| parts.iter().map(|part| part.text.as_str()).collect::<String>());
+    let content = job.text.with_parts(|parts| {
+        parts
+            .iter()
+            .map(|part| part.text.as_str())
+            .collect::<String>()
+    });
     let answer = Message::new(Role::Assistant, content);
     let mut messages = asked.to_vec();
     messages.push(answer);
--- a/src/entry/route.rs
+++ b/src/entry/route.rs
@@ -70,7 +70,7 @@
     }
 
     /// Returns the node that owns a partition, or that should.
-    fn owner_of(&self, partition: Partition) -> Option<NodeId> {
+    pub(super) fn owner_of(&self, partition: Partition) -> Option<NodeId> {
         let handle = &self.0.partitions[usize::from(partition)];
         if handle.epoch().is_some() {
             return Some(self.0.config.node.clone());
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -28,6 +28,10 @@
 mod transport;
 
 pub use adapter::{HttpEngine, HttpEngineStream, HttpLog, HttpService};
+pub use client::{
+    AnswerStream, Attempts, CallError, Client, Collector, Patience, StreamEvent, StreamFault,
+    Timeouts,
+};
 pub use coordination::admission::{
     Admission, AdmissionConfig, CapConfig, Cost, Observed, OrderWeights, Waiting,
 };
@@ -39,27 +43,23 @@
     Choice, ChoiceConfig, Chooser, EndpointInfo, EndpointKind, EndpointState, Sent, SentEnd,
     Target, Want,
 };
-pub use coordination::hedge::{HedgeCandidate, HedgeConfig, hedge_at};
-pub use coordination::limits::{Limit, Limits, TokenBucket};
-pub use coordination::retry::{FailedCall, Retries, RetryBudget, RetryConfig};
-pub use coordination::watchdog::{Watchdog, WatchdogConfig, WatchdogVerdict};
-pub use client::{
-    AnswerStream, Attempts, CallError, Client, Collector, Patience, StreamEvent, StreamFault,
-    Timeouts,
-};
-pub use daemon::{Daemon, run_daemon};
-pub use environment::{Environment, EnvironmentErrors, Stage};
-pub use ini::{Fault, FaultKind, Faults};
 pub use coordination::commit::{CommitEffect, CommitLimits, Committed, Full, GroupCommit, Ticket};
 pub use coordination::dispatch::{
     Dispatch, DispatchError, DispatchLimits, DispatchTable, Dispatched, Settled,
 };
+pub use coordination::hedge::{HedgeCandidate, HedgeConfig, hedge_at};
+pub use coordination::limits::{Limit, Limits, TokenBucket};
 pub use coordination::membership::{Membership, MembershipConfig, Node, NodeState};
 pub use coordination::ownership::{ClaimView, Claimant};
 pub use coordination::partition::{
     Change, Commit, CommitError, LogHealth, PartitionConfig, PartitionHandle, PartitionIdentity,
 };
 pub use coordination::rendezvous::rendezvous;
+pub use coordination::retry::{FailedCall, Retries, RetryBudget, RetryConfig};
+pub use coordination::watchdog::{Watchdog, WatchdogConfig, WatchdogVerdict};
+pub use daemon::{Daemon, run_daemon};
+pub use environment::{Environment, EnvironmentErrors, Stage};
+pub use ini::{Fault, FaultKind, Faults};
 pub use protocol::image::{Action, ActionPhase, Branch, End, Program, SupersededTurn, TurnPlace};
 pub use protocol::message::{Message, Role, Usage};
 pub use protocol::record::{
--- a/src/sidecar/mod.rs
+++ b/src/sidecar/mod.rs
@@ -87,11 +87,7 @@
 
 impl<E: Engine, S: Service> Sidecar<E, S> {
     /// Makes a sidecar and starts its background tasks.
-    pub(crate) fn start(
-        config: SidecarConfig,
-        endpoint: Endpoint<E, S>,
-        spawner: Spawner,
-    ) -> Self {
+    pub(crate) fn start(config: SidecarConfig, endpoint: Endpoint<E, S>, spawner: Spawner) -> Self {
         let sidecar = Self(Arc::new(Inner {
             queue: Queue::new(config.admission.clone()),
             endpoint,
@@ -125,7 +121,7 @@
         open.count() + self.0.queue.open_actions()
     }
 
-    fn is_leaving(&self) -> bool {
+    pub(crate) fn is_leaving(&self) -> bool {
         self.0.leaving.load(Ordering::Relaxed)
     }
 
--- a/src/sidecar/probe.rs
+++ b/src/sidecar/probe.rs
@@ -72,10 +72,7 @@
                 Reply::Held { tokens: 0 }
             }
             Ok(tokens) => Reply::Held { tokens },
-            Err(e) => Reply::Refused(Refusal::unknown(
-                RefusalCode::EndpointFailed,
-                e.to_string(),
-            )),
+            Err(e) => Reply::Refused(Refusal::unknown(RefusalCode::EndpointFailed, e.to_string())),
         }
     }
 
@@ -95,10 +92,7 @@
         };
         match engine.order(order, fence).await {
             Ok(()) => Reply::Done,
-            Err(e) => Reply::Refused(Refusal::unknown(
-                RefusalCode::EndpointFailed,
-                e.to_string(),
-            )),
+            Err(e) => Reply::Refused(Refusal::unknown(RefusalCode::EndpointFailed, e.to_string())),
         }
     }
 
