--- a/src/lib.rs
+++ b/src/lib.rs
@@ -18,14 +18,17 @@
 mod environment;
 pub mod ids;
 mod ini;
+mod load;
 mod logging;
 pub mod protocol;
+mod proxy;
 mod settings;
 mod sidecar;
 pub mod standin;
 mod state;
 mod telemetry;
 mod transport;
+mod workload;
 
 pub use adapter::{HttpEngine, HttpEngineStream, HttpLog, HttpService};
 pub use client::{
@@ -60,6 +63,7 @@
 pub use daemon::{Daemon, run_daemon};
 pub use environment::{Environment, EnvironmentErrors, Stage};
 pub use ini::{Fault, FaultKind, Faults};
+pub use load::{LoadOptions, LoadReport, LoadRow, run_load};
 pub use protocol::image::{Action, ActionPhase, Branch, End, Program, SupersededTurn, TurnPlace};
 pub use protocol::message::{Message, Role, Usage};
 pub use protocol::record::{
@@ -67,9 +71,14 @@
     Record, Reserved, Snapshot, Turn,
 };
 pub use protocol::refusal::{Ran, Refusal, RefusalCode};
+pub use proxy::{FaultProxy, FlowDirection};
 pub use settings::{EXIT_FAILURE, EXIT_OK, EXIT_SETTINGS, EXIT_USAGE, SettingErrors, Settings};
 pub use state::budget::Ledger;
 pub use state::history::{HistoryError, beginning, turn_hash, verify};
 pub use state::partition::{Applied, Owner, PartitionState, Void};
 pub use state::program::{EntryError, Head, TurnRef};
 pub use state::receipt::{ReceiptError, ReceiptKey};
+pub use workload::{
+    ActionRuns, ActionSeen, ActionVerdict, Deployment, Latencies, Percentiles, Plan, PlanKind,
+    Planner, ProgramResult, RunOptions, Step, audit_actions, count_actions, run_program,
+};
