--- a/src/lib.rs
+++ b/src/lib.rs
@@ -24,11 +24,19 @@
 #[allow(dead_code, unused_imports, reason = "the roles are wired onto it next")]
 mod settings;
 pub mod standin;
-#[allow(dead_code, unused_imports, reason = "the roles are wired onto it next")]
 mod state;
 #[allow(dead_code, unused_imports, reason = "the roles are wired onto it next")]
 mod telemetry;
 
+pub use coordination::commit::{CommitEffect, CommitLimits, Committed, Full, GroupCommit, Ticket};
+pub use coordination::dispatch::{
+    Dispatch, DispatchError, DispatchLimits, DispatchTable, Dispatched, Settled,
+};
+pub use coordination::ownership::{ClaimView, Claimant};
+pub use coordination::partition::{
+    Change, Commit, CommitError, LogHealth, PartitionConfig, PartitionHandle, PartitionIdentity,
+};
+pub use protocol::image::{Action, ActionPhase, Branch, End, Program, SupersededTurn, TurnPlace};
 #[allow(dead_code, unused_imports, reason = "the roles are wired onto it next")]
 mod configuration;
 mod workload;
@@ -67,12 +75,17 @@
 pub use protocol::configuration::Stage;
 pub use protocol::message::{Message, Role, Usage};
 pub use protocol::record::{
-    ActionResult, Batch, Claim, Created, EndReason, Ended, Entry, Intent, Outcome, Record,
-    Snapshot, Turn,
+    ActionResult, Batch, Claim, Created, EndReason, Ended, Entry, Intent, Outcome, RESET_EPOCH,
+    Record, Reserved, Snapshot, Turn,
 };
 pub use protocol::refusal::{Ran, Refusal, RefusalCode};
 pub use proxy::{FaultProxy, FlowDirection};
 pub use settings::{EXIT_FAILURE, EXIT_OK, EXIT_SETTINGS, EXIT_USAGE, SettingErrors, Settings};
+pub use state::budget::Ledger;
+pub use state::history::{HistoryError, beginning, turn_hash, verify};
+pub use state::partition::{Applied, Owner, PartitionState, Void};
+pub use state::program::{EntryError, Head, TurnRef};
+pub use state::receipt::{ReceiptError, ReceiptKey};
 pub use workload::{
     ActionRuns, ActionSeen, ActionVerdict, Deployment, Latencies, Percentiles, Plan, PlanKind,
     Planner, ProgramResult, RunOptions, Step, audit_actions, count_actions, run_program,
--- a/src/protocol/mod.rs
+++ b/src/protocol/mod.rs
@@ -3,6 +3,7 @@
 pub mod caller;
 pub mod configuration;
 pub mod engine;
+pub mod image;
 pub mod link;
 pub mod log;
 pub mod message;
