Keep a call at its endpoint across a change of owner; one release table

Cause: a new owner chose an endpoint anew, so a caller saw the answer begin again; a program that left memory kept its branch workers; the sidecar had a second table of caches to release. Change: the receiving entry tells the next owner where the run was seen; programs close before they leave memory; the sidecar uses the coordination part for releases and reads cache events; the last entry of a shutdown finishes its calls before it hands its partitions over.

--- a/src/coordination/membership.rs
+++ b/src/coordination/membership.rs
@@ -209,15 +209,15 @@
         !replaced && self.state(now, name) != Some(NodeState::Failed)
     }
 
-    /// Returns the nodes of a role that may take work, this one included if it is of that role.
-    pub fn candidates(&self, now: Instant, role: NodeRole, own: Option<&str>) -> Vec<NodeId> {
+    /// Returns the other nodes of a role that may take work.
+    pub fn candidates(&self, now: Instant, role: NodeRole) -> Vec<NodeId> {
         let usable = |name: &str| {
             let state = self.state(now, name);
             matches!(state, Some(NodeState::Live | NodeState::Suspect))
         };
         let nodes = self.nodes.iter().filter(|(_, node)| node.role == role);
         let names = nodes.map(|(name, _)| name).filter(|name| usable(name));
-        names.cloned().chain(own.map(str::to_string)).collect()
+        names.cloned().collect()
     }
 
     /// Tells whether every node has been heard or has had its time to answer.
--- a/src/daemon/build.rs
+++ b/src/daemon/build.rs
@@ -3,6 +3,7 @@
 use super::Node;
 use crate::adapter::{HttpEngine, HttpLog, HttpService, HttpVmList};
 use crate::coordination::admission::AdmissionConfig;
+use crate::coordination::cache::ReleaseConfig;
 use crate::coordination::commit::CommitLimits;
 use crate::coordination::membership::MembershipConfig;
 use crate::coordination::partition::PartitionConfig;
@@ -173,7 +174,10 @@
             keep_answers: KEEP_ANSWERS,
             orphan_after: ORPHAN_AFTER,
             serving: serving(endpoint),
-            confirm_lapse: Duration::from_millis(timing.confirm_lapse_ms),
+            releases: ReleaseConfig {
+                unconfirmed_for: Duration::from_millis(timing.confirm_lapse_ms),
+                ..ReleaseConfig::default()
+            },
         };
         let timeout = Duration::from_millis(timing.log_timeout_ms);
         let connected = match endpoint.kind {
--- a/src/entry/dispatch.rs
+++ b/src/entry/dispatch.rs
@@ -10,7 +10,7 @@
 use crate::protocol::log::Log;
 use crate::protocol::refusal::{Ran, Refusal, RefusalCode};
 use crate::transport::link::{Exchange, Inbound, LinkError};
-use crate::transport::replay::Replay;
+use crate::transport::replay::{Replay, Run};
 use smallvec::SmallVec;
 use smol::Timer;
 use std::time::{Duration, Instant};
@@ -42,6 +42,8 @@
     pub(super) answer_tokens: u32,
     /// Whether it may run twice.
     pub(super) repeatable: bool,
+    /// Where a run of it may be under way already.
+    pub(super) seen_at: Option<EndpointId>,
     /// Endpoints that have failed it.
     pub(super) failed: SmallVec<[EndpointId; 4]>,
 }
@@ -58,6 +60,9 @@
     /// Chooses an endpoint for a call.
     pub(super) fn choose(&self, sending: &Sending<'_>) -> Result<Choice, Refusal> {
         let now = Instant::now();
+        if let Some(seen) = self.seen_at(sending, now) {
+            return Ok(seen);
+        }
         let cached = lock(&self.0.cache).cached(now, sending.program);
         let want = Want {
             target: sending.target,
@@ -75,6 +80,18 @@
         })
     }
 
+    /// Returns the endpoint that a call runs at already, if it can still be used.
+    fn seen_at(&self, sending: &Sending<'_>, now: Instant) -> Option<Choice> {
+        let endpoint = sending.seen_at.as_ref()?;
+        let usable = lock(&self.0.chooser).usable(now, endpoint);
+        let choice = Choice {
+            endpoint: endpoint.clone(),
+            expected_wait: Duration::ZERO,
+            expected_cached_tokens: sending.prompt_tokens,
+        };
+        (usable && !sending.failed.contains(endpoint)).then_some(choice)
+    }
+
     /// Generates at an endpoint, trying others within the retry budget.
     pub(super) async fn generate<R: Clone + Send + 'static>(
         &self,
@@ -198,7 +215,10 @@
         loop {
             match exchange.next().await? {
                 Inbound::Reply(reply) => return Ok(reply),
-                Inbound::Event(Event::Started { run }) => text.start(run),
+                Inbound::Event(Event::Started { run, endpoint }) => text.start(Run {
+                    id: run,
+                    place: endpoint,
+                }),
                 Inbound::Event(Event::Tokens(tokens)) => {
                     text.push(tokens).map_err(|_| LinkError::Broken)?;
                 }
--- a/src/entry/http/request.rs
+++ b/src/entry/http/request.rs
@@ -136,6 +136,7 @@
         branch,
         call: program_id(unix_ms(), fastrand::u128(..)),
         key,
+        seen_at: None,
         work,
     })
 }
--- a/src/entry/http/stream.rs
+++ b/src/entry/http/stream.rs
@@ -66,7 +66,7 @@
     async fn event(&mut self, event: Event) -> Result<(), Left> {
         match event {
             Event::Accepted { call } => self.write("accepted", &AcceptedEvent { call }).await,
-            Event::Started { run } => self.start(run).await,
+            Event::Started { run, .. } => self.start(run).await,
             Event::Tokens(tokens) if tokens.index.saturating_add(tokens.count) <= self.next => {
                 Ok(())
             }
--- a/src/entry/members.rs
+++ b/src/entry/members.rs
@@ -131,11 +131,20 @@
             .collect()
     }
 
+    /// Returns the entries that may own partitions. A leaving one may while it is the last and has
+    /// calls to finish.
+    fn live_entries(&self) -> Vec<NodeId> {
+        let own = &self.0.config.node;
+        let now = Instant::now();
+        let others = lock(&self.0.members).candidates(now, NodeRole::Entry);
+        let last = others.is_empty() && self.open_calls() > 0;
+        let own = (!self.is_leaving() || last).then(|| own.clone());
+        others.into_iter().chain(own).collect()
+    }
+
     /// Says for each partition whether this node should own it.
     fn propose_owners(&self) {
-        let own = (!self.is_leaving()).then_some(self.0.config.node.as_str());
-        let now = Instant::now();
-        let live = lock(&self.0.members).candidates(now, NodeRole::Entry, own);
+        let live = self.live_entries();
         for (handle, partition) in self.0.partitions.iter().zip(0..) {
             let key = partition_key(partition);
             let ranked = rendezvous(&key, live.iter().map(String::as_str));
@@ -145,8 +154,7 @@
 
     /// Returns the node that should own a partition.
     pub(super) fn proposed_owner(&self, partition: Partition) -> Option<NodeId> {
-        let own = (!self.is_leaving()).then_some(self.0.config.node.as_str());
-        let live = lock(&self.0.members).candidates(Instant::now(), NodeRole::Entry, own);
+        let live = self.live_entries();
         let key = partition_key(partition);
         let ranked = rendezvous(&key, live.iter().map(String::as_str));
         ranked.first().map(|node| (*node).to_string())
--- a/src/entry/owner.rs
+++ b/src/entry/owner.rs
@@ -50,7 +50,7 @@
             key: create.key,
             budget: create.budget,
             deadline_ms: create.deadline_ms,
-            reserved: live.reserve_ahead(),
+            reserved: live.reserve_ahead(0),
         };
         let live = match self.0.programs.insert(entry.key.as_deref(), live) {
             Ok(live) => live,
@@ -113,7 +113,7 @@
             let message = format!("The program has ended: {reason}.");
             return Err(Refusal::not_run(RefusalCode::Ended, message));
         }
-        Ok(self.enqueue(owned, call))
+        self.enqueue(owned, call)
     }
 
     /// Finds a call's answer.
--- a/src/entry/owner/action.rs
+++ b/src/entry/owner/action.rs
@@ -206,7 +206,7 @@
                 key: job.call.key.clone(),
                 messages: vec![tool_message(reply)],
                 spent: Usage::default(),
-                reserved: owned.live.reserve_ahead(),
+                reserved: owned.live.reserve_ahead(tail.tokens),
                 endpoint: endpoint.clone(),
             };
             tail.add(&turn, tail.tokens + token_bound(&turn.messages));
--- a/src/entry/owner/branch.rs
+++ b/src/entry/owner/branch.rs
@@ -1,8 +1,8 @@
 //! Branches: the calls of one branch run one after the other.
 
-use crate::entry::Entry;
-use crate::entry::owner::answer::refuse_history;
-use crate::entry::owner::program::{Answers, KnownCall, Owned};
+use crate::entry::owner::answer::{refuse_history, refuse_no_owner};
+use crate::entry::owner::program::{Added, AnswerEnd, Answers, KnownCall, Owned};
+use crate::entry::{Entry, unix_ms};
 use crate::ids::{BranchId, CallId, TurnHash};
 use crate::protocol::link::{Call, Work};
 use crate::protocol::log::Log;
@@ -15,9 +15,6 @@
 use smol::Timer;
 use std::time::Duration;
 
-use super::program::AnswerEnd;
-use crate::entry::unix_ms;
-
 /// A call in its branch's queue.
 pub(super) struct Job {
     /// The call.
@@ -70,7 +67,11 @@
 
 impl<L: Log> Entry<L> {
     /// Puts a call in line in its branch, or finds the call that has its key.
-    pub(super) fn enqueue(&self, owned: Owned<L>, call: Call) -> (CallId, Answers) {
+    pub(super) fn enqueue(
+        &self,
+        owned: Owned<L>,
+        call: Call,
+    ) -> Result<(CallId, Answers), Refusal> {
         let (stop, stopped) = async_channel::bounded(1);
         let text = Answers::new();
         let known = KnownCall {
@@ -78,8 +79,11 @@
             stop,
         };
         let id = call.call;
-        if let Err(first) = owned.live.add_call(id, call.key.as_deref(), known) {
-            return first;
+        match owned.live.add_call(id, call.key.as_deref(), known) {
+            Added::New => {}
+            Added::Known(first, text) => return Ok((first, text)),
+            // The next attempt finds the program anew, here or elsewhere.
+            Added::Closed => return Err(refuse_no_owner()),
         }
         let branch = call.branch;
         let live = owned.live.clone();
@@ -99,7 +103,7 @@
             self.0.programs.count(false);
             text.finish(Err(ended()));
         }
-        (id, text)
+        Ok((id, text))
     }
 
     /// Runs the calls of a branch until its queue is closed.
--- a/src/entry/owner/budget.rs
+++ b/src/entry/owner/budget.rs
@@ -20,7 +20,7 @@
         }
         let entry = Reserved {
             program: owned.live.id,
-            reserved: owned.live.reserve_ahead(),
+            reserved: owned.live.reserve_ahead(cost.tokens),
         };
         let committed = self.commit(&owned.handle, vec![entry.into()]).await;
         committed.map(|_| ()).map_err(|error| {
--- a/src/entry/owner/end.rs
+++ b/src/entry/owner/end.rs
@@ -85,7 +85,8 @@
                 .links
                 .ask(&endpoint, Request::Release { program })
                 .await;
-            if let Ok(Reply::Held { tokens: 0 }) = asked {
+            // The sidecar goes on by itself until the engine agrees.
+            if asked.is_ok() {
                 return;
             }
             Timer::after(SWEEP_INTERVAL).await;
@@ -123,7 +124,7 @@
 
     /// Drops a program from memory that the log has whole.
     fn forget_idle(&self, live: &Arc<LiveProgram>, idle: Duration) {
-        if idle >= KEEP_IDLE && live.pending_turns().is_empty() {
+        if idle >= KEEP_IDLE && live.close() {
             self.0.programs.remove(live.id);
         }
     }
--- a/src/entry/owner/model.rs
+++ b/src/entry/owner/model.rs
@@ -119,6 +119,7 @@
             prompt_tokens,
             answer_tokens: call.max_tokens,
             repeatable: true,
+            seen_at: job.call.seen_at.clone(),
             failed: SmallVec::new(),
         };
         let finished = self.generate(&mut sending, generate, &job.text).await?;
@@ -216,7 +217,7 @@
             key: job.call.key.clone(),
             messages: product.messages.clone(),
             spent: product.spent,
-            reserved: owned.live.reserve_ahead(),
+            reserved: owned.live.reserve_ahead(product.branch_tokens),
             endpoint: product.endpoint.clone(),
         }
     }
--- a/src/entry/owner/program.rs
+++ b/src/entry/owner/program.rs
@@ -50,6 +50,16 @@
     pub(super) stop: Sender<()>,
 }
 
+/// What became of a call that was to be added.
+pub(super) enum Added {
+    /// It is in.
+    New,
+    /// A call with its id or key is in already.
+    Known(CallId, Answers),
+    /// The program is leaving memory.
+    Closed,
+}
+
 /// A program in memory. It is valid in one epoch only.
 pub(super) struct LiveProgram {
     pub(super) id: ProgramId,
@@ -61,8 +71,10 @@
 }
 
 /// Invariants: `committed_reserve` is the reservation that the newest pushed entry names;
-/// `keys` names only calls in `calls`; turns in `pending` are pushed and not known as committed.
+/// `keys` names only calls in `calls`; turns in `pending` are pushed and not known as committed;
+/// once `closed` no call is added, so that another copy of the program may take its place.
 struct State {
+    closed: bool,
     ledger: Ledger,
     committed_reserve: Usage,
     branches: HashMap<BranchId, Sender<Job>>,
@@ -131,25 +143,23 @@
         state.calls.get(&id).map(|known| (id, known.text.clone()))
     }
 
-    /// Adds a call unless its key is taken; returns the call that has the key.
-    pub(super) fn add_call(
-        &self,
-        call: CallId,
-        key: Option<&str>,
-        known: KnownCall,
-    ) -> Result<(), (CallId, Answers)> {
+    /// Adds a call unless its key is taken.
+    pub(super) fn add_call(&self, call: CallId, key: Option<&str>, known: KnownCall) -> Added {
         let mut state = lock(&self.state);
+        if state.closed {
+            return Added::Closed;
+        }
         state.touched = Instant::now();
         let first = key.and_then(|key| state.keys.get(key).copied());
         let first = first.unwrap_or(call);
         if let Some(taken) = state.calls.get(&first) {
-            return Err((first, taken.text.clone()));
+            return Added::Known(first, taken.text.clone());
         }
         if let Some(key) = key {
             state.keys.insert(key.to_string(), call);
         }
         state.calls.insert(call, known);
-        Ok(())
+        Added::New
     }
 
     /// Forgets a call that did not run, so that a retry with its key runs.
@@ -180,12 +190,13 @@
         state.ledger.reserved().fits(state.committed_reserve)
     }
 
-    /// Returns the reservation to be written: what is reserved now and room for more calls.
-    pub(super) fn reserve_ahead(&self) -> Usage {
+    /// Returns the reservation to be written: what is reserved now and room for more calls, of
+    /// which one may have as many tokens as `next_tokens`.
+    pub(super) fn reserve_ahead(&self, next_tokens: u64) -> Usage {
         let mut state = lock(&self.state);
         let left = state.ledger.left();
         let ahead = Usage {
-            tokens: FIRST_RESERVE.tokens.min(left.tokens),
+            tokens: (FIRST_RESERVE.tokens + next_tokens).min(left.tokens),
             calls: FIRST_RESERVE.calls.min(left.calls),
             time_ms: FIRST_RESERVE.time_ms.min(left.time_ms),
         };
@@ -211,8 +222,18 @@
     /// Returns how long the program has been without calls, if none is under way.
     pub(super) fn idle(&self) -> Option<Duration> {
         let state = lock(&self.state);
-        let running = state.calls.values().any(|call| call.text.end().is_none());
-        (!running).then(|| state.touched.elapsed())
+        (!state.is_running()).then(|| state.touched.elapsed())
+    }
+
+    /// Takes no more calls if the log has the whole program and none is under way.
+    pub(super) fn close(&self) -> bool {
+        let mut state = lock(&self.state);
+        if state.is_running() || !state.pending.is_empty() {
+            return false;
+        }
+        state.closed = true;
+        state.branches.clear();
+        true
     }
 
     /// Forgets answers that nobody has read for a while and stops calls that nobody waits for.
@@ -233,6 +254,7 @@
     /// Ends the answers of all calls with a refusal, since this node does not own the program.
     pub(super) fn abandon(&self, refusal: &Refusal) {
         let mut state = lock(&self.state);
+        state.closed = true;
         state.branches.clear();
         for call in state.calls.values() {
             call.text.finish(Err(refusal.clone()));
@@ -242,8 +264,13 @@
 }
 
 impl State {
+    fn is_running(&self) -> bool {
+        self.calls.values().any(|call| call.text.end().is_none())
+    }
+
     fn new(ledger: Ledger, ended: Option<EndReason>) -> Self {
         Self {
+            closed: false,
             ledger,
             committed_reserve: Usage::default(),
             branches: HashMap::new(),
--- a/src/entry/owner/tool.rs
+++ b/src/entry/owner/tool.rs
@@ -122,6 +122,7 @@
         prompt_tokens: 0,
         answer_tokens: 0,
         repeatable: true,
+        seen_at: None,
         failed: SmallVec::new(),
     }
 }
--- a/src/entry/route.rs
+++ b/src/entry/route.rs
@@ -112,6 +112,7 @@
             match step {
                 Some(step) if !is_no_owner(&step) => {
                     self.give_up = Instant::now() + OWNER_PATIENCE;
+                    self.note_run(&step);
                     return step;
                 }
                 _ if Instant::now() >= self.give_up => return Step::reply(no_owner()),
@@ -123,6 +124,15 @@
         }
     }
 
+    /// Remembers where a call runs, so that the next owner goes on there.
+    fn note_run(&mut self, step: &Step) {
+        if let Step::Event(Event::Started { endpoint, .. }) = step
+            && let Request::Call(call) = &mut self.request
+        {
+            call.seen_at = Some(endpoint.clone());
+        }
+    }
+
     /// Waits for the end.
     pub(crate) async fn reply(&mut self) -> Reply {
         loop {
@@ -151,7 +161,7 @@
                 return Some(Step::Event(Event::Accepted { call }));
             }
             Some(match follower.next().await {
-                Followed::Started(run) => Step::Event(Event::Started { run }),
+                Followed::Started(run) => Step::Event(Event::started(run)),
                 Followed::Part(tokens) => Step::Event(Event::Tokens(tokens)),
                 Followed::End(Ok(answer)) => Step::reply(Reply::Answer(answer)),
                 Followed::End(Err(refusal)) => Step::reply(Reply::Refused(refusal)),
--- a/src/protocol/link.rs
+++ b/src/protocol/link.rs
@@ -4,8 +4,8 @@
 //! ends with one [`Reply`].
 
 use crate::ids::{
-    BranchId, CallId, EnvironmentId, Epoch, Incarnation, MemberId, ModelId, NodeId, Offset,
-    Partition, ProgramId,
+    BranchId, CallId, EndpointId, EnvironmentId, Epoch, Incarnation, MemberId, ModelId, NodeId,
+    Offset, Partition, ProgramId,
 };
 use crate::protocol::configuration::ConfigurationImage;
 use crate::protocol::engine::{EngineLoad, EngineOrder, EngineUsage, GenerateRequest};
@@ -147,6 +147,8 @@
     pub call: CallId,
     /// The caller's key: a retry with the same key is the same call.
     pub key: Option<String>,
+    /// Where a run of it has been seen, such as before its owner was lost.
+    pub seen_at: Option<EndpointId>,
     /// What to do.
     pub work: Work,
 }
@@ -249,6 +251,8 @@
     Started {
         /// Names the run.
         run: u64,
+        /// Where it runs.
+        endpoint: EndpointId,
     },
     /// Some text.
     Tokens(Tokens),
--- a/src/sidecar/generation.rs
+++ b/src/sidecar/generation.rs
@@ -1,6 +1,7 @@
 //! Generations: from the queue through the engine into a text that owners follow.
 
 use crate::coordination::admission::Cost;
+use crate::coordination::cache::Releases;
 use crate::ids::{CallId, ProgramId};
 use crate::protocol::engine::{
     Engine, EngineError, EngineEvent, EngineStream, EngineUsage, GenerateRequest,
@@ -10,9 +11,11 @@
 use crate::protocol::service::Service;
 use crate::sidecar::queue::Slot;
 use crate::sidecar::{Endpoint, Sidecar, Text, lock};
+use crate::transport::replay::Run;
 use async_channel::{Receiver, Sender};
 use futures_lite::FutureExt;
 use smol::Timer;
+use std::sync::Mutex;
 use std::time::{Duration, Instant};
 
 /// How often a stream is opened again before the call fails.
@@ -91,7 +94,7 @@
             text: Text::new(),
             stop,
         };
-        generation.text.start(self.run_id(call));
+        generation.text.start(self.name_run());
         generations.insert(call, generation.clone());
         let run = self
             .clone()
@@ -100,15 +103,21 @@
         Ok(generation)
     }
 
-    /// Names this sidecar's run of a call among all runs.
-    fn run_id(&self, call: CallId) -> u64 {
-        let mut hasher = blake3::Hasher::new();
-        hasher.update(&call.to_le_bytes());
-        hasher.update(&self.0.config.incarnation.to_le_bytes());
-        hasher.update(self.0.config.node.as_bytes());
-        let mut head = [0; 8];
-        head.copy_from_slice(&hasher.finalize().as_bytes()[..8]);
-        u64::from_le_bytes(head).max(1)
+    /// Names a new run of this sidecar.
+    fn name_run(&self) -> Run {
+        Run {
+            id: fastrand::u64(1..),
+            place: self.0.config.node.clone(),
+        }
+    }
+
+    /// Notes that the engine computes for a program, until the guard is dropped.
+    fn hold(&self, program: ProgramId) -> Holding<'_> {
+        lock(&self.0.releases).started(Instant::now(), program);
+        Holding {
+            releases: &self.0.releases,
+            program,
+        }
     }
 
     async fn run(
@@ -163,7 +172,7 @@
             .enter(request.call, request.program, priority, cost);
         let mut slot = entering.await?;
         let queued = slot.waited();
-        lock(&self.0.memory).hold(request.program);
+        let _holding = self.hold(request.program);
         let started = Instant::now();
         let streamed = self.stream(engine, request, generation, &mut slot).await;
         slot.observed.ran = started.elapsed();
@@ -275,6 +284,18 @@
     }
 }
 
+/// A call of a program that the engine runs.
+struct Holding<'a> {
+    releases: &'a Mutex<Releases>,
+    program: ProgramId,
+}
+
+impl Drop for Holding<'_> {
+    fn drop(&mut self) {
+        lock(self.releases).finished(Instant::now(), self.program);
+    }
+}
+
 fn opened_unknown<T>(opened: &Result<T, EngineError>) -> bool {
     matches!(opened, Err(EngineError::Unknown))
 }
--- a/src/sidecar/mod.rs
+++ b/src/sidecar/mod.rs
@@ -2,12 +2,12 @@
 
 mod action;
 mod generation;
-mod memory;
 mod probe;
 mod queue;
 mod serve;
 
 use crate::coordination::admission::AdmissionConfig;
+use crate::coordination::cache::{ReleaseConfig, Releases};
 use crate::coordination::dispatch::{DispatchLimits, DispatchTable};
 use crate::ids::{CallId, EndpointId, Epoch, Incarnation, Partition};
 use crate::protocol::engine::{Engine, EngineLoad};
@@ -15,7 +15,6 @@
 use crate::protocol::refusal::{Refusal, RefusalCode};
 use crate::protocol::service::Service;
 use crate::sidecar::generation::Generation;
-use crate::sidecar::memory::Memory;
 use crate::sidecar::queue::Queue;
 use crate::transport::spawn::Spawner;
 use event_listener::Event;
@@ -54,8 +53,8 @@
     pub(crate) orphan_after: Duration,
     /// What the endpoint serves.
     pub(crate) serving: Serving,
-    /// How long a program's cache is held without word from an owner.
-    pub(crate) confirm_lapse: Duration,
+    /// When caches are released.
+    pub(crate) releases: ReleaseConfig,
 }
 
 /// A sidecar. Clones are the same one.
@@ -77,7 +76,7 @@
     dispatches: Mutex<DispatchTable>,
     action_over: Event,
     fences: Mutex<HashMap<Partition, Epoch>>,
-    memory: Mutex<Memory>,
+    releases: Mutex<Releases>,
     engine_load: Mutex<EngineLoad>,
     leaving: AtomicBool,
 }
@@ -99,12 +98,13 @@
             )),
             action_over: Event::new(),
             fences: Mutex::default(),
-            memory: Mutex::default(),
+            releases: Mutex::new(Releases::new(config.releases)),
             engine_load: Mutex::default(),
             leaving: AtomicBool::new(false),
             config,
         }));
-        spawner.spawn(sidecar.clone().watch_engine());
+        spawner.spawn(sidecar.clone().watch_load());
+        spawner.spawn(sidecar.clone().watch_cache());
         spawner.spawn(sidecar.clone().sweep());
         sidecar
     }
--- a/src/sidecar/probe.rs
+++ b/src/sidecar/probe.rs
@@ -1,22 +1,26 @@
 //! Background work of a sidecar: the engine's load, cache to release, answers to forget.
 
 use crate::ids::ProgramId;
-use crate::protocol::engine::{Engine, EngineOrder};
+use crate::protocol::engine::{CacheEvent, Engine, EngineOrder};
 use crate::protocol::link::{Digest, Reply};
 use crate::protocol::refusal::{Refusal, RefusalCode};
 use crate::protocol::service::Service;
 use crate::sidecar::{Endpoint, Sidecar, lock};
 use smol::Timer;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 /// Time between two reads of the engine's load.
 const LOAD_INTERVAL: Duration = Duration::from_millis(500);
 
+/// Time between two reads of the engine's cache events.
+const EVENTS_INTERVAL: Duration = Duration::from_secs(1);
+
 /// Time between two sweeps.
 const SWEEP_INTERVAL: Duration = Duration::from_millis(200);
 
 impl<E: Engine, S: Service> Sidecar<E, S> {
-    pub(crate) async fn watch_engine(self) {
+    /// Reads the engine's load again and again.
+    pub(crate) async fn watch_load(self) {
         let Endpoint::Engine(engine) = &self.0.endpoint else {
             return;
         };
@@ -28,6 +32,36 @@
         }
     }
 
+    /// Reads the engine's cache events, so that caches of an earlier run are found and released.
+    pub(crate) async fn watch_cache(self) {
+        let Endpoint::Engine(engine) = &self.0.endpoint else {
+            return;
+        };
+        let mut last = 0;
+        loop {
+            if let Ok(events) = engine.cache_events(last).await {
+                self.take_events(&events);
+                last = events.last().map_or(last, |event| event.sequence);
+            }
+            Timer::after(EVENTS_INTERVAL).await;
+        }
+    }
+
+    fn take_events(&self, events: &[CacheEvent]) {
+        let mut releases = lock(&self.0.releases);
+        for event in events.iter().filter(|event| event.held_tokens > 0) {
+            releases.found(Instant::now(), event.program);
+        }
+    }
+
+    /// Notes that owners know these programs to be alive.
+    pub(crate) fn confirm(&self, programs: &[ProgramId]) {
+        let mut releases = lock(&self.0.releases);
+        for program in programs {
+            releases.confirm(Instant::now(), *program);
+        }
+    }
+
     pub(crate) async fn sweep(self) {
         loop {
             Timer::after(SWEEP_INTERVAL).await;
@@ -53,25 +87,28 @@
     }
 
     async fn release_due(&self) {
-        let due = lock(&self.0.memory).due(self.0.config.confirm_lapse);
+        let due = lock(&self.0.releases).due(Instant::now());
         for program in due {
-            self.release(program).await;
+            self.release_now(program).await;
         }
     }
 
     /// Frees a program's cache; what the engine does not agree to now is tried again.
     pub(crate) async fn release(&self, program: ProgramId) -> Reply {
+        self.stop_program(program);
+        lock(&self.0.releases).release(Instant::now(), program);
+        self.release_now(program).await
+    }
+
+    async fn release_now(&self, program: ProgramId) -> Reply {
         let Endpoint::Engine(engine) = &self.0.endpoint else {
             return Reply::Held { tokens: 0 };
         };
-        lock(&self.0.memory).release(program);
-        self.stop_program(program);
         match engine.release(program).await {
-            Ok(0) => {
-                lock(&self.0.memory).forget(program);
-                Reply::Held { tokens: 0 }
+            Ok(tokens) => {
+                lock(&self.0.releases).answered(program, tokens);
+                Reply::Held { tokens }
             }
-            Ok(tokens) => Reply::Held { tokens },
             Err(e) => Reply::Refused(Refusal::unknown(RefusalCode::EndpointFailed, e.to_string())),
         }
     }
--- a/src/sidecar/serve.rs
+++ b/src/sidecar/serve.rs
@@ -61,7 +61,7 @@
             } => self.settle(partition, epoch, call, once),
             Request::Release { program } => self.release(program).await,
             Request::Confirm { programs } => {
-                lock(&self.0.memory).confirm(&programs);
+                self.confirm(&programs);
                 Reply::Done
             }
             Request::Order { order, fence } => self.order(order, fence).await,
@@ -95,7 +95,7 @@
                 Err(Gone)
             };
             let event = match next.or(gone).await? {
-                Followed::Started(run) => Event::Started { run },
+                Followed::Started(run) => Event::started(run),
                 Followed::Part(tokens) => Event::Tokens(tokens),
                 Followed::End(Ok(whole)) => return Ok(Reply::Generated(self.generated(whole))),
                 Followed::End(Err(refusal)) => return Ok(Reply::Refused(refusal)),
--- a/src/transport/replay.rs
+++ b/src/transport/replay.rs
@@ -17,11 +17,20 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) struct Gap;
 
+/// One run of what makes an answer.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub(crate) struct Run {
+    /// Names it; 0 before the first.
+    pub(crate) id: u64,
+    /// Where it runs.
+    pub(crate) place: String,
+}
+
 /// What a reader gets next.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub(crate) enum Followed<P, R> {
     /// Parts that follow belong to this run and replace those of another.
-    Started(u64),
+    Started(Run),
     /// A part.
     Part(P),
     /// The end.
@@ -30,7 +39,7 @@
 
 /// Invariants: `parts` are contiguous and belong to `run`; neither changes after `end` is set.
 struct State<P, R> {
-    run: u64,
+    run: Run,
     parts: Vec<P>,
     end: Option<R>,
     followers: usize,
@@ -57,7 +66,7 @@
     pub(crate) fn new() -> Self {
         Self(Arc::new(Shared {
             state: Mutex::new(State {
-                run: 0,
+                run: Run::default(),
                 parts: Vec::new(),
                 end: None,
                 followers: 0,
@@ -75,9 +84,9 @@
     }
 
     /// Says which run the next parts belong to; another run's parts are dropped.
-    pub(crate) fn start(&self, run: u64) {
+    pub(crate) fn start(&self, run: Run) {
         let mut state = self.state();
-        if state.run != run && state.end.is_none() {
+        if state.run.id != run.id && state.end.is_none() {
             state.run = run;
             state.parts.clear();
         }
@@ -174,11 +183,11 @@
 
     fn poll(&mut self) -> Option<Followed<P, R>> {
         let state = self.replay.state();
-        if state.run != self.run {
+        if state.run.id != self.run {
             // Another run's parts are of no use to a reader that has some of this one's.
             self.next = if self.run == 0 { self.from } else { 0 };
-            self.run = state.run;
-            return Some(Followed::Started(state.run));
+            self.run = state.run.id;
+            return Some(Followed::Started(state.run.clone()));
         }
         let at = state.parts.partition_point(|part| part.end() <= self.next);
         if let Some(part) = state.parts.get(at) {
