--- a/src/protocol/link.rs
+++ b/src/protocol/link.rs
@@ -4,9 +4,10 @@
 //! ends with one [`Reply`].
 
 use crate::ids::{
-    BranchId, CallId, EnvironmentId, Epoch, Incarnation, MemberId, ModelId, NodeId, Offset,
-    Partition, ProgramId,
+    BranchId, CallId, EndpointId, EnvironmentId, Epoch, Incarnation, MemberId, ModelId, NodeId,
+    Offset, Partition, ProgramId,
 };
+use crate::protocol::configuration::ConfigurationImage;
 use crate::protocol::engine::{EngineLoad, EngineOrder, EngineUsage, GenerateRequest};
 use crate::protocol::message::{Message, Usage};
 use crate::protocol::record::{ActionResult, EndReason};
@@ -72,6 +73,8 @@
         epoch: Epoch,
         /// The call.
         call: CallId,
+        /// The run and the intent that the call was to be dispatched under.
+        once: Once,
     },
     /// Owner to sidecar: free the engine's memory of a program that is gone.
     Release {
@@ -92,6 +95,19 @@
     },
     /// Any to any: are you there, and what do you know.
     Probe(Digest),
+    /// Entry to any: run this configuration unless yours is newer.
+    OfferConfiguration(ConfigurationOffer),
+    /// Any to entry: send your configuration.
+    FetchConfiguration,
+}
+
+/// A node's configuration and how far it has read the stream.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ConfigurationOffer {
+    /// The configuration.
+    pub image: ConfigurationImage,
+    /// The first offset of the stream that the node has not read.
+    pub next: Offset,
 }
 
 /// Who asks, as the receiving entry has established it.
@@ -131,6 +147,8 @@
     pub call: CallId,
     /// The caller's key: a retry with the same key is the same call.
     pub key: Option<String>,
+    /// Where a run of it has been seen, such as before its owner was lost.
+    pub seen_at: Option<EndpointId>,
     /// What to do.
     pub work: Work,
 }
@@ -205,8 +223,19 @@
     pub partition: Partition,
     /// The owner's epoch.
     pub epoch: Epoch,
-    /// The run of the sidecar that may run it; `None` for a repeatable call.
-    pub only_incarnation: Option<Incarnation>,
+    /// What limits it to one run; `None` for a repeatable call.
+    pub once: Option<Once>,
+    /// Longest time in the service, in milliseconds.
+    pub limit_ms: u64,
+}
+
+/// What limits a call that may not be repeated to one run.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Once {
+    /// The only run of the sidecar that may run it.
+    pub incarnation: Incarnation,
+    /// Offset of its intent in the partition's stream.
+    pub intent: Offset,
 }
 
 /// Part of an answer.
@@ -217,6 +246,14 @@
         /// The call.
         call: CallId,
     },
+    /// A run of the call has started; tokens that follow belong to it. A run that differs from
+    /// the one before replaces its tokens.
+    Started {
+        /// Names the run.
+        run: u64,
+        /// Where it runs.
+        endpoint: EndpointId,
+    },
     /// Some text.
     Tokens(Tokens),
 }
@@ -259,6 +296,13 @@
     },
     /// The answer to a probe.
     Probed(Digest),
+    /// The configuration version that the node runs after an offer.
+    Configured {
+        /// The version.
+        version: Offset,
+    },
+    /// The configuration that was asked for.
+    Configuration(ConfigurationOffer),
     /// Not done.
     Refused(Refusal),
 }
@@ -369,6 +413,10 @@
     Over(ActionResult),
     /// Still running.
     Running,
+    /// It never came, and it will be refused if it comes.
+    Voided,
+    /// This run of the sidecar cannot tell.
+    Unknown,
 }
 
 /// What nodes tell each other with every probe.
@@ -388,6 +436,17 @@
     pub heard: Vec<Heard>,
     /// Load, if it is a sidecar.
     pub load: Option<SidecarLoad>,
+    /// What its endpoint serves, if it is a sidecar.
+    pub serving: Option<Serving>,
+}
+
+/// What an endpoint serves.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Serving {
+    /// Models and adapters with their versions.
+    Models(Vec<(ModelId, u32)>),
+    /// A service, by its name in the environment documents.
+    Service(String),
 }
 
 /// What a node has heard of another.
@@ -403,4 +462,14 @@
     pub leaving: bool,
 }
 
+/// The messages of this system's links.
+pub(crate) enum Messages {}
+
+impl crate::transport::link::Wire for Messages {
+    type Request = Request;
+    type Event = Event;
+    type Reply = Reply;
+}
+
+mod part;
 mod tokens;
--- a/src/protocol/mod.rs
+++ b/src/protocol/mod.rs
@@ -1,7 +1,9 @@
 //! Typed messages between the processes, and the interfaces to what stands around them.
 
 pub mod caller;
+pub mod configuration;
 pub mod engine;
+pub mod image;
 pub mod link;
 pub mod log;
 pub mod message;
--- a/src/standin/engine/mod.rs
+++ b/src/standin/engine/mod.rs
@@ -4,12 +4,14 @@
 pub(crate) mod batch;
 pub(crate) mod cache;
 mod config;
+mod core;
 mod handler;
 pub(crate) mod ledger;
-mod orders;
+pub(crate) mod orders;
 mod reports;
 mod stepper;
 mod stream;
+mod wire;
 
 pub use config::{ActedOrder, EngineConfig, EngineControl, EngineCounts};
 
