Fence orders, decide placement, record burn and events

Cause: late, repeated or old orders must change nothing even at engines that check nothing, and the morning must see the night although VMs were replaced. Change: an order fence (epoch, then sequence) that the sidecar applies one order at a time; the placement decisions of the owner of partition 0, paced by the weight store and never below the warm copies; burn tables by member and minute with mergeable histograms, burn rates over five windows, alerts; an operations stream with carry-over, and its recorder; a generic tail for trimmed streams. Conclusion: the entry can count programs and first tokens; placement needs its driver next.

--- a/src/configuration/mod.rs
+++ b/src/configuration/mod.rs
@@ -13,7 +13,7 @@
 pub(crate) use change::{ChangeOutcome, ChangeRequest};
 pub(crate) use spread::Peers;
 
-use crate::coordination::configuration::{Spread, Tail};
+use crate::coordination::configuration::{ConfigurationTail, Spread};
 use crate::ids::{NodeId, Offset};
 use crate::protocol::link::ConfigurationOffer;
 use crate::protocol::log::Log;
@@ -33,7 +33,7 @@
     node: NodeId,
     log: L,
     retention_ms: u64,
-    tail: Mutex<Tail>,
+    tail: Mutex<ConfigurationTail>,
     spread: Mutex<Spread>,
     cell: ConfigurationCell,
 }
@@ -46,7 +46,7 @@
             node: node.to_string(),
             log,
             retention_ms,
-            tail: Mutex::new(Tail::new(fastrand::Rng::new())),
+            tail: Mutex::new(ConfigurationTail::new(fastrand::Rng::new())),
             spread: Mutex::default(),
             cell: ConfigurationCell::default(),
         }))
--- a/src/coordination/configuration/mod.rs
+++ b/src/coordination/configuration/mod.rs
@@ -6,4 +6,4 @@
 mod tests;
 
 pub(crate) use spread::{Spread, SpreadAction};
-pub(crate) use tail::Tail;
+pub(crate) use tail::ConfigurationTail;
--- a/src/coordination/configuration/tests.rs
+++ b/src/coordination/configuration/tests.rs
@@ -1,4 +1,4 @@
-use super::{Spread, SpreadAction, Tail};
+use super::{ConfigurationTail, Spread, SpreadAction};
 use crate::ids::Offset;
 use crate::protocol::configuration::{Change, ChangeAction, ConfigurationRecord};
 use crate::protocol::log::{LogError, LogPage, LogRecord};
@@ -50,7 +50,7 @@
         })
     }
 
-    fn drive(&self, tail: &mut Tail, reads: usize) {
+    fn drive(&self, tail: &mut ConfigurationTail, reads: usize) {
         for _ in 0..reads {
             match self.read(tail.next_read().from) {
                 Ok(page) => {
@@ -76,14 +76,14 @@
     })
 }
 
-fn new_tail() -> Tail {
-    Tail::new(fastrand::Rng::with_seed(1))
+fn new_tail() -> ConfigurationTail {
+    ConfigurationTail::new(fastrand::Rng::with_seed(1))
 }
 
 const RETENTION_MS: u64 = 1_000;
 
 /// Lets a node carry over until it is due no more.
-fn carry(tail: &mut Tail, stream: &mut Stream, now_ms: u64) {
+fn carry(tail: &mut ConfigurationTail, stream: &mut Stream, now_ms: u64) {
     for _ in 0..200 {
         if let Some(record) = tail.carry(now_ms, RETENTION_MS) {
             stream.append(now_ms, &record);
--- /dev/null
+++ b/src/coordination/placement/tests.rs
@@ -0,0 +1,297 @@
+use super::{EngineView, Placement, PlacementAction, PlacementConfig, Wanted};
+use crate::coordination::fence::{Admission, OrderFence};
+use crate::ids::Epoch;
+use crate::protocol::engine::EngineOrder;
+use crate::protocol::weights::WeightGrant;
+use googletest::prelude::*;
+use proptest::prelude::*;
+use std::collections::BTreeMap;
+use std::time::{Duration, Instant};
+
+fn want(model: &str, version: u32, warm_copies: u32) -> Wanted {
+    Wanted {
+        model: model.to_string(),
+        version,
+        warm_copies,
+    }
+}
+
+fn engine(number: usize, models: &[(&str, u32)]) -> EngineView {
+    EngineView {
+        endpoint: format!("s{number}"),
+        failure_domain: format!("d{}", number % 3),
+        stays: true,
+        models: models.iter().map(|(m, v)| ((*m).to_string(), *v)).collect(),
+    }
+}
+
+fn owner(now: Instant, epoch: Epoch) -> Placement {
+    let config = PlacementConfig {
+        takeover_wait: Duration::ZERO,
+        ..PlacementConfig::default()
+    };
+    let mut placement = Placement::new(config);
+    placement.on_epoch(now, Some(epoch));
+    placement
+}
+
+/// Engines that act on orders after the sidecars' fences have judged them.
+struct Fleet {
+    engines: Vec<EngineView>,
+    fences: BTreeMap<String, OrderFence>,
+    acted: Vec<(String, Epoch)>,
+    /// Loads under way; while one is, the engine does not serve the model.
+    loading: Vec<(usize, String, u32)>,
+}
+
+impl Fleet {
+    fn new(engines: Vec<EngineView>) -> Self {
+        Self {
+            engines,
+            fences: BTreeMap::new(),
+            acted: Vec::new(),
+            loading: Vec::new(),
+        }
+    }
+
+    fn deliver(&mut self, action: &PlacementAction) -> Admission {
+        let PlacementAction::Order {
+            endpoint,
+            order,
+            fence,
+            sequence,
+        } = action
+        else {
+            panic!("not an order: {action:?}");
+        };
+        let admission = self
+            .fences
+            .entry(endpoint.clone())
+            .or_default()
+            .admit(*fence, *sequence);
+        if admission == Admission::New {
+            self.acted.push((endpoint.clone(), *fence));
+            self.act(endpoint, order);
+        }
+        admission
+    }
+
+    fn act(&mut self, endpoint: &str, order: &EngineOrder) {
+        let index = self
+            .engines
+            .iter()
+            .position(|e| e.endpoint == endpoint)
+            .unwrap();
+        let models = &mut self.engines[index].models;
+        match order {
+            EngineOrder::Load { model, version } => {
+                models.retain(|(m, _)| m != model);
+                self.loading.push((index, model.clone(), *version));
+            }
+            EngineOrder::Unload { model } => models.retain(|(m, _)| m != model),
+        }
+    }
+
+    fn finish_loads(&mut self) {
+        for (index, model, version) in std::mem::take(&mut self.loading) {
+            self.engines[index].models.push((model, version));
+        }
+    }
+
+    fn serving(&self, model: &str) -> usize {
+        self.engines
+            .iter()
+            .filter(|e| e.version_of(model).is_some())
+            .count()
+    }
+
+    fn at(&self, model: &str, version: u32) -> usize {
+        self.engines
+            .iter()
+            .filter(|e| e.version_of(model) == Some(version))
+            .count()
+    }
+}
+
+/// Looks once, with a weight store that grants everything; returns the orders.
+fn look(
+    placement: &mut Placement,
+    now: Instant,
+    wanted: &[Wanted],
+    fleet: &Fleet,
+) -> Vec<PlacementAction> {
+    let mut orders = Vec::new();
+    loop {
+        let actions = placement.look(now, wanted, &fleet.engines);
+        if actions.is_empty() {
+            return orders;
+        }
+        for action in actions {
+            match action {
+                PlacementAction::AskWeights { .. } => {
+                    orders.extend(placement.on_weights(now, Some(WeightGrant::Granted)));
+                }
+                order => orders.push(order),
+            }
+        }
+    }
+}
+
+#[gtest]
+fn empty_engines_are_filled_over_failure_domains() {
+    let now = Instant::now();
+    let mut fleet = Fleet::new((0..6).map(|n| engine(n, &[])).collect());
+    let mut placement = owner(now, 1);
+    let orders = look(&mut placement, now, &[want("m", 1, 3)], &fleet);
+    expect_that!(orders.len(), eq(3));
+    for order in &orders {
+        fleet.deliver(order);
+    }
+    fleet.finish_loads();
+    let domains: std::collections::BTreeSet<_> = fleet
+        .engines
+        .iter()
+        .filter(|e| e.version_of("m").is_some())
+        .map(|e| e.failure_domain.clone())
+        .collect();
+    expect_that!(domains.len(), eq(3));
+    expect_that!(
+        look(&mut placement, now, &[want("m", 1, 3)], &fleet),
+        is_empty()
+    );
+}
+
+#[gtest]
+fn a_new_version_rolls_without_going_below_the_warm_copies() {
+    let now = Instant::now();
+    let mut fleet = Fleet::new((0..10).map(|n| engine(n, &[("m", 1)])).collect());
+    let mut placement = owner(now, 1);
+    let wanted = [want("m", 2, 8)];
+    for _ in 0..20 {
+        for order in look(&mut placement, now, &wanted, &fleet) {
+            fleet.deliver(&order);
+            expect_that!(fleet.serving("m"), ge(8));
+        }
+        fleet.finish_loads();
+    }
+    expect_that!(fleet.at("m", 2), eq(10));
+}
+
+#[gtest]
+fn without_a_copy_to_spare_nothing_is_replaced() {
+    let now = Instant::now();
+    let fleet = Fleet::new((0..3).map(|n| engine(n, &[("m", 1)])).collect());
+    let mut placement = owner(now, 1);
+    expect_that!(
+        look(&mut placement, now, &[want("m", 2, 3)], &fleet),
+        is_empty()
+    );
+}
+
+#[gtest]
+fn adapters_follow_their_model_and_unwanted_models_make_room() {
+    let now = Instant::now();
+    let mut fleet = Fleet::new(vec![engine(0, &[("old", 1)])]);
+    let mut placement = owner(now, 1);
+    let wanted = [want("m", 1, 1), want("m/a", 2, 1)];
+    for _ in 0..4 {
+        for order in look(&mut placement, now, &wanted, &fleet) {
+            fleet.deliver(&order);
+        }
+        fleet.finish_loads();
+    }
+    expect_that!(
+        fleet.engines[0].models,
+        eq(&vec![("m".to_string(), 1), ("m/a".to_string(), 2)])
+    );
+}
+
+#[gtest]
+fn the_weight_store_sets_the_pace() {
+    let now = Instant::now();
+    let fleet = Fleet::new((0..4).map(|n| engine(n, &[])).collect());
+    let mut placement = owner(now, 1);
+    let wanted = [want("m", 1, 4)];
+    expect_that!(placement.look(now, &wanted, &fleet.engines).len(), eq(1));
+    expect_that!(placement.look(now, &wanted, &fleet.engines), is_empty());
+    let wait = Duration::from_secs(5);
+    expect_that!(
+        placement.on_weights(now, Some(WeightGrant::Wait(wait))),
+        none()
+    );
+    expect_that!(placement.look(now, &wanted, &fleet.engines), is_empty());
+    expect_that!(
+        placement.look(now + wait, &wanted, &fleet.engines).len(),
+        eq(1)
+    );
+}
+
+#[gtest]
+fn a_new_owner_waits_for_the_reports() {
+    let now = Instant::now();
+    let fleet = Fleet::new(vec![engine(0, &[])]);
+    let mut placement = Placement::new(PlacementConfig::default());
+    let wanted = [want("m", 1, 1)];
+    expect_that!(placement.look(now, &wanted, &fleet.engines), is_empty());
+    placement.on_epoch(now, Some(4));
+    expect_that!(placement.look(now, &wanted, &fleet.engines), is_empty());
+    let later = now + PlacementConfig::default().takeover_wait;
+    expect_that!(placement.look(later, &wanted, &fleet.engines).len(), eq(1));
+}
+
+#[gtest]
+fn a_refused_order_is_planned_anew() {
+    let now = Instant::now();
+    let fleet = Fleet::new(vec![engine(0, &[])]);
+    let mut placement = owner(now, 1);
+    let wanted = [want("m", 1, 1)];
+    let first = look(&mut placement, now, &wanted, &fleet);
+    placement.on_ordered("s0", true);
+    let second = look(&mut placement, now, &wanted, &fleet);
+    expect_that!(first.len(), eq(1));
+    expect_that!(second.len(), eq(1));
+    expect_that!(first, not(eq(&second)));
+}
+
+proptest! {
+    /// Two owners are alive at once and their orders are held back, repeated and delivered in any
+    /// order to engines that check nothing: none acts on an order after one of a newer owner, and
+    /// once the newer one goes on, its wish holds.
+    #[test]
+    fn an_old_owner_changes_nothing_after_a_new_one(
+        picks in proptest::collection::vec((any::<u16>(), any::<bool>()), 1..60),
+    ) {
+        let now = Instant::now();
+        let mut fleet = Fleet::new((0..5).map(|n| engine(n, &[("m", 1)])).collect());
+        let mut old = owner(now, 3);
+        let mut new = owner(now, 7);
+        let (old_wish, new_wish) = ([want("m", 2, 3)], [want("m", 3, 3)]);
+        let mut held: Vec<PlacementAction> = Vec::new();
+        for (pick, keep) in picks {
+            held.extend(look(&mut old, now, &old_wish, &fleet));
+            held.extend(look(&mut new, now, &new_wish, &fleet));
+            if held.is_empty() {
+                fleet.finish_loads();
+                continue;
+            }
+            let index = usize::from(pick) % held.len();
+            let order = if keep { held[index].clone() } else { held.remove(index) };
+            fleet.deliver(&order);
+        }
+        let mut highest: BTreeMap<&str, Epoch> = BTreeMap::new();
+        for (endpoint, fence) in &fleet.acted {
+            let known = highest.entry(endpoint).or_insert(0);
+            prop_assert!(fence >= known);
+            *known = *fence;
+        }
+        for round in 0..20 {
+            fleet.finish_loads();
+            let later = now + Duration::from_secs(700 * (round + 1));
+            for order in look(&mut new, later, &new_wish, &fleet) {
+                fleet.deliver(&order);
+            }
+        }
+        fleet.finish_loads();
+        prop_assert_eq!(fleet.at("m", 3), 5);
+    }
+}
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -27,6 +27,7 @@
 mod ini;
 mod load;
 mod logging;
+mod operations;
 pub mod protocol;
 mod proxy;
 mod settings;
@@ -59,6 +60,7 @@
 pub use coordination::dispatch::{
     Dispatch, DispatchError, DispatchLimits, DispatchTable, Dispatched, Settled,
 };
+pub use coordination::fence::{Admission as FenceAdmission, OrderFence};
 pub use coordination::hedge::{HedgeCandidate, HedgeConfig, hedge_at};
 pub use coordination::limits::{Limit, Limits, TokenBucket};
 pub use coordination::membership::{Membership, MembershipConfig, Node, NodeState};
@@ -66,6 +68,9 @@
 pub use coordination::partition::{
     Change, Commit, CommitError, LogHealth, PartitionConfig, PartitionHandle, PartitionIdentity,
 };
+pub use coordination::placement::{
+    EngineView, Placement, PlacementAction, PlacementConfig, Wanted,
+};
 pub use coordination::rendezvous::rendezvous;
 pub use coordination::retry::{FailedCall, Retries, RetryBudget, RetryConfig};
 pub use coordination::watchdog::{Watchdog, WatchdogConfig, WatchdogVerdict};
@@ -84,6 +89,10 @@
 pub use proxy::{FaultProxy, FlowDirection};
 pub use settings::{EXIT_FAILURE, EXIT_OK, EXIT_SETTINGS, EXIT_USAGE, SettingErrors, Settings};
 pub use state::budget::Ledger;
+pub use state::burn::{
+    Alert, BurnLine, BurnReport, BurnTable, BurnWindow, Measure, ProgramSample, TokenSample,
+    WindowCount,
+};
 pub use state::history::{HistoryError, beginning, turn_hash, verify};
 pub use state::partition::{Applied, Owner, PartitionState, Void};
 pub use state::program::{EntryError, Head, TurnRef};
--- /dev/null
+++ b/src/operations/tests.rs
@@ -0,0 +1,181 @@
+//! Recorders of several entries against the log stand-in.
+
+use super::{Operations, OperationsConfig};
+use crate::adapter::HttpLog;
+use crate::configuration::ConfigurationCell;
+use crate::protocol::configuration::{ConfigurationImage, EnvironmentImage, Stage};
+use crate::protocol::operations::EventKind;
+use crate::protocol::refusal::RefusalCode;
+use crate::standin::{LogConfig, LogControl, LogStandin, Outage};
+use crate::state::burn::{BurnReport, BurnWindow, Measure};
+use futures_lite::future::block_on;
+use googletest::prelude::*;
+use smol::{Task, Timer};
+use std::time::{Duration, Instant};
+
+/// Bound on what a test waits for.
+const PATIENCE: Duration = Duration::from_secs(20);
+
+fn configuration() -> ConfigurationCell {
+    let document = format!(
+        "[environment]\nname = shop\n[member m]\ntoken_hash = {}\n\
+         [objectives]\nprogram_latency_ms = 1000\n",
+        "1".repeat(64)
+    );
+    let cell = ConfigurationCell::default();
+    cell.adopt(&ConfigurationImage {
+        version: 1,
+        environments: vec![EnvironmentImage {
+            name: "shop".to_string(),
+            version: 1,
+            stage: Stage::Trial,
+            retired: false,
+            document,
+            changes: Vec::new(),
+        }],
+    });
+    cell
+}
+
+fn start(log: &LogStandin, node: &str, retention_ms: u64) -> (Operations<HttpLog>, Task<()>) {
+    let config = OperationsConfig {
+        node: node.to_string(),
+        incarnation: 1,
+        flush_interval: Duration::from_millis(20),
+        retention_ms,
+    };
+    let client = HttpLog::new(&log.url(), Duration::from_secs(2));
+    let operations = Operations::new(config, client, configuration());
+    let task = smol::spawn(operations.clone().run());
+    (operations, task)
+}
+
+fn programs(report: &BurnReport) -> (u64, u64) {
+    let line = report
+        .lines
+        .iter()
+        .find(|line| line.member.is_none() && line.measure == Measure::Success);
+    let count = line.unwrap().window(BurnWindow::Days3);
+    (count.bad, count.total)
+}
+
+async fn wait_for(operations: &Operations<HttpLog>, what: impl Fn(&BurnReport) -> bool) -> bool {
+    let give_up = Instant::now() + PATIENCE;
+    while Instant::now() < give_up {
+        if what(&operations.report()) {
+            return true;
+        }
+        Timer::after(Duration::from_millis(10)).await;
+    }
+    false
+}
+
+#[gtest]
+fn entries_see_each_others_counts_and_a_new_one_sees_the_night() {
+    block_on(async {
+        let log = LogStandin::start(LogConfig::default()).await.unwrap();
+        let (one, task_one) = start(&log, "e1", 3_600_000);
+        let (two, task_two) = start(&log, "e2", 3_600_000);
+        for number in 0..30 {
+            let recorder = if number % 2 == 0 { &one } else { &two };
+            recorder.program_ended("shop", "m", Duration::from_millis(50), number % 10 != 0);
+            Timer::after(Duration::from_millis(5)).await;
+        }
+        one.event(EventKind::LogDown);
+        two.refused("shop", RefusalCode::Overloaded);
+        for recorder in [&one, &two] {
+            expect_that!(
+                wait_for(recorder, |r| programs(r) == (3, 30)).await,
+                eq(true)
+            );
+            expect_that!(wait_for(recorder, |r| r.events.len() == 2).await, eq(true));
+        }
+        one.flush().await;
+        two.flush().await;
+        drop((task_one, task_two, one, two));
+        let (morning, _task) = start(&log, "e3", 3_600_000);
+        expect_that!(
+            wait_for(&morning, |r| programs(r) == (3, 30)).await,
+            eq(true)
+        );
+        expect_that!(morning.report().events.len(), eq(2));
+    });
+}
+
+#[gtest]
+fn lost_answers_count_nothing_twice() {
+    block_on(async {
+        let log = LogStandin::start(LogConfig::default()).await.unwrap();
+        log.control(LogControl {
+            lose_answer_share: Some(0.5),
+            ..LogControl::default()
+        })
+        .await;
+        let (one, _task) = start(&log, "e1", 3_600_000);
+        let (two, _other) = start(&log, "e2", 3_600_000);
+        for _ in 0..20 {
+            one.program_ended("shop", "m", Duration::from_millis(50), true);
+            Timer::after(Duration::from_millis(20)).await;
+        }
+        expect_that!(wait_for(&two, |r| programs(r) == (0, 20)).await, eq(true));
+        Timer::after(Duration::from_millis(200)).await;
+        expect_that!(programs(&two.report()), eq((0, 20)));
+        expect_that!(programs(&one.report()), eq((0, 20)));
+    });
+}
+
+#[gtest]
+fn an_outage_is_recorded_and_loses_nothing() {
+    block_on(async {
+        let log = LogStandin::start(LogConfig::default()).await.unwrap();
+        let (one, _task) = start(&log, "e1", 3_600_000);
+        let (two, _other) = start(&log, "e2", 3_600_000);
+        expect_that!(wait_for(&one, |_| true).await, eq(true));
+        log.control(LogControl {
+            outage: Some(Outage::Refuse),
+            outage_ms: Some(3_000),
+            ..LogControl::default()
+        })
+        .await;
+        one.program_ended("shop", "m", Duration::from_millis(50), true);
+        expect_that!(programs(&one.report()), eq((0, 1)));
+        expect_that!(wait_for(&two, |r| programs(r) == (0, 1)).await, eq(true));
+        let is_up = |report: &BurnReport| {
+            let ups = report
+                .events
+                .iter()
+                .filter(|e| matches!(e.kind, EventKind::LogUp { .. }));
+            ups.count() == 2
+        };
+        expect_that!(wait_for(&two, is_up).await, eq(true));
+    });
+}
+
+#[gtest]
+fn what_is_carried_over_survives_trimming() {
+    block_on(async {
+        let log = LogStandin::start(LogConfig::default()).await.unwrap();
+        let (one, task) = start(&log, "e1", 4);
+        for _ in 0..10 {
+            one.program_ended("shop", "m", Duration::from_millis(50), true);
+            Timer::after(Duration::from_millis(30)).await;
+        }
+        let give_up = Instant::now() + PATIENCE;
+        while one.named_root() < 2 && Instant::now() < give_up {
+            Timer::after(Duration::from_millis(10)).await;
+        }
+        let root = one.named_root();
+        expect_that!(root, gt(1));
+        drop(task);
+        log.trim("operations", root);
+        let (late, _task) = start(&log, "e2", 3_600_000);
+        expect_that!(wait_for(&late, |r| programs(r) == (0, 10)).await, eq(true));
+    });
+}
+
+impl Operations<HttpLog> {
+    fn named_root(&self) -> u64 {
+        let tail = super::lock(&self.0.tail);
+        tail.fold.named().map_or(0, |named| named.offset)
+    }
+}
--- a/src/protocol/link.rs
+++ b/src/protocol/link.rs
@@ -86,12 +86,14 @@
         /// The programs.
         programs: Vec<ProgramId>,
     },
-    /// Owner to sidecar: an order to the engine.
+    /// Owner of partition 0 to sidecar: an order to the engine.
     Order {
         /// The order.
         order: EngineOrder,
-        /// The fencing number.
+        /// The owner's epoch: the fencing number.
         fence: Epoch,
+        /// Position among the owner's orders to this sidecar, from 1.
+        sequence: u64,
     },
     /// Any to any: are you there, and what do you know.
     Probe(Digest),
--- a/src/protocol/mod.rs
+++ b/src/protocol/mod.rs
@@ -7,6 +7,7 @@
 pub mod link;
 pub mod log;
 pub mod message;
+pub mod operations;
 pub mod record;
 pub mod refusal;
 pub mod service;
--- a/src/sidecar/mod.rs
+++ b/src/sidecar/mod.rs
@@ -2,6 +2,7 @@
 
 mod action;
 mod generation;
+mod orders;
 mod probe;
 mod queue;
 mod serve;
@@ -9,6 +10,7 @@
 use crate::coordination::admission::AdmissionConfig;
 use crate::coordination::cache::{ReleaseConfig, Releases};
 use crate::coordination::dispatch::{DispatchLimits, DispatchTable};
+use crate::coordination::fence::OrderFence;
 use crate::ids::{CallId, EndpointId, Epoch, Incarnation, Partition};
 use crate::protocol::engine::{Engine, EngineLoad};
 use crate::protocol::link::{Serving, SidecarLoad, Tokens};
@@ -67,6 +69,7 @@
 }
 
 /// Invariant: `fences` holds the highest epoch heard of for each partition; a lower one is refused.
+/// `newest_order` is locked while an order is under way, so that orders reach the engine in turn.
 struct Inner<E, S> {
     config: SidecarConfig,
     endpoint: Endpoint<E, S>,
@@ -76,6 +79,7 @@
     dispatches: Mutex<DispatchTable>,
     action_over: Event,
     fences: Mutex<HashMap<Partition, Epoch>>,
+    newest_order: smol::lock::Mutex<OrderFence>,
     releases: Mutex<Releases>,
     engine_load: Mutex<EngineLoad>,
     leaving: AtomicBool,
@@ -98,6 +102,7 @@
             )),
             action_over: Event::new(),
             fences: Mutex::default(),
+            newest_order: smol::lock::Mutex::default(),
             releases: Mutex::new(Releases::new(config.releases)),
             engine_load: Mutex::default(),
             leaving: AtomicBool::new(false),
--- /dev/null
+++ b/src/sidecar/orders.rs
@@ -0,0 +1,55 @@
+//! Orders to the engine, one at a time and never an old one.
+
+use crate::coordination::fence::Admission;
+use crate::ids::{Epoch, Partition};
+use crate::protocol::engine::{Engine, EngineOrder};
+use crate::protocol::link::Reply;
+use crate::protocol::refusal::{Refusal, RefusalCode};
+use crate::protocol::service::Service;
+use crate::sidecar::{Endpoint, Sidecar, lock};
+
+/// The partition whose owner gives orders.
+const ORDERING_PARTITION: Partition = 0;
+
+impl<E: Engine, S: Service> Sidecar<E, S> {
+    /// Passes an order on unless a newer one came first, whatever the engine checks itself.
+    ///
+    /// The order runs to its end even if the asking link breaks, so that no later one overtakes it.
+    pub(crate) async fn order(&self, order: EngineOrder, epoch: Epoch, sequence: u64) -> Reply {
+        let sidecar = self.clone();
+        let (tx, rx) = async_channel::bounded(1);
+        self.0.spawner.spawn(async move {
+            let reply = sidecar.order_in_turn(order, epoch, sequence).await;
+            let _ = tx.send(reply).await;
+        });
+        match rx.recv().await {
+            Ok(reply) => reply,
+            Err(_) => Reply::Refused(Refusal::unknown(
+                RefusalCode::ShuttingDown,
+                "The sidecar stops.",
+            )),
+        }
+    }
+
+    async fn order_in_turn(&self, order: EngineOrder, epoch: Epoch, sequence: u64) -> Reply {
+        let Endpoint::Engine(engine) = &self.0.endpoint else {
+            let message = "The endpoint is no engine.";
+            return Reply::Refused(Refusal::not_run(RefusalCode::NoEndpoint, message));
+        };
+        let mut newest = self.0.newest_order.lock().await;
+        let heard = lock(&self.0.fences).get(&ORDERING_PARTITION).copied();
+        newest.hear(heard.unwrap_or_default());
+        match newest.admit(epoch, sequence) {
+            Admission::Old { epoch } => {
+                let message = format!("An order of epoch {epoch} came first.");
+                return Reply::Refused(Refusal::not_run(RefusalCode::NoOwner, message));
+            }
+            Admission::Repeated => return Reply::Done,
+            Admission::New => {}
+        }
+        match engine.order(order, epoch).await {
+            Ok(()) => Reply::Done,
+            Err(e) => Reply::Refused(Refusal::unknown(RefusalCode::EndpointFailed, e.to_string())),
+        }
+    }
+}
--- a/src/sidecar/probe.rs
+++ b/src/sidecar/probe.rs
@@ -1,7 +1,7 @@
 //! Background work of a sidecar: the engine's load, cache to release, answers to forget.
 
 use crate::ids::ProgramId;
-use crate::protocol::engine::{CacheEvent, Engine, EngineOrder};
+use crate::protocol::engine::{CacheEvent, Engine};
 use crate::protocol::link::{Digest, Reply};
 use crate::protocol::refusal::{Refusal, RefusalCode};
 use crate::protocol::service::Service;
@@ -121,18 +121,6 @@
         }
     }
 
-    /// Passes an order on if its fencing number is not old.
-    pub(crate) async fn order(&self, order: EngineOrder, fence: u64) -> Reply {
-        let Endpoint::Engine(engine) = &self.0.endpoint else {
-            let message = "The endpoint is no engine.";
-            return Reply::Refused(Refusal::not_run(RefusalCode::NoEndpoint, message));
-        };
-        match engine.order(order, fence).await {
-            Ok(()) => Reply::Done,
-            Err(e) => Reply::Refused(Refusal::unknown(RefusalCode::EndpointFailed, e.to_string())),
-        }
-    }
-
     /// Answers a probe.
     pub(crate) fn probe(&self, _digest: &Digest) -> Digest {
         let config = &self.0.config;
--- a/src/sidecar/serve.rs
+++ b/src/sidecar/serve.rs
@@ -64,7 +64,11 @@
                 self.confirm(&programs);
                 Reply::Done
             }
-            Request::Order { order, fence } => self.order(order, fence).await,
+            Request::Order {
+                order,
+                fence,
+                sequence,
+            } => self.order(order, fence, sequence).await,
             Request::Probe(digest) => Reply::Probed(self.probe(&digest)),
             _ => Reply::Refused(Refusal::not_run(
                 RefusalCode::Invalid,
--- /dev/null
+++ b/src/state/burn/mod.rs
@@ -0,0 +1,13 @@
+//! Service-level burn: counts and histograms by member and minute, and burn rates over windows.
+
+mod cell;
+mod rates;
+mod report;
+mod table;
+#[cfg(test)]
+mod tests;
+
+pub use rates::{Alert, BurnWindow, Measure};
+pub(crate) use report::measure_environment;
+pub use report::{BurnLine, BurnReport, WindowCount};
+pub use table::{BurnTable, ProgramSample, TokenSample};
--- /dev/null
+++ b/src/state/burn/report.rs
@@ -0,0 +1,177 @@
+//! The burn report.
+
+use super::rates::{Alert, BurnWindow, Measure, burn_rate, judge};
+use super::table::BurnTable;
+use crate::environment::Objectives;
+use crate::ids::{EnvironmentId, MemberId};
+use crate::protocol::operations::{Cell, OperationEvent};
+use serde::{Deserialize, Serialize};
+use strum::IntoEnumIterator;
+
+/// Quantiles of the report.
+const QUANTILES: [f64; 3] = [0.5, 0.95, 0.99];
+
+/// Burn of all environments, and what happened.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub struct BurnReport {
+    /// When it was made, in Unix milliseconds.
+    pub at_ms: u64,
+    /// By environment, member and measure.
+    pub lines: Vec<BurnLine>,
+    /// What happened, oldest first.
+    pub events: Vec<OperationEvent>,
+}
+
+/// Burn of one objective.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct BurnLine {
+    /// The environment.
+    pub environment: EnvironmentId,
+    /// The member; `None` for all members together.
+    pub member: Option<MemberId>,
+    /// What is measured.
+    pub measure: Measure,
+    /// The limit of a good event; `None` for success.
+    pub objective_ms: Option<u64>,
+    /// The share of good events asked for.
+    pub objective_share: f64,
+    /// Counts and rates by window.
+    pub windows: Vec<WindowCount>,
+    /// Median over three days; zero for success.
+    pub p50_ms: u64,
+    /// 95th percentile over three days; zero for success.
+    pub p95_ms: u64,
+    /// 99th percentile over three days; zero for success.
+    pub p99_ms: u64,
+    /// What it calls for.
+    pub alert: Alert,
+}
+
+impl BurnLine {
+    /// Returns the counts of a window.
+    pub fn window(&self, window: BurnWindow) -> WindowCount {
+        let found = self.windows.iter().find(|count| count.window == window);
+        found.copied().unwrap_or(WindowCount {
+            window,
+            total: 0,
+            bad: 0,
+            burn_rate: 0.0,
+        })
+    }
+}
+
+/// Counts and burn rate of a window.
+#[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
+pub struct WindowCount {
+    /// The window.
+    pub window: BurnWindow,
+    /// Events.
+    pub total: u64,
+    /// Events that were not good.
+    pub bad: u64,
+    /// How many times faster than allowed the error budget is used.
+    pub burn_rate: f64,
+}
+
+/// Reports on one environment: all members together, then each.
+pub(crate) fn measure_environment(
+    table: &BurnTable,
+    now_ms: u64,
+    environment: &str,
+    objectives: &Objectives,
+) -> Vec<BurnLine> {
+    let known = table.members().into_iter();
+    let members = known.filter(|(name, _)| name == environment);
+    let whose: Vec<Option<MemberId>> = std::iter::once(None)
+        .chain(members.map(|(_, member)| Some(member)))
+        .collect();
+    let mut lines = Vec::new();
+    for member in whose {
+        let cells: Vec<_> = BurnWindow::iter()
+            .map(|window| {
+                (
+                    window,
+                    table.sum(now_ms, window, environment, member.as_deref()),
+                )
+            })
+            .collect();
+        for measure in Measure::iter() {
+            lines.push(line(
+                environment,
+                member.as_ref(),
+                measure,
+                objectives,
+                &cells,
+            ));
+        }
+    }
+    lines
+}
+
+fn line(
+    environment: &str,
+    member: Option<&MemberId>,
+    measure: Measure,
+    objectives: &Objectives,
+    cells: &[(BurnWindow, Cell)],
+) -> BurnLine {
+    let (objective_ms, share) = objective(measure, objectives);
+    let counts = cells
+        .iter()
+        .map(|(window, cell)| count(*window, cell, measure, share));
+    let windows: Vec<WindowCount> = counts.collect();
+    let rate = |window| {
+        let found = windows.iter().find(|count| count.window == window);
+        found.map_or(0.0, |count| count.burn_rate)
+    };
+    let longest = cells.last().map(|(_, cell)| cell);
+    let [p50_ms, p95_ms, p99_ms] = longest.map_or([0; 3], |cell| quantiles(cell, measure));
+    BurnLine {
+        environment: environment.to_string(),
+        member: member.cloned(),
+        measure,
+        objective_ms,
+        objective_share: share,
+        alert: judge(rate),
+        windows,
+        p50_ms,
+        p95_ms,
+        p99_ms,
+    }
+}
+
+fn objective(measure: Measure, objectives: &Objectives) -> (Option<u64>, f64) {
+    match measure {
+        Measure::ProgramLatency => (
+            Some(objectives.program_latency_ms),
+            objectives.program_latency_share,
+        ),
+        Measure::FirstToken => (
+            Some(objectives.first_token_ms),
+            objectives.first_token_share,
+        ),
+        Measure::Success => (None, objectives.success_share),
+    }
+}
+
+fn count(window: BurnWindow, cell: &Cell, measure: Measure, share: f64) -> WindowCount {
+    let (bad, total) = match measure {
+        Measure::ProgramLatency => (cell.late, cell.programs - cell.failed),
+        Measure::FirstToken => (cell.late_first_tokens, cell.first_tokens),
+        Measure::Success => (cell.failed, cell.programs),
+    };
+    WindowCount {
+        window,
+        total,
+        bad,
+        burn_rate: burn_rate(bad, total, share),
+    }
+}
+
+fn quantiles(cell: &Cell, measure: Measure) -> [u64; 3] {
+    match measure {
+        Measure::ProgramLatency => cell.program_latency.quantiles(QUANTILES),
+        Measure::FirstToken => cell.first_token.quantiles(QUANTILES),
+        Measure::Success => [0; 3],
+    }
+}
--- a/src/state/configuration/fold.rs
+++ b/src/state/configuration/fold.rs
@@ -6,10 +6,11 @@
 use super::view::{Configuration, find, position};
 use crate::ids::Offset;
 use crate::protocol::configuration::{
-    Change, ChangeAction, ChangeKind, ChangeNote, ConfigurationImage, ConfigurationRecord,
-    EnvironmentImage, Stage,
+    CONFIGURATION_STREAM, Change, ChangeAction, ChangeKind, ChangeNote, ConfigurationImage,
+    ConfigurationRecord, EnvironmentImage, Stage,
 };
 use crate::protocol::log::LogRecord;
+use crate::state::stream::{CarriedAt, Roots, StreamFold};
 use std::sync::Arc;
 
 /// Changes that are remembered of one environment.
@@ -28,15 +29,6 @@
     Ignored,
 }
 
-/// A carried-over configuration in the stream.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub(crate) struct CarriedAt {
-    /// Its offset.
-    pub(crate) offset: Offset,
-    /// When the log took it, in Unix milliseconds by the log's clock.
-    pub(crate) at_ms: u64,
-}
-
 /// The fold.
 ///
 /// Invariants: `next` is above every folded offset and above the configuration's version; the
@@ -45,10 +37,7 @@
 pub(crate) struct ConfigurationFold {
     next: Offset,
     current: Arc<Configuration>,
-    /// The newest accepted carry-over.
-    carried: Option<CarriedAt>,
-    /// The newest accepted carry-over that a later record names, so that a reader finds it.
-    named: Option<CarriedAt>,
+    roots: Roots,
 }
 
 impl Default for ConfigurationFold {
@@ -56,8 +45,7 @@
         Self {
             next: 1,
             current: Arc::default(),
-            carried: None,
-            named: None,
+            roots: Roots::default(),
         }
     }
 }
@@ -75,19 +63,18 @@
 
     /// Returns the root that records written now name.
     pub(crate) fn root(&self) -> Offset {
-        self.carried.map_or(0, |carried| carried.offset)
+        self.roots.root()
     }
 
     /// Returns the newest carry-over that a reader would find.
     pub(crate) fn named(&self) -> Option<CarriedAt> {
-        self.named
+        self.roots.named()
     }
 
     /// Continues at a root: an offset that a record names as an accepted carry-over.
     pub(crate) fn restart(&mut self, root: Offset) {
         self.next = root;
-        self.carried = None;
-        self.named = None;
+        self.roots = Roots::default();
     }
 
     /// Takes over the configuration of a node that has folded the stream up to `next`.
@@ -115,33 +102,24 @@
         let Ok(decoded) = decoded else {
             return Folded::Ignored;
         };
-        self.note_root(decoded.root());
+        self.roots.note(decoded.root());
         match decoded {
             ConfigurationRecord::Change(change) => self.fold_change(change, record.offset),
             ConfigurationRecord::Carried { image, .. } => self.fold_carried(&image, record),
         }
     }
 
-    fn note_root(&mut self, root: Offset) {
-        if let Some(carried) = self.carried.filter(|carried| carried.offset == root) {
-            self.named = Some(carried);
-        }
-    }
-
     /// A carry-over that a restart begins with is newer than what is known; a later one is equal.
     fn fold_carried(&mut self, image: &ConfigurationImage, record: &LogRecord) -> Folded {
         let known = self.current.version();
-        let restarted = self.carried.is_none() && image.version > known;
+        let restarted = self.roots.is_empty() && image.version > known;
         if image.version != known && !restarted {
             return Folded::Stale;
         }
         if restarted {
             self.current = Arc::new(Configuration::new(image.clone(), &self.current));
         }
-        self.carried = Some(CarriedAt {
-            offset: record.offset,
-            at_ms: record.at_ms,
-        });
+        self.roots.carry(record);
         Folded::Carried
     }
 
@@ -158,6 +136,27 @@
     }
 }
 
+impl StreamFold for ConfigurationFold {
+    const STREAM: &'static str = CONFIGURATION_STREAM;
+
+    fn root_of(data: &[u8]) -> Option<Offset> {
+        let record: ConfigurationRecord = ciborium::from_reader(data).ok()?;
+        Some(record.root())
+    }
+
+    fn next(&self) -> Offset {
+        self.next
+    }
+
+    fn restart(&mut self, root: Offset) {
+        Self::restart(self, root);
+    }
+
+    fn take(&mut self, record: &LogRecord) {
+        self.fold(record);
+    }
+}
+
 /// Promotion and retirement need an environment in service.
 fn may_follow(action: &ChangeAction, current: &Configuration, change: &Change) -> bool {
     let in_service = find(current.image(), &change.environment).is_some_and(|e| !e.retired);
--- a/src/state/mod.rs
+++ b/src/state/mod.rs
@@ -3,9 +3,12 @@
 pub(crate) mod actions;
 pub(crate) mod budget;
 #[allow(dead_code, unused_imports, reason = "the roles are wired onto it next")]
+pub(crate) mod burn;
 pub(crate) mod configuration;
 pub(crate) mod history;
+pub(crate) mod operations;
 pub(crate) mod partition;
 pub(crate) mod program;
 pub(crate) mod receipt;
 pub(crate) mod snapshot;
+pub(crate) mod stream;
--- /dev/null
+++ b/src/state/operations.rs
@@ -0,0 +1,177 @@
+//! The fold of the operations stream: burn and events, merged over all entries.
+
+use crate::ids::{Incarnation, NodeId, Offset};
+use crate::protocol::log::LogRecord;
+use crate::protocol::operations::{
+    News, OPERATIONS_STREAM, OperationEvent, OperationsImage, OperationsRecord, Writer,
+};
+use crate::state::burn::BurnTable;
+use crate::state::stream::{CarriedAt, Roots, StreamFold};
+use std::collections::BTreeMap;
+
+/// Events that are kept.
+const EVENTS_MAX: usize = 4_096;
+
+/// Minutes after which a silent writer is forgotten.
+const WRITER_MINUTES: u64 = 3 * 24 * 60;
+
+/// The last record of a writer.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+struct Taken {
+    sequence: u64,
+    minute: u64,
+}
+
+/// The fold.
+///
+/// Invariant: each record of a writer is counted once, however often it stands in the stream.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub(crate) struct OperationsFold {
+    next: Offset,
+    through: Offset,
+    table: BurnTable,
+    events: Vec<OperationEvent>,
+    writers: BTreeMap<(NodeId, Incarnation), Taken>,
+    roots: Roots,
+}
+
+impl OperationsFold {
+    /// Returns the measurements.
+    pub(crate) fn table(&self) -> &BurnTable {
+        &self.table
+    }
+
+    /// Returns the events, oldest first.
+    pub(crate) fn events(&self) -> &[OperationEvent] {
+        &self.events
+    }
+
+    /// Returns the root that records written now name.
+    pub(crate) fn root(&self) -> Offset {
+        self.roots.root()
+    }
+
+    /// Returns the newest carry-over that a reader would find.
+    pub(crate) fn named(&self) -> Option<CarriedAt> {
+        self.roots.named()
+    }
+
+    /// Returns the last sequence that was taken of a writer.
+    pub(crate) fn sequence_of(&self, node: &str, incarnation: Incarnation) -> u64 {
+        let key = (node.to_string(), incarnation);
+        self.writers.get(&key).map_or(0, |taken| taken.sequence)
+    }
+
+    /// Returns everything, to be carried over.
+    pub(crate) fn image(&self) -> OperationsImage {
+        let writers = self.writers.iter();
+        OperationsImage {
+            through: self.through,
+            writers: writers
+                .map(|((node, incarnation), taken)| Writer {
+                    node: node.clone(),
+                    incarnation: *incarnation,
+                    sequence: taken.sequence,
+                    minute: taken.minute,
+                })
+                .collect(),
+            minutes: self.table.minutes(),
+            hours: self.table.hours(),
+            events: self.events.clone(),
+        }
+    }
+
+    fn take_news(&mut self, news: News, record: &LogRecord) {
+        self.through = record.offset;
+        let minute = record.at_ms / 60_000;
+        let key = (news.node, news.incarnation);
+        let taken = self.writers.entry(key).or_default();
+        if news.sequence <= taken.sequence {
+            return;
+        }
+        *taken = Taken {
+            sequence: news.sequence,
+            minute,
+        };
+        self.writers
+            .retain(|_, taken| taken.minute + WRITER_MINUTES >= minute);
+        self.table.add_minutes(&news.minutes);
+        self.take_events(news.events);
+    }
+
+    /// Keeps events in the order of their times.
+    fn take_events(&mut self, events: Vec<OperationEvent>) {
+        for event in events {
+            let index = self
+                .events
+                .partition_point(|known| known.at_ms <= event.at_ms);
+            self.events.insert(index, event);
+        }
+        let excess = self.events.len().saturating_sub(EVENTS_MAX);
+        self.events.drain(..excess);
+    }
+
+    /// A carry-over that a restart begins with is taken; a later one must be up to date.
+    fn take_image(&mut self, image: OperationsImage, record: &LogRecord) {
+        let restarted = self.roots.is_empty() && image.through > self.through;
+        if image.through != self.through && !restarted {
+            return;
+        }
+        if restarted {
+            self.replace(image);
+        }
+        self.roots.carry(record);
+    }
+
+    fn replace(&mut self, image: OperationsImage) {
+        self.through = image.through;
+        self.table = BurnTable::from_cells(&image.minutes, &image.hours);
+        self.events = image.events;
+        let writers = image.writers.into_iter();
+        self.writers = writers
+            .map(|writer| {
+                let Writer {
+                    sequence, minute, ..
+                } = writer;
+                (
+                    (writer.node, writer.incarnation),
+                    Taken { sequence, minute },
+                )
+            })
+            .collect();
+    }
+}
+
+impl StreamFold for OperationsFold {
+    const STREAM: &'static str = OPERATIONS_STREAM;
+
+    fn root_of(data: &[u8]) -> Option<Offset> {
+        let record: OperationsRecord = ciborium::from_reader(data).ok()?;
+        Some(record.root())
+    }
+
+    fn next(&self) -> Offset {
+        self.next.max(1)
+    }
+
+    fn restart(&mut self, root: Offset) {
+        self.next = root;
+        self.roots = Roots::default();
+    }
+
+    fn take(&mut self, record: &LogRecord) {
+        if record.offset < self.next {
+            return;
+        }
+        self.next = record.offset + 1;
+        let Ok(decoded) = ciborium::from_reader(record.data.as_slice()) else {
+            return;
+        };
+        let decoded: OperationsRecord = decoded;
+        self.roots.note(decoded.root());
+        match decoded {
+            OperationsRecord::News(news) => self.take_news(news, record),
+            OperationsRecord::Carried { image, .. } => self.take_image(image, record),
+        }
+    }
+}
