--- a/src/protocol/link.rs
+++ b/src/protocol/link.rs
@@ -4,8 +4,8 @@
 //! ends with one [`Reply`].
 
 use crate::ids::{
-    BranchId, CallId, EnvironmentId, Epoch, Incarnation, MemberId, ModelId, NodeId, Offset,
-    Partition, ProgramId,
+    BranchId, CallId, EndpointId, EnvironmentId, Epoch, Incarnation, MemberId, ModelId, NodeId,
+    Offset, Partition, ProgramId,
 };
 use crate::protocol::configuration::ConfigurationImage;
 use crate::protocol::engine::{EngineLoad, EngineOrder, EngineUsage, GenerateRequest};
@@ -73,6 +73,8 @@
         epoch: Epoch,
         /// The call.
         call: CallId,
+        /// The run and the intent that the call was to be dispatched under.
+        once: Once,
     },
     /// Owner to sidecar: free the engine's memory of a program that is gone.
     Release {
@@ -84,12 +86,14 @@
         /// The programs.
         programs: Vec<ProgramId>,
     },
-    /// Owner to sidecar: an order to the engine.
+    /// Owner of partition 0 to sidecar: an order to the engine.
     Order {
         /// The order.
         order: EngineOrder,
-        /// The fencing number.
+        /// The owner's epoch: the fencing number.
         fence: Epoch,
+        /// Position among the owner's orders to this sidecar, from 1.
+        sequence: u64,
     },
     /// Any to any: are you there, and what do you know.
     Probe(Digest),
@@ -145,6 +149,8 @@
     pub call: CallId,
     /// The caller's key: a retry with the same key is the same call.
     pub key: Option<String>,
+    /// Where a run of it has been seen, such as before its owner was lost.
+    pub seen_at: Option<EndpointId>,
     /// What to do.
     pub work: Work,
 }
@@ -219,8 +225,19 @@
     pub partition: Partition,
     /// The owner's epoch.
     pub epoch: Epoch,
-    /// The run of the sidecar that may run it; `None` for a repeatable call.
-    pub only_incarnation: Option<Incarnation>,
+    /// What limits it to one run; `None` for a repeatable call.
+    pub once: Option<Once>,
+    /// Longest time in the service, in milliseconds.
+    pub limit_ms: u64,
+}
+
+/// What limits a call that may not be repeated to one run.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Once {
+    /// The only run of the sidecar that may run it.
+    pub incarnation: Incarnation,
+    /// Offset of its intent in the partition's stream.
+    pub intent: Offset,
 }
 
 /// Part of an answer.
@@ -231,6 +248,14 @@
         /// The call.
         call: CallId,
     },
+    /// A run of the call has started; tokens that follow belong to it. A run that differs from
+    /// the one before replaces its tokens.
+    Started {
+        /// Names the run.
+        run: u64,
+        /// Where it runs.
+        endpoint: EndpointId,
+    },
     /// Some text.
     Tokens(Tokens),
 }
@@ -362,8 +387,10 @@
     pub token_gap_ms: f64,
     /// Smoothed time of a call in the endpoint, in milliseconds; 0 when none has finished.
     pub call_ms: f64,
-    /// Expected wait of a call that comes now, in milliseconds.
+    /// Expected wait of a call that comes now until it is handed over, in milliseconds.
     pub wait_ms: u64,
+    /// Prompt tokens still to be computed, of calls waiting and handed over.
+    pub prefill_backlog_tokens: u64,
     /// Whether the endpoint takes no new work.
     pub leaving: bool,
     /// The engine's own report.
@@ -388,6 +415,10 @@
     Over(ActionResult),
     /// Still running.
     Running,
+    /// It never came, and it will be refused if it comes.
+    Voided,
+    /// This run of the sidecar cannot tell.
+    Unknown,
 }
 
 /// What nodes tell each other with every probe.
@@ -407,6 +438,17 @@
     pub heard: Vec<Heard>,
     /// Load, if it is a sidecar.
     pub load: Option<SidecarLoad>,
+    /// What its endpoint serves, if it is a sidecar.
+    pub serving: Option<Serving>,
+}
+
+/// What an endpoint serves.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Serving {
+    /// Models and adapters with their versions.
+    Models(Vec<(ModelId, u32)>),
+    /// A service, by its name in the environment documents.
+    Service(String),
 }
 
 /// What a node has heard of another.
@@ -422,4 +464,14 @@
     pub leaving: bool,
 }
 
+/// The messages of this system's links.
+pub(crate) enum Messages {}
+
+impl crate::transport::link::Wire for Messages {
+    type Request = Request;
+    type Event = Event;
+    type Reply = Reply;
+}
+
+mod part;
 mod tokens;
--- a/src/protocol/mod.rs
+++ b/src/protocol/mod.rs
@@ -3,9 +3,11 @@
 pub mod caller;
 pub mod configuration;
 pub mod engine;
+pub mod image;
 pub mod link;
 pub mod log;
 pub mod message;
+pub mod operations;
 pub mod record;
 pub mod refusal;
 pub mod service;
