Add the demo, a local system, load and standin commands, measurements

All figures are counted at the stand-ins. LocalCluster is generic over how nodes run, so that tests and benches/measure use real processes.

--- /dev/null
+++ b/benches/measure/commit.rs
@@ -0,0 +1,83 @@
+//! Appends a second and the latency that a commit adds to a turn, at three rates of turns.
+
+use crate::support::{Cluster, Processes, ask, begin, client, print_times, small};
+use galenapick::{Client, ClusterOptions, StreamEvent};
+use smol::Timer;
+use std::time::{Duration, Instant};
+
+/// Turns that begin a second.
+const RATES: [u32; 3] = [50, 200, 500];
+
+/// How long each rate lasts.
+const TIME: Duration = Duration::from_secs(8);
+
+/// Programs over which the turns are spread.
+const PROGRAMS: usize = 400;
+
+pub(crate) async fn measure() -> anyhow::Result<()> {
+    for rate in RATES {
+        let options = ClusterOptions {
+            engines: 3,
+            ..small(2, 0.05)
+        };
+        let cluster = Cluster::start(Processes, options).await?;
+        let client = client(&cluster, &["entry-1", "entry-2"]);
+        measure_rate(&cluster, &client, rate).await?;
+    }
+    Ok(())
+}
+
+async fn measure_rate(cluster: &Cluster, client: &Client, rate: u32) -> anyhow::Result<()> {
+    let mut programs = Vec::new();
+    for number in 0..PROGRAMS {
+        programs.push(begin(&client.starting_at(number)).await?);
+    }
+    let before = cluster.platform.log.counts();
+    let start = Instant::now();
+    let turns = TIME.as_secs() as u32 * rate;
+    let mut tasks = Vec::new();
+    for turn in 0..turns {
+        Timer::at(start + TIME * turn / turns).await;
+        let client = client.starting_at(turn as usize);
+        let program = programs[turn as usize % PROGRAMS];
+        tasks.push(smol::spawn(async move {
+            take_turn(&client, program, turn).await
+        }));
+    }
+    let (mut commits, mut failed) = (Vec::new(), 0);
+    for task in tasks {
+        match task.await {
+            Ok(commit) => commits.push(commit),
+            Err(error) => {
+                failed += 1;
+                if failed == 1 {
+                    println!("first failure: {error}");
+                }
+            }
+        }
+    }
+    let elapsed = start.elapsed().as_secs_f64();
+    let after = cluster.platform.log.counts();
+    println!(
+        "{rate} turns/s: {} committed, {failed} failed, {:.1} appends/s, {} throttled, {:.1} KB/s",
+        commits.len(),
+        (after.appends - before.appends) as f64 / elapsed,
+        after.throttled - before.throttled,
+        (after.append_bytes - before.append_bytes) as f64 / elapsed / 1_000.0,
+    );
+    print_times("last token to the committed answer", &mut commits);
+    Ok(())
+}
+
+/// Time from the last token to the committed answer.
+async fn take_turn(client: &Client, program: u128, turn: u32) -> anyhow::Result<Duration> {
+    let request = ask(&format!("turn {turn}"), 4).key(turn.to_string());
+    let mut stream = client.stream(program, &request).await?;
+    let mut last_token = Instant::now();
+    while let Some(event) = stream.next().await {
+        if let StreamEvent::Tokens(_) = event? {
+            last_token = Instant::now();
+        }
+    }
+    Ok(last_token.elapsed())
+}
--- /dev/null
+++ b/benches/measure/stream.rs
@@ -0,0 +1,80 @@
+//! Tokens a second through one entry, and the CPU that a thousand tokens cost.
+
+use crate::support::{Cluster, Processes, ask, begin, client, small};
+use futures_util::future::join_all;
+use galenapick::{Client, ClusterOptions, StreamEvent};
+use std::time::Instant;
+
+/// Streams at once.
+const STREAMS: usize = 64;
+
+/// Calls that follow each other in each of them.
+const CALLS: usize = 4;
+
+/// Longest answer of a call.
+const TOKENS: u32 = 1_000;
+
+/// Engines, so that they are not the limit.
+const ENGINES: usize = 4;
+
+/// Multiplies the engines' times.
+const TIME_SCALE: f64 = 0.02;
+
+pub(crate) async fn measure() -> anyhow::Result<()> {
+    let options = ClusterOptions {
+        engines: ENGINES,
+        ..small(1, TIME_SCALE)
+    };
+    let cluster = Cluster::start(Processes, options).await?;
+    let client = client(&cluster, &["entry-1"]);
+    let cpu = |role: &str| -> u64 {
+        let names = cluster.names().into_iter();
+        let names = names.filter(|name| name.starts_with(role));
+        names
+            .filter_map(|name| Some(cluster.node(&name)?.running.as_ref()?.cpu_ms()))
+            .sum()
+    };
+    let before = (cpu("entry"), cpu("matcher-llm"));
+    let begun = Instant::now();
+    let streams = (0..STREAMS).map(|number| read(&client, number));
+    let mut tokens = 0;
+    for count in join_all(streams).await {
+        tokens += count?;
+    }
+    let elapsed = begun.elapsed().as_secs_f64();
+    let after = (cpu("entry"), cpu("matcher-llm"));
+    let per_thousand = |ms: u64| ms as f64 * 1_000.0 / tokens as f64;
+    println!("streams at once                {STREAMS}");
+    println!("tokens                         {tokens}");
+    println!(
+        "tokens a second                {:.0}",
+        tokens as f64 / elapsed
+    );
+    println!(
+        "CPU of the entry               {:.2} ms per 1,000 tokens",
+        per_thousand(after.0 - before.0)
+    );
+    println!(
+        "CPU of all sidecars            {:.2} ms per 1,000 tokens",
+        per_thousand(after.1 - before.1)
+    );
+    Ok(())
+}
+
+async fn read(client: &Client, number: usize) -> anyhow::Result<u64> {
+    let program = begin(client).await?;
+    let mut tokens = 0;
+    for call in 0..CALLS {
+        let request = ask(&format!("story {number}, part {call}"), TOKENS);
+        let mut stream = client
+            .stream(program, &request.key(call.to_string()))
+            .await?;
+        while let Some(event) = stream.next().await {
+            if let StreamEvent::Tokens(part) = event? {
+                tokens += u64::from(part.count);
+            }
+        }
+    }
+    client.end(program).await?;
+    Ok(tokens)
+}
--- a/src/bin/galenapick.rs
+++ b/src/bin/galenapick.rs
@@ -1,3 +1,7 @@
 //! The command-line tool.
 
-fn main() {}
+use std::process::ExitCode;
+
+fn main() -> ExitCode {
+    galenapick::run_tool(std::env::args_os().skip(1))
+}
--- /dev/null
+++ b/src/cli/mod.rs
@@ -0,0 +1,89 @@
+//! The command-line tool.
+
+mod trial;
+
+use crate::settings::{EXIT_FAILURE, EXIT_OK, EXIT_USAGE};
+use lexopt::prelude::*;
+use std::ffi::OsString;
+use std::process::ExitCode;
+
+/// Text of `--help`.
+const HELP: &str = "\
+Usage: galenapick COMMAND [options]
+
+  demo       run a whole system on loopback and check its promises
+  load       send programs to entries at a steady rate
+  standin    run a stand-in of an outside system
+
+  --help     print this text, or that of a command
+  --version  print the version
+
+Exit codes: 0 done, 1 failed or a promise broke, 2 wrong command line.
+";
+
+/// What became of a command.
+pub(crate) type CommandResult = Result<ExitCode, CommandError>;
+
+/// Why a command did nothing useful.
+#[derive(Debug)]
+pub(crate) enum CommandError {
+    /// The command line is wrong; the command's help is shown with the reason.
+    Usage(lexopt::Error, &'static str),
+    /// It failed.
+    Failed(anyhow::Error),
+}
+
+impl From<anyhow::Error> for CommandError {
+    fn from(error: anyhow::Error) -> Self {
+        Self::Failed(error)
+    }
+}
+
+/// Runs the tool with the arguments after its name.
+pub fn run_tool(args: impl IntoIterator<Item = OsString>) -> ExitCode {
+    let mut parser = lexopt::Parser::from_args(args);
+    match run(&mut parser) {
+        Ok(code) => code,
+        Err(CommandError::Usage(error, help)) => {
+            eprintln!("galenapick: {error}\n\n{help}");
+            ExitCode::from(EXIT_USAGE)
+        }
+        Err(CommandError::Failed(error)) => {
+            eprintln!("galenapick: {error:#}");
+            ExitCode::from(EXIT_FAILURE)
+        }
+    }
+}
+
+fn run(parser: &mut lexopt::Parser) -> CommandResult {
+    let usage = |error| CommandError::Usage(error, HELP);
+    match parser.next().map_err(usage)? {
+        Some(Value(command)) => run_command(&command.to_string_lossy(), parser),
+        Some(Short('h') | Long("help")) => Ok(print(HELP)),
+        Some(Short('V') | Long("version")) => Ok(print(concat!(
+            "galenapick ",
+            env!("CARGO_PKG_VERSION"),
+            "\n"
+        ))),
+        Some(other) => Err(usage(other.unexpected())),
+        None => Err(usage("no command is given".into())),
+    }
+}
+
+fn run_command(command: &str, parser: &mut lexopt::Parser) -> CommandResult {
+    match command {
+        "demo" => trial::demo(parser),
+        "load" => trial::load(parser),
+        "standin" => trial::standin(parser),
+        other => {
+            let error = format!("there is no command {other:?}");
+            Err(CommandError::Usage(error.into(), HELP))
+        }
+    }
+}
+
+/// Prints a text that was asked for.
+fn print(text: &str) -> ExitCode {
+    print!("{text}");
+    ExitCode::from(EXIT_OK)
+}
--- /dev/null
+++ b/src/cli/trial.rs
@@ -0,0 +1,66 @@
+//! Commands that try a system out: `demo`, `load` and `standin`.
+
+use super::{CommandError, CommandResult, print};
+use crate::demo::{DemoOptions, run_demo};
+use crate::load::{LoadOptions, run_load};
+use crate::settings::{EXIT_FAILURE, EXIT_OK};
+use crate::standin;
+use anyhow::Context;
+use lexopt::Parser;
+use std::fs::File;
+use std::io::{self, BufWriter};
+use std::process::ExitCode;
+
+/// Runs `galenapick demo`.
+pub(super) fn demo(parser: &mut Parser) -> CommandResult {
+    let usage = |error| CommandError::Usage(error, DemoOptions::HELP);
+    let Some(options) = DemoOptions::parse(parser).map_err(usage)? else {
+        return Ok(print(DemoOptions::HELP));
+    };
+    let report = smol::block_on(run_demo(&options))?;
+    match options.json {
+        true => println!("{}", report.to_json().context("the report is no JSON")?),
+        false => print!("{report}"),
+    }
+    Ok(exit_code(report.is_sound()))
+}
+
+/// Runs `galenapick load`.
+pub(super) fn load(parser: &mut Parser) -> CommandResult {
+    let usage = |error| CommandError::Usage(error, LoadOptions::HELP);
+    let Some(options) = LoadOptions::parse(parser).map_err(usage)? else {
+        return Ok(print(LoadOptions::HELP));
+    };
+    let report = smol::block_on(run_load(&options));
+    if let Some(path) = &options.csv {
+        let name = path.display();
+        let file = File::create(path).with_context(|| format!("{name} cannot be written"))?;
+        let written = report.write_csv(BufWriter::new(file));
+        written.with_context(|| format!("{name} cannot be written"))?;
+    }
+    match options.json {
+        true => report
+            .write_json(io::stdout().lock())
+            .context("the report cannot be written")?,
+        false => print!("{report}"),
+    }
+    Ok(exit_code(report.is_sound()))
+}
+
+/// Runs `galenapick standin`.
+pub(super) fn standin(parser: &mut Parser) -> CommandResult {
+    let args: Vec<_> = parser
+        .raw_args()
+        .map_err(|error| CommandError::Usage(error, standin::USAGE))?
+        .collect();
+    let wants_help = args.iter().any(|arg| arg == "--help" || arg == "-h");
+    if wants_help {
+        return Ok(print(standin::USAGE));
+    }
+    smol::block_on(standin::run(args))?;
+    Ok(ExitCode::from(EXIT_OK))
+}
+
+fn exit_code(sound: bool) -> ExitCode {
+    ExitCode::from(if sound { EXIT_OK } else { EXIT_FAILURE })
+}
--- a/src/client/collect.rs
+++ b/src/client/collect.rs
@@ -78,6 +78,11 @@
         self.next = 0;
     }
 
+    /// Drops everything so far: the answer is made anew.
+    pub fn discard(&mut self) {
+        *self = Self::default();
+    }
+
     /// Takes a part.
     pub fn add(&mut self, tokens: &Tokens) -> Result<(), StreamFault> {
         if tokens.index != self.next {
--- a/src/client/retry.rs
+++ b/src/client/retry.rs
@@ -158,6 +158,7 @@
         while let Some(event) = stream.next().await {
             match event? {
                 StreamEvent::Accepted(call) => self.call = Some(call),
+                StreamEvent::Restart => self.collector.discard(),
                 StreamEvent::Tokens(tokens) => {
                     let elapsed = self.begun.elapsed();
                     self.first_token.get_or_insert(elapsed);
--- a/src/client/stream.rs
+++ b/src/client/stream.rs
@@ -15,6 +15,8 @@
 pub enum StreamEvent {
     /// The call has been accepted under this id.
     Accepted(CallId),
+    /// The answer is made anew: drop every token so far.
+    Restart,
     /// Some text.
     Tokens(Tokens),
     /// The whole answer; the last event.
@@ -52,7 +54,7 @@
         let result = self.read().await;
         self.over = !matches!(
             result,
-            Ok(StreamEvent::Accepted(_) | StreamEvent::Tokens(_))
+            Ok(StreamEvent::Accepted(_) | StreamEvent::Restart | StreamEvent::Tokens(_))
         );
         Some(result)
     }
@@ -77,6 +79,7 @@
             let accepted: AcceptedEvent = from_json(&event.data)?;
             Ok(StreamEvent::Accepted(accepted.call))
         }
+        "restart" => Ok(StreamEvent::Restart),
         "tokens" => {
             let tokens: TokensEvent = from_json(&event.data)?;
             Ok(StreamEvent::Tokens(tokens.into()))
--- /dev/null
+++ b/src/cluster/platform.rs
@@ -0,0 +1,140 @@
+//! The stand-ins of a local system.
+
+use super::layout::{ClusterOptions, Endpoint, Layout};
+use crate::ids::ProgramId;
+use crate::protocol::vms::Vm;
+use crate::standin::{
+    EngineConfig, EngineStandin, Ledger, LogConfig, LogStandin, ServiceAction, ServiceConfig,
+    ServiceStandin, VmsConfig, VmsStandin, WeightsConfig, WeightsStandin,
+};
+use crate::workload::{ActionRuns, Deployment, count_actions};
+use std::collections::HashMap;
+use std::time::Duration;
+
+/// Time before a service's action takes effect.
+const SERVICE_WORK: Duration = Duration::from_millis(10);
+
+/// The stand-ins of a local system.
+pub struct Platform {
+    /// The log.
+    pub log: LogStandin,
+    /// The list of VMs.
+    pub vms: VmsStandin,
+    /// The weight store.
+    pub weights: WeightsStandin,
+    /// What the engines have computed for each program.
+    pub ledger: Ledger,
+    engines: HashMap<Endpoint, EngineStandin>,
+    services: HashMap<Endpoint, ServiceStandin>,
+}
+
+impl Platform {
+    pub(super) async fn start(options: &ClusterOptions, layout: &Layout) -> anyhow::Result<Self> {
+        let ledger = Ledger::default();
+        let mut platform = Self {
+            log: LogStandin::start(log_config(options)).await?,
+            vms: VmsStandin::start(VmsConfig::default()).await?,
+            weights: WeightsStandin::start(WeightsConfig::default()).await?,
+            ledger,
+            engines: HashMap::new(),
+            services: HashMap::new(),
+        };
+        for (spec, seed) in layout.nodes.iter().zip(options.seed..) {
+            if let Some(endpoint) = spec.endpoint {
+                platform.start_endpoint(endpoint, options, seed).await?;
+            }
+        }
+        Ok(platform)
+    }
+
+    async fn start_endpoint(
+        &mut self,
+        endpoint: Endpoint,
+        options: &ClusterOptions,
+        seed: u64,
+    ) -> anyhow::Result<()> {
+        match endpoint {
+            Endpoint::Engine(deployment, _) => {
+                let config = engine_config(deployment, options, seed);
+                let engine = EngineStandin::start(config, self.ledger.clone()).await?;
+                self.engines.insert(endpoint, engine);
+            }
+            Endpoint::Service(..) => {
+                let config = ServiceConfig {
+                    work: SERVICE_WORK.mul_f64(options.time_scale),
+                    work_spread: SERVICE_WORK.mul_f64(options.time_scale),
+                    seed,
+                };
+                let service = ServiceStandin::start(config).await?;
+                self.services.insert(endpoint, service);
+            }
+        }
+        Ok(())
+    }
+
+    /// Changes the list of VMs.
+    pub(super) fn list(&self, vms: Vec<Vm>) {
+        self.vms.set(vms);
+    }
+
+    /// The URL of an endpoint.
+    pub(super) fn url_of(&self, endpoint: Endpoint) -> String {
+        let engine = self.engines.get(&endpoint).map(EngineStandin::url);
+        let service = || self.services.get(&endpoint).map(ServiceStandin::url);
+        engine.or_else(service).unwrap_or_default()
+    }
+
+    /// An engine.
+    pub fn engine(&self, endpoint: Endpoint) -> Option<&EngineStandin> {
+        self.engines.get(&endpoint)
+    }
+
+    /// A server of a service.
+    pub fn service(&self, endpoint: Endpoint) -> Option<&ServiceStandin> {
+        self.services.get(&endpoint)
+    }
+
+    /// All engines.
+    pub fn engines(&self) -> impl Iterator<Item = &EngineStandin> {
+        self.engines.values()
+    }
+
+    /// All servers of services.
+    pub fn services(&self) -> impl Iterator<Item = &ServiceStandin> {
+        self.services.values()
+    }
+
+    /// How often each action that may not be repeated took effect.
+    pub fn action_runs(&self) -> ActionRuns {
+        let actions: Vec<ServiceAction> =
+            self.services().flat_map(ServiceStandin::actions).collect();
+        count_actions(&actions)
+    }
+
+    /// The programs whose cache is held, with the tokens on all engines.
+    pub fn held(&self) -> HashMap<ProgramId, u64> {
+        let mut held = HashMap::new();
+        for (program, tokens) in self.engines().flat_map(EngineStandin::held) {
+            *held.entry(program).or_insert(0) += tokens;
+        }
+        held
+    }
+}
+
+fn log_config(options: &ClusterOptions) -> LogConfig {
+    LogConfig {
+        appends_per_s: options.appends_per_s,
+        burst: options.appends_per_s / 4.0,
+        seed: options.seed,
+        ..LogConfig::default()
+    }
+}
+
+fn engine_config(deployment: Deployment, options: &ClusterOptions, seed: u64) -> EngineConfig {
+    EngineConfig {
+        time_scale: options.time_scale,
+        models: vec![(deployment.model().to_owned(), 1)],
+        seed,
+        ..EngineConfig::default()
+    }
+}
--- a/src/entry/http.rs
+++ b/src/entry/http.rs
@@ -29,6 +29,12 @@
         .post("/v1/programs/:program/cancel", on(entry, cancel))
 }
 
+/// Refuses a request that no handler has taken.
+pub(crate) async fn refuse_path(conn: Conn) -> Conn {
+    let message = "There is no such path, or not with this method.";
+    refuse(conn, &Refusal::not_run(RefusalCode::NotFound, message))
+}
+
 /// What a request came to, ready to be sent.
 enum Sent {
     Json(Status, Vec<u8>),
--- a/src/entry/mod.rs
+++ b/src/entry/mod.rs
@@ -9,7 +9,7 @@
 mod serve;
 
 pub(crate) use environments::{Environments, Served};
-pub(crate) use http::handler;
+pub(crate) use http::{handler, refuse_path};
 
 use crate::coordination::cache::{CacheTable, CacheTableConfig};
 use crate::coordination::choice::{ChoiceConfig, Chooser};
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -17,10 +17,13 @@
 )]
 
 mod adapter;
+mod cli;
 mod client;
+mod cluster;
 mod configuration;
 mod coordination;
 mod daemon;
+mod demo;
 mod entry;
 mod environment;
 pub mod ids;
@@ -41,10 +44,15 @@
 pub use adapter::{
     HttpEngine, HttpEngineStream, HttpLog, HttpService, HttpVmList, HttpWeightStore,
 };
+pub use cli::run_tool;
 pub use client::{
     AnswerStream, Attempts, CallError, Client, Collector, Patience, StreamEvent, StreamFault,
     Timeouts,
 };
+pub use cluster::{
+    ClusterNode, ClusterOptions, Endpoint, InProcess, Launcher, LocalCluster, NodeSpec, Platform,
+    RunningNode,
+};
 pub use coordination::admission::{
     Admission, AdmissionConfig, CapConfig, Cost, Observed, OrderWeights, Waiting,
 };
@@ -75,6 +83,7 @@
 pub use coordination::retry::{FailedCall, Retries, RetryBudget, RetryConfig};
 pub use coordination::watchdog::{Watchdog, WatchdogConfig, WatchdogVerdict};
 pub use daemon::{Daemon, run_daemon};
+pub use demo::{DemoOptions, DemoReport, run_demo};
 pub use environment::{Difference, Environment, EnvironmentErrors};
 pub use ini::{Fault, FaultKind, Faults};
 pub use load::{LoadOptions, LoadReport, LoadRow, run_load};
--- a/src/load/options.rs
+++ b/src/load/options.rs
@@ -48,8 +48,8 @@
   --json               print the report as JSON
 ";
 
-    /// Reads the options.
-    pub fn parse(parser: &mut Parser) -> Result<Self, lexopt::Error> {
+    /// Reads the options; `None` if help is asked for.
+    pub fn parse(parser: &mut Parser) -> Result<Option<Self>, lexopt::Error> {
         let mut options = Self::default();
         while let Some(arg) = parser.next()? {
             match arg {
@@ -66,11 +66,12 @@
                 Arg::Long("check") => options.check_answers = true,
                 Arg::Long("csv") => options.csv = Some(parser.value()?.into()),
                 Arg::Long("json") => options.json = true,
+                Arg::Short('h') | Arg::Long("help") => return Ok(None),
                 other => return Err(other.unexpected()),
             }
         }
         options.check()?;
-        Ok(options)
+        Ok(Some(options))
     }
 
     fn check(&self) -> Result<(), lexopt::Error> {
--- a/src/load/tests.rs
+++ b/src/load/tests.rs
@@ -33,7 +33,7 @@
         "3",
         "--check",
     ]);
-    let options = options.unwrap();
+    let options = options.unwrap().expect("no help is asked for");
     expect_that!(options.deployment, eq(Deployment::Cedarfen));
     expect_that!(options.time, eq(Duration::from_secs(3)));
     expect_that!(read(&["--token", "t"]), err(anything()));
--- a/src/workload/plan.rs
+++ b/src/workload/plan.rs
@@ -4,6 +4,9 @@
 use serde_json::{Value, json};
 use std::time::Duration;
 
+/// Time that a program has.
+const DEADLINE: Duration = Duration::from_secs(120);
+
 /// The deployments that programs belong to.
 #[derive(
     Clone,
@@ -43,6 +46,30 @@
         }
     }
 
+    /// Its failure domains.
+    pub fn failure_domains(self) -> &'static [&'static str] {
+        match self {
+            Self::SaaMubadala => &["tn-north-a", "tn-north-b", "tn-north-c", "tn-north-d"],
+            Self::Cedarfen => &["pnw-a", "pnw-b", "pnw-c"],
+        }
+    }
+
+    /// Its example environment document.
+    pub fn document(self) -> &'static str {
+        match self {
+            Self::SaaMubadala => include_str!("../../examples/environments/tn-north.ini"),
+            Self::Cedarfen => include_str!("../../examples/environments/pnw.ini"),
+        }
+    }
+
+    /// The members' tokens of its example document.
+    pub fn tokens(self) -> &'static [&'static str] {
+        match self {
+            Self::SaaMubadala => &["saa-mubadala-example-token"],
+            Self::Cedarfen => &["gift-team-example-token", "keeper-team-example-token"],
+        }
+    }
+
     /// An operation that reads, and so may be repeated.
     pub fn lookup(self) -> &'static str {
         match self {
@@ -70,6 +97,8 @@
     Long,
     /// Sub-agents that run at once, then an action.
     Forked,
+    /// It would go on without end; its budget ends it.
+    Endless,
 }
 
 /// One thing that a program does.
@@ -97,6 +126,13 @@
     Pause(Duration),
     /// Run branches at once and wait for all.
     Fork(Vec<Vec<Step>>),
+    /// Ask the model again and again until the budget refuses.
+    AskWithoutEnd {
+        /// The new message of each turn.
+        text: String,
+        /// Longest answer.
+        max_tokens: u32,
+    },
 }
 
 /// What a program does.
@@ -110,6 +146,8 @@
     pub key: String,
     /// Time until its result is of no more use.
     pub deadline: Duration,
+    /// Calls that it may make; `None` for the environment's default.
+    pub budget_calls: Option<u64>,
     /// Its steps in the main branch.
     pub steps: Vec<Step>,
 }
@@ -152,9 +190,10 @@
     pub fn plan(&mut self, deployment: Deployment) -> Plan {
         self.number += 1;
         let kind = match self.rng.u32(..100) {
-            0..60 => PlanKind::Short,
-            60..85 => PlanKind::Long,
-            _ => PlanKind::Forked,
+            0..58 => PlanKind::Short,
+            58..82 => PlanKind::Long,
+            82..96 => PlanKind::Forked,
+            _ => PlanKind::Endless,
         };
         let key = format!("{deployment}-{}-{}", self.seed, self.number);
         let mut writer = Writer {
@@ -168,11 +207,17 @@
             PlanKind::Short => writer.short(),
             PlanKind::Long => writer.long(),
             PlanKind::Forked => writer.forked(),
+            PlanKind::Endless => writer.endless(),
+        };
+        let budget_calls = match kind {
+            PlanKind::Endless => Some(self.rng.u64(3..8)),
+            _ => None,
         };
         Plan {
             deployment,
             kind,
-            deadline: Duration::from_secs(120),
+            deadline: DEADLINE,
+            budget_calls,
             steps,
             key,
         }
@@ -232,6 +277,14 @@
         steps
     }
 
+    fn endless(&mut self) -> Vec<Step> {
+        let mark = self.mark();
+        vec![Step::AskWithoutEnd {
+            text: make_text(self.rng, &mark, 20),
+            max_tokens: 24,
+        }]
+    }
+
     fn branch(&mut self) -> Vec<Step> {
         let mut steps = vec![self.ask(60..200, 16..48), self.lookup()];
         if self.rng.u32(..4) == 0 {
--- a/src/workload/result.rs
+++ b/src/workload/result.rs
@@ -62,6 +62,8 @@
     pub turns_checked: u64,
     /// What is wrong with its history.
     pub history_errors: Vec<String>,
+    /// What was spent beyond the budget.
+    pub budget_errors: Vec<String>,
     /// Answers that belong to another prompt, and streams with gaps.
     pub answer_errors: Vec<String>,
 }
@@ -84,6 +86,7 @@
             actions: Vec::new(),
             turns_checked: 0,
             history_errors: Vec::new(),
+            budget_errors: Vec::new(),
             answer_errors: Vec::new(),
         }
     }
@@ -102,6 +105,7 @@
         self.completion_tokens += other.completion_tokens;
         self.pending += other.pending;
         self.actions.extend(other.actions);
+        self.budget_errors.extend(other.budget_errors);
         self.answer_errors.extend(other.answer_errors);
     }
 }
--- a/src/workload/run.rs
+++ b/src/workload/run.rs
@@ -5,10 +5,10 @@
 use super::result::{ActionSeen, ActionVerdict, ProgramResult};
 use crate::client::{Attempts, CallError, Client, Patience};
 use crate::ids::{BranchId, ProgramId, format_id};
-use crate::protocol::caller::{CallRequest, ProgramRequest};
+use crate::protocol::caller::{BudgetRequest, CallRequest, ProgramRequest};
 use crate::protocol::link::{Answer, Durability};
 use crate::protocol::message::{Message, Role};
-use crate::protocol::refusal::Ran;
+use crate::protocol::refusal::{Ran, RefusalCode};
 use crate::standin::{expected_answer, expected_result};
 use futures_util::future::join_all;
 use smol::Timer;
@@ -42,7 +42,10 @@
     let request = ProgramRequest {
         key: Some(plan.key.clone()),
         deadline_ms: Some(plan.deadline.as_millis() as u64),
-        ..ProgramRequest::default()
+        budget: BudgetRequest {
+            calls: plan.budget_calls,
+            ..BudgetRequest::default()
+        },
     };
     let begun = client.create_patiently(&request, patience).await;
     result.sent += begun.sent;
@@ -152,6 +155,8 @@
     id: BranchId,
     calls: u32,
     turns: Vec<KnownTurn>,
+    /// The code of the last refusal.
+    refused_by: Option<RefusalCode>,
     result: ProgramResult,
 }
 
@@ -163,6 +168,7 @@
             id,
             calls: 0,
             turns: Vec::new(),
+            refused_by: None,
             result: ProgramResult::of_plan(plan),
         }
     }
@@ -191,6 +197,9 @@
             Step::Pause(pause) => {
                 Timer::after(*pause).await;
             }
+            Step::AskWithoutEnd { text, max_tokens } => {
+                self.ask_without_end(text, *max_tokens).await
+            }
             Step::Fork(_) => {
                 self.result.failure = Some("a branch has no branches".to_owned());
             }
@@ -229,6 +238,23 @@
         });
     }
 
+    /// Asks until the budget refuses; one call more than it allows is an error.
+    async fn ask_without_end(&mut self, text: &str, max_tokens: u32) {
+        let budget = self.run.plan.budget_calls.unwrap_or(0);
+        while self.result.failure.is_none() {
+            self.ask(text, max_tokens, false).await;
+            if u64::from(self.result.answered) > budget {
+                let (key, answered) = (&self.run.plan.key, self.result.answered);
+                let error = format!("{key}: {answered} calls answered of {budget}");
+                self.result.budget_errors.push(error);
+                return;
+            }
+        }
+        if self.refused_by == Some(RefusalCode::Budget) {
+            self.result.failure = None;
+        }
+    }
+
     fn check_answer(&mut self, message: &Message, max_tokens: u32, answer: &Answer) {
         let history = self.turns.iter().flat_map(|turn| &turn.messages);
         let prompt: Vec<Message> = history.chain([message]).cloned().collect();
@@ -311,6 +337,9 @@
                 Some(answer)
             }
             Err(error) => {
+                if let CallError::Refused(refusal) = &error {
+                    self.refused_by = Some(refusal.code);
+                }
                 let (branch, call) = (self.id, self.calls);
                 let failure = format!("branch {branch}, call {call} ({what}): {error}");
                 self.result.failure = Some(failure);
--- a/src/workload/tests.rs
+++ b/src/workload/tests.rs
@@ -63,8 +63,8 @@
         let plan = planner.plan(Deployment::SaaMubadala);
         *kinds.entry(plan.kind).or_insert(0) += 1;
     }
-    expect_that!(kinds.len(), eq(3));
-    expect_that!(kinds.values().copied().min(), some(gt(20)));
+    expect_that!(kinds.len(), eq(4));
+    expect_that!(kinds.values().copied().min(), some(gt(2)));
 }
 
 fn known() -> KnownTurns {
--- /dev/null
+++ b/tests/system/main.rs
@@ -0,0 +1,3 @@
+//! The whole system from outside.
+
+mod malformed;
--- /dev/null
+++ b/tests/system/support/process.rs
@@ -0,0 +1,183 @@
+//! Our own binaries as child processes.
+
+use rustix::process::{Pid, Signal, kill_process};
+use std::io::{BufRead, BufReader, Read, Write};
+use std::net::SocketAddr;
+use std::path::PathBuf;
+use std::process::{Child, Command, ExitStatus, Stdio};
+use std::sync::{Arc, Mutex};
+use std::thread;
+use std::time::{Duration, Instant};
+
+/// How long a process may take to become ready or to end.
+const PATIENCE: Duration = Duration::from_secs(60);
+
+/// Time between two looks at a process that is about to end.
+const LOOK: Duration = Duration::from_millis(20);
+
+/// A daemon that runs as a child process. Dropping it kills it.
+#[derive(Debug)]
+pub(crate) struct Process {
+    child: Child,
+    /// Address of its HTTP interface.
+    pub(crate) http: SocketAddr,
+    /// Address on which it takes links.
+    pub(crate) link: SocketAddr,
+    settings: PathBuf,
+    output: Arc<Mutex<Vec<u8>>>,
+}
+
+impl Process {
+    /// Starts `galenapickd` with these settings and waits for its ready line.
+    pub(crate) fn start(name: &str, settings: &str) -> Self {
+        let path = write_settings(name, settings);
+        let mut child = Command::new(env!("CARGO_BIN_EXE_galenapickd"))
+            .arg("--settings")
+            .arg(&path)
+            .stdin(Stdio::null())
+            .stdout(Stdio::piped())
+            .stderr(Stdio::piped())
+            .spawn()
+            .expect("the daemon starts");
+        let output = Arc::new(Mutex::new(Vec::new()));
+        let stderr = child.stderr.take().expect("stderr");
+        collect(stderr, Arc::clone(&output));
+        let stdout = child.stdout.take().expect("stdout");
+        let ready = read_ready(BufReader::new(stdout), Arc::clone(&output));
+        let Some((http, link)) = ready else {
+            let _ = child.kill();
+            let _ = child.wait();
+            let said = output.lock().expect("output").clone();
+            panic!("{name} is not ready: {}", String::from_utf8_lossy(&said));
+        };
+        Self {
+            child,
+            http,
+            link,
+            settings: path,
+            output,
+        }
+    }
+
+    /// Sends a signal.
+    pub(crate) fn signal(&self, signal: Signal) {
+        kill_process(self.pid(), signal).expect("the process is ours");
+    }
+
+    /// Ends it at once, as the loss of its VM would.
+    pub(crate) fn kill(&mut self) {
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+    }
+
+    /// Asks it to shut down.
+    pub(crate) fn terminate(&self) {
+        self.signal(Signal::TERM);
+    }
+
+    /// Waits for its end; `None` if it takes too long.
+    pub(crate) fn wait(&mut self) -> Option<ExitStatus> {
+        let deadline = Instant::now() + PATIENCE;
+        while Instant::now() < deadline {
+            if let Ok(Some(status)) = self.child.try_wait() {
+                return Some(status);
+            }
+            thread::sleep(LOOK);
+        }
+        None
+    }
+
+    /// Its id.
+    pub(crate) fn pid(&self) -> Pid {
+        Pid::from_child(&self.child)
+    }
+
+    /// What it wrote so far.
+    pub(crate) fn output(&self) -> String {
+        let output = self.output.lock().expect("output");
+        String::from_utf8_lossy(&output).into_owned()
+    }
+}
+
+impl Drop for Process {
+    fn drop(&mut self) {
+        // A stopped process dies of SIGKILL too.
+        self.kill();
+        let _ = std::fs::remove_file(&self.settings);
+        if thread::panicking() {
+            eprintln!("--- {}\n{}", self.settings.display(), tail(&self.output()));
+        }
+    }
+}
+
+/// The last lines of a text.
+fn tail(text: &str) -> String {
+    const LINES: usize = 60;
+    let lines: Vec<&str> = text.lines().collect();
+    lines[lines.len().saturating_sub(LINES)..].join("\n")
+}
+
+/// Writes a settings file under a name that no other test uses.
+fn write_settings(name: &str, settings: &str) -> PathBuf {
+    let unique = format!(
+        "galenapick-{}-{:016x}-{name}.ini",
+        std::process::id(),
+        fastrand::u64(..)
+    );
+    let path = std::env::temp_dir().join(unique);
+    let mut file = std::fs::File::create_new(&path).expect("settings file");
+    file.write_all(settings.as_bytes()).expect("settings file");
+    path
+}
+
+/// Reads lines until the one that names the addresses; the rest is collected.
+fn read_ready(
+    mut lines: BufReader<impl Read + Send + 'static>,
+    output: Arc<Mutex<Vec<u8>>>,
+) -> Option<(SocketAddr, SocketAddr)> {
+    let (tx, rx) = std::sync::mpsc::channel();
+    thread::spawn(move || {
+        let mut line = String::new();
+        while lines.read_line(&mut line).is_ok_and(|len| len > 0) {
+            if let Some(addresses) = parse_ready(&line) {
+                let _ = tx.send(addresses);
+            }
+            output
+                .lock()
+                .expect("output")
+                .extend_from_slice(line.as_bytes());
+            line.clear();
+        }
+    });
+    rx.recv_timeout(PATIENCE).ok()
+}
+
+/// Reads `ready http=IP:port link=IP:port`.
+fn parse_ready(line: &str) -> Option<(SocketAddr, SocketAddr)> {
+    let rest = line.trim().strip_prefix("ready ")?;
+    let mut http = None;
+    let mut link = None;
+    for word in rest.split_whitespace() {
+        match word.split_once('=')? {
+            ("http", address) => http = address.parse().ok(),
+            ("link", address) => link = address.parse().ok(),
+            _ => {}
+        }
+    }
+    Some((http?, link?))
+}
+
+fn collect(mut from: impl Read + Send + 'static, output: Arc<Mutex<Vec<u8>>>) {
+    thread::spawn(move || {
+        let mut buf = [0; 4096];
+        while let Ok(len) = from.read(&mut buf) {
+            if len == 0 {
+                return;
+            }
+            output
+                .lock()
+                .expect("output")
+                .extend_from_slice(&buf[..len]);
+        }
+    });
+}
