--- a/src/standin/mod.rs
+++ b/src/standin/mod.rs
@@ -7,7 +7,7 @@
 mod bucket;
 mod clock;
 mod command;
-mod engine;
+pub(crate) mod engine;
 mod log;
 mod server;
 mod service;
