--- a/src/coordination/admission/mod.rs
+++ b/src/coordination/admission/mod.rs
@@ -5,6 +5,7 @@
 
 mod cap;
 mod order;
+mod prefill;
 #[cfg(test)]
 mod tests;
 
@@ -19,13 +20,11 @@
 use cap::ConcurrencyCap;
 use order::Members;
 pub use order::OrderWeights;
+use prefill::PrefillMeter;
 
 /// Least time after which a refused caller is told to try again, in milliseconds.
 const MIN_RETRY_AFTER_MS: u64 = 100;
 
-/// Prefill speed assumed before any call has finished, in tokens a second.
-const DEFAULT_PREFILL_TOKENS_PER_S: f64 = 8_000.0;
-
 /// Settings of an [`Admission`].
 #[derive(Clone, Debug, PartialEq)]
 pub struct AdmissionConfig {
@@ -35,8 +34,10 @@
     pub trial_queue_share: f64,
     /// Part of the hand-overs that trial environments get while production waits too.
     pub trial_share: f64,
-    /// Uncached prompt tokens handed over and not yet answered by a first token, at most.
+    /// Uncached prompt tokens of long calls that are handed over and have no first token, at most.
     pub prefill_tokens: u64,
+    /// Calls with at most so many uncached tokens are short: they do not count in that sum.
+    pub short_tokens: u32,
     /// Weights of the order.
     pub weights: OrderWeights,
     /// Bounds and target of the cap.
@@ -49,7 +50,8 @@
             queue_calls: 512,
             trial_queue_share: 0.5,
             trial_share: 0.1,
-            prefill_tokens: 16_384,
+            prefill_tokens: 8_192,
+            short_tokens: 512,
             weights: OrderWeights::default(),
             cap: CapConfig::default(),
         }
@@ -153,12 +155,15 @@
     cap: ConcurrencyCap,
     /// Sum of the waiting calls' cost.
     queued_tokens: u64,
+    /// Sum of the waiting calls' uncached tokens.
+    queued_prompt_tokens: u64,
     /// Sum of the uncached tokens of running calls without a first token.
     prefilling_tokens: u64,
+    /// Part of `prefilling_tokens` that belongs to long calls.
+    long_prefilling_tokens: u64,
     /// Hand-overs that trial environments have earned and not used.
     trial_credit: f64,
-    prefill_tokens_per_s: Smoothed,
-    token_gap_ms: Smoothed,
+    prefill: PrefillMeter,
     call_ms: Smoothed,
 }
 
@@ -172,10 +177,11 @@
             running: HashMap::new(),
             members: Members::default(),
             queued_tokens: 0,
+            queued_prompt_tokens: 0,
             prefilling_tokens: 0,
+            long_prefilling_tokens: 0,
             trial_credit: 0.0,
-            prefill_tokens_per_s: Smoothed::default(),
-            token_gap_ms: Smoothed::default(),
+            prefill: PrefillMeter::default(),
             call_ms: Smoothed::default(),
         }
     }
@@ -188,6 +194,7 @@
         let member = self.members.enter(&priority.member, priority.share);
         let deadline = now + Duration::from_millis(priority.slack_ms);
         self.queued_tokens += waiting.cost.tokens();
+        self.queued_prompt_tokens += u64::from(waiting.cost.uncached_tokens);
         self.queue.push(Queued {
             waiting,
             member,
@@ -208,12 +215,9 @@
         }
         self.members.decay(now);
         let index = self.first(now)?;
-        if !self.prefill_fits(index) {
-            return None;
-        }
         self.spend_trial_credit(index);
         let queued = self.take(index);
-        self.start(&queued);
+        self.start(now, &queued);
         Some(queued.waiting.item)
     }
 
@@ -244,16 +248,21 @@
     }
 
     /// Notes a call's first token.
-    pub fn first_token(&mut self, call: CallId) {
-        if let Some(running) = self.running.get_mut(&call) {
-            end_prefill(running, &mut self.prefilling_tokens);
+    pub fn first_token(&mut self, now: Instant, call: CallId) {
+        let Some(running) = self.running.get_mut(&call) else {
+            return;
+        };
+        if std::mem::take(&mut running.prefilling) {
+            let cost = running.cost;
+            self.end_prefill(cost);
+            let tokens = u64::from(cost.uncached_tokens);
+            self.prefill.done(now, tokens, self.prefilling_tokens > 0);
         }
     }
 
     /// Notes the time between two tokens of one stream.
     pub fn token_gap(&mut self, now: Instant, gap: Duration) {
         let gap_ms = gap.as_secs_f64() * 1e3;
-        self.token_gap_ms.add(gap_ms);
         self.cap.token_gap(now, gap_ms, self.running.len() as u32);
     }
 
@@ -272,9 +281,6 @@
         if observed.ran > Duration::ZERO {
             self.call_ms.add(observed.ran.as_secs_f64() * 1e3);
         }
-        if let Some(first) = observed.first_token {
-            self.note_prefill(observed.uncached_tokens, first);
-        }
     }
 
     /// Returns the load of this queue; the engine's own report is left empty.
@@ -284,20 +290,15 @@
             queued_tokens: self.queued_tokens,
             running: self.running.len() as u32,
             cap: self.cap.calls(),
-            prefill_tokens_per_s: self.prefill_speed(),
-            token_gap_ms: self.token_gap_ms.get().unwrap_or(0.0),
+            prefill_tokens_per_s: self.prefill.tokens_per_s(),
+            token_gap_ms: self.cap.mean_gap_ms(),
             call_ms: self.call_ms.get().unwrap_or(0.0),
             wait_ms: self.wait_ms(),
+            prefill_backlog_tokens: self.queued_prompt_tokens + self.prefilling_tokens,
             ..SidecarLoad::default()
         }
     }
 
-    /// Returns the prefill speed, in tokens a second.
-    fn prefill_speed(&self) -> f64 {
-        let speed = self.prefill_tokens_per_s.get();
-        speed.unwrap_or(DEFAULT_PREFILL_TOKENS_PER_S)
-    }
-
     /// Estimates the wait of a call that comes now, in milliseconds.
     fn wait_ms(&self) -> u64 {
         let cap = self.cap.calls() as usize;
@@ -321,7 +322,7 @@
 
     /// Refuses what cannot start before its program's deadline.
     fn check_deadline(&self, waiting: &Waiting<T>) -> Result<(), Refusal> {
-        let prefill_s = f64::from(waiting.cost.uncached_tokens) / self.prefill_speed();
+        let prefill_s = f64::from(waiting.cost.uncached_tokens) / self.prefill.tokens_per_s();
         let ahead = self.ahead_of(waiting);
         let free = (self.cap.calls() as usize).saturating_sub(self.running.len());
         let behind = (ahead + 1).saturating_sub(free) as f64;
@@ -352,7 +353,7 @@
         self.queue.iter().filter(trial).count()
     }
 
-    /// Finds the call that comes first.
+    /// Finds the call that comes first among those whose prompt may be handed over now.
     fn first(&self, now: Instant) -> Option<usize> {
         let trial_turn = self.trial_credit >= 1.0;
         let floor = self.members.floor();
@@ -363,15 +364,25 @@
             let rank = (self.cfg.weights).rank(&waiting.priority, waiting.cost, waited, excess);
             (waiting.priority.production == trial_turn, rank)
         };
-        let keyed = self.queue.iter().map(key).enumerate();
+        let fits = |(_, queued): &(usize, &Queued<T>)| self.prefill_fits(queued);
+        let fitting = self.queue.iter().enumerate().filter(fits);
+        let keyed = fitting.map(|(index, queued)| (index, key(queued)));
         let least = keyed.min_by(|(_, a), (_, b)| a.0.cmp(&b.0).then(a.1.total_cmp(&b.1)));
         least.map(|(index, _)| index)
     }
 
     /// Tells whether the call's prompt may be handed over now.
-    fn prefill_fits(&self, index: usize) -> bool {
-        let tokens = u64::from(self.queue[index].waiting.cost.uncached_tokens);
-        self.prefilling_tokens == 0 || self.prefilling_tokens + tokens <= self.cfg.prefill_tokens
+    fn prefill_fits(&self, queued: &Queued<T>) -> bool {
+        let tokens = self.long_tokens(queued.waiting.cost);
+        tokens == 0
+            || self.long_prefilling_tokens == 0
+            || self.long_prefilling_tokens + tokens <= self.cfg.prefill_tokens
+    }
+
+    /// Returns the uncached tokens of a long call, 0 for a short one.
+    fn long_tokens(&self, cost: Cost) -> u64 {
+        let is_long = cost.uncached_tokens > self.cfg.short_tokens;
+        u64::from(cost.uncached_tokens) * u64::from(is_long)
     }
 
     /// Accounts for the choice between production and trial.
@@ -388,7 +399,9 @@
     /// Takes a call out of the queue.
     fn take(&mut self, index: usize) -> Queued<T> {
         let queued = self.queue.swap_remove(index);
-        self.queued_tokens -= queued.waiting.cost.tokens();
+        let cost = queued.waiting.cost;
+        self.queued_tokens -= cost.tokens();
+        self.queued_prompt_tokens -= u64::from(cost.uncached_tokens);
         queued
     }
 
@@ -404,10 +417,12 @@
     }
 
     /// Counts a call as handed over.
-    fn start(&mut self, queued: &Queued<T>) {
+    fn start(&mut self, now: Instant, queued: &Queued<T>) {
         let cost = queued.waiting.cost;
         self.members.charge(queued.member, cost.tokens());
+        self.prefill.begin(now);
         self.prefilling_tokens += u64::from(cost.uncached_tokens);
+        self.long_prefilling_tokens += self.long_tokens(cost);
         let running = Running {
             member: queued.member,
             cost,
@@ -418,25 +433,17 @@
 
     /// Forgets a running call.
     fn remove_running(&mut self, call: CallId) -> Option<Running> {
-        let mut running = self.running.remove(&call)?;
-        end_prefill(&mut running, &mut self.prefilling_tokens);
+        let running = self.running.remove(&call)?;
+        if running.prefilling {
+            self.end_prefill(running.cost);
+        }
         self.members.leave(running.member);
         Some(running)
     }
 
-    /// Learns the prefill speed from one call.
-    fn note_prefill(&mut self, uncached_tokens: u32, first_token: Duration) {
-        if uncached_tokens > 0 && first_token > Duration::ZERO {
-            let speed = f64::from(uncached_tokens) / first_token.as_secs_f64();
-            self.prefill_tokens_per_s.add(speed);
-        }
-    }
-}
-
-/// Takes a running call out of the sum of prefilling tokens, once.
-fn end_prefill(running: &mut Running, prefilling_tokens: &mut u64) {
-    if running.prefilling {
-        running.prefilling = false;
-        *prefilling_tokens -= u64::from(running.cost.uncached_tokens);
+    /// Takes a call out of the sums of prefilling tokens.
+    fn end_prefill(&mut self, cost: Cost) {
+        self.prefilling_tokens -= u64::from(cost.uncached_tokens);
+        self.long_prefilling_tokens -= self.long_tokens(cost);
     }
 }
--- /dev/null
+++ b/src/daemon/build.rs
@@ -0,0 +1,222 @@
+//! From settings to a node.
+
+use super::Node;
+use crate::adapter::{HttpEngine, HttpLog, HttpService, HttpVmList};
+use crate::coordination::admission::AdmissionConfig;
+use crate::coordination::cache::ReleaseConfig;
+use crate::coordination::commit::CommitLimits;
+use crate::coordination::membership::MembershipConfig;
+use crate::coordination::partition::PartitionConfig;
+use crate::entry::{Entry, EntryConfig, Environments, Served};
+use crate::environment::Environment;
+use crate::ids::Incarnation;
+use crate::protocol::link::Serving;
+use crate::protocol::vms::NodeRole;
+use crate::settings::{EndpointKind, EndpointSettings, Settings};
+use crate::sidecar::{Endpoint, Sidecar, SidecarConfig};
+use crate::transport::handshake::Identity;
+use crate::transport::link::{Context as LinkContext, Timing};
+use crate::transport::spawn::Spawner;
+use anyhow::Context;
+use std::sync::Arc;
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
+
+/// Nodes of each role that an entry probes in one round.
+const PROBES: usize = 8;
+
+/// Longest wait for a commit before a turn is answered as pending.
+const COMMIT_PATIENCE: Duration = Duration::from_secs(3);
+
+/// Longest time that one call may take.
+const CALL_LIMIT: Duration = Duration::from_secs(120);
+
+/// How long a sidecar keeps an answer for reading again.
+const KEEP_ANSWERS: Duration = Duration::from_secs(60);
+
+/// How long a sidecar runs a call that no owner reads.
+const ORPHAN_AFTER: Duration = Duration::from_secs(15);
+
+/// Threads of a daemon's own executor; HTTP has others.
+pub(super) fn threads(settings: &Settings) -> usize {
+    match settings.node.role {
+        NodeRole::Entry => 2,
+        NodeRole::Sidecar => 1,
+    }
+}
+
+/// What every part of a node is made from.
+pub(super) struct Build<'a> {
+    settings: &'a Settings,
+    spawner: Spawner,
+    incarnation: Incarnation,
+}
+
+impl<'a> Build<'a> {
+    /// Draws the run's number and keeps the rest.
+    pub(super) fn new(settings: &'a Settings, spawner: Spawner) -> Self {
+        Self {
+            settings,
+            spawner,
+            incarnation: draw_incarnation(),
+        }
+    }
+
+    /// Makes the node that the settings describe and starts its tasks.
+    pub(super) fn node(&self) -> anyhow::Result<Node> {
+        match self.settings.node.role {
+            NodeRole::Entry => Ok(Node::Entry(self.entry()?)),
+            NodeRole::Sidecar => Ok(Node::Sidecar(self.sidecar()?)),
+        }
+    }
+
+    /// Returns what the links that others dial need.
+    pub(super) fn link_context<S>(&self, server: S) -> LinkContext<S> {
+        LinkContext {
+            identity: Identity {
+                node: self.settings.node.name.clone(),
+                incarnation: self.incarnation,
+                secret: self.settings.secret.bytes().into(),
+            },
+            timing: self.timing(),
+            spawner: self.spawner.clone(),
+            server,
+        }
+    }
+
+    fn timing(&self) -> Timing {
+        let timing = &self.settings.timing;
+        Timing {
+            heartbeat: Duration::from_millis(timing.link_ping_ms),
+            deadline: Duration::from_millis(timing.link_silence_ms),
+            ..Timing::default()
+        }
+    }
+
+    fn entry(&self) -> anyhow::Result<Entry<HttpLog>> {
+        let settings = self.settings;
+        let log_url = settings.platform.log_url.as_deref();
+        let log_url = log_url.context("an entry needs the log's address")?;
+        let timeout = Duration::from_millis(settings.timing.log_timeout_ms);
+        let log = HttpLog::new(log_url, timeout);
+        let environments = Environments::default();
+        let entry = Entry::start(self.entry_config(), log, environments, self.spawner.clone());
+        for (node, address) in &settings.entries {
+            entry.add_node(node, NodeRole::Entry, &address.to_string(), "");
+        }
+        for (node, address) in &settings.peers {
+            entry.add_node(node, NodeRole::Sidecar, &address.to_string(), "");
+        }
+        if let Some(url) = &settings.platform.vms_url {
+            entry.watch_vms(HttpVmList::new(url, timeout));
+        }
+        Ok(entry)
+    }
+
+    fn entry_config(&self) -> EntryConfig {
+        let settings = self.settings;
+        let timing = &settings.timing;
+        EntryConfig {
+            node: settings.node.name.clone(),
+            incarnation: self.incarnation,
+            failure_domain: settings.node.failure_domain.clone(),
+            secret: settings.secret.bytes().into(),
+            partitions: settings.partition.count,
+            partition: self.partition_config(),
+            link: self.timing(),
+            membership: MembershipConfig {
+                suspect_after: Duration::from_millis(timing.suspect_after_ms),
+                failed_after: Duration::from_millis(timing.failed_after_ms),
+                ..MembershipConfig::default()
+            },
+            probe_interval: Duration::from_millis(timing.probe_interval_ms),
+            probes: PROBES,
+            vms_interval: Duration::from_millis(timing.vms_interval_ms),
+            call_limit: CALL_LIMIT,
+            commit_patience: COMMIT_PATIENCE,
+            idle_limit: Duration::from_secs(settings.partition.idle_program_s),
+            open_calls: settings.limits.open_calls,
+        }
+    }
+
+    fn partition_config(&self) -> PartitionConfig {
+        let settings = self.settings;
+        let default = PartitionConfig::default();
+        PartitionConfig {
+            commit: CommitLimits {
+                append_interval: Duration::from_millis(settings.partition.append_interval_ms),
+                backlog_bytes: settings.limits.backlog_bytes,
+                ..default.commit
+            },
+            retention: Duration::from_secs(settings.partition.retention_s),
+            keep_ended: Duration::from_secs(settings.partition.ended_program_s),
+            cache_bytes: settings.limits.history_cache_bytes
+                / usize::from(settings.partition.count),
+            answer_timeout: Duration::from_millis(settings.timing.log_timeout_ms),
+            ..default
+        }
+    }
+
+    fn sidecar(&self) -> anyhow::Result<Sidecar<HttpEngine, HttpService>> {
+        let settings = self.settings;
+        let endpoint = settings.endpoint.as_ref();
+        let endpoint = endpoint.context("a sidecar needs an endpoint")?;
+        let timing = &settings.timing;
+        let config = SidecarConfig {
+            node: settings.node.name.clone(),
+            incarnation: self.incarnation,
+            admission: AdmissionConfig {
+                queue_calls: settings.limits.queued_calls,
+                ..AdmissionConfig::default()
+            },
+            first_token: Duration::from_millis(timing.first_token_ms),
+            token_gap: Duration::from_millis(timing.token_gap_ms),
+            service_timeout: Duration::from_millis(timing.service_timeout_ms),
+            keep_answers: KEEP_ANSWERS,
+            orphan_after: ORPHAN_AFTER,
+            serving: serving(endpoint),
+            releases: ReleaseConfig {
+                unconfirmed_for: Duration::from_millis(timing.confirm_lapse_ms),
+                ..ReleaseConfig::default()
+            },
+        };
+        let timeout = Duration::from_millis(timing.log_timeout_ms);
+        let connected = match endpoint.kind {
+            EndpointKind::Engine => Endpoint::Engine(HttpEngine::new(&endpoint.url, timeout)),
+            EndpointKind::Service => Endpoint::Service(HttpService::new(
+                &endpoint.url,
+                Duration::from_millis(timing.service_timeout_ms),
+            )),
+        };
+        Ok(Sidecar::start(config, connected, self.spawner.clone()))
+    }
+}
+
+/// Puts environments in force that are not in the log.
+pub(super) fn adopt(entry: &Entry<HttpLog>, environments: Vec<Environment>) {
+    let served = environments.into_iter().map(|document| Served {
+        document: Arc::new(document),
+        production: true,
+    });
+    let version = entry.environments().version();
+    entry.environments().adopt(version, served.collect());
+}
+
+fn serving(endpoint: &EndpointSettings) -> Serving {
+    match endpoint.kind {
+        EndpointKind::Engine => {
+            let first_version = |model: &String| (model.clone(), 1);
+            Serving::Models(endpoint.models.iter().map(first_version).collect())
+        }
+        EndpointKind::Service => Serving::Service(endpoint.service.clone()),
+    }
+}
+
+/// Draws the number of a run: later runs have higher ones as long as clocks do not go back.
+fn draw_incarnation() -> Incarnation {
+    let now = SystemTime::now().duration_since(UNIX_EPOCH);
+    let now_ms = now.unwrap_or_default().as_millis() as u64;
+    (now_ms << RANDOM_BITS) | fastrand::u64(..1 << RANDOM_BITS)
+}
+
+/// Random bits of a run's number.
+const RANDOM_BITS: u32 = 16;
--- /dev/null
+++ b/src/daemon/signals.rs
@@ -0,0 +1,12 @@
+//! Signals that end the daemon.
+
+use anyhow::Context;
+use async_signal::{Signal, Signals};
+use futures_lite::StreamExt;
+
+/// Waits for SIGTERM or SIGINT.
+pub(crate) async fn wait_for_signal() -> anyhow::Result<()> {
+    let mut signals = Signals::new([Signal::Term, Signal::Int]).context("signals not available")?;
+    signals.next().await;
+    Ok(())
+}
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -10,42 +10,50 @@
 //! assert_eq!(format_id(id).len(), 32);
 //! ```
 
-#[allow(dead_code, unused_imports, reason = "the roles are wired onto it next")]
+#![allow(
+    dead_code,
+    unused_imports,
+    reason = "parts land before what calls them"
+)]
+
+mod adapter;
+mod cli;
+mod client;
+mod cluster;
+mod configuration;
+mod coordination;
+mod daemon;
+mod demo;
+mod entry;
 mod environment;
+mod experiment;
 pub mod ids;
 mod ini;
-#[allow(dead_code, unused_imports, reason = "the roles are wired onto it next")]
-mod logging;
-
-mod client;
 mod load;
+mod logging;
+mod operations;
 pub mod protocol;
 mod proxy;
-#[allow(dead_code, unused_imports, reason = "the roles are wired onto it next")]
 mod settings;
+mod sidecar;
 pub mod standin;
 mod state;
-#[allow(dead_code, unused_imports, reason = "the roles are wired onto it next")]
 mod telemetry;
+mod transport;
+mod workload;
 
-pub use coordination::commit::{CommitEffect, CommitLimits, Committed, Full, GroupCommit, Ticket};
-pub use coordination::dispatch::{
-    Dispatch, DispatchError, DispatchLimits, DispatchTable, Dispatched, Settled,
+pub use adapter::{
+    HttpEngine, HttpEngineStream, HttpLog, HttpService, HttpVmList, HttpWeightStore,
 };
-pub use coordination::ownership::{ClaimView, Claimant};
-pub use coordination::partition::{
-    Change, Commit, CommitError, LogHealth, PartitionConfig, PartitionHandle, PartitionIdentity,
+pub use cli::run_tool;
+pub use client::{
+    AnswerStream, Attempts, CallError, Client, Collector, Patience, StreamEvent, StreamFault,
+    Timeouts,
+};
+pub use cluster::{
+    ClusterNode, ClusterOptions, Endpoint, InProcess, Launcher, LocalCluster, NodeSpec, Platform,
+    RunningNode,
 };
-pub use protocol::image::{Action, ActionPhase, Branch, End, Program, SupersededTurn, TurnPlace};
-#[allow(dead_code, unused_imports, reason = "the roles are wired onto it next")]
-mod configuration;
-mod workload;
-
-mod adapter;
-
-pub use adapter::{HttpEngine, HttpEngineStream, HttpLog, HttpService};
-mod coordination;
-
 pub use coordination::admission::{
     Admission, AdmissionConfig, CapConfig, Cost, Observed, OrderWeights, Waiting,
 };
@@ -57,20 +65,32 @@
     Choice, ChoiceConfig, Chooser, EndpointInfo, EndpointKind, EndpointState, Sent, SentEnd,
     Target, Want,
 };
+pub use coordination::commit::{CommitEffect, CommitLimits, Committed, Full, GroupCommit, Ticket};
+pub use coordination::dispatch::{
+    Dispatch, DispatchError, DispatchLimits, DispatchTable, Dispatched, Settled,
+};
+pub use coordination::fence::{Admission as FenceAdmission, OrderFence};
 pub use coordination::hedge::{HedgeCandidate, HedgeConfig, hedge_at};
 pub use coordination::limits::{Limit, Limits, TokenBucket};
+pub use coordination::membership::{Membership, MembershipConfig, Node, NodeState};
+pub use coordination::ownership::{ClaimView, Claimant};
+pub use coordination::partition::{
+    Change, Commit, CommitError, LogHealth, PartitionConfig, PartitionHandle, PartitionIdentity,
+};
+pub use coordination::placement::{
+    EngineView, Placement, PlacementAction, PlacementConfig, Wanted,
+};
 pub use coordination::rendezvous::rendezvous;
 pub use coordination::retry::{FailedCall, Retries, RetryBudget, RetryConfig};
 pub use coordination::watchdog::{Watchdog, WatchdogConfig, WatchdogVerdict};
-
-pub use client::{
-    AnswerStream, Attempts, CallError, Client, Collector, Patience, StreamEvent, StreamFault,
-    Timeouts,
-};
+pub use daemon::{Daemon, run_daemon};
+pub use demo::{DemoOptions, DemoReport, run_demo};
 pub use environment::{Difference, Environment, EnvironmentErrors};
+pub use experiment::PolicyExperiment;
 pub use ini::{Fault, FaultKind, Faults};
 pub use load::{LoadOptions, LoadReport, LoadRow, run_load};
 pub use protocol::configuration::Stage;
+pub use protocol::image::{Action, ActionPhase, Branch, End, Program, SupersededTurn, TurnPlace};
 pub use protocol::message::{Message, Role, Usage};
 pub use protocol::record::{
     ActionResult, Batch, Claim, Created, EndReason, Ended, Entry, Intent, Outcome, RESET_EPOCH,
@@ -80,6 +100,10 @@
 pub use proxy::{FaultProxy, FlowDirection};
 pub use settings::{EXIT_FAILURE, EXIT_OK, EXIT_SETTINGS, EXIT_USAGE, SettingErrors, Settings};
 pub use state::budget::Ledger;
+pub use state::burn::{
+    Alert, BurnLine, BurnReport, BurnTable, BurnWindow, Measure, ProgramSample, TokenSample,
+    WindowCount,
+};
 pub use state::history::{HistoryError, beginning, turn_hash, verify};
 pub use state::partition::{Applied, Owner, PartitionState, Void};
 pub use state::program::{EntryError, Head, TurnRef};
--- a/src/protocol/record.rs
+++ b/src/protocol/record.rs
@@ -237,3 +237,39 @@
         root: Offset,
     },
 }
+
+impl From<Created> for Entry {
+    fn from(created: Created) -> Self {
+        Self::Created(created)
+    }
+}
+
+impl From<Turn> for Entry {
+    fn from(turn: Turn) -> Self {
+        Self::Turn(turn)
+    }
+}
+
+impl From<Intent> for Entry {
+    fn from(intent: Intent) -> Self {
+        Self::Intent(intent)
+    }
+}
+
+impl From<Outcome> for Entry {
+    fn from(outcome: Outcome) -> Self {
+        Self::Outcome(outcome)
+    }
+}
+
+impl From<Ended> for Entry {
+    fn from(ended: Ended) -> Self {
+        Self::Ended(ended)
+    }
+}
+
+impl From<Reserved> for Entry {
+    fn from(reserved: Reserved) -> Self {
+        Self::Reserved(reserved)
+    }
+}
