--- a/src/entry/owner/settle.rs
+++ b/src/entry/owner/settle.rs
@@ -72,7 +72,7 @@
         };
         let once = Once {
             incarnation: action.incarnation,
-            intent: action.offset,
+            intent: action.intent,
         };
         let settled = self
             .settle_action(&owned, action.call, &action.endpoint, once, action.reserved)
--- a/tests/model/stream.rs
+++ b/tests/model/stream.rs
@@ -150,6 +150,9 @@
     }
 }
 
+/// A step's name, where it leads, and what a node has read by it.
+pub(crate) type StreamStep = (String, Stream, Option<(usize, Heard)>);
+
 /// The log and the nodes.
 #[derive(Clone, PartialEq, Eq, Hash)]
 pub(crate) struct Stream {
@@ -219,7 +222,7 @@
     }
 
     /// Steps of the log and of ownership; a read also says what it brought.
-    pub(crate) fn steps(&self, records: &Records) -> Vec<(String, Stream, Option<(usize, Heard)>)> {
+    pub(crate) fn steps(&self, records: &Records) -> Vec<StreamStep> {
         let mut steps = Vec::new();
         for node in 0..self.nodes.len() {
             let mut add = |name: &str, next: Option<Stream>| {
--- a/tests/model/turns.rs
+++ b/tests/model/turns.rs
@@ -49,6 +49,8 @@
     left: Budgets,
     /// Tell the caller as soon as the turn is pushed.
     tell_early: bool,
+    /// Run on a reservation as soon as it is pushed.
+    run_early: bool,
 }
 
 fn unit(amount: u64) -> Usage {
@@ -65,6 +67,7 @@
             records: Records::new(faults),
             left,
             tell_early: false,
+            run_early: false,
         }
     }
 
@@ -123,6 +126,10 @@
             });
             let ticket = next.stream.push(node, vec![entry]);
             next.work[node] = ticket.map_or(Work::None, Work::Reserving);
+            if self.run_early {
+                next.ran += 1;
+                next.work[node] = Work::Running { call: next.ran };
+            }
             steps.push((format!("reserve {node}"), next));
         }
         let mut next = state.clone();
@@ -286,3 +293,16 @@
         some(eq(&["a conversation's history is never lost"]))
     );
 }
+
+#[gtest]
+fn a_run_on_a_reservation_that_is_not_committed_breaks_the_budget() {
+    let left = Budgets {
+        claims: 2,
+        ..budgets()
+    };
+    let mut spec = Turns::new(FoldFaults::default(), left);
+    spec.run_early = true;
+    let report = search("turns on a pushed reservation", &spec);
+    let broken = report.violation.map(|(broken, _)| broken);
+    expect_that!(broken, some(eq(&["a program's budget holds"])));
+}
