--- a/src/coordination/admission/mod.rs
+++ b/src/coordination/admission/mod.rs
@@ -34,10 +34,6 @@
     pub trial_queue_share: f64,
     /// Part of the hand-overs that trial environments get while production waits too.
     pub trial_share: f64,
-    /// Uncached prompt tokens of long calls that are handed over and have no first token, at most.
-    pub prefill_tokens: u64,
-    /// Calls with at most so many uncached tokens are short: they do not count in that sum.
-    pub short_tokens: u32,
     /// Weights of the order.
     pub weights: OrderWeights,
     /// Bounds and target of the cap.
@@ -50,8 +46,6 @@
             queue_calls: 512,
             trial_queue_share: 0.5,
             trial_share: 0.1,
-            prefill_tokens: 8_192,
-            short_tokens: 512,
             weights: OrderWeights::default(),
             cap: CapConfig::default(),
         }
@@ -159,8 +153,6 @@
     queued_prompt_tokens: u64,
     /// Sum of the uncached tokens of running calls without a first token.
     prefilling_tokens: u64,
-    /// Part of `prefilling_tokens` that belongs to long calls.
-    long_prefilling_tokens: u64,
     /// Hand-overs that trial environments have earned and not used.
     trial_credit: f64,
     prefill: PrefillMeter,
@@ -179,7 +171,6 @@
             queued_tokens: 0,
             queued_prompt_tokens: 0,
             prefilling_tokens: 0,
-            long_prefilling_tokens: 0,
             trial_credit: 0.0,
             prefill: PrefillMeter::default(),
             call_ms: Smoothed::default(),
@@ -254,7 +245,7 @@
         };
         if std::mem::take(&mut running.prefilling) {
             let cost = running.cost;
-            self.end_prefill(cost);
+            self.prefilling_tokens -= u64::from(cost.uncached_tokens);
             let tokens = u64::from(cost.uncached_tokens);
             self.prefill.done(now, tokens, self.prefilling_tokens > 0);
         }
@@ -353,7 +344,7 @@
         self.queue.iter().filter(trial).count()
     }
 
-    /// Finds the call that comes first among those whose prompt may be handed over now.
+    /// Finds the call that comes first.
     fn first(&self, now: Instant) -> Option<usize> {
         let trial_turn = self.trial_credit >= 1.0;
         let floor = self.members.floor();
@@ -364,27 +355,11 @@
             let rank = (self.cfg.weights).rank(&waiting.priority, waiting.cost, waited, excess);
             (waiting.priority.production == trial_turn, rank)
         };
-        let fits = |(_, queued): &(usize, &Queued<T>)| self.prefill_fits(queued);
-        let fitting = self.queue.iter().enumerate().filter(fits);
-        let keyed = fitting.map(|(index, queued)| (index, key(queued)));
+        let keyed = self.queue.iter().map(key).enumerate();
         let least = keyed.min_by(|(_, a), (_, b)| a.0.cmp(&b.0).then(a.1.total_cmp(&b.1)));
         least.map(|(index, _)| index)
     }
 
-    /// Tells whether the call's prompt may be handed over now.
-    fn prefill_fits(&self, queued: &Queued<T>) -> bool {
-        let tokens = self.long_tokens(queued.waiting.cost);
-        tokens == 0
-            || self.long_prefilling_tokens == 0
-            || self.long_prefilling_tokens + tokens <= self.cfg.prefill_tokens
-    }
-
-    /// Returns the uncached tokens of a long call, 0 for a short one.
-    fn long_tokens(&self, cost: Cost) -> u64 {
-        let is_long = cost.uncached_tokens > self.cfg.short_tokens;
-        u64::from(cost.uncached_tokens) * u64::from(is_long)
-    }
-
     /// Accounts for the choice between production and trial.
     fn spend_trial_credit(&mut self, index: usize) {
         let production = self.queue[index].waiting.priority.production;
@@ -422,7 +397,6 @@
         self.members.charge(queued.member, cost.tokens());
         self.prefill.begin(now);
         self.prefilling_tokens += u64::from(cost.uncached_tokens);
-        self.long_prefilling_tokens += self.long_tokens(cost);
         let running = Running {
             member: queued.member,
             cost,
@@ -435,15 +409,9 @@
     fn remove_running(&mut self, call: CallId) -> Option<Running> {
         let running = self.running.remove(&call)?;
         if running.prefilling {
-            self.end_prefill(running.cost);
+            self.prefilling_tokens -= u64::from(running.cost.uncached_tokens);
         }
         self.members.leave(running.member);
         Some(running)
     }
-
-    /// Takes a call out of the sums of prefilling tokens.
-    fn end_prefill(&mut self, cost: Cost) {
-        self.prefilling_tokens -= u64::from(cost.uncached_tokens);
-        self.long_prefilling_tokens -= self.long_tokens(cost);
-    }
 }
--- a/src/coordination/choice/mod.rs
+++ b/src/coordination/choice/mod.rs
@@ -46,7 +46,7 @@
 impl Default for ChoiceConfig {
     fn default() -> Self {
         Self {
-            prefill_weight: 20.0,
+            prefill_weight: 50.0,
             wait_weight: 1.0,
             busy_weight: 0.5,
             resident_ms: 1_000.0,
--- a/src/coordination/choice/tests.rs
+++ b/src/coordination/choice/tests.rs
@@ -55,7 +55,7 @@
     let stays = chooser.choose(now, &want(&cached), &mut rng).unwrap();
     expect_that!(stays.endpoint, eq("e1"));
     expect_that!(stays.expected_cached_tokens, eq(3_900));
-    chooser.observe(now, "e1", &load(20_000));
+    chooser.observe(now, "e1", &load(30_000));
     let yields = chooser.choose(now, &want(&cached), &mut rng).unwrap();
     expect_that!(yields.endpoint, not(eq("e1")));
 }
