--- a/src/entry/http.rs
+++ b/src/entry/http.rs
@@ -6,7 +6,9 @@
 
 use crate::entry::Entry;
 use crate::entry::route::Route;
-use crate::protocol::caller::{CallAnswer, HistoryAnswer, ProgramAnswer, TurnAnswer};
+use crate::protocol::caller::{
+    CallAnswer, HistoryAnswer, ProgramAnswer, ReceiptRequest, TurnAnswer,
+};
 use crate::protocol::link::{Caller, Reply, Request};
 use crate::protocol::log::Log;
 use crate::protocol::record::EndReason;
@@ -25,6 +27,7 @@
         .post("/v1/programs/:program/calls", on(entry, call))
         .get("/v1/programs/:program/calls/:call", on(entry, attach))
         .get("/v1/programs/:program/history", on(entry, history))
+        .post("/v1/programs/:program/receipts", on(entry, bring_back))
         .post("/v1/programs/:program/end", on(entry, end))
         .post("/v1/programs/:program/cancel", on(entry, cancel))
 }
@@ -246,6 +249,33 @@
     }
 }
 
+async fn bring_back<L: Log>(mut exchange: Exchange<L>) -> (Conn, Result<Sent, Refusal>) {
+    let parsed = parse_body(&mut exchange.conn).await;
+    let result = match parsed {
+        Ok(body) => adopt_receipt(&exchange, body).await,
+        Err(refusal) => Err(refusal),
+    };
+    (exchange.conn, result)
+}
+
+/// Brings a pending turn back to the owner, which may have lost it.
+async fn adopt_receipt<L: Log>(
+    exchange: &Exchange<L>,
+    body: ReceiptRequest,
+) -> Result<Sent, Refusal> {
+    let program = path_id(&exchange.conn, "program")?;
+    let secret = &exchange.entry.0.config.secret;
+    let turn = request::receipt(secret, &exchange.caller, program, &body)?;
+    let request = Request::Adopt {
+        program,
+        entry: Box::new(turn.into()),
+    };
+    match exchange.entry.route(program, request).reply().await {
+        Reply::Done => Ok(Sent::Empty),
+        reply => Err(refusal_of(reply)),
+    }
+}
+
 async fn end<L: Log>(exchange: Exchange<L>) -> (Conn, Result<Sent, Refusal>) {
     let result = end_program(&exchange, EndReason::Finished).await;
     (exchange.conn, result)
--- a/src/entry/http/request.rs
+++ b/src/entry/http/request.rs
@@ -3,9 +3,11 @@
 use crate::entry::environments::Environments;
 use crate::entry::unix_ms;
 use crate::ids::{ProgramId, parse_id, program_id};
-use crate::protocol::caller::{CallRequest, ProgramRequest};
+use crate::protocol::caller::{CallRequest, ProgramRequest, ReceiptRequest};
 use crate::protocol::link::{Call, Caller, Create, Work};
+use crate::protocol::record::Turn;
 use crate::protocol::refusal::{Refusal, RefusalCode};
+use crate::state::receipt::ReceiptKey;
 use serde::de::DeserializeOwned;
 use trillium::Conn;
 use trillium_router::RouterConnExt;
@@ -141,6 +143,19 @@
     })
 }
 
+/// Reads a receipt; one of another member or program is as good as none.
+pub(super) fn receipt(
+    secret: &[u8],
+    caller: &Caller,
+    program: ProgramId,
+    body: &ReceiptRequest,
+) -> Result<Turn, Refusal> {
+    let turn = ReceiptKey::new(secret).verify(&body.receipt);
+    turn.ok()
+        .filter(|turn| turn.member == caller.member && turn.program == program)
+        .ok_or_else(|| invalid("The receipt is not valid for this program."))
+}
+
 fn check_key(key: Option<&str>) -> Result<(), Refusal> {
     match key {
         Some(key) if key.is_empty() || key.len() > KEY_MAX_BYTES => {
--- a/src/entry/owner.rs
+++ b/src/entry/owner.rs
@@ -5,6 +5,7 @@
 mod branch;
 mod budget;
 mod end;
+mod keep;
 mod lookup;
 mod model;
 mod program;
@@ -16,13 +17,13 @@
 
 use crate::coordination::partition::PartitionHandle;
 use crate::entry::Entry;
-use crate::ids::{CallId, Epoch, ProgramId};
+use crate::ids::{CallId, Epoch, ProgramId, partition_of};
 use crate::protocol::link::{Call, Caller, Create, Durability, HistoryTurn, Reply};
 use crate::protocol::log::Log;
 use crate::protocol::record::{Created, Turn};
 use crate::protocol::refusal::{Refusal, RefusalCode};
 use crate::state::history::HistoryError;
-use answer::{refuse_commit, refuse_history};
+use answer::{log_down, refuse_commit, refuse_history};
 use program::{LiveProgram, Owned};
 use smol::Timer;
 use std::sync::Arc;
@@ -35,7 +36,7 @@
     /// Begins a program.
     pub(super) async fn create(&self, create: Create) -> Result<Reply, Refusal> {
         let handle = self.partition(create.program);
-        let epoch = owned_epoch(handle)?;
+        let epoch = self.owned_epoch(create.program)?;
         if let Some(known) = self.find_created(handle, &create) {
             return Ok(created(known, handle.with_state(|state| state.accepted())));
         }
@@ -56,10 +57,13 @@
             Ok(live) => live,
             Err(first) => return self.await_created(handle, first).await,
         };
-        let committed = self.commit(handle, vec![entry.into()]).await;
+        let committed = self.commit(handle, vec![entry.clone().into()]).await;
         match committed {
             Ok(Some(offset)) => Ok(created(live.id, offset)),
-            Ok(None) => Ok(pending(live.id)),
+            Ok(None) if self.keep(live.id, vec![entry.into()], None).await.is_some() => {
+                Ok(pending(live.id))
+            }
+            Ok(None) => Err(log_down()),
             Err(error) => {
                 self.0.programs.remove(live.id);
                 Err(refuse_commit(&error))
@@ -158,7 +162,7 @@
     /// Returns a program of the caller that this node owns.
     fn owned_program(&self, caller: &Caller, program: ProgramId) -> Result<Owned<L>, Refusal> {
         let handle = self.partition(program).clone();
-        let epoch = owned_epoch(&handle)?;
+        let epoch = self.owned_epoch(program)?;
         let live = self.0.programs.get(program, epoch);
         let live = live.or_else(|| self.load(&handle, program, epoch));
         let live = live
@@ -173,6 +177,16 @@
         }
     }
 
+    /// Returns the epoch in which this node owns a program's partition and has taken over what
+    /// was pending in it.
+    fn owned_epoch(&self, program: ProgramId) -> Result<Epoch, Refusal> {
+        let partition = partition_of(program, self.0.config.partitions);
+        let epoch = self.partition(program).epoch();
+        epoch
+            .filter(|epoch| self.0.programs.is_open(partition, *epoch))
+            .ok_or_else(refuse_no_owner)
+    }
+
     fn load(
         &self,
         handle: &PartitionHandle<L>,
@@ -187,11 +201,6 @@
     }
 }
 
-/// Returns the epoch in which this node owns a partition.
-fn owned_epoch<L: Log>(handle: &PartitionHandle<L>) -> Result<Epoch, Refusal> {
-    handle.epoch().ok_or_else(refuse_no_owner)
-}
-
 fn created(program: ProgramId, offset: u64) -> Reply {
     Reply::Created {
         program,
--- a/src/entry/owner/action.rs
+++ b/src/entry/owner/action.rs
@@ -3,8 +3,8 @@
 use crate::coordination::choice::SentEnd;
 use crate::coordination::partition::{CommitError, LogHealth};
 use crate::entry::Entry;
-use crate::entry::owner::answer::{LOG_RETRY_MS, refuse_commit, refuse_no_owner};
-use crate::entry::owner::branch::{Job, Tail, token_bound};
+use crate::entry::owner::answer::{LOG_RETRY_MS, log_down, refuse_commit, refuse_no_owner};
+use crate::entry::owner::branch::{CallJob, Tail, token_bound};
 use crate::entry::owner::budget::Reservation;
 use crate::entry::owner::program::{AnswerEnd, Owned};
 use crate::entry::owner::tool::{ToolCall, tool_message, tool_sending, tool_spent};
@@ -42,7 +42,7 @@
         &self,
         owned: &Owned<L>,
         tail: &mut Tail,
-        job: &Job,
+        job: &CallJob,
         limit: Duration,
     ) -> AnswerEnd {
         if let LogHealth::Down { .. } = owned.handle.health() {
@@ -71,7 +71,7 @@
     async fn prepare(
         &self,
         owned: &Owned<L>,
-        job: &Job,
+        job: &CallJob,
         limit: Duration,
     ) -> Result<Prepared, Refusal> {
         let Work::Tool {
@@ -128,7 +128,7 @@
     }
 
     /// Sees to it that an intent that may yet be committed is closed as not run.
-    fn void_intent(&self, owned: &Owned<L>, job: &Job) {
+    fn void_intent(&self, owned: &Owned<L>, job: &CallJob) {
         let outcome = Outcome {
             program: owned.live.id,
             call: job.call.call,
@@ -147,7 +147,7 @@
     async fn dispatch_once(
         &self,
         owned: &Owned<L>,
-        job: &Job,
+        job: &CallJob,
         prepared: &Prepared,
         once: Once,
     ) -> Settled {
@@ -183,7 +183,7 @@
         &self,
         owned: &Owned<L>,
         tail: &mut Tail,
-        job: &Job,
+        job: &CallJob,
         endpoint: &EndpointId,
         settled: Settled,
     ) -> AnswerEnd {
@@ -236,7 +236,7 @@
 /// Pause before a full backlog is tried again with an outcome.
 const FULL_PAUSE: Duration = Duration::from_millis(100);
 
-fn make_intent<L>(owned: &Owned<L>, job: &Job, prepared: &Prepared) -> Intent {
+fn make_intent<L>(owned: &Owned<L>, job: &CallJob, prepared: &Prepared) -> Intent {
     Intent {
         program: owned.live.id,
         branch: job.call.branch,
@@ -267,7 +267,12 @@
 }
 
 /// Makes the answer of an action whose outcome is in the log.
-fn answer<L: Log>(owned: &Owned<L>, job: &Job, result: ActionResult, offset: Offset) -> AnswerEnd {
+fn answer<L: Log>(
+    owned: &Owned<L>,
+    job: &CallJob,
+    result: ActionResult,
+    offset: Offset,
+) -> AnswerEnd {
     match result {
         ActionResult::Done(reply) => Ok(Answer {
             call: job.call.call,
@@ -285,11 +290,6 @@
     }
 }
 
-fn log_down() -> Refusal {
-    let message = "The log is down; actions that may not be repeated wait for it.";
-    Refusal::not_run(RefusalCode::LogDown, message).retry_after_ms(LOG_RETRY_MS)
-}
-
 /// The next owner finds the outcome out; a retry with the same key or id gets it.
 fn settled_elsewhere() -> Refusal {
     Refusal {
--- a/src/entry/owner/answer.rs
+++ b/src/entry/owner/answer.rs
@@ -47,3 +47,9 @@
         }
     }
 }
+
+/// Refuses since the log does not take a record that must be written first.
+pub(super) fn log_down() -> Refusal {
+    let message = "The log is down; what must be written first waits for it.";
+    Refusal::not_run(RefusalCode::LogDown, message).retry_after_ms(LOG_RETRY_MS)
+}
--- a/src/entry/owner/branch.rs
+++ b/src/entry/owner/branch.rs
@@ -7,16 +7,29 @@
 use crate::protocol::link::{Call, Work};
 use crate::protocol::log::Log;
 use crate::protocol::message::Message;
-use crate::protocol::record::Turn;
+use crate::protocol::record::{Entry as Record, Turn};
 use crate::protocol::refusal::{Ran, Refusal, RefusalCode};
 use crate::state::history::{beginning, turn_hash};
-use async_channel::Receiver;
+use async_channel::{Receiver, Sender};
 use futures_lite::FutureExt;
 use smol::Timer;
 use std::time::Duration;
 
+/// Work in a branch's queue.
+pub(super) enum Job {
+    /// A call.
+    Call(CallJob),
+    /// A turn that was pending elsewhere.
+    Adopt {
+        /// The turn.
+        record: Record,
+        /// Told when it is in the log.
+        done: Sender<Result<(), Refusal>>,
+    },
+}
+
 /// A call in its branch's queue.
-pub(super) struct Job {
+pub(super) struct CallJob {
     /// The call.
     pub(super) call: Call,
     /// Its answer.
@@ -85,46 +98,76 @@
             // The next attempt finds the program anew, here or elsewhere.
             Added::Closed => return Err(refuse_no_owner()),
         }
-        let branch = call.branch;
-        let live = owned.live.clone();
-        let queue = live.branch(branch, || {
-            let (queue, jobs) = async_channel::unbounded();
-            let work = self.clone().work_branch(owned, branch, jobs);
-            self.0.spawner.spawn(work);
-            queue
-        });
         self.0.programs.count(true);
-        let job = Job {
+        let branch = call.branch;
+        let job = CallJob {
             call,
             text: text.clone(),
             stopped,
         };
-        if queue.try_send(job).is_err() {
+        if self.enqueue_job(owned, branch, Job::Call(job)).is_err() {
             self.0.programs.count(false);
             text.finish(Err(ended()));
         }
         Ok((id, text))
     }
 
-    /// Runs the calls of a branch until its queue is closed.
+    /// Puts work in line in a branch.
+    pub(super) fn enqueue_job(
+        &self,
+        owned: Owned<L>,
+        branch: BranchId,
+        job: Job,
+    ) -> Result<(), Refusal> {
+        let live = owned.live.clone();
+        let queue = live.branch(branch, || {
+            let (queue, jobs) = async_channel::unbounded();
+            let work = self.clone().work_branch(owned, branch, jobs);
+            self.0.spawner.spawn(work);
+            queue
+        });
+        queue
+            .and_then(|queue| queue.try_send(job).ok())
+            .ok_or_else(refuse_no_owner)
+    }
+
+    /// Does the work of a branch until its queue is closed.
     async fn work_branch(self, owned: Owned<L>, branch: BranchId, jobs: Receiver<Job>) {
         let mut tail = None;
         while let Ok(job) = jobs.recv().await {
-            let end = self.run_job(&owned, branch, &mut tail, &job).await;
-            if not_run(&end) {
-                owned.live.forget_call(job.call.call);
+            match job {
+                Job::Call(job) => self.finish_job(&owned, branch, &mut tail, &job).await,
+                Job::Adopt { record, done } => {
+                    let adopted = self.adopt(&owned.handle, record).await;
+                    // The branch is read anew, with the turn in it.
+                    tail = None;
+                    let _ = done.try_send(adopted);
+                }
             }
-            job.text.finish(end);
-            self.0.programs.count(false);
         }
     }
 
+    async fn finish_job(
+        &self,
+        owned: &Owned<L>,
+        branch: BranchId,
+        tail: &mut Option<Tail>,
+        job: &CallJob,
+    ) {
+        let end = self.run_job(owned, branch, tail, job).await;
+        if not_run(&end) {
+            owned.live.forget_call(job.call.call);
+        }
+        job.text.finish(end);
+        self.0.programs.count(false);
+    }
+
     async fn run_job(
         &self,
         owned: &Owned<L>,
         branch: BranchId,
         tail: &mut Option<Tail>,
-        job: &Job,
+        job: &CallJob,
     ) -> AnswerEnd {
         if owned.live.ended().is_some() {
             return Err(ended());
--- a/src/entry/owner/model.rs
+++ b/src/entry/owner/model.rs
@@ -1,16 +1,16 @@
 //! Model calls: the branch's history and new messages go to an engine, the turn to the log.
 
 use crate::coordination::choice::Target;
-use crate::coordination::partition::CommitError;
+use crate::coordination::partition::{CommitError, LogHealth};
 use crate::entry::Entry;
 use crate::entry::dispatch::{Finished, Sending};
-use crate::entry::owner::answer::{LOG_RETRY_MS, refuse_commit, refuse_no_owner};
-use crate::entry::owner::branch::{Job, Tail, token_bound};
+use crate::entry::owner::answer::{LOG_RETRY_MS, log_down, refuse_commit, refuse_no_owner};
+use crate::entry::owner::branch::{CallJob, Tail, token_bound};
 use crate::entry::owner::budget::Reservation;
 use crate::entry::owner::program::{AnswerEnd, Owned};
 use crate::entry::owner::tool::ToolCall;
 use crate::entry::unix_ms;
-use crate::ids::{ModelId, partition_of};
+use crate::ids::{CallId, ModelId, NodeId, Offset, partition_of};
 use crate::protocol::engine::{EngineUsage, GenerateRequest};
 use crate::protocol::link::{Answer, Durability, Generate, Priority, Work};
 use crate::protocol::log::Log;
@@ -18,6 +18,7 @@
 use crate::protocol::record::Turn;
 use crate::protocol::refusal::{Refusal, RefusalCode};
 use crate::state::receipt::ReceiptKey;
+use async_channel::Receiver;
 use futures_lite::FutureExt;
 use smallvec::SmallVec;
 use smol::Timer;
@@ -53,9 +54,10 @@
         &self,
         owned: &Owned<L>,
         tail: &Tail,
-        job: &Job,
+        job: &CallJob,
         limit: Duration,
     ) -> Result<Product, Refusal> {
+        self.check_backlog(owned)?;
         match &job.call.work {
             Work::Model {
                 model,
@@ -85,11 +87,23 @@
         }
     }
 
+    /// Refuses a call whose turn may find no room while the log is down.
+    fn check_backlog(&self, owned: &Owned<L>) -> Result<(), Refusal> {
+        if let LogHealth::Up = owned.handle.health() {
+            return Ok(());
+        }
+        let (_, bytes) = owned.handle.backlog();
+        if bytes > self.0.config.partition.commit.backlog_bytes / 2 {
+            return Err(log_down());
+        }
+        Ok(())
+    }
+
     async fn run_model(
         &self,
         owned: &Owned<L>,
         tail: &Tail,
-        job: &Job,
+        job: &CallJob,
         call: ModelCall<'_>,
         limit: Duration,
     ) -> Result<Product, Refusal> {
@@ -141,7 +155,7 @@
         &self,
         owned: &Owned<L>,
         tail: &Tail,
-        job: &Job,
+        job: &CallJob,
         call: &ModelCall<'_>,
     ) -> Result<Generate, Refusal> {
         let mut messages = tail.messages.clone();
@@ -185,7 +199,7 @@
         &self,
         owned: &Owned<L>,
         tail: &mut Tail,
-        job: &Job,
+        job: &CallJob,
         product: Product,
     ) -> AnswerEnd {
         let turn = self.make_turn(owned, tail, job, &product);
@@ -206,7 +220,7 @@
         })
     }
 
-    fn make_turn(&self, owned: &Owned<L>, tail: &Tail, job: &Job, product: &Product) -> Turn {
+    fn make_turn(&self, owned: &Owned<L>, tail: &Tail, job: &CallJob, product: &Product) -> Turn {
         Turn {
             program: owned.live.id,
             member: owned.live.member.clone(),
@@ -230,32 +244,88 @@
         commit: crate::coordination::partition::Commit,
     ) -> Result<Durability, Refusal> {
         let (settled, result) = async_channel::bounded(1);
-        let live = owned.live.clone();
-        let call = turn.call;
+        let entry = self.clone();
+        let (live, call) = (owned.live.clone(), turn.call);
         // The turn goes on into the log, also when nobody waits any more.
         self.0.spawner.spawn(async move {
             let committed = commit.await;
-            if committed.is_ok() {
-                live.commit_pending(call);
+            match &committed {
+                Ok(_) => live.commit_pending(call),
+                Err(CommitError::Superseded(entries) | CommitError::Uncertain(entries)) => {
+                    entry.hand_over(entries.clone());
+                }
+                Err(_) => {}
             }
-            let _ = settled.try_send(committed);
+            let _ = settled.send(committed).await;
         });
         let late = async {
             Timer::after(self.patience(&owned.handle)).await;
             None
         };
         match async { result.recv().await.ok() }.or(late).await {
-            Some(Ok(offset)) => Ok(Durability::Committed { offset }),
-            Some(Err(CommitError::Ignored(why))) => Err(refuse_commit(&CommitError::Ignored(why))),
-            Some(Err(CommitError::Uncertain(_))) => Err(uncertain()),
-            Some(Err(_)) => Err(refuse_no_owner()),
-            None => Ok(Durability::Pending {
-                receipt: ReceiptKey::new(&self.0.config.secret).sign(turn),
-            }),
+            Some(committed) => durability_of(committed),
+            None => self.await_second_memory(owned, turn, result).await,
+        }
+    }
+
+    /// Waits until a turn is in the memory of another VM, or in the log after all.
+    async fn await_second_memory(
+        &self,
+        owned: &Owned<L>,
+        turn: &Arc<Turn>,
+        result: Receiver<Result<Offset, CommitError>>,
+    ) -> Result<Durability, Refusal> {
+        let give_up = Instant::now() + self.0.config.call_limit;
+        while Instant::now() < give_up {
+            let entries = vec![Turn::clone(turn).into()];
+            let kept = self
+                .keep(owned.live.id, entries, Some(&turn.endpoint))
+                .await;
+            if let Some(keeper) = kept {
+                self.forget_when_committed(owned, turn.call, keeper, result);
+                return Ok(Durability::Pending {
+                    receipt: ReceiptKey::new(&self.0.config.secret).sign(turn),
+                });
+            }
+            if let Ok(committed) = result.try_recv() {
+                return durability_of(committed);
+            }
+            Timer::after(KEEP_PAUSE).await;
         }
+        let message = "Neither the log nor a second memory takes the turn yet.";
+        let refusal = Refusal::unknown(RefusalCode::LogDown, message);
+        Err(refusal.retry_after_ms(LOG_RETRY_MS))
+    }
+
+    fn forget_when_committed(
+        &self,
+        owned: &Owned<L>,
+        call: CallId,
+        keeper: NodeId,
+        result: Receiver<Result<Offset, CommitError>>,
+    ) {
+        let entry = self.clone();
+        let program = owned.live.id;
+        self.0.spawner.spawn(async move {
+            if let Ok(Ok(_)) = result.recv().await {
+                entry.forget_kept(keeper, program, vec![call]);
+            }
+        });
+    }
+}
+
+fn durability_of(committed: Result<Offset, CommitError>) -> Result<Durability, Refusal> {
+    match committed {
+        Ok(offset) => Ok(Durability::Committed { offset }),
+        Err(CommitError::Ignored(why)) => Err(refuse_commit(&CommitError::Ignored(why))),
+        Err(CommitError::Uncertain(_)) => Err(uncertain()),
+        Err(_) => Err(refuse_no_owner()),
     }
 }
 
+/// Pause before a second memory is looked for again.
+const KEEP_PAUSE: Duration = Duration::from_millis(250);
+
 /// Refuses since nobody can say whether the log has the turn.
 fn uncertain() -> Refusal {
     let message = "The partition changed its owner; read the call again.";
@@ -282,7 +352,7 @@
     }
 }
 
-fn product(tail: &Tail, job: &Job, asked: &[Message], finished: Finished) -> Product {
+fn product(tail: &Tail, job: &CallJob, asked: &[Message], finished: Finished) -> Product {
     let spent = spent_of(&finished);
     let content = job.text.with_parts(|parts| {
         parts
--- a/src/entry/owner/program.rs
+++ b/src/entry/owner/program.rs
@@ -3,7 +3,7 @@
 use crate::coordination::partition::PartitionHandle;
 use crate::entry::lock;
 use crate::entry::owner::branch::Job;
-use crate::ids::{BranchId, CallId, EnvironmentId, Epoch, MemberId, ProgramId};
+use crate::ids::{BranchId, CallId, EnvironmentId, Epoch, MemberId, Partition, ProgramId};
 use crate::protocol::image;
 use crate::protocol::link::{Answer, Create, Tokens};
 use crate::protocol::message::Usage;
@@ -169,14 +169,15 @@
         state.keys.retain(|_, id| *id != call);
     }
 
-    /// Returns the queue of a branch, made by `make` if there is none.
+    /// Returns the queue of a branch, made by `make` if there is none; `None` once closed.
     pub(super) fn branch(
         &self,
         branch: BranchId,
         make: impl FnOnce() -> Sender<Job>,
-    ) -> Sender<Job> {
+    ) -> Option<Sender<Job>> {
         let mut state = lock(&self.state);
-        state.branches.entry(branch).or_insert_with(make).clone()
+        let open = !state.closed && state.ended.is_none();
+        open.then(|| state.branches.entry(branch).or_insert_with(make).clone())
     }
 
     /// Looks at the budget and changes it.
@@ -295,10 +296,21 @@
 pub(crate) struct Programs {
     live: Mutex<HashMap<ProgramId, Arc<LiveProgram>>>,
     beginning: Mutex<HashMap<(EnvironmentId, MemberId, String), ProgramId>>,
+    open: Mutex<HashMap<Partition, Epoch>>,
     running: AtomicUsize,
 }
 
 impl Programs {
+    /// Opens a partition for calls in an epoch.
+    pub(super) fn open(&self, partition: Partition, epoch: Epoch) {
+        lock(&self.open).insert(partition, epoch);
+    }
+
+    /// Tells whether a partition is open for calls in an epoch.
+    pub(super) fn is_open(&self, partition: Partition, epoch: Epoch) -> bool {
+        lock(&self.open).get(&partition) == Some(&epoch)
+    }
+
     /// Returns a program of an epoch.
     pub(super) fn get(&self, program: ProgramId, epoch: Epoch) -> Option<Arc<LiveProgram>> {
         let live = lock(&self.live).get(&program).cloned();
--- a/src/entry/owner/settle.rs
+++ b/src/entry/owner/settle.rs
@@ -5,7 +5,7 @@
 use crate::entry::owner::answer::refuse_no_owner;
 use crate::entry::owner::program::Owned;
 use crate::entry::{Entry, lock};
-use crate::ids::{CallId, EndpointId, Epoch, ProgramId, partition_of};
+use crate::ids::{CallId, EndpointId, Epoch, Partition, ProgramId, partition_of};
 use crate::protocol::image::{Action, ActionPhase};
 use crate::protocol::link::{ActionReply, ActionState, Caller, Once, Reply, Request};
 use crate::protocol::log::Log;
@@ -27,15 +27,17 @@
 impl<L: Log> Entry<L> {
     /// Follows the ownership of all partitions.
     pub(in crate::entry) fn watch_partitions(&self) {
-        for handle in &self.0.partitions {
+        for (handle, partition) in self.0.partitions.iter().zip(0..) {
             let changes = handle.changes();
             let entry = self.clone();
             let handle = handle.clone();
             self.0.spawner.spawn(async move {
                 while let Ok(change) = changes.recv().await {
                     match change {
-                        Change::Gained(epoch) => entry.settle_partition(&handle, epoch),
-                        Change::Lost(epoch) => entry.drop_epoch(&handle, epoch),
+                        Change::Gained(epoch) => {
+                            entry.take_over(&handle, partition, epoch).await;
+                        }
+                        Change::Lost(epoch) => entry.drop_epoch(epoch),
                         Change::Applied { .. } => {}
                     }
                 }
@@ -44,7 +46,7 @@
     }
 
     /// Ends what this node did for a partition in an epoch that is over.
-    fn drop_epoch(&self, _handle: &PartitionHandle<L>, epoch: Epoch) {
+    fn drop_epoch(&self, epoch: Epoch) {
         log::info!(target: "owner", "owner: epoch {epoch} is over");
         let refusal = refuse_no_owner();
         for live in self.0.programs.all() {
@@ -55,9 +57,12 @@
         }
     }
 
-    /// Settles the actions that the owner before has left open.
-    fn settle_partition(&self, handle: &PartitionHandle<L>, epoch: Epoch) {
-        log::info!(target: "owner", "owner: epoch {epoch} begins");
+    /// Begins an epoch: takes over what was pending, opens the partition for calls, and settles
+    /// the actions that the owner before has left open.
+    async fn take_over(&self, handle: &PartitionHandle<L>, partition: Partition, epoch: Epoch) {
+        log::info!(target: "owner", "owner: epoch {epoch} of partition {partition} begins");
+        self.take_over_kept(handle, partition).await;
+        self.0.programs.open(partition, epoch);
         for (caller, program, action) in open_actions(handle) {
             let entry = self.clone();
             self.0.spawner.spawn(async move {
--- a/src/entry/owner/tool.rs
+++ b/src/entry/owner/tool.rs
@@ -3,7 +3,7 @@
 use crate::coordination::choice::{SentEnd, Target};
 use crate::entry::Entry;
 use crate::entry::dispatch::{Sending, unreachable_endpoint};
-use crate::entry::owner::branch::{Job, Tail, token_bound};
+use crate::entry::owner::branch::{CallJob, Tail, token_bound};
 use crate::entry::owner::budget::Reservation;
 use crate::entry::owner::model::Product;
 use crate::entry::owner::program::Owned;
@@ -35,7 +35,7 @@
         &self,
         owned: &Owned<L>,
         tail: &Tail,
-        job: &Job,
+        job: &CallJob,
         call: ToolCall<'_>,
         limit: Duration,
     ) -> Result<Product, Refusal> {
@@ -87,7 +87,7 @@
     pub(super) fn invoke_request(
         &self,
         owned: &Owned<L>,
-        job: &Job,
+        job: &CallJob,
         call: ToolCall<'_>,
         limit: Duration,
     ) -> Result<Invoke, Refusal> {
@@ -109,7 +109,7 @@
 /// Describes a tool call to the chooser.
 pub(super) fn tool_sending<'a, L>(
     owned: &'a Owned<L>,
-    job: &Job,
+    job: &CallJob,
     service: &'a str,
     limit: Duration,
 ) -> Sending<'a> {
--- a/src/entry/serve.rs
+++ b/src/entry/serve.rs
@@ -56,6 +56,7 @@
                 program,
                 reason,
             } => ready(self.end_for(&caller, program, reason).await),
+            Request::Adopt { program, entry } => ready(self.adopt_in_line(program, *entry).await),
             _ => Source::Ready(Reply::Refused(Refusal::not_run(
                 RefusalCode::Invalid,
                 "An entry does not serve this request.",
--- a/src/protocol/caller.rs
+++ b/src/protocol/caller.rs
@@ -127,6 +127,14 @@
     Refusal::not_run(RefusalCode::Invalid, message)
 }
 
+/// Body of `POST /v1/programs/{program}/receipts`.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct ReceiptRequest {
+    /// The receipt of an answer that was pending.
+    pub receipt: String,
+}
+
 /// Data of the event `accepted`.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct AcceptedEvent {
--- a/src/protocol/link.rs
+++ b/src/protocol/link.rs
@@ -10,7 +10,7 @@
 use crate::protocol::configuration::ConfigurationImage;
 use crate::protocol::engine::{EngineLoad, EngineOrder, EngineUsage, GenerateRequest};
 use crate::protocol::message::{Message, Usage};
-use crate::protocol::record::{ActionResult, EndReason};
+use crate::protocol::record::{ActionResult, EndReason, Entry};
 use crate::protocol::refusal::Refusal;
 use crate::protocol::service::ServiceRequest;
 use serde::{Deserialize, Serialize};
@@ -86,6 +86,34 @@
         /// The programs.
         programs: Vec<ProgramId>,
     },
+    /// Owner to sidecar: hold entries that the log has not taken yet.
+    Keep {
+        /// The partition.
+        partition: Partition,
+        /// The entries, in order.
+        entries: Vec<Entry>,
+    },
+    /// New owner to sidecar: which entries of a partition do you hold.
+    Kept {
+        /// The partition.
+        partition: Partition,
+    },
+    /// Owner to sidecar: the log has these turns and this program's beginning.
+    Forget {
+        /// The partition.
+        partition: Partition,
+        /// The program.
+        program: ProgramId,
+        /// The turns' calls.
+        calls: Vec<CallId>,
+    },
+    /// Any entry to owner: put an entry that was pending into the log.
+    Adopt {
+        /// The program.
+        program: ProgramId,
+        /// The entry.
+        entry: Box<Entry>,
+    },
     /// Owner to sidecar: an order to the engine.
     Order {
         /// The order.
@@ -294,6 +322,8 @@
         /// Tokens; 0 when it is gone.
         tokens: u64,
     },
+    /// Entries that a sidecar holds for an owner that could not write them.
+    Kept(Vec<Entry>),
     /// The answer to a probe.
     Probed(Digest),
     /// The configuration version that the node runs after an offer.
--- a/src/sidecar/mod.rs
+++ b/src/sidecar/mod.rs
@@ -16,6 +16,7 @@
 use crate::protocol::service::Service;
 use crate::sidecar::generation::Generation;
 use crate::sidecar::queue::Queue;
+use crate::state::kept::Kept;
 use crate::transport::spawn::Spawner;
 use event_listener::Event;
 use std::collections::HashMap;
@@ -23,6 +24,9 @@
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
+/// Memory for entries that the log has not taken.
+const KEPT_MAX_BYTES: usize = 16 << 20;
+
 /// What stands beside the sidecar.
 #[derive(Clone)]
 pub(crate) enum Endpoint<E, S> {
@@ -77,6 +81,7 @@
     action_over: Event,
     fences: Mutex<HashMap<Partition, Epoch>>,
     releases: Mutex<Releases>,
+    kept: Mutex<Kept>,
     engine_load: Mutex<EngineLoad>,
     leaving: AtomicBool,
 }
@@ -99,6 +104,7 @@
             action_over: Event::new(),
             fences: Mutex::default(),
             releases: Mutex::new(Releases::new(config.releases)),
+            kept: Mutex::new(Kept::new(KEPT_MAX_BYTES)),
             engine_load: Mutex::default(),
             leaving: AtomicBool::new(false),
             config,
--- a/src/sidecar/serve.rs
+++ b/src/sidecar/serve.rs
@@ -1,11 +1,14 @@
 //! Requests of owners and other nodes to a sidecar.
 
+use crate::ids::Partition;
 use crate::protocol::engine::Engine;
 use crate::protocol::link::{Event, Generated, Messages, Reply, Request};
+use crate::protocol::record::Entry;
 use crate::protocol::refusal::{Refusal, RefusalCode};
 use crate::protocol::service::Service;
 use crate::sidecar::generation::{Generation, Whole};
 use crate::sidecar::{Sidecar, lock};
+use crate::state::kept::Full;
 use crate::transport::handshake::Remote;
 use crate::transport::link::{Gone, Responder, Serve};
 use crate::transport::replay::Followed;
@@ -64,6 +67,16 @@
                 self.confirm(&programs);
                 Reply::Done
             }
+            Request::Keep { partition, entries } => self.keep(partition, entries),
+            Request::Kept { partition } => Reply::Kept(lock(&self.0.kept).of(partition)),
+            Request::Forget {
+                partition,
+                program,
+                calls,
+            } => {
+                lock(&self.0.kept).forget(partition, program, &calls);
+                Reply::Done
+            }
             Request::Order { order, fence } => self.order(order, fence).await,
             Request::Probe(digest) => Reply::Probed(self.probe(&digest)),
             _ => Reply::Refused(Refusal::not_run(
@@ -73,6 +86,16 @@
         }
     }
 
+    fn keep(&self, partition: Partition, entries: Vec<Entry>) -> Reply {
+        match lock(&self.0.kept).keep(partition, entries) {
+            Ok(()) => Reply::Done,
+            Err(Full) => Reply::Refused(Refusal::not_run(
+                RefusalCode::Overloaded,
+                "No room for entries that the log has not taken.",
+            )),
+        }
+    }
+
     /// Sends a generation's text from a position on.
     async fn follow(&self, generation: Generation, from: u32, mut responder: Responder<Messages>) {
         let sent = self.send_text(&generation, from, &mut responder).await;
--- /dev/null
+++ b/src/state/kept/tests.rs
@@ -0,0 +1,59 @@
+//! Tests of the second memory.
+
+use super::{Full, Kept};
+use crate::protocol::message::{Message, Role, Usage};
+use crate::protocol::record::{Created, Entry, Turn};
+use googletest::prelude::*;
+
+fn created(program: u128) -> Entry {
+    Entry::Created(Created {
+        program,
+        member: "saa".to_owned(),
+        environment: "tn-north".to_owned(),
+        key: None,
+        budget: Usage::default(),
+        deadline_ms: 0,
+        reserved: Usage::default(),
+    })
+}
+
+fn turn(program: u128, call: u128, bytes: usize) -> Entry {
+    Entry::Turn(Turn {
+        program,
+        member: "saa".to_owned(),
+        branch: 0,
+        number: 1,
+        previous: [0; 32],
+        call,
+        key: None,
+        messages: vec![Message::new(Role::User, "x".repeat(bytes))],
+        spent: Usage::default(),
+        reserved: Usage::default(),
+        endpoint: "e1".to_owned(),
+    })
+}
+
+#[gtest]
+fn entries_are_held_in_order_and_once_until_the_log_has_them() {
+    let mut kept = Kept::new(10_000);
+    let entries = vec![created(7), turn(7, 1, 10), turn(7, 2, 10)];
+    expect_that!(kept.keep(3, entries.clone()), ok(anything()));
+    expect_that!(kept.keep(3, entries.clone()), ok(anything()));
+    expect_that!(kept.of(3), eq(&entries));
+    expect_that!(kept.of(4), is_empty());
+    kept.forget(3, 7, &[1]);
+    expect_that!(kept.of(3), eq(&entries[2..]));
+    kept.forget(3, 8, &[2]);
+    expect_that!(kept.of(3).len(), eq(1));
+}
+
+#[gtest]
+fn a_full_table_takes_all_entries_or_none_and_has_room_again() {
+    let mut kept = Kept::new(1_000);
+    expect_that!(kept.keep(0, vec![turn(1, 1, 500)]), ok(anything()));
+    let more = vec![turn(1, 2, 10), turn(1, 3, 10)];
+    expect_that!(kept.keep(0, more.clone()), err(eq(Full)));
+    expect_that!(kept.of(0).len(), eq(1));
+    kept.forget(0, 1, &[1]);
+    expect_that!(kept.keep(0, more), ok(anything()));
+}
