--- a/src/coordination/partition.rs
+++ b/src/coordination/partition.rs
@@ -197,6 +197,21 @@
     ///
     /// `alive` tells whether an owner is believed to be alive; it is asked before each claim.
     pub fn spawn<F>(log: L, identity: PartitionIdentity, config: PartitionConfig, alive: F) -> Self
+    where
+        F: Fn(&Owner) -> bool + Send + 'static,
+    {
+        let (handle, driver) = Self::with_driver(log, identity, config, alive);
+        smol::spawn(driver).detach();
+        handle
+    }
+
+    /// Makes a partition and its driver, which the caller runs.
+    pub fn with_driver<F>(
+        log: L,
+        identity: PartitionIdentity,
+        config: PartitionConfig,
+        alive: F,
+    ) -> (Self, impl Future<Output = ()> + Send + use<F, L>)
     where
         F: Fn(&Owner) -> bool + Send + 'static,
     {
@@ -210,8 +225,7 @@
         });
         let (nudge, nudged) = async_channel::bounded(1);
         let driver = driver::Driver::new(log.clone(), shared.clone(), nudged, alive);
-        smol::spawn(driver.run()).detach();
-        Self { log, shared, nudge }
+        (Self { log, shared, nudge }, driver.run())
     }
 
     /// Says whether this node should own the partition.
--- a/src/entry/mod.rs
+++ b/src/entry/mod.rs
@@ -21,6 +21,7 @@
 use crate::protocol::link::{Messages, Reply, Request};
 use crate::protocol::log::Log;
 use crate::protocol::refusal::{Refusal, RefusalCode};
+use crate::state::partition::Owner;
 use crate::transport::handshake::{Identity, Remote};
 use crate::transport::link::{Context, Responder, Serve, Timing};
 use crate::transport::pool::Pool;
@@ -118,7 +119,7 @@
         let members = Membership::new(&config.node, config.incarnation, config.membership);
         let members = Arc::new(Mutex::new(members));
         let partitions = (0..config.partitions)
-            .map(|partition| start_partition(&config, partition, &log, &members))
+            .map(|partition| start_partition(&config, partition, &log, &members, &spawner))
             .collect();
         let now = Instant::now();
         let entry = Self(Arc::new(Inner {
@@ -186,6 +187,7 @@
     partition: Partition,
     log: &L,
     members: &Arc<Mutex<Membership>>,
+    spawner: &Spawner,
 ) -> PartitionHandle<L> {
     let identity = PartitionIdentity {
         node: config.node.clone(),
@@ -193,9 +195,13 @@
         partition,
     };
     let members = members.clone();
-    PartitionHandle::spawn(log.clone(), identity, config.partition, move |owner| {
+    let alive = move |owner: &Owner| {
         lock(&members).is_alive(Instant::now(), &owner.node, owner.incarnation)
-    })
+    };
+    let (handle, driver) =
+        PartitionHandle::with_driver(log.clone(), identity, config.partition, alive);
+    spawner.spawn(driver);
+    handle
 }
 
 fn link_context<S>(config: &EntryConfig, spawner: &Spawner, server: S) -> Context<S> {
--- a/tests/path.rs
+++ b/tests/path.rs
@@ -98,13 +98,13 @@
 /// Finds the entry whose claim is the last in a stream.
 fn owner_of(deployment: &Deployment, stream: &str) -> usize {
     let records = deployment.log.records(stream);
-    let claims = records.iter().filter_map(|record| {
+    let mut claims = records.iter().rev().filter_map(|record| {
         match ciborium::from_reader(&record.data[..]).unwrap() {
             galenapick::Record::Claim(claim) => Some(claim.owner),
             galenapick::Record::Batch(_) => None,
         }
     });
-    let owner = claims.last().unwrap();
+    let owner = claims.next().unwrap();
     owner.strip_prefix('n').unwrap().parse().unwrap()
 }
 
