Stand-ins: wake only the reads of the stream appended to; drive processes

Every append to the log woke every long read of every stream, which then looked and waited again; with 16 partitions and several readers each that is most of the stand-in's work. A read now waits for its own stream.

--- a/src/adapter/mod.rs
+++ b/src/adapter/mod.rs
@@ -1,7 +1,7 @@
 //! Implementations of the protocol's interfaces over HTTP.
 
 mod engine;
-mod http;
+pub(crate) mod http;
 mod log;
 mod service;
 mod sse;
--- a/src/standin/log/handler.rs
+++ b/src/standin/log/handler.rs
@@ -12,6 +12,7 @@
 use serde::Serialize;
 use serde_bytes::ByteBuf;
 use smol::Timer;
+use std::collections::HashMap;
 use std::convert::Infallible;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::{Duration, Instant};
@@ -35,16 +36,25 @@
     state: LogState,
     faults: LogFaults,
     latency: Duration,
-    /// Dropped and made anew at every append, which wakes the reads that wait.
-    changed: (Sender<Infallible>, Receiver<Infallible>),
+    /// What the reads of a stream wait for: it is dropped at the stream's next append.
+    changes: HashMap<String, (Sender<Infallible>, Receiver<Infallible>)>,
 }
 
 impl Inner {
-    /// Appends a record and wakes the reads that wait.
+    /// Appends a record and wakes the reads that wait for one.
     fn append(&mut self, stream: &str, data: Vec<u8>) -> Offset {
-        self.changed = async_channel::bounded(1);
+        self.changes.remove(stream);
         self.state.append(stream, data, now_ms())
     }
+
+    /// Returns what closes at the next append to a stream.
+    fn next_change(&mut self, stream: &str) -> Receiver<Infallible> {
+        let change = self.changes.entry(stream.to_owned());
+        change
+            .or_insert_with(|| async_channel::bounded(1))
+            .1
+            .clone()
+    }
 }
 
 impl LogHandler {
@@ -54,7 +64,7 @@
             faults: LogFaults::new(config.seed),
             latency: config.latency,
             state: LogState::new(config, Instant::now()),
-            changed: async_channel::bounded(1),
+            changes: HashMap::new(),
         };
         Self {
             inner: Arc::new(Mutex::new(inner)),
@@ -150,15 +160,18 @@
         let wait = Duration::from_millis(request.number("wait_ms").unwrap_or(0));
         let deadline = Instant::now() + wait.min(MAX_WAIT);
         loop {
-            let changed = self.lock().changed.1.clone();
-            let page = self.lock().state.read(stream, from, max_bytes, now_ms());
-            match page {
-                Err(first) => return trimmed(first),
-                Ok(page) if !page.records.is_empty() || Instant::now() >= deadline => {
-                    return encode_page(page);
+            let changed = {
+                let mut inner = self.lock();
+                match inner.state.read(stream, from, max_bytes, now_ms()) {
+                    Err(first) => return trimmed(first),
+                    Ok(page) if !page.records.is_empty() || Instant::now() >= deadline => {
+                        drop(inner);
+                        return encode_page(page);
+                    }
+                    Ok(_) => inner.next_change(stream),
                 }
-                Ok(_) => wait_for(changed, deadline).await,
-            }
+            };
+            wait_for(changed, deadline).await;
         }
     }
 
--- a/src/standin/mod.rs
+++ b/src/standin/mod.rs
@@ -9,6 +9,7 @@
 mod command;
 pub(crate) mod engine;
 mod log;
+mod remote;
 mod server;
 mod service;
 mod vms;
@@ -19,6 +20,7 @@
 pub use engine::ledger::{Ledger, LedgerCounts};
 pub use engine::{ActedOrder, EngineConfig, EngineControl, EngineCounts, EngineStandin};
 pub use log::{LogConfig, LogControl, LogCounts, LogStandin, Outage};
+pub use remote::RemoteStandin;
 pub use service::{
     ServiceAction, ServiceConfig, ServiceControl, ServiceCounts, ServiceStandin, expected_result,
 };
