--- a/src/lib.rs
+++ b/src/lib.rs
@@ -17,16 +17,21 @@
 )]
 
 mod adapter;
+mod cli;
 mod client;
+mod cluster;
 mod configuration;
 mod coordination;
 mod daemon;
+mod demo;
 mod entry;
 mod environment;
+mod experiment;
 pub mod ids;
 mod ini;
 mod load;
 mod logging;
+mod operations;
 pub mod protocol;
 mod proxy;
 mod settings;
@@ -40,10 +45,15 @@
 pub use adapter::{
     HttpEngine, HttpEngineStream, HttpLog, HttpService, HttpVmList, HttpWeightStore,
 };
+pub use cli::run_tool;
 pub use client::{
     AnswerStream, Attempts, CallError, Client, Collector, Patience, StreamEvent, StreamFault,
     Timeouts,
 };
+pub use cluster::{
+    ClusterNode, ClusterOptions, Endpoint, InProcess, Launcher, LocalCluster, NodeSpec, Platform,
+    RunningNode,
+};
 pub use coordination::admission::{
     Admission, AdmissionConfig, CapConfig, Cost, Observed, OrderWeights, Waiting,
 };
@@ -59,6 +69,7 @@
 pub use coordination::dispatch::{
     Dispatch, DispatchError, DispatchLimits, DispatchTable, Dispatched, Settled,
 };
+pub use coordination::fence::{Admission as FenceAdmission, OrderFence};
 pub use coordination::hedge::{HedgeCandidate, HedgeConfig, hedge_at};
 pub use coordination::limits::{Limit, Limits, TokenBucket};
 pub use coordination::membership::{Membership, MembershipConfig, Node, NodeState};
@@ -66,11 +77,16 @@
 pub use coordination::partition::{
     Change, Commit, CommitError, LogHealth, PartitionConfig, PartitionHandle, PartitionIdentity,
 };
+pub use coordination::placement::{
+    EngineView, Placement, PlacementAction, PlacementConfig, Wanted,
+};
 pub use coordination::rendezvous::rendezvous;
 pub use coordination::retry::{FailedCall, Retries, RetryBudget, RetryConfig};
 pub use coordination::watchdog::{Watchdog, WatchdogConfig, WatchdogVerdict};
 pub use daemon::{Daemon, run_daemon};
+pub use demo::{DemoOptions, DemoReport, run_demo};
 pub use environment::{Difference, Environment, EnvironmentErrors};
+pub use experiment::PolicyExperiment;
 pub use ini::{Fault, FaultKind, Faults};
 pub use load::{LoadOptions, LoadReport, LoadRow, run_load};
 pub use protocol::configuration::Stage;
@@ -84,6 +100,10 @@
 pub use proxy::{FaultProxy, FlowDirection};
 pub use settings::{EXIT_FAILURE, EXIT_OK, EXIT_SETTINGS, EXIT_USAGE, SettingErrors, Settings};
 pub use state::budget::Ledger;
+pub use state::burn::{
+    Alert, BurnLine, BurnReport, BurnTable, BurnWindow, Measure, ProgramSample, TokenSample,
+    WindowCount,
+};
 pub use state::history::{HistoryError, beginning, turn_hash, verify};
 pub use state::partition::{Applied, Owner, PartitionState, Void};
 pub use state::program::{EntryError, Head, TurnRef};
--- a/src/protocol/link.rs
+++ b/src/protocol/link.rs
@@ -114,12 +114,14 @@
         /// The entry.
         entry: Box<Entry>,
     },
-    /// Owner to sidecar: an order to the engine.
+    /// Owner of partition 0 to sidecar: an order to the engine.
     Order {
         /// The order.
         order: EngineOrder,
-        /// The fencing number.
+        /// The owner's epoch: the fencing number.
         fence: Epoch,
+        /// Position among the owner's orders to this sidecar, from 1.
+        sequence: u64,
     },
     /// Any to any: are you there, and what do you know.
     Probe(Digest),
@@ -415,8 +417,10 @@
     pub token_gap_ms: f64,
     /// Smoothed time of a call in the endpoint, in milliseconds; 0 when none has finished.
     pub call_ms: f64,
-    /// Expected wait of a call that comes now, in milliseconds.
+    /// Expected wait of a call that comes now until it is handed over, in milliseconds.
     pub wait_ms: u64,
+    /// Prompt tokens still to be computed, of calls waiting and handed over.
+    pub prefill_backlog_tokens: u64,
     /// Whether the endpoint takes no new work.
     pub leaving: bool,
     /// The engine's own report.
--- a/src/sidecar/queue.rs
+++ b/src/sidecar/queue.rs
@@ -83,7 +83,7 @@
     }
 
     fn first_token(&self, call: CallId) {
-        lock(&self.admission).first_token(call);
+        lock(&self.admission).first_token(Instant::now(), call);
         self.advance();
     }
 
