Finish the owner's takeover of actions: the turn, its key, the reply, and the branch's order

Cause: an action that the next owner settled as done left no turn in its branch, a retry of it got no reply although the outcome has it, and calls of the branch did not wait for it. Change: settlement writes the turn with the outcome, lookups read the reply from the outcome, and a branch's first call waits until its open actions are settled.

--- a/src/entry/owner/branch.rs
+++ b/src/entry/owner/branch.rs
@@ -131,6 +131,7 @@
         }
         let limit = self.time_left(owned)?;
         if tail.is_none() {
+            self.await_settled(owned, branch, limit).await?;
             *tail = Some(self.read_tail(owned, branch).await?);
         }
         let Some(tail) = tail.as_mut() else {
--- a/src/entry/owner/lookup.rs
+++ b/src/entry/owner/lookup.rs
@@ -4,13 +4,13 @@
 use crate::coordination::partition::{LogHealth, PartitionHandle};
 use crate::entry::Entry;
 use crate::entry::owner::answer::refuse_history;
-use crate::entry::owner::program::{Answers, Owned};
+use crate::entry::owner::program::{AnswerEnd, Answers, Owned};
 use crate::ids::{CallId, Offset};
 use crate::protocol::engine::EngineUsage;
 use crate::protocol::image::{Action, ActionPhase};
 use crate::protocol::link::{Answer, Durability};
 use crate::protocol::log::Log;
-use crate::protocol::record::{ActionResult, Entry as Record, Turn};
+use crate::protocol::record::{ActionResult, Entry as Record, Outcome, Turn};
 use crate::protocol::refusal::{Ran, Refusal, RefusalCode};
 use crate::state::program::{TurnRef, key_mark};
 use futures_lite::FutureExt;
@@ -96,7 +96,7 @@
     /// Makes the answer of an action without a turn; `None` if it has not run and may be tried.
     async fn answer_of_action(
         &self,
-        _owned: &Owned<L>,
+        owned: &Owned<L>,
         action: &Action,
     ) -> Result<Option<(CallId, Answers)>, Refusal> {
         let refusal = match action.state {
@@ -110,15 +110,46 @@
                 let message = "The outcome of the action is not known; a person resolves it.";
                 Refusal::unknown(RefusalCode::UnknownOutcome, message)
             }
-            ActionPhase::Done(_) => Refusal {
+            ActionPhase::Done(offset) => {
+                let end = self.answer_of_outcome(owned, action, offset).await?;
+                return Ok(Some((action.call, Answers::ended(end))));
+            }
+        };
+        Ok(Some((action.call, Answers::ended(Err(refusal)))))
+    }
+
+    /// Makes the answer of an action that ran from the reply in its outcome.
+    async fn answer_of_outcome(
+        &self,
+        owned: &Owned<L>,
+        action: &Action,
+        offset: Offset,
+    ) -> Result<AnswerEnd, Refusal> {
+        let entries = self.entries_at(owned, offset).await?;
+        let mut outcomes = entries.iter().filter_map(as_outcome);
+        let outcome = outcomes.find(|outcome| outcome.call == action.call);
+        let end = match outcome {
+            Some(Outcome {
+                result: ActionResult::Done(reply),
+                resolved_by: None,
+                ..
+            }) => Ok(Answer {
+                call: action.call,
+                content: reply.body.clone(),
+                status: Some(reply.status),
+                usage: EngineUsage::default(),
+                spent: owned.live.with_ledger(|ledger| ledger.spent()),
+                durability: Durability::Committed { offset },
+            }),
+            _ => Err(Refusal {
                 ran: Ran::Yes,
                 ..Refusal::not_run(
                     RefusalCode::AnswerLost,
                     "The action ran; a person has resolved it.",
                 )
-            },
+            }),
         };
-        Ok(Some((action.call, Answers::ended(Err(refusal)))))
+        Ok(end)
     }
 
     async fn entries_at(&self, owned: &Owned<L>, offset: Offset) -> Result<Vec<Record>, Refusal> {
@@ -158,6 +189,14 @@
     }
 }
 
+fn as_outcome(entry: &Record) -> Option<&Outcome> {
+    match entry {
+        Record::Outcome(outcome) => Some(outcome),
+        Record::Snapshot(crate::protocol::record::Snapshot::Carried(inner)) => as_outcome(inner),
+        _ => None,
+    }
+}
+
 /// Returns the text of a turn's answer.
 pub(super) fn last_content(turn: &Turn) -> String {
     let last = turn.messages.last();
--- a/src/entry/owner/settle.rs
+++ b/src/entry/owner/settle.rs
@@ -4,13 +4,16 @@
 use crate::entry::owner::action::{Settled, not_run, spent_on};
 use crate::entry::owner::answer::refuse_no_owner;
 use crate::entry::owner::program::Owned;
+use crate::entry::owner::tool::tool_message;
 use crate::entry::{Entry, lock};
-use crate::ids::{CallId, EndpointId, Epoch, ProgramId, partition_of};
-use crate::protocol::image::{Action, ActionPhase};
+use crate::ids::{BranchId, CallId, EndpointId, Epoch, ProgramId, partition_of};
+use crate::protocol::image::{self, Action, ActionPhase};
 use crate::protocol::link::{ActionReply, ActionState, Caller, Once, Reply, Request};
 use crate::protocol::log::Log;
 use crate::protocol::message::Usage;
-use crate::protocol::record::{ActionResult, Outcome};
+use crate::protocol::record::{ActionResult, Entry as LogEntry, Intent, Outcome, Snapshot, Turn};
+use crate::protocol::refusal::{Refusal, RefusalCode};
+use crate::state::partition::PartitionState;
 use futures_lite::FutureExt;
 use smol::Timer;
 use std::time::{Duration, Instant};
@@ -21,6 +24,9 @@
 /// Longest wait for one answer about an action.
 const SETTLE_ANSWER: Duration = Duration::from_secs(2);
 
+/// Pause between two looks whether a branch's action is settled.
+const SETTLED_PAUSE: Duration = Duration::from_millis(20);
+
 /// How long a sidecar that does not answer is asked before the outcome is left to a person.
 const SETTLE_LIMIT: Duration = Duration::from_secs(20);
 
@@ -77,6 +83,10 @@
         let settled = self
             .settle_action(&owned, action.call, &action.endpoint, once, action.reserved)
             .await;
+        owned
+            .live
+            .with_ledger(|ledger| ledger.settle(action.reserved, settled.spent));
+        let turn = self.settled_turn(&owned, &action, &settled.result).await;
         let outcome = Outcome {
             program,
             call: action.call,
@@ -84,14 +94,72 @@
             spent: settled.spent,
             resolved_by: None,
         };
-        owned
-            .live
-            .with_ledger(|ledger| ledger.settle(action.reserved, settled.spent));
-        if let Err(error) = owned.handle.commit(vec![outcome.into()]).await {
+        let mut entries = vec![outcome.into()];
+        entries.extend(turn.map(Into::into));
+        if let Err(error) = owned.handle.commit(entries).await {
             log::info!(target: "owner", "owner: settlement left to the next owner: {error}");
         }
     }
 
+    /// Makes the turn of an action that ran under the owner before. Calls of its branch wait until
+    /// it is settled, so that the log has the branch's end.
+    async fn settled_turn(
+        &self,
+        owned: &Owned<L>,
+        action: &Action,
+        result: &ActionResult,
+    ) -> Option<Turn> {
+        let ActionResult::Done(reply) = result else {
+            return None;
+        };
+        let key = self.intent_key(owned, action).await;
+        let find_head = |state: &PartitionState| {
+            let program = state.program(owned.live.id)?;
+            Some(program.head(action.branch))
+        };
+        let head = owned.handle.with_state(find_head)?;
+        Some(Turn {
+            program: owned.live.id,
+            member: owned.live.member.clone(),
+            branch: action.branch,
+            number: head.number + 1,
+            previous: head.hash,
+            call: action.call,
+            key,
+            messages: vec![tool_message(reply)],
+            spent: Usage::default(),
+            reserved: owned.live.reserve_ahead(0),
+            endpoint: action.endpoint.clone(),
+        })
+    }
+
+    /// Reads the caller's key for an action from its intent.
+    async fn intent_key(&self, owned: &Owned<L>, action: &Action) -> Option<String> {
+        let entries = owned.handle.entries_at(action.offset).await.ok()?;
+        let mut intents = entries.into_iter().filter_map(into_intent);
+        intents.find(|intent| intent.call == action.call)?.key
+    }
+
+    /// Waits until no action of a branch is open; those of the owner before are being settled.
+    pub(super) async fn await_settled(
+        &self,
+        owned: &Owned<L>,
+        branch: BranchId,
+        limit: Duration,
+    ) -> Result<(), Refusal> {
+        let give_up = Instant::now() + limit;
+        while has_open_action(owned, branch) {
+            if owned.handle.epoch() != Some(owned.epoch) {
+                return Err(refuse_no_owner());
+            }
+            if Instant::now() >= give_up {
+                return Err(refuse_unsettled());
+            }
+            Timer::after(SETTLED_PAUSE).await;
+        }
+        Ok(())
+    }
+
     /// Finds out what became of an action.
     pub(super) async fn settle_action(
         &self,
@@ -161,6 +229,28 @@
     }
 }
 
+fn has_open_action<L: Log>(owned: &Owned<L>, branch: BranchId) -> bool {
+    owned.handle.with_state(|state| {
+        let program = state.program(owned.live.id);
+        let mut open = program.into_iter().flat_map(image::Program::open_actions);
+        open.any(|action| action.branch == branch)
+    })
+}
+
+fn into_intent(entry: LogEntry) -> Option<Intent> {
+    match entry {
+        LogEntry::Intent(intent) => Some(intent),
+        LogEntry::Snapshot(Snapshot::Carried(inner)) => into_intent(*inner),
+        _ => None,
+    }
+}
+
+/// Refuses a call since the one before it in its branch is not settled in time.
+fn refuse_unsettled() -> Refusal {
+    let message = "The action before is still being settled.";
+    Refusal::not_run(RefusalCode::Deadline, message)
+}
+
 fn open_actions<L: Log>(handle: &PartitionHandle<L>) -> Vec<(Caller, ProgramId, Action)> {
     handle.with_state(|state| {
         let mut open = Vec::new();
