--- a/src/sidecar/mod.rs
+++ b/src/sidecar/mod.rs
@@ -18,6 +18,7 @@
 use crate::protocol::service::Service;
 use crate::sidecar::generation::Generation;
 use crate::sidecar::queue::Queue;
+use crate::state::kept::Kept;
 use crate::transport::spawn::Spawner;
 use event_listener::Event;
 use std::collections::HashMap;
@@ -25,6 +26,9 @@
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
+/// Memory for entries that the log has not taken.
+const KEPT_MAX_BYTES: usize = 16 << 20;
+
 /// What stands beside the sidecar.
 #[derive(Clone)]
 pub(crate) enum Endpoint<E, S> {
@@ -81,6 +85,7 @@
     fences: Mutex<HashMap<Partition, Epoch>>,
     newest_order: smol::lock::Mutex<OrderFence>,
     releases: Mutex<Releases>,
+    kept: Mutex<Kept>,
     engine_load: Mutex<EngineLoad>,
     leaving: AtomicBool,
 }
@@ -104,6 +109,7 @@
             fences: Mutex::default(),
             newest_order: smol::lock::Mutex::default(),
             releases: Mutex::new(Releases::new(config.releases)),
+            kept: Mutex::new(Kept::new(KEPT_MAX_BYTES)),
             engine_load: Mutex::default(),
             leaving: AtomicBool::new(false),
             config,
