--- a/src/cli/mod.rs
+++ b/src/cli/mod.rs
@@ -1,5 +1,6 @@
 //! The command-line tool.
 
+mod experiment;
 mod trial;
 
 use crate::settings::{EXIT_FAILURE, EXIT_OK, EXIT_USAGE};
@@ -14,6 +15,7 @@
   demo       run a whole system on loopback and check its promises
   load       send programs to entries at a steady rate
   standin    run a stand-in of an outside system
+  experiment measure the decisions
 
   --help     print this text, or that of a command
   --version  print the version
@@ -75,6 +77,7 @@
         "demo" => trial::demo(parser),
         "load" => trial::load(parser),
         "standin" => trial::standin(parser),
+        "experiment" => experiment::experiment(parser),
         other => {
             let error = format!("there is no command {other:?}");
             Err(CommandError::Usage(error.into(), HELP))
--- a/src/experiment/options.rs
+++ b/src/experiment/options.rs
@@ -16,7 +16,7 @@
 /// ```
 /// let arguments = ["--deployment", "pnw", "--load", "50", "--seeds", "1", "--seconds", "10"];
 /// let mut parser = lexopt::Parser::from_args(arguments);
-/// let experiment = galenapick::PolicyExperiment::parse(&mut parser).unwrap();
+/// let experiment = galenapick::PolicyExperiment::parse(&mut parser).unwrap().unwrap();
 /// let mut table = Vec::new();
 /// experiment.run(&mut table).unwrap();
 /// assert!(String::from_utf8(table).unwrap().contains("galenapick"));
@@ -75,8 +75,8 @@
   --jobs N           threads (default: 4)
 ";
 
-    /// Reads the options from the rest of a command line.
-    pub fn parse(parser: &mut lexopt::Parser) -> Result<Self> {
+    /// Reads the options from the rest of a command line; `None` if it asks for help.
+    pub fn parse(parser: &mut lexopt::Parser) -> Result<Option<Self>> {
         let mut options = Self::default();
         while let Some(argument) = parser.next()? {
             match argument {
@@ -88,11 +88,12 @@
                 Long("ablation") => options.ablation = true,
                 Long("out") => options.out = Some(parser.value()?.into()),
                 Long("jobs") => options.jobs = parser.value()?.parse()?,
+                Short('h') | Long("help") => return Ok(None),
                 other => return Err(other.unexpected().into()),
             }
         }
         options.check()?;
-        Ok(options)
+        Ok(Some(options))
     }
 
     /// Runs all cases, and writes tables and files.
