Count reservations once, settle only earlier epochs, refuse a call's second turn

Cause: the takeover test showed a turn written twice (settlement picked up actions of its own epoch) and a budget used up by a takeover (an action's cost was charged as lost and kept for its intent). A call could also start on a reservation that was pushed but not committed. Change: settlement takes intents before the epoch's claim, the fold refuses a second turn of a call, program reservations include those of open actions, and a call waits for its reservation's commit.

--- /dev/null
+++ b/examples/partition.rs
@@ -0,0 +1,249 @@
+//! Measures a partition: recovery from the whole stream and from a snapshot, and memory.
+//!
+//! `cargo run --release --example partition` prints one row for each number of programs. The log
+//! is the stand-in over HTTP on loopback; memory is the growth of the process's resident set while
+//! a cold reader folds the stream.
+
+use galenapick::ids::{Offset, ProgramId, program_id};
+use galenapick::protocol::log::{Log, LogError, LogPage, ReadLimit};
+use galenapick::standin::{LogConfig, LogStandin};
+use galenapick::{
+    CommitLimits, Created, Entry, HttpLog, Message, PartitionConfig, PartitionHandle,
+    PartitionIdentity, Role, Turn, Usage, beginning, turn_hash,
+};
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::time::{Duration, Instant};
+
+/// Programs of each row.
+const PROGRAMS: [usize; 3] = [1_000, 3_000, 10_000];
+/// Turns of a program.
+const TURNS: u32 = 10;
+/// Text of a turn, in bytes; about 100 tokens.
+const TURN_BYTES: usize = 400;
+/// Bytes that stand for a token.
+const TOKEN_BYTES: usize = 4;
+/// Entries of one push.
+const PUSH_ENTRIES: usize = 2_000;
+/// Bytes of a page of memory.
+const PAGE_BYTES: u64 = 4096;
+
+/// A log that counts what is read.
+#[derive(Clone)]
+struct Counted {
+    log: HttpLog,
+    bytes: Arc<AtomicU64>,
+    reads: Arc<AtomicU64>,
+}
+
+impl Log for Counted {
+    async fn append(&self, stream: &str, data: Vec<u8>) -> Result<Offset, LogError> {
+        self.log.append(stream, data).await
+    }
+
+    async fn read(
+        &self,
+        stream: &str,
+        from: Offset,
+        limit: ReadLimit,
+    ) -> Result<LogPage, LogError> {
+        let page = self.log.read(stream, from, limit).await?;
+        let bytes: usize = page.records.iter().map(|record| record.data.len()).sum();
+        self.bytes.fetch_add(bytes as u64, Ordering::Relaxed);
+        self.reads.fetch_add(1, Ordering::Relaxed);
+        Ok(page)
+    }
+}
+
+/// What a cold reader took.
+struct Recovery {
+    time: Duration,
+    bytes: u64,
+    reads: u64,
+    memory_bytes: u64,
+}
+
+fn main() {
+    println!(
+        "{:>9} {:>7} {:>10} {:>8} {:>9} {:>7} {:>13} {:>13}",
+        "programs", "turns", "start", "time ms", "MB read", "reads", "B/program", "B/1000 tokens"
+    );
+    for programs in PROGRAMS {
+        smol::block_on(measure(programs));
+    }
+}
+
+async fn measure(programs: usize) {
+    let log = LogStandin::start(LogConfig {
+        appends_per_s: 100_000.0,
+        burst: 100_000.0,
+        retention_records: usize::MAX,
+        ..LogConfig::default()
+    });
+    let log = log.await.expect("the stand-in listens");
+    let writer = spawn(&log, "writer", config(0, u64::MAX)).0;
+    owned(&writer).await;
+    write(&writer, programs).await;
+    drop(writer);
+
+    let (index, whole) = recover(&log, "reader-1", 0).await;
+    print_row(programs, "beginning", &index, None);
+    drop(whole);
+    let texts = programs * TURNS as usize * (TURN_BYTES + 1_000);
+    let (cached, whole) = recover(&log, "reader-2", texts).await;
+    print_row(programs, "with cache", &cached, Some(&index));
+    drop(whole);
+
+    let snapshot = spawn(&log, "snapshot", config(0, 1)).0;
+    owned(&snapshot).await;
+    while snapshot.with_state(|state| state.root()) == 0 {
+        smol::Timer::after(Duration::from_millis(5)).await;
+    }
+    // The batch that names the root follows the snapshot's end.
+    smol::Timer::after(Duration::from_millis(200)).await;
+    drop(snapshot);
+    let (index, whole) = recover(&log, "reader-3", 0).await;
+    print_row(programs, "snapshot", &index, None);
+    drop(whole);
+    log.stop().await;
+}
+
+async fn recover(
+    log: &LogStandin,
+    node: &str,
+    cache_bytes: usize,
+) -> (Recovery, PartitionHandle<Counted>) {
+    let before = resident_bytes();
+    let begin = Instant::now();
+    let (handle, counted) = spawn(log, node, config(cache_bytes, u64::MAX));
+    owned(&handle).await;
+    let recovery = Recovery {
+        time: begin.elapsed(),
+        bytes: counted.bytes.load(Ordering::Relaxed),
+        reads: counted.reads.load(Ordering::Relaxed),
+        memory_bytes: resident_bytes().saturating_sub(before),
+    };
+    (recovery, handle)
+}
+
+fn print_row(programs: usize, start: &str, row: &Recovery, index: Option<&Recovery>) {
+    let tokens = programs * TURNS as usize * TURN_BYTES / TOKEN_BYTES;
+    let (per_program, per_tokens) = match index {
+        None => (
+            (row.memory_bytes / programs as u64).to_string(),
+            String::new(),
+        ),
+        Some(index) => {
+            let bodies = row.memory_bytes.saturating_sub(index.memory_bytes);
+            (String::new(), (bodies * 1_000 / tokens as u64).to_string())
+        }
+    };
+    println!(
+        "{programs:>9} {:>7} {start:>10} {:>8} {:>9.1} {:>7} {per_program:>13} {per_tokens:>13}",
+        TURNS,
+        row.time.as_millis(),
+        row.bytes as f64 / 1e6,
+        row.reads,
+    );
+}
+
+fn config(cache_bytes: usize, snapshot_after_bytes: u64) -> PartitionConfig {
+    PartitionConfig {
+        commit: CommitLimits {
+            append_interval: Duration::from_millis(1),
+            ..CommitLimits::default()
+        },
+        cache_bytes,
+        snapshot_after_bytes,
+        tick: Duration::from_millis(5),
+        ..PartitionConfig::default()
+    }
+}
+
+fn spawn(
+    log: &LogStandin,
+    node: &str,
+    config: PartitionConfig,
+) -> (PartitionHandle<Counted>, Counted) {
+    let counted = Counted {
+        log: HttpLog::new(&log.url(), Duration::from_secs(10)),
+        bytes: Arc::default(),
+        reads: Arc::default(),
+    };
+    let identity = PartitionIdentity {
+        node: node.to_owned(),
+        incarnation: 1,
+        partition: 0,
+    };
+    let handle = PartitionHandle::spawn(counted.clone(), identity, config, |_| false);
+    handle.want(true);
+    (handle, counted)
+}
+
+async fn owned(handle: &PartitionHandle<Counted>) {
+    while handle.epoch().is_none() {
+        smol::Timer::after(Duration::from_millis(1)).await;
+    }
+}
+
+/// Writes all programs with all their turns.
+async fn write(handle: &PartitionHandle<Counted>, programs: usize) {
+    let mut entries = Vec::new();
+    for index in 0..programs {
+        let program = program_id(1_700_000_000_000, index as u128);
+        entries.extend(program_entries(program));
+        if entries.len() >= PUSH_ENTRIES {
+            commit(handle, std::mem::take(&mut entries)).await;
+        }
+    }
+    commit(handle, entries).await;
+}
+
+async fn commit(handle: &PartitionHandle<Counted>, entries: Vec<Entry>) {
+    handle.commit(entries).await.expect("the log takes it");
+}
+
+fn program_entries(program: ProgramId) -> Vec<Entry> {
+    let member = "saa-mubadala".to_owned();
+    let unit = Usage {
+        tokens: 100,
+        calls: 1,
+        time_ms: 10,
+    };
+    let created = Created {
+        program,
+        member: member.clone(),
+        environment: "tn-north".to_owned(),
+        key: Some(format!("{program:x}")),
+        budget: unit,
+        deadline_ms: 0,
+        reserved: unit,
+    };
+    let mut entries = vec![Entry::Created(created)];
+    let mut previous = beginning(&member, program, 0);
+    for number in 1..=TURNS {
+        let turn = Turn {
+            program,
+            member: member.clone(),
+            branch: 0,
+            number,
+            previous,
+            call: program ^ u128::from(number),
+            key: Some(format!("call-{number}")),
+            messages: vec![Message::new(Role::Assistant, "x".repeat(TURN_BYTES))],
+            spent: unit,
+            reserved: unit,
+            endpoint: "engine-1".to_owned(),
+        };
+        previous = turn_hash(&turn);
+        entries.push(Entry::Turn(turn));
+    }
+    entries
+}
+
+/// Resident memory of this process.
+fn resident_bytes() -> u64 {
+    let statm = std::fs::read_to_string("/proc/self/statm").unwrap_or_default();
+    let pages = statm.split_whitespace().nth(1);
+    pages.and_then(|pages| pages.parse().ok()).unwrap_or(0) * PAGE_BYTES
+}
--- a/src/entry/owner/budget.rs
+++ b/src/entry/owner/budget.rs
@@ -15,7 +15,7 @@
             let message = "The program's budget does not cover the call.";
             return Err(Refusal::not_run(RefusalCode::Budget, message));
         }
-        if owned.live.is_covered() {
+        if owned.live.is_covered() && is_committed(owned) {
             return Ok(());
         }
         let entry = Reserved {
@@ -37,6 +37,16 @@
     }
 }
 
+/// Tells whether the log has a reservation that covers all that is reserved. One that is only
+/// pushed would be lost with this node, and the next owner would not count what ran on it.
+fn is_committed<L: Log>(owned: &Owned<L>) -> bool {
+    let reserved = owned.live.with_ledger(|ledger| ledger.reserved());
+    owned.handle.with_state(|state| {
+        let program = state.program(owned.live.id);
+        program.is_some_and(|program| reserved.fits(program.reserved))
+    })
+}
+
 /// Gives a reservation back unless the call is settled first, also when the call is dropped.
 pub(super) struct Reservation<'a, L: Log> {
     entry: &'a Entry<L>,
--- a/src/entry/owner/program.rs
+++ b/src/entry/owner/program.rs
@@ -184,7 +184,7 @@
         change(&mut lock(&self.state).ledger)
     }
 
-    /// Tells whether the newest reservation in the log covers all that is reserved.
+    /// Tells whether the newest reservation that was pushed covers all that is reserved.
     pub(super) fn is_covered(&self) -> bool {
         let state = lock(&self.state);
         state.ledger.reserved().fits(state.committed_reserve)
--- a/src/entry/owner/settle.rs
+++ b/src/entry/owner/settle.rs
@@ -7,7 +7,7 @@
 use crate::entry::owner::tool::tool_message;
 use crate::entry::{Entry, lock};
 use crate::ids::{BranchId, CallId, EndpointId, Epoch, ProgramId, partition_of};
-use crate::protocol::image::{self, Action, ActionPhase};
+use crate::protocol::image::{self, Action};
 use crate::protocol::link::{ActionReply, ActionState, Caller, Once, Reply, Request};
 use crate::protocol::log::Log;
 use crate::protocol::message::Usage;
@@ -64,7 +64,7 @@
     /// Settles the actions that the owner before has left open.
     fn settle_partition(&self, handle: &PartitionHandle<L>, epoch: Epoch) {
         log::info!(target: "owner", "owner: epoch {epoch} begins");
-        for (caller, program, action) in open_actions(handle) {
+        for (caller, program, action) in open_actions(handle, epoch) {
             let entry = self.clone();
             self.0.spawner.spawn(async move {
                 entry.settle_open(&caller, program, action).await;
@@ -251,7 +251,11 @@
     Refusal::not_run(RefusalCode::Deadline, message)
 }
 
-fn open_actions<L: Log>(handle: &PartitionHandle<L>) -> Vec<(Caller, ProgramId, Action)> {
+/// Returns the open actions of earlier epochs; those of this one are seen through where they run.
+fn open_actions<L: Log>(
+    handle: &PartitionHandle<L>,
+    epoch: Epoch,
+) -> Vec<(Caller, ProgramId, Action)> {
     handle.with_state(|state| {
         let mut open = Vec::new();
         for program in state.programs() {
@@ -259,8 +263,7 @@
                 environment: program.environment.clone(),
                 member: program.member.clone(),
             };
-            let actions = program.actions.iter();
-            for action in actions.filter(|action| action.state == ActionPhase::Open) {
+            for action in program.open_actions().filter(|a| a.intent < epoch) {
                 open.push((caller.clone(), program.program, action.clone()));
             }
         }
--- a/src/protocol/image.rs
+++ b/src/protocol/image.rs
@@ -24,7 +24,7 @@
     pub deadline_ms: u64,
     /// Spent so far, reservations of earlier epochs included.
     pub spent: Usage,
-    /// Reserved for calls that may be under way, apart from the reservations of open intents.
+    /// Reserved for calls that may be under way, those of open actions included.
     pub reserved: Usage,
     /// Branches with at least one turn, in order of their ids.
     pub branches: Vec<Branch>,
--- a/src/state/budget.rs
+++ b/src/state/budget.rs
@@ -1,6 +1,6 @@
 //! A program's budget: what is spent, what is reserved, and what is left.
 
-use crate::protocol::image::{ActionPhase, Program};
+use crate::protocol::image::Program;
 use crate::protocol::message::Usage;
 
 /// The budget of one program.
@@ -89,17 +89,21 @@
 }
 
 impl Program {
-    /// Reserved for calls and for open intents.
+    /// Reserved for all calls that may be under way.
     pub fn reserved_in_all(&self) -> Usage {
-        self.actions
-            .iter()
-            .filter(|action| action.state == ActionPhase::Open)
-            .fold(self.reserved, |sum, action| sum + action.reserved)
+        let open = self.reserved_by_actions();
+        // Both cover the open actions, so the larger part counts, not the sum.
+        self.reserved + (open - self.reserved)
     }
 
-    /// Counts the reservation for calls as spent; open intents keep theirs until they are settled.
+    /// Counts the reservation as spent; open actions keep their part until they are settled.
     pub(crate) fn charge_reserved(&mut self) {
-        self.spent += self.reserved;
+        self.spent += self.reserved - self.reserved_by_actions();
         self.reserved = Usage::default();
     }
+
+    fn reserved_by_actions(&self) -> Usage {
+        let open = self.open_actions().map(|action| action.reserved);
+        open.fold(Usage::default(), |sum, reserved| sum + reserved)
+    }
 }
--- a/src/state/program.rs
+++ b/src/state/program.rs
@@ -19,6 +19,8 @@
     TurnNumber,
     /// The turn does not continue the hash chain of its branch.
     TurnChain,
+    /// The branch has a turn of that call.
+    CallTwice,
     /// The program has ended.
     AfterEnd,
     /// There is an intent of that call.
@@ -164,6 +166,13 @@
             return Err(EntryError::TurnChain);
         }
         let branch = self.branch_mut(turn.branch);
+        if branch
+            .turns
+            .iter()
+            .any(|place| place.call == turn.call as u64)
+        {
+            return Err(EntryError::CallTwice);
+        }
         branch.head = turn_hash(turn);
         branch.turns.push(TurnPlace {
             offset,
