--- a/src/cli/trial.rs
+++ b/src/cli/trial.rs
@@ -20,7 +20,7 @@
     let report = smol::block_on(run_demo(&options))?;
     match options.json {
         true => println!("{}", report.to_json().context("the report is no JSON")?),
-        false => print!("{report}"),
+        false => write_out(&report.to_string())?,
     }
     Ok(exit_code(report.is_sound()))
 }
@@ -42,7 +42,7 @@
         true => report
             .write_json(io::stdout().lock())
             .context("the report cannot be written")?,
-        false => print!("{report}"),
+        false => write_out(&report.to_string())?,
     }
     Ok(exit_code(report.is_sound()))
 }
--- a/src/client/retry.rs
+++ b/src/client/retry.rs
@@ -4,7 +4,6 @@
 use crate::ids::{CallId, ProgramId};
 use crate::protocol::caller::{CallRequest, ProgramAnswer, ProgramRequest, TurnAnswer};
 use crate::protocol::link::Answer;
-use crate::protocol::refusal::RefusalCode;
 use smol::Timer;
 use std::future::Future;
 use std::time::{Duration, Instant};
@@ -240,7 +239,7 @@
             Err(CallError::Refused(refusal)) => {
                 let again = self.keyed || refusal.ran == crate::Ran::No;
                 let wait = refusal.retry_after_ms.map(Duration::from_millis);
-                wait.filter(|_| again && refusal.code != RefusalCode::UnknownOutcome)
+                wait.filter(|_| again)
             }
             Err(CallError::Broken(_)) if !self.keyed => None,
             Err(CallError::Broken(_)) => {
