--- a/src/cli/trial.rs
+++ b/src/cli/trial.rs
@@ -8,7 +8,7 @@
 use anyhow::Context;
 use lexopt::Parser;
 use std::fs::File;
-use std::io::{self, BufWriter};
+use std::io::{self, BufWriter, Write};
 use std::process::ExitCode;
 
 /// Runs `galenapick demo`.
@@ -19,7 +19,10 @@
     };
     let report = smol::block_on(run_demo(&options))?;
     match options.json {
-        true => println!("{}", report.to_json().context("the report is no JSON")?),
+        true => {
+            let json = report.to_json().context("the report is no JSON")?;
+            write_out(&(json + "\n"))?;
+        }
         false => write_out(&report.to_string())?,
     }
     Ok(exit_code(report.is_sound()))
@@ -61,6 +64,14 @@
     Ok(ExitCode::from(EXIT_OK))
 }
 
+/// Writes to standard output, whose reader may have left.
+fn write_out(text: &str) -> anyhow::Result<()> {
+    match io::stdout().lock().write_all(text.as_bytes()) {
+        Err(error) if error.kind() == io::ErrorKind::BrokenPipe => Ok(()),
+        written => written.context("the report cannot be written"),
+    }
+}
+
 fn exit_code(sound: bool) -> ExitCode {
     ExitCode::from(if sound { EXIT_OK } else { EXIT_FAILURE })
 }
--- a/src/entry/members.rs
+++ b/src/entry/members.rs
@@ -116,7 +116,9 @@
 
     /// Writes what this node tells others.
     pub(super) fn digest(&self) -> Digest {
-        let digest = lock(&self.0.members).digest(Instant::now(), self.owned_epochs());
+        // Taken before the lock: a partition asks the members about its owner.
+        let owned = self.owned_epochs();
+        let digest = lock(&self.0.members).digest(Instant::now(), owned);
         Digest {
             leaving: self.is_leaving(),
             configuration: self.0.environments.version(),
--- a/src/entry/owner/branch.rs
+++ b/src/entry/owner/branch.rs
@@ -131,6 +131,7 @@
         }
         let limit = self.time_left(owned)?;
         if tail.is_none() {
+            self.await_settled(owned, branch).await?;
             *tail = Some(self.read_tail(owned, branch).await?);
         }
         let Some(tail) = tail.as_mut() else {
@@ -168,7 +169,11 @@
     }
 
     /// Reads a branch from the log.
-    async fn read_tail(&self, owned: &Owned<L>, branch: BranchId) -> Result<Tail, Refusal> {
+    pub(super) async fn read_tail(
+        &self,
+        owned: &Owned<L>,
+        branch: BranchId,
+    ) -> Result<Tail, Refusal> {
         let live = &owned.live;
         let mut tail = Tail::begin(&live.member, live.id, branch);
         let known = owned
--- a/src/entry/owner/lookup.rs
+++ b/src/entry/owner/lookup.rs
@@ -121,7 +121,11 @@
         Ok(Some((action.call, Answers::ended(Err(refusal)))))
     }
 
-    async fn entries_at(&self, owned: &Owned<L>, offset: Offset) -> Result<Vec<Record>, Refusal> {
+    pub(super) async fn entries_at(
+        &self,
+        owned: &Owned<L>,
+        offset: Offset,
+    ) -> Result<Vec<Record>, Refusal> {
         let read = owned.handle.entries_at(offset).await;
         read.map_err(|error| refuse_history(&error))
     }
--- a/src/entry/owner/settle.rs
+++ b/src/entry/owner/settle.rs
@@ -4,13 +4,16 @@
 use crate::entry::owner::action::{Settled, not_run, spent_on};
 use crate::entry::owner::answer::refuse_no_owner;
 use crate::entry::owner::program::Owned;
+use crate::entry::owner::tool::tool_message;
 use crate::entry::{Entry, lock};
-use crate::ids::{CallId, EndpointId, Epoch, ProgramId, partition_of};
+use crate::ids::{BranchId, CallId, EndpointId, Epoch, ProgramId, partition_of};
 use crate::protocol::image::{Action, ActionPhase};
 use crate::protocol::link::{ActionReply, ActionState, Caller, Once, Reply, Request};
 use crate::protocol::log::Log;
 use crate::protocol::message::Usage;
-use crate::protocol::record::{ActionResult, Outcome};
+use crate::protocol::record::{ActionResult, Entry as Record, Outcome, Turn};
+use crate::protocol::refusal::Refusal;
+use crate::protocol::service::ServiceReply;
 use futures_lite::FutureExt;
 use smol::Timer;
 use std::time::{Duration, Instant};
@@ -18,6 +21,9 @@
 /// Pause between two questions about one action.
 const SETTLE_PAUSE: Duration = Duration::from_millis(250);
 
+/// Pause between two looks at whether a branch's actions are settled.
+const SETTLED_PAUSE: Duration = Duration::from_millis(20);
+
 /// Longest wait for one answer about an action.
 const SETTLE_ANSWER: Duration = Duration::from_secs(2);
 
@@ -87,11 +93,62 @@
         owned
             .live
             .with_ledger(|ledger| ledger.settle(action.reserved, settled.spent));
-        if let Err(error) = owned.handle.commit(vec![outcome.into()]).await {
+        let mut entries = vec![outcome.clone().into()];
+        if let ActionResult::Done(reply) = &outcome.result {
+            let turn = self.settled_turn(&owned, &action, reply).await;
+            entries.extend(turn.map(Record::from));
+        }
+        if let Err(error) = owned.handle.commit(entries).await {
             log::info!(target: "owner", "owner: settlement left to the next owner: {error}");
         }
     }
 
+    /// Makes the turn of an action that ran under an owner before; `None` if its branch cannot be
+    /// read now.
+    async fn settled_turn(
+        &self,
+        owned: &Owned<L>,
+        action: &Action,
+        reply: &ServiceReply,
+    ) -> Option<Turn> {
+        let entries = self.entries_at(owned, action.offset).await.ok()?;
+        let intent = entries.iter().find_map(|entry| match entry {
+            Record::Intent(intent) if intent.call == action.call => Some(intent),
+            _ => None,
+        })?;
+        let tail = self.read_tail(owned, action.branch).await.ok()?;
+        Some(Turn {
+            program: owned.live.id,
+            member: owned.live.member.clone(),
+            branch: action.branch,
+            number: tail.number + 1,
+            previous: tail.hash,
+            call: action.call,
+            key: intent.key.clone(),
+            messages: vec![tool_message(reply)],
+            spent: Usage::default(),
+            reserved: owned.live.reserve_ahead(tail.tokens),
+            endpoint: action.endpoint.clone(),
+        })
+    }
+
+    /// Waits until no action of a branch is left open by an owner before, so that the turn of one
+    /// that ran comes before the branch's next turn.
+    pub(super) async fn await_settled(
+        &self,
+        owned: &Owned<L>,
+        branch: BranchId,
+    ) -> Result<(), Refusal> {
+        let give_up = Instant::now() + SETTLE_LIMIT;
+        while has_open_action(owned, branch) {
+            if Instant::now() >= give_up {
+                return Err(refuse_no_owner());
+            }
+            Timer::after(SETTLED_PAUSE).await;
+        }
+        Ok(())
+    }
+
     /// Finds out what became of an action.
     pub(super) async fn settle_action(
         &self,
@@ -161,6 +218,16 @@
     }
 }
 
+fn has_open_action<L: Log>(owned: &Owned<L>, branch: BranchId) -> bool {
+    owned.handle.with_state(|state| {
+        let program = state.program(owned.live.id);
+        program.is_some_and(|program| {
+            let mut actions = program.actions.iter();
+            actions.any(|action| action.branch == branch && action.state == ActionPhase::Open)
+        })
+    })
+}
+
 fn open_actions<L: Log>(handle: &PartitionHandle<L>) -> Vec<(Caller, ProgramId, Action)> {
     handle.with_state(|state| {
         let mut open = Vec::new();
