--- a/src/entry/owner/settle.rs
+++ b/src/entry/owner/settle.rs
@@ -6,14 +6,14 @@
 use crate::entry::owner::program::Owned;
 use crate::entry::owner::tool::tool_message;
 use crate::entry::{Entry, lock};
-use crate::ids::{BranchId, CallId, EndpointId, Epoch, ProgramId, partition_of};
-use crate::protocol::image::{Action, ActionPhase};
+use crate::ids::{BranchId, CallId, EndpointId, Epoch, Partition, ProgramId, partition_of};
+use crate::protocol::image::{self, Action, ActionPhase};
 use crate::protocol::link::{ActionReply, ActionState, Caller, Once, Reply, Request};
 use crate::protocol::log::Log;
 use crate::protocol::message::Usage;
-use crate::protocol::record::{ActionResult, Entry as Record, Outcome, Turn};
-use crate::protocol::refusal::Refusal;
-use crate::protocol::service::ServiceReply;
+use crate::protocol::record::{ActionResult, Entry as LogEntry, Intent, Outcome, Snapshot, Turn};
+use crate::protocol::refusal::{Refusal, RefusalCode};
+use crate::state::partition::PartitionState;
 use futures_lite::FutureExt;
 use smol::Timer;
 use std::time::{Duration, Instant};
@@ -21,27 +21,29 @@
 /// Pause between two questions about one action.
 const SETTLE_PAUSE: Duration = Duration::from_millis(250);
 
-/// Pause between two looks at whether a branch's actions are settled.
-const SETTLED_PAUSE: Duration = Duration::from_millis(20);
-
 /// Longest wait for one answer about an action.
 const SETTLE_ANSWER: Duration = Duration::from_secs(2);
 
+/// Pause between two looks whether a branch's action is settled.
+const SETTLED_PAUSE: Duration = Duration::from_millis(20);
+
 /// How long a sidecar that does not answer is asked before the outcome is left to a person.
 const SETTLE_LIMIT: Duration = Duration::from_secs(20);
 
 impl<L: Log> Entry<L> {
     /// Follows the ownership of all partitions.
     pub(in crate::entry) fn watch_partitions(&self) {
-        for handle in &self.0.partitions {
+        for (handle, partition) in self.0.partitions.iter().zip(0..) {
             let changes = handle.changes();
             let entry = self.clone();
             let handle = handle.clone();
             self.0.spawner.spawn(async move {
                 while let Ok(change) = changes.recv().await {
                     match change {
-                        Change::Gained(epoch) => entry.settle_partition(&handle, epoch),
-                        Change::Lost(epoch) => entry.drop_epoch(&handle, epoch),
+                        Change::Gained(epoch) => {
+                            entry.take_over(&handle, partition, epoch).await;
+                        }
+                        Change::Lost(epoch) => entry.drop_epoch(epoch),
                         Change::Applied { .. } => {}
                     }
                 }
@@ -50,7 +52,7 @@
     }
 
     /// Ends what this node did for a partition in an epoch that is over.
-    fn drop_epoch(&self, _handle: &PartitionHandle<L>, epoch: Epoch) {
+    fn drop_epoch(&self, epoch: Epoch) {
         log::info!(target: "owner", "owner: epoch {epoch} is over");
         let refusal = refuse_no_owner();
         for live in self.0.programs.all() {
@@ -61,9 +63,12 @@
         }
     }
 
-    /// Settles the actions that the owner before has left open.
-    fn settle_partition(&self, handle: &PartitionHandle<L>, epoch: Epoch) {
-        log::info!(target: "owner", "owner: epoch {epoch} begins");
+    /// Begins an epoch: takes over what was pending, opens the partition for calls, and settles
+    /// the actions that the owner before has left open.
+    async fn take_over(&self, handle: &PartitionHandle<L>, partition: Partition, epoch: Epoch) {
+        log::info!(target: "owner", "owner: epoch {epoch} of partition {partition} begins");
+        self.take_over_kept(handle, partition).await;
+        self.0.programs.open(partition, epoch);
         for (caller, program, action) in open_actions(handle) {
             let entry = self.clone();
             self.0.spawner.spawn(async move {
@@ -83,6 +88,10 @@
         let settled = self
             .settle_action(&owned, action.call, &action.endpoint, once, action.reserved)
             .await;
+        owned
+            .live
+            .with_ledger(|ledger| ledger.settle(action.reserved, settled.spent));
+        let turn = self.settled_turn(&owned, &action, &settled.result).await;
         let outcome = Outcome {
             program,
             call: action.call,
@@ -90,60 +99,67 @@
             spent: settled.spent,
             resolved_by: None,
         };
-        owned
-            .live
-            .with_ledger(|ledger| ledger.settle(action.reserved, settled.spent));
-        let mut entries = vec![outcome.clone().into()];
-        if let ActionResult::Done(reply) = &outcome.result {
-            let turn = self.settled_turn(&owned, &action, reply).await;
-            entries.extend(turn.map(Record::from));
-        }
+        let mut entries = vec![outcome.into()];
+        entries.extend(turn.map(Into::into));
         if let Err(error) = owned.handle.commit(entries).await {
             log::info!(target: "owner", "owner: settlement left to the next owner: {error}");
         }
     }
 
-    /// Makes the turn of an action that ran under an owner before; `None` if its branch cannot be
-    /// read now.
+    /// Makes the turn of an action that ran under the owner before. Calls of its branch wait until
+    /// it is settled, so that the log has the branch's end.
     async fn settled_turn(
         &self,
         owned: &Owned<L>,
         action: &Action,
-        reply: &ServiceReply,
+        result: &ActionResult,
     ) -> Option<Turn> {
-        let entries = self.entries_at(owned, action.offset).await.ok()?;
-        let intent = entries.iter().find_map(|entry| match entry {
-            Record::Intent(intent) if intent.call == action.call => Some(intent),
-            _ => None,
-        })?;
-        let tail = self.read_tail(owned, action.branch).await.ok()?;
+        let ActionResult::Done(reply) = result else {
+            return None;
+        };
+        let key = self.intent_key(owned, action).await;
+        let find_head = |state: &PartitionState| {
+            let program = state.program(owned.live.id)?;
+            Some(program.head(action.branch))
+        };
+        let head = owned.handle.with_state(find_head)?;
         Some(Turn {
             program: owned.live.id,
             member: owned.live.member.clone(),
             branch: action.branch,
-            number: tail.number + 1,
-            previous: tail.hash,
+            number: head.number + 1,
+            previous: head.hash,
             call: action.call,
-            key: intent.key.clone(),
+            key,
             messages: vec![tool_message(reply)],
             spent: Usage::default(),
-            reserved: owned.live.reserve_ahead(tail.tokens),
+            reserved: owned.live.reserve_ahead(0),
             endpoint: action.endpoint.clone(),
         })
     }
 
-    /// Waits until no action of a branch is left open by an owner before, so that the turn of one
-    /// that ran comes before the branch's next turn.
+    /// Reads the caller's key for an action from its intent.
+    async fn intent_key(&self, owned: &Owned<L>, action: &Action) -> Option<String> {
+        let entries = owned.handle.entries_at(action.offset).await.ok()?;
+        let mut intents = entries.into_iter().filter_map(into_intent);
+        intents.find(|intent| intent.call == action.call)?.key
+    }
+
+    /// Waits until no action of a branch is open; those of the owner before are being settled.
     pub(super) async fn await_settled(
         &self,
         owned: &Owned<L>,
         branch: BranchId,
+        limit: Duration,
     ) -> Result<(), Refusal> {
-        let give_up = Instant::now() + SETTLE_LIMIT;
+        let give_up = Instant::now() + limit;
         while has_open_action(owned, branch) {
-            if Instant::now() >= give_up {
+            if owned.handle.epoch() != Some(owned.epoch) {
                 return Err(refuse_no_owner());
             }
+            if Instant::now() >= give_up {
+                return Err(refuse_unsettled());
+            }
             Timer::after(SETTLED_PAUSE).await;
         }
         Ok(())
@@ -221,13 +237,25 @@
 fn has_open_action<L: Log>(owned: &Owned<L>, branch: BranchId) -> bool {
     owned.handle.with_state(|state| {
         let program = state.program(owned.live.id);
-        program.is_some_and(|program| {
-            let mut actions = program.actions.iter();
-            actions.any(|action| action.branch == branch && action.state == ActionPhase::Open)
-        })
+        let mut open = program.into_iter().flat_map(image::Program::open_actions);
+        open.any(|action| action.branch == branch)
     })
 }
 
+fn into_intent(entry: LogEntry) -> Option<Intent> {
+    match entry {
+        LogEntry::Intent(intent) => Some(intent),
+        LogEntry::Snapshot(Snapshot::Carried(inner)) => into_intent(*inner),
+        _ => None,
+    }
+}
+
+/// Refuses a call since the one before it in its branch is not settled in time.
+fn refuse_unsettled() -> Refusal {
+    let message = "The action before is still being settled.";
+    Refusal::not_run(RefusalCode::Deadline, message)
+}
+
 fn open_actions<L: Log>(handle: &PartitionHandle<L>) -> Vec<(Caller, ProgramId, Action)> {
     handle.with_state(|state| {
         let mut open = Vec::new();
