--- a/src/state/mod.rs
+++ b/src/state/mod.rs
@@ -2,10 +2,10 @@
 
 pub(crate) mod actions;
 pub(crate) mod budget;
-#[allow(dead_code, unused_imports, reason = "the roles are wired onto it next")]
 pub(crate) mod burn;
 pub(crate) mod configuration;
 pub(crate) mod history;
+pub(crate) mod kept;
 pub(crate) mod operations;
 pub(crate) mod partition;
 pub(crate) mod program;
