Wire operators: environments, promotion, placement, reports, the tool's commands

Cause: operators could not reach the configuration, and nothing told them what the system does. A change waits for a starting entry.

--- a/src/cli/mod.rs
+++ b/src/cli/mod.rs
@@ -1,6 +1,7 @@
 //! The command-line tool.
 
 mod experiment;
+mod operate;
 mod trial;
 
 use crate::settings::{EXIT_FAILURE, EXIT_OK, EXIT_USAGE};
@@ -17,6 +18,13 @@
   standin    run a stand-in of an outside system
   experiment measure the decisions
 
+  env        check, apply, promote and compare environments
+  status     nodes, partitions, endpoints, the log
+  programs   list programs
+  actions    list and resolve calls that may not be repeated
+  drain      give a node no new work
+  burn       service-level burn and what happened
+
   --help     print this text, or that of a command
   --version  print the version
 
@@ -78,6 +86,9 @@
         "load" => trial::load(parser),
         "standin" => trial::standin(parser),
         "experiment" => experiment::experiment(parser),
+        "env" | "status" | "programs" | "actions" | "drain" | "burn" => {
+            operate::operate(command, parser)
+        }
         other => {
             let error = format!("there is no command {other:?}");
             Err(CommandError::Usage(error.into(), HELP))
--- /dev/null
+++ b/src/cli/operate/environments.rs
@@ -0,0 +1,298 @@
+//! `galenapick env`.
+
+use super::options::Options;
+use super::table::{Table, time};
+use super::{CliError, EXIT_REFUSED, EXIT_UNKNOWN, Output};
+use crate::environment::{Difference, Environment, differences};
+use crate::protocol::configuration::{ChangeKind, ChangeNote, EnvironmentImage};
+use crate::protocol::operator::{
+    ApplyRequest, ChangeAnswer, EnvironmentSummary, PromoteRequest, RetireRequest, StatusAnswer,
+};
+use crate::settings::{EXIT_OK, EXIT_SETTINGS};
+use anyhow::Context;
+use std::fs;
+
+/// Random bytes of a token.
+const TOKEN_BYTES: usize = 32;
+
+/// Runs `env SUBCOMMAND`.
+pub(super) fn run(options: &Options) -> Result<Output, CliError> {
+    match options.subcommand() {
+        "check" => check(options),
+        "token" => Ok(token(options)),
+        "list" => list(options),
+        "show" => show(options),
+        "history" => history(options),
+        "diff" => diff(options),
+        "apply" => apply(options),
+        "promote" => promote(options),
+        "retire" => retire(options),
+        "status" => status(options),
+        other => Err(CliError::Usage(format!("unknown command env {other}"))),
+    }
+}
+
+fn check(options: &Options) -> Result<Output, CliError> {
+    let files = &options.words[1..];
+    if files.is_empty() {
+        return Err(CliError::Usage("check wants: FILE".to_string()));
+    }
+    let mut output = Output::default();
+    for file in files {
+        match Environment::parse(&read(file)?, file) {
+            Ok(environment) => output.text += &format!("{file}: {} is right\n", environment.name),
+            Err(faults) => {
+                output.text += &format!("{faults}\n");
+                output.code = EXIT_SETTINGS;
+            }
+        }
+    }
+    Ok(output)
+}
+
+fn token(options: &Options) -> Output {
+    let token = match options.words.get(1) {
+        Some(token) => token.clone(),
+        None => new_token(),
+    };
+    let hash = blake3::hash(token.as_bytes()).to_hex();
+    Output::ok(format!("token = {token}\ntoken_hash = {hash}\n"))
+}
+
+/// Draws a token. The system's source of randomness seeds the hash key.
+fn new_token() -> String {
+    use std::hash::{BuildHasher, RandomState};
+    let mut seed = Vec::with_capacity(TOKEN_BYTES * 2);
+    for position in 0..TOKEN_BYTES as u64 / 4 {
+        seed.extend(RandomState::new().hash_one(position).to_le_bytes());
+    }
+    blake3::derive_key("galenapick member token", &seed)
+        .iter()
+        .map(|byte| format!("{byte:02x}"))
+        .collect()
+}
+
+fn list(options: &Options) -> Result<Output, CliError> {
+    let listed: Vec<EnvironmentSummary> = options.client()?.get("/environments")?;
+    options.print(&listed, |listed| {
+        let mut table = Table::new(["NAME", "VERSION", "STAGE", "CHANGED", "BY"]);
+        for one in listed {
+            let stage = if one.retired {
+                "retired".to_string()
+            } else {
+                one.stage.to_string()
+            };
+            let last = one.last_change.as_ref();
+            let changed = last.map(|note| time(note.at_ms)).unwrap_or_default();
+            let by = last.map(|note| note.operator.clone()).unwrap_or_default();
+            table.add([
+                one.name.clone(),
+                one.version.to_string(),
+                stage,
+                changed,
+                by,
+            ]);
+        }
+        table.text()
+    })
+}
+
+fn image(options: &Options, name: &str) -> Result<EnvironmentImage, CliError> {
+    Ok(options.client()?.get(&format!("/environments/{name}"))?)
+}
+
+fn show(options: &Options) -> Result<Output, CliError> {
+    let [name] = options.words(["NAME"])?;
+    let image = image(options, name)?;
+    options.print(&image, |image| {
+        let state = if image.retired {
+            "retired".to_string()
+        } else {
+            image.stage.to_string()
+        };
+        format!("# version {}, {state}\n{}", image.version, image.document)
+    })
+}
+
+fn history(options: &Options) -> Result<Output, CliError> {
+    let [name] = options.words(["NAME"])?;
+    let image = image(options, name)?;
+    options.print(&image.changes, |changes| {
+        let mut table = Table::new(["VERSION", "REPLACED", "WHEN", "BY", "WHAT"]);
+        for note in changes {
+            table.add([
+                note.version.to_string(),
+                note.replaced.to_string(),
+                time(note.at_ms),
+                note.operator.clone(),
+                kind_text(&note.kind),
+            ]);
+        }
+        table.text()
+    })
+}
+
+fn kind_text(kind: &ChangeKind) -> String {
+    match kind {
+        ChangeKind::Applied => "applied".to_string(),
+        ChangeKind::Promoted(promotion) => match &promotion.override_reason {
+            Some(reason) => format!("promoted, overridden: {reason}"),
+            None => "promoted".to_string(),
+        },
+        ChangeKind::Retired(reason) => format!("retired: {reason}"),
+    }
+}
+
+fn diff(options: &Options) -> Result<Output, CliError> {
+    let [file] = options.words(["FILE"])?;
+    let text = read(file)?;
+    let environment = match Environment::parse(&text, file) {
+        Ok(environment) => environment,
+        Err(faults) => return Ok(faulty(&faults.to_string())),
+    };
+    let image = image(options, &environment.name)?;
+    let found = differences(&image.document, &text);
+    options.print(&found, |found| difference_text(found))
+}
+
+fn difference_text(found: &[Difference]) -> String {
+    if found.is_empty() {
+        return "no difference\n".to_string();
+    }
+    found.iter().map(|one| format!("{one}\n")).collect()
+}
+
+fn faulty(faults: &str) -> Output {
+    Output {
+        text: format!("{faults}\n"),
+        code: EXIT_SETTINGS,
+    }
+}
+
+fn apply(options: &Options) -> Result<Output, CliError> {
+    let [file] = options.words(["FILE"])?;
+    let document = read(file)?;
+    let environment = match Environment::parse(&document, file) {
+        Ok(environment) => environment,
+        Err(faults) => return Ok(faulty(&faults.to_string())),
+    };
+    let request = ApplyRequest {
+        expects: options.replaces.unwrap_or(0),
+        key: options.operation_key(),
+        document,
+    };
+    let path = format!("/environments/{}/apply", environment.name);
+    let answer = options.client()?.post(&path, &request)?;
+    report(options, &answer.read()?, &request.key)
+}
+
+fn promote(options: &Options) -> Result<Output, CliError> {
+    let [name] = options.words(["NAME"])?;
+    let request = PromoteRequest {
+        expects: Options::need(options.replaces, "--replaces")?,
+        key: options.operation_key(),
+        override_reason: options.override_reason.clone(),
+    };
+    let path = format!("/environments/{name}/promote");
+    let answer = options.client()?.post(&path, &request)?;
+    report(options, &answer.read()?, &request.key)
+}
+
+fn retire(options: &Options) -> Result<Output, CliError> {
+    let [name] = options.words(["NAME"])?;
+    let request = RetireRequest {
+        expects: Options::need(options.replaces, "--replaces")?,
+        key: options.operation_key(),
+        reason: Options::need(options.reason.clone(), "--reason")?,
+    };
+    let path = format!("/environments/{name}/retire");
+    let answer = options.client()?.post(&path, &request)?;
+    report(options, &answer.read()?, &request.key)
+}
+
+/// Prints what became of a change.
+pub(super) fn report(
+    options: &Options,
+    answer: &ChangeAnswer,
+    key: &str,
+) -> Result<Output, CliError> {
+    let code = match answer {
+        ChangeAnswer::Accepted { .. } => EXIT_OK,
+        ChangeAnswer::Lost { .. } | ChangeAnswer::Refused { .. } => EXIT_REFUSED,
+        ChangeAnswer::Faulty { .. } => EXIT_SETTINGS,
+        ChangeAnswer::Unknown { .. } => EXIT_UNKNOWN,
+    };
+    let output = options.print(answer, |answer| change_text(answer, key))?;
+    Ok(Output { code, ..output })
+}
+
+fn change_text(answer: &ChangeAnswer, key: &str) -> String {
+    match answer {
+        ChangeAnswer::Accepted {
+            change,
+            holders,
+            evidence,
+        } => {
+            let facts: String = evidence.iter().map(|fact| format!("{fact}\n")).collect();
+            let version = change.version;
+            format!("{facts}accepted as version {version}; {holders} other entries hold it\n")
+        }
+        ChangeAnswer::Lost {
+            version,
+            winner,
+            difference,
+        } => {
+            let by = winner.as_ref().map(winner_text).unwrap_or_default();
+            let rows = difference_text(difference);
+            format!("lost: version {version} is in force{by}\nfrom yours to that one:\n{rows}")
+        }
+        ChangeAnswer::Faulty { faults } => {
+            faults.iter().map(|fault| format!("{fault}\n")).collect()
+        }
+        ChangeAnswer::Refused { reason, evidence } => {
+            let facts: String = evidence.iter().map(|fact| format!("{fact}\n")).collect();
+            format!("{facts}refused: {reason}\n")
+        }
+        ChangeAnswer::Unknown { reason } => {
+            format!("not known whether it is accepted: {reason}\nrepeat with --key {key}\n")
+        }
+    }
+}
+
+fn winner_text(note: &ChangeNote) -> String {
+    format!(
+        " since {}, by {} ({})",
+        time(note.at_ms),
+        note.operator,
+        kind_text(&note.kind)
+    )
+}
+
+fn status(options: &Options) -> Result<Output, CliError> {
+    let status: StatusAnswer = options.client()?.get("/status")?;
+    let nodes: Vec<_> = status
+        .nodes
+        .iter()
+        .map(|n| (n.node.clone(), n.configuration))
+        .collect();
+    options.print(&nodes, |nodes| {
+        let newest = status.configuration;
+        let behind = nodes
+            .iter()
+            .filter(|(_, version)| *version != newest)
+            .count();
+        let mut table = Table::new(["NODE", "VERSION"]);
+        for (node, version) in nodes {
+            table.add([node.clone(), version.to_string()]);
+        }
+        format!(
+            "{}{behind} of {} do not run version {newest}\n",
+            table.text(),
+            nodes.len()
+        )
+    })
+}
+
+fn read(file: &str) -> Result<String, CliError> {
+    Ok(fs::read_to_string(file).with_context(|| format!("{file} cannot be read"))?)
+}
--- /dev/null
+++ b/src/cli/operate/page.rs
@@ -0,0 +1,86 @@
+//! The burn report as one HTML page that needs nothing else.
+
+use super::burn::{event_text, objective, together};
+use super::table::time;
+use crate::state::burn::{BurnLine, BurnReport, BurnWindow};
+use strum::IntoEnumIterator;
+
+/// Width of a bar at the burn rate that calls for a person now, in pixels.
+const PAGE_RATE_PX: f64 = 120.0;
+
+/// The burn rate of a full bar.
+const FULL_RATE: f64 = 14.4;
+
+const HEAD: &str = "<!doctype html>
+<html lang=\"en\"><head><meta charset=\"utf-8\"><title>Service-level burn</title>
+<style>
+body { font: 14px sans-serif; margin: 2em; color: #222 }
+table { border-collapse: collapse; margin-bottom: 2em }
+th, td { padding: 3px 10px; text-align: left; border-bottom: 1px solid #ddd }
+.page { background: #f5c6c6 } .ticket { background: #f8e3b8 } .watch { background: #eef3c9 }
+</style></head><body>
+";
+
+/// Writes the page.
+pub(super) fn html(report: &BurnReport) -> String {
+    let mut page = HEAD.to_string();
+    page += &format!(
+        "<h1>Service-level burn</h1><p>{} UTC</p>\n",
+        time(report.at_ms)
+    );
+    page += "<table><tr><th>environment<th>member<th>measure<th>objective";
+    for window in BurnWindow::iter() {
+        page += &format!("<th>{window}");
+    }
+    page += "<th>bad of all, 3d<th>p50 ms<th>p95 ms<th>p99 ms<th>call</tr>\n";
+    for line in &report.lines {
+        page += &row(line);
+    }
+    page += "</table>\n<h2>What happened</h2>\n<table><tr><th>when<th>what<th>seen by</tr>\n";
+    for (event, seen_by) in together(&report.events) {
+        let (when, what) = (time(event.at_ms), escape(&event_text(&event.kind)));
+        page += &format!(
+            "<tr><td>{when}<td>{what}<td>{}</tr>\n",
+            escape(&seen_by.join(" "))
+        );
+    }
+    page += "</table></body></html>\n";
+    page
+}
+
+fn row(line: &BurnLine) -> String {
+    let member = line.member.as_deref().unwrap_or("all");
+    let mut row = format!(
+        "<tr class=\"{}\"><td>{}<td>{}<td>{}<td>{}",
+        line.alert,
+        escape(&line.environment),
+        escape(member),
+        line.measure,
+        objective(line)
+    );
+    for window in BurnWindow::iter() {
+        row += &format!("<td>{}", bar(line.window(window).burn_rate));
+    }
+    let days = line.window(BurnWindow::Days3);
+    row += &format!(
+        "<td>{} of {}<td>{}<td>{}<td>{}<td>{}</tr>\n",
+        days.bad, days.total, line.p50_ms, line.p95_ms, line.p99_ms, line.alert
+    );
+    row
+}
+
+/// Draws a burn rate as a bar with its number.
+fn bar(rate: f64) -> String {
+    let width = (rate / FULL_RATE).min(1.0) * PAGE_RATE_PX;
+    format!(
+        "<svg width=\"{PAGE_RATE_PX}\" height=\"16\"><rect width=\"{width:.1}\" height=\"16\" \
+         fill=\"#c55\"/><text x=\"2\" y=\"12\" font-size=\"11\">{rate:.2}</text></svg>"
+    )
+}
+
+fn escape(text: &str) -> String {
+    text.replace('&', "&amp;")
+        .replace('<', "&lt;")
+        .replace('>', "&gt;")
+        .replace('"', "&quot;")
+}
--- /dev/null
+++ b/src/cli/operate/system.rs
@@ -0,0 +1,175 @@
+//! `galenapick status`, `programs` and `drain`.
+
+use super::options::Options;
+use super::table::{Table, time};
+use super::{CliError, EXIT_REFUSED, Output};
+use crate::protocol::operator::{
+    Listed, NodeStatus, PartitionStatus, ProgramSummary, StatusAnswer,
+};
+use crate::protocol::vms::NodeRole;
+use serde::Serialize;
+
+/// Runs `status`.
+pub(super) fn status(options: &Options) -> Result<Output, CliError> {
+    let client = options.client()?;
+    options.watch(|| {
+        let status: StatusAnswer = client.get("/status")?;
+        options.print(&status, status_text)
+    })
+}
+
+fn status_text(status: &StatusAnswer) -> String {
+    let log = match status.log_down_ms {
+        None => "up".to_string(),
+        Some(down_ms) => format!("down for {} s", down_ms / 1_000),
+    };
+    let head = format!(
+        "{} at {}\nconfiguration: version {}\nlog: {log}\npending: {} entries, {} bytes\n",
+        status.node,
+        time(status.at_ms),
+        status.configuration,
+        status.backlog_entries,
+        status.backlog_bytes,
+    );
+    let nodes = nodes_text(&status.nodes);
+    format!("{head}\n{nodes}\n{}", partitions_text(&status.partitions))
+}
+
+fn nodes_text(nodes: &[NodeStatus]) -> String {
+    let mut table = Table::new([
+        "NODE",
+        "ROLE",
+        "FAILURE DOMAIN",
+        "STATE",
+        "HEARD",
+        "QUEUED",
+        "RUNNING",
+        "CACHE",
+        "MODELS",
+    ]);
+    for node in nodes {
+        let models = node
+            .models
+            .iter()
+            .map(|(model, version)| format!("{model}:{version}"));
+        table.add([
+            node.node.clone(),
+            node.role.to_string(),
+            node.failure_domain.clone(),
+            node.state.clone(),
+            format!("{} ms", node.heard_ms),
+            queue_text(node),
+            node.running.to_string(),
+            cache_text(node),
+            models.collect::<Vec<_>>().join(" "),
+        ]);
+    }
+    table.text()
+}
+
+fn queue_text(node: &NodeStatus) -> String {
+    match node.role {
+        NodeRole::Entry => "-".to_string(),
+        NodeRole::Sidecar => node.queued.to_string(),
+    }
+}
+
+fn cache_text(node: &NodeStatus) -> String {
+    if node.cache_total_tokens == 0 {
+        return "-".to_string();
+    }
+    let percent = 100 * node.cache_used_tokens / node.cache_total_tokens;
+    format!("{percent} %")
+}
+
+fn partitions_text(partitions: &[PartitionStatus]) -> String {
+    let mut table = Table::new(["PARTITION", "OWNER", "EPOCH", "PROGRAMS"]);
+    for one in partitions {
+        let owner = one.owner.clone().unwrap_or_else(|| "none".to_string());
+        let epoch = one.epoch.map(|epoch| epoch.to_string());
+        let programs = one.programs.map(|programs| programs.to_string());
+        table.add([
+            one.partition.to_string(),
+            owner,
+            epoch.unwrap_or_else(|| "-".to_string()),
+            programs.unwrap_or_else(|| "-".to_string()),
+        ]);
+    }
+    table.text()
+}
+
+/// Runs `programs`.
+pub(super) fn programs(options: &Options) -> Result<Output, CliError> {
+    let client = options.client()?;
+    options.watch(|| {
+        let listed: Listed<ProgramSummary> = client.get("/programs")?;
+        options.print(&listed, programs_text)
+    })
+}
+
+fn programs_text(listed: &Listed<ProgramSummary>) -> String {
+    let mut table = Table::new([
+        "PROGRAM",
+        "ENVIRONMENT",
+        "MEMBER",
+        "BEGUN",
+        "TURNS",
+        "TOKENS",
+        "STATE",
+    ]);
+    for one in &listed.items {
+        table.add([
+            one.program.clone(),
+            one.environment.clone(),
+            one.member.clone(),
+            time(one.begun_ms),
+            one.turns.to_string(),
+            format!("{} of {}", one.spent.tokens, one.budget.tokens),
+            one.ended.clone().unwrap_or_else(|| "running".to_string()),
+        ]);
+    }
+    table.text() + silent_text(&listed.silent).as_str()
+}
+
+/// Says which entries did not answer.
+pub(super) fn silent_text(silent: &[String]) -> String {
+    if silent.is_empty() {
+        return String::new();
+    }
+    format!(
+        "no answer from {}: something may be missing\n",
+        silent.join(", ")
+    )
+}
+
+/// Runs `drain NODE`.
+pub(super) fn drain(options: &Options) -> Result<Output, CliError> {
+    let [node] = options.words.as_slice() else {
+        return Err(CliError::Usage("drain wants: NODE".to_string()));
+    };
+    operate(
+        options,
+        &format!("/nodes/{node}/drain"),
+        &serde_json::json!({}),
+    )
+}
+
+/// Asks for something that is done or refused.
+pub(super) fn operate(
+    options: &Options,
+    path: &str,
+    body: &impl Serialize,
+) -> Result<Output, CliError> {
+    let answer = options.client()?.post(path, body)?;
+    let text: serde_json::Value = answer.read()?;
+    let output = options.print(&text, |text| match text["error"].as_str() {
+        Some(reason) => format!("refused: {reason}\n"),
+        None => "done\n".to_string(),
+    })?;
+    let code = if answer.status() == 200 {
+        output.code
+    } else {
+        EXIT_REFUSED
+    };
+    Ok(Output { code, ..output })
+}
--- /dev/null
+++ b/src/cli/operate/tests.rs
@@ -0,0 +1,127 @@
+use super::table::{Table, time};
+use super::{CliError, Options, Output, burn, dispatch, page};
+use crate::protocol::operations::{EventKind, OperationEvent};
+use crate::state::burn::{BurnReport, BurnTable, ProgramSample, measure_environment};
+use googletest::prelude::*;
+
+fn options(line: &str) -> std::result::Result<Options, lexopt::Error> {
+    let mut parser = lexopt::Parser::from_args(line.split_whitespace());
+    Ok(Options::parse(&mut parser)?.unwrap_or_default())
+}
+
+/// Runs a command line whose options are known.
+fn run(line: &str) -> std::result::Result<Output, CliError> {
+    let (command, rest) = line.split_once(' ').unwrap_or((line, ""));
+    dispatch(command, &options(rest).unwrap())
+}
+
+#[gtest]
+fn wrong_command_lines_are_told() {
+    expect_that!(options("--nonsense").is_err(), eq(true));
+    for line in ["", "nonsense", "env nonsense", "env check", "drain"] {
+        let found = run(line);
+        expect_that!(matches!(found, Err(CliError::Usage(_))), eq(true), "{line}");
+    }
+}
+
+#[gtest]
+fn changes_name_the_version_that_they_replace() {
+    let found = run("env promote shop");
+    expect_that!(matches!(found, Err(CliError::Usage(_))), eq(true));
+}
+
+#[gtest]
+fn documents_are_checked_without_an_entry() {
+    let dir = env!("CARGO_MANIFEST_DIR");
+    let right = run(&format!("env check {dir}/examples/environments/pnw.ini")).unwrap();
+    expect_that!(right.code, eq(0));
+    let wrong = run(&format!("env check {dir}/tests/environments/values.ini")).unwrap();
+    expect_that!(wrong.code, eq(3));
+    expect_that!(
+        wrong.text,
+        contains_substring("values.ini:13: [environment] name")
+    );
+}
+
+#[gtest]
+fn tokens_differ_and_hash_alike() {
+    let (one, two) = (run("env token").unwrap(), run("env token").unwrap());
+    expect_that!(one.text, not(eq(&two.text)));
+    let known = run("env token saa-mubadala-example-token").unwrap();
+    expect_that!(
+        known.text,
+        contains_substring("552dae5efd0465abd14da80aea441487")
+    );
+}
+
+#[gtest]
+fn times_are_written_in_utc() {
+    expect_that!(time(0), eq("1970-01-01 00:00:00"));
+    expect_that!(time(951_782_400_000), eq("2000-02-29 00:00:00"));
+    expect_that!(time(1_796_083_199_000), eq("2026-11-30 23:59:59"));
+}
+
+#[gtest]
+fn columns_are_aligned() {
+    let mut table = Table::new(["A", "LONG"]);
+    table.add(["wide".to_string(), "x".to_string()]);
+    expect_that!(table.text(), eq("A     LONG\nwide  x\n"));
+}
+
+fn report() -> BurnReport {
+    let objectives = crate::environment::Objectives {
+        program_latency_ms: 100,
+        program_latency_share: 0.95,
+        first_token_ms: 100,
+        first_token_share: 0.95,
+        success_share: 0.99,
+    };
+    let now_ms = 1_796_083_199_000;
+    let mut table = BurnTable::default();
+    for latency_ms in [50, 60, 500] {
+        let sample = ProgramSample {
+            latency_ms,
+            objective_ms: 100,
+            succeeded: true,
+        };
+        table.add_program(now_ms, "a<b", "m", sample);
+    }
+    let seen = |node: &str, at_ms| OperationEvent {
+        at_ms,
+        node: node.to_string(),
+        kind: EventKind::NodeFailed {
+            subject: "e3".to_string(),
+        },
+    };
+    BurnReport {
+        at_ms: now_ms,
+        lines: measure_environment(&table, now_ms, "a<b", &objectives),
+        events: vec![seen("e1", now_ms), seen("e2", now_ms + 100)],
+    }
+}
+
+#[gtest]
+fn burn_is_written_as_text() {
+    let text = burn::text(&report());
+    expect_that!(text, contains_substring("6.67"));
+    expect_that!(text, contains_substring("1/3"));
+    expect_that!(text, contains_substring("e3 failed"));
+    expect_that!(text, contains_substring("e1 e2"));
+}
+
+#[gtest]
+fn the_page_is_whole_and_escaped() {
+    let html = page::html(&report());
+    expect_that!(html, contains_substring("a&lt;b"));
+    expect_that!(html, not(contains_substring("a<b")));
+    expect_that!(html, not(contains_substring("http")));
+    expect_that!(html, ends_with("</html>\n"));
+}
+
+#[gtest]
+fn options_follow_the_words() {
+    let options = options("apply x.ini --replaces 7 --key k --json").unwrap();
+    expect_that!(options.words(["FILE"]).unwrap(), eq(["x.ini"]));
+    expect_that!(options.replaces, some(eq(7)));
+    expect_that!(options.operation_key(), eq("k"));
+}
--- a/src/configuration/change.rs
+++ b/src/configuration/change.rs
@@ -78,8 +78,12 @@
     }
 
     async fn settle(&self, request: &ChangeRequest) -> ChangeOutcome {
-        if !self.is_ready() {
-            return ChangeOutcome::Unknown("the configuration has not been read yet".to_string());
+        let give_up = Instant::now() + SETTLE_LIMIT;
+        while !self.is_ready() {
+            if Instant::now() >= give_up {
+                return ChangeOutcome::Unknown("the configuration is not known yet".to_string());
+            }
+            Timer::after(LOOK_PAUSE).await;
         }
         if let Some(outcome) = decided(request, &self.current()) {
             return outcome;
@@ -87,7 +91,6 @@
         if let Some(outcome) = check(request, &self.current()) {
             return outcome;
         }
-        let give_up = Instant::now() + SETTLE_LIMIT;
         loop {
             let appended = self.append_change(request).await;
             if let Some(outcome) = self.wait_for_fold(request, &appended, give_up).await {
@@ -126,10 +129,11 @@
             Err(_) => Instant::now() + 10 * LOOK_PAUSE,
         };
         loop {
+            // Looked at first: what the fold has met is in force by then.
+            let met = matches!(appended, Ok(offset) if *offset < lock(&self.0.tail).fold().next());
             if let Some(outcome) = decided(request, &self.current()) {
                 return Some(outcome);
             }
-            let met = matches!(appended, Ok(offset) if *offset < lock(&self.0.tail).fold().next());
             if met {
                 return Some(not_accepted(request, &self.current()));
             }
--- a/src/daemon.rs
+++ b/src/daemon.rs
@@ -191,6 +191,7 @@
         Node::Entry(entry) => config.spawn((
             health(node.clone(), telemetry),
             crate::entry::handler(entry),
+            crate::entry::operator_handler(entry, settings.operators.clone()),
             crate::entry::refuse_path,
         )),
         Node::Sidecar(_) => config.spawn(health(node.clone(), telemetry)),
--- a/src/daemon/build.rs
+++ b/src/daemon/build.rs
@@ -1,7 +1,7 @@
 //! From settings to a node.
 
 use super::Node;
-use crate::adapter::{HttpEngine, HttpLog, HttpService, HttpVmList};
+use crate::adapter::{HttpEngine, HttpLog, HttpService, HttpVmList, HttpWeightStore};
 use crate::coordination::admission::AdmissionConfig;
 use crate::coordination::cache::ReleaseConfig;
 use crate::coordination::commit::CommitLimits;
@@ -109,6 +109,9 @@
         if let Some(url) = &settings.platform.vms_url {
             entry.watch_vms(HttpVmList::new(url, timeout));
         }
+        if let Some(url) = &settings.platform.weights_url {
+            entry.watch_placement(HttpWeightStore::new(url, timeout));
+        }
         Ok(entry)
     }
 
--- a/src/entry/http.rs
+++ b/src/entry/http.rs
@@ -55,6 +55,7 @@
     let entry = entry.clone();
     move |conn: Conn| {
         let entry = entry.clone();
+        let operations = entry.operations().clone();
         async move {
             let exchange = match admit(&entry, &conn) {
                 Ok((caller, open)) => Exchange {
@@ -65,7 +66,11 @@
                 },
                 Err(refusal) => return send(conn, Err(refusal)),
             };
+            let whose = exchange.caller.environment.clone();
             let (conn, sent) = work(exchange).await;
+            if let Err(refusal) = &sent {
+                operations.refused(&whose, refusal.code);
+            }
             send(conn, sent)
         }
     }
--- a/src/entry/members.rs
+++ b/src/entry/members.rs
@@ -87,6 +87,8 @@
 
     /// Takes what a node says of itself.
     pub(super) fn take_digest(&self, digest: &Digest) {
+        let configurator = &self.0.operating.configurator;
+        configurator.heard(&digest.node, digest.configuration);
         self.take_endpoint(digest);
         lock(&self.0.members).take(Instant::now(), digest);
     }
--- a/src/entry/mod.rs
+++ b/src/entry/mod.rs
@@ -4,12 +4,14 @@
 mod environments;
 mod http;
 mod members;
+mod operator;
 mod owner;
 mod route;
 mod serve;
 
 pub(crate) use environments::{Environments, Served};
 pub(crate) use http::{handler, refuse_path};
+pub(crate) use operator::operator_handler;
 
 use crate::coordination::cache::{CacheTable, CacheTableConfig};
 use crate::coordination::choice::{ChoiceConfig, Chooser};
@@ -106,6 +108,7 @@
     programs: Programs,
     open_calls: AtomicUsize,
     leaving: AtomicBool,
+    operating: operator::Operating<L>,
 }
 
 impl<L: Log> Entry<L> {
@@ -135,11 +138,13 @@
             programs: Programs::default(),
             open_calls: AtomicUsize::new(0),
             leaving: AtomicBool::new(false),
+            operating: operator::Operating::new(&config, &log),
             config,
         }));
         entry.watch_members();
         entry.watch_partitions();
         entry.watch_programs();
+        entry.watch_configuration();
         entry
     }
 
--- a/src/entry/owner/end.rs
+++ b/src/entry/owner/end.rs
@@ -3,7 +3,7 @@
 use crate::coordination::partition::PartitionHandle;
 use crate::entry::owner::program::{LiveProgram, Owned};
 use crate::entry::{Entry, lock, unix_ms};
-use crate::ids::{EndpointId, ProgramId};
+use crate::ids::{EndpointId, ProgramId, issued_ms};
 use crate::protocol::link::{Caller, Reply, Request};
 use crate::protocol::log::Log;
 use crate::protocol::record::{EndReason, Ended};
@@ -53,6 +53,7 @@
         if !owned.live.end(reason) {
             return;
         }
+        self.note_end(owned, reason);
         let entry = Ended {
             program: owned.live.id,
             reason,
@@ -64,6 +65,25 @@
         self.release(owned.live.id, last);
     }
 
+    /// Counts the program for the report on service levels; a cancelled one counts for nothing.
+    fn note_end(&self, owned: &Owned<L>, reason: EndReason) {
+        if reason == EndReason::Cancelled {
+            return;
+        }
+        let whose = owned.handle.with_state(|state| {
+            let program = state.program(owned.live.id)?;
+            Some((program.environment.clone(), program.member.clone()))
+        });
+        let Some((environment, member)) = whose else {
+            return;
+        };
+        let latency_ms = unix_ms().saturating_sub(issued_ms(owned.live.id));
+        let latency = Duration::from_millis(latency_ms);
+        let succeeded = reason == EndReason::Finished;
+        self.operations()
+            .program_ended(&environment, &member, latency, succeeded);
+    }
+
     /// Frees a program's cache wherever it may be.
     fn release(&self, program: ProgramId, last: Option<EndpointId>) {
         let mut holders = lock(&self.0.cache).end(program).into_vec();
--- a/src/entry/serve.rs
+++ b/src/entry/serve.rs
@@ -16,6 +16,9 @@
             self.take_digest(&digest);
             return responder.reply(Reply::Probed(self.digest()));
         }
+        if let Some(reply) = self.serve_operators(&request).await {
+            return responder.reply(reply);
+        }
         let sent = match self.serve_local(request).await {
             Source::Ready(reply) => Ok(reply),
             source => send_answer(source, &mut responder).await,
--- a/src/operations/tests.rs
+++ b/src/operations/tests.rs
@@ -161,11 +161,18 @@
             Timer::after(Duration::from_millis(30)).await;
         }
         let give_up = Instant::now() + PATIENCE;
-        while one.named_root() < 2 && Instant::now() < give_up {
+        while one.folded_programs() < 10 && Instant::now() < give_up {
+            Timer::after(Duration::from_millis(10)).await;
+        }
+        let whole = log
+            .records("operations")
+            .last()
+            .map_or(0, |record| record.offset);
+        while one.named_root() <= whole && Instant::now() < give_up {
             Timer::after(Duration::from_millis(10)).await;
         }
         let root = one.named_root();
-        expect_that!(root, gt(1));
+        expect_that!(root, gt(whole));
         drop(task);
         log.trim("operations", root);
         let (late, _task) = start(&log, "e2", 3_600_000);
@@ -174,6 +181,13 @@
 }
 
 impl Operations<HttpLog> {
+    /// Counts the programs that are in the log.
+    fn folded_programs(&self) -> u64 {
+        let tail = super::lock(&self.0.tail);
+        let minutes = tail.fold.table().minutes();
+        minutes.iter().map(|at| at.cell.programs).sum()
+    }
+
     fn named_root(&self) -> u64 {
         let tail = super::lock(&self.0.tail);
         tail.fold.named().map_or(0, |named| named.offset)
--- a/src/protocol/link.rs
+++ b/src/protocol/link.rs
@@ -10,6 +10,7 @@
 use crate::protocol::configuration::ConfigurationImage;
 use crate::protocol::engine::{EngineLoad, EngineOrder, EngineUsage, GenerateRequest};
 use crate::protocol::message::{Message, Usage};
+use crate::protocol::operator::{OperatorQuery, OperatorReply};
 use crate::protocol::record::{ActionResult, EndReason, Entry};
 use crate::protocol::refusal::Refusal;
 use crate::protocol::service::ServiceRequest;
@@ -129,6 +130,8 @@
     OfferConfiguration(ConfigurationOffer),
     /// Any to entry: send your configuration.
     FetchConfiguration,
+    /// Entry to any: an operator asks.
+    Operate(OperatorQuery),
 }
 
 /// A node's configuration and how far it has read the stream.
@@ -335,6 +338,8 @@
     },
     /// The configuration that was asked for.
     Configuration(ConfigurationOffer),
+    /// The answer to an operator's question.
+    Operated(OperatorReply),
     /// Not done.
     Refused(Refusal),
 }
--- a/src/protocol/mod.rs
+++ b/src/protocol/mod.rs
@@ -8,6 +8,7 @@
 pub mod log;
 pub mod message;
 pub mod operations;
+pub mod operator;
 pub mod record;
 pub mod refusal;
 pub mod service;
--- a/src/sidecar/mod.rs
+++ b/src/sidecar/mod.rs
@@ -7,6 +7,7 @@
 mod queue;
 mod serve;
 
+use crate::configuration::ConfigurationCell;
 use crate::coordination::admission::AdmissionConfig;
 use crate::coordination::cache::{ReleaseConfig, Releases};
 use crate::coordination::dispatch::{DispatchLimits, DispatchTable};
@@ -88,6 +89,7 @@
     kept: Mutex<Kept>,
     engine_load: Mutex<EngineLoad>,
     leaving: AtomicBool,
+    configuration: ConfigurationCell,
 }
 
 /// The text of an answer as the sidecar keeps it.
@@ -112,6 +114,7 @@
             kept: Mutex::new(Kept::new(KEPT_MAX_BYTES)),
             engine_load: Mutex::default(),
             leaving: AtomicBool::new(false),
+            configuration: ConfigurationCell::default(),
             config,
         }));
         spawner.spawn(sidecar.clone().watch_load());
--- a/src/sidecar/probe.rs
+++ b/src/sidecar/probe.rs
@@ -128,6 +128,7 @@
             node: config.node.clone(),
             incarnation: config.incarnation,
             leaving: self.is_leaving(),
+            configuration: self.0.configuration.version(),
             load: Some(self.load()),
             serving: Some(config.serving.clone()),
             ..Digest::default()
--- a/src/sidecar/serve.rs
+++ b/src/sidecar/serve.rs
@@ -3,6 +3,7 @@
 use crate::ids::Partition;
 use crate::protocol::engine::Engine;
 use crate::protocol::link::{Event, Generated, Messages, Reply, Request};
+use crate::protocol::operator::{OperatorQuery, OperatorReply};
 use crate::protocol::record::Entry;
 use crate::protocol::refusal::{Refusal, RefusalCode};
 use crate::protocol::service::Service;
@@ -82,6 +83,13 @@
                 fence,
                 sequence,
             } => self.order(order, fence, sequence).await,
+            Request::OfferConfiguration(offer) => Reply::Configured {
+                version: self.0.configuration.adopt(&offer.image),
+            },
+            Request::Operate(OperatorQuery::Drain) => {
+                self.leave();
+                Reply::Operated(OperatorReply::Done)
+            }
             Request::Probe(digest) => Reply::Probed(self.probe(&digest)),
             _ => Reply::Refused(Refusal::not_run(
                 RefusalCode::Invalid,
