--- a/src/client/retry.rs
+++ b/src/client/retry.rs
@@ -133,21 +133,29 @@
     }
 
     async fn attempt(&mut self) -> Result<Answer, CallError> {
+        let resumed = self.call.is_some();
+        let mut read = self.attempt_once().await;
+        if resumed && is_not_found(&read) {
+            // Its owner is no more and had not written it down: send it again under its key.
+            self.call = None;
+            read = self.attempt_once().await;
+        }
+        if let Err(CallError::Refused(_)) = read {
+            self.call = None;
+        }
+        read
+    }
+
+    async fn attempt_once(&mut self) -> Result<Answer, CallError> {
         let from = self.collector.next_index();
-        let opened = match self.call {
-            Some(call) => self.client.resume(self.program, call, from).await,
+        let mut stream = match self.call {
+            Some(call) => self.client.resume(self.program, call, from).await?,
             None => {
                 self.collector.restart();
-                self.client.stream(self.program, self.request).await
+                self.client.stream(self.program, self.request).await?
             }
         };
-        let read = match opened {
-            Ok(mut stream) => self.read(&mut stream).await,
-            Err(error) => Err(error),
-        };
-        if let Err(CallError::Refused(_)) = read {
-            self.call = None;
-        }
+        let read = self.read(&mut stream).await;
         if let Err(CallError::Broken(_)) = read {
             self.client.skip_entry();
         }
@@ -182,6 +190,10 @@
     }
 }
 
+fn is_not_found(result: &Result<Answer, CallError>) -> bool {
+    matches!(result, Err(CallError::Refused(refusal)) if refusal.code == RefusalCode::NotFound)
+}
+
 async fn retry<T, F: Future<Output = Result<T, CallError>>>(
     patience: Patience,
     keyed: bool,
@@ -240,7 +252,7 @@
             Err(CallError::Refused(refusal)) => {
                 let again = self.keyed || refusal.ran == crate::Ran::No;
                 let wait = refusal.retry_after_ms.map(Duration::from_millis);
-                wait.filter(|_| again && refusal.code != RefusalCode::UnknownOutcome)
+                wait.filter(|_| again)
             }
             Err(CallError::Broken(_)) if !self.keyed => None,
             Err(CallError::Broken(_)) => {
