--- a/src/daemon.rs
+++ b/src/daemon.rs
@@ -107,6 +107,14 @@
         }
     }
 
+    /// Returns the configuration version in force here; 0 if there is none.
+    pub fn configuration_version(&self) -> u64 {
+        match &self.node {
+            Node::Entry(entry) => entry.environments().version(),
+            Node::Sidecar(sidecar) => sidecar.configuration_version(),
+        }
+    }
+
     /// Tells whether callers may be sent here.
     pub fn is_ready(&self) -> bool {
         self.node.is_ready()
--- a/src/entry/http.rs
+++ b/src/entry/http.rs
@@ -172,6 +172,7 @@
 struct Limited<L: Log> {
     entry: Entry<L>,
     caller: Caller,
+    began: Instant,
 }
 
 impl<L: Log> Limited<L> {
@@ -189,6 +190,7 @@
         Ok(Self {
             entry: entry.clone(),
             caller: caller.clone(),
+            began: Instant::now(),
         })
     }
 }
@@ -200,6 +202,20 @@
     }
 }
 
+impl<L: Log> stream::Guard for (OpenCall<L>, Limited<L>) {
+    fn first_token(&self) {
+        let Limited {
+            entry,
+            caller,
+            began,
+        } = &self.1;
+        let operations = entry.operations();
+        operations.first_token(&caller.environment, &caller.member, began.elapsed());
+    }
+}
+
+impl<L: Log> stream::Guard for OpenCall<L> {}
+
 async fn attach<L: Log>(exchange: Exchange<L>) -> (Conn, Result<Sent, Refusal>) {
     let Exchange {
         entry,
@@ -220,12 +236,12 @@
         from,
     };
     let route = entry.route(program, request);
-    let sent = answer(route, (open, ()), stream, from).await;
+    let sent = answer(route, open, stream, from).await;
     (conn, sent)
 }
 
 /// Sends an answer as one object, or as events when it streams.
-async fn answer<L: Log, G: Send + 'static>(
+async fn answer<L: Log, G: stream::Guard>(
     mut route: Route<L>,
     guard: G,
     stream: bool,
--- a/src/entry/http/stream.rs
+++ b/src/entry/http/stream.rs
@@ -10,8 +10,14 @@
 use serde::Serialize;
 use trillium::Body;
 
+/// What is held while an answer is sent.
+pub(super) trait Guard: Send + Sync + 'static {
+    /// Hears that the first tokens of a stream are here.
+    fn first_token(&self) {}
+}
+
 /// Starts to stream an answer. A refusal that comes before anything else is returned as such.
-pub(super) async fn body<L: Log, G: Send + 'static>(
+pub(super) async fn body<L: Log, G: Guard>(
     mut route: Route<L>,
     guard: G,
     from: u32,
@@ -33,7 +39,7 @@
             next: from,
         };
         // A caller that has left reads the answer again by its id, or lets it go.
-        let _ = writer.copy(first, &mut route).await;
+        let _ = writer.copy(first, &mut route, &guard).await;
         drop(guard);
     });
     Ok(body)
@@ -52,9 +58,19 @@
 }
 
 impl Writer {
-    async fn copy<L: Log>(&mut self, first: Step, route: &mut Route<L>) -> Result<(), Left> {
+    async fn copy<L: Log>(
+        &mut self,
+        first: Step,
+        route: &mut Route<L>,
+        guard: &impl Guard,
+    ) -> Result<(), Left> {
         let mut step = first;
+        let mut has_tokens = false;
         loop {
+            if !has_tokens && matches!(step, Step::Event(Event::Tokens(_))) {
+                has_tokens = true;
+                guard.first_token();
+            }
             match step {
                 Step::Event(event) => self.event(event).await?,
                 Step::Reply(reply) => return self.end(*reply).await,
--- a/src/sidecar/mod.rs
+++ b/src/sidecar/mod.rs
@@ -135,6 +135,11 @@
         open.count() + self.0.queue.open_actions()
     }
 
+    /// Returns the configuration version in force here.
+    pub(crate) fn configuration_version(&self) -> crate::ids::Offset {
+        self.0.configuration.version()
+    }
+
     pub(crate) fn is_leaving(&self) -> bool {
         self.0.leaving.load(Ordering::Relaxed)
     }
--- a/tests/operators.rs
+++ b/tests/operators.rs
@@ -215,6 +215,11 @@
         let burn = cluster.tool(0, &["burn"]).await;
         let told = String::from_utf8_lossy(&burn.stdout).into_owned();
         expect_that!(told, contains_substring("program_latency"));
+        let burn = cluster.json(0, &["burn"]).await;
+        let lines = burn["lines"].as_array().cloned().unwrap_or_default();
+        let first = lines.iter().find(|line| line["measure"] == "first_token");
+        let counted = first.and_then(|line| line["windows"][4]["total"].as_u64());
+        expect_that!(counted, some(eq(3)), "{burn}");
         expect_that!(told, contains_substring("0/3"));
     });
 }
@@ -234,7 +239,10 @@
             .program;
         let asked = vec![Message::new(Role::User, "who can mend a gate")];
         let call = CallRequest::model("matcher-llm", asked, 8);
-        client.call(program, &call).await.unwrap();
+        let mut stream = client.stream(program, &call).await.unwrap();
+        while let Some(event) = stream.next().await {
+            event.unwrap();
+        }
         client.end(program).await.unwrap();
     }
     while Instant::now() < give_up {
