--- a/examples/partition.rs
+++ b/examples/partition.rs
@@ -132,10 +132,7 @@
 fn print_row(programs: usize, start: &str, row: &Recovery, index: Option<&Recovery>) {
     let tokens = programs * TURNS as usize * TURN_BYTES / TOKEN_BYTES;
     let (per_program, per_tokens) = match index {
-        None => (
-            (row.memory_bytes / programs as u64).to_string(),
-            String::new(),
-        ),
+        None => (String::new(), String::new()),
         Some(index) => {
             let bodies = row.memory_bytes.saturating_sub(index.memory_bytes);
             (String::new(), (bodies * 1_000 / tokens as u64).to_string())
--- a/src/entry/owner/lookup.rs
+++ b/src/entry/owner/lookup.rs
@@ -118,7 +118,8 @@
         Ok(Some((action.call, Answers::ended(Err(refusal)))))
     }
 
-    /// Makes the answer of an action that ran from the reply in its outcome.
+    /// Makes the answer of an action that ran from the reply in its outcome, which may be the one
+    /// that a person has entered.
     async fn answer_of_outcome(
         &self,
         owned: &Owned<L>,
@@ -131,7 +132,6 @@
         let end = match outcome {
             Some(Outcome {
                 result: ActionResult::Done(reply),
-                resolved_by: None,
                 ..
             }) => Ok(Answer {
                 call: action.call,
@@ -145,7 +145,7 @@
                 ran: Ran::Yes,
                 ..Refusal::not_run(
                     RefusalCode::AnswerLost,
-                    "The action ran; a person has resolved it.",
+                    "The action ran; its answer was not kept.",
                 )
             }),
         };
