--- a/src/entry/owner/lookup.rs
+++ b/src/entry/owner/lookup.rs
@@ -125,7 +125,8 @@
         Ok(Some((action.call, Answers::ended(Err(refusal)))))
     }
 
-    /// Makes the answer of an action that ran from the reply in its outcome.
+    /// Makes the answer of an action that ran from the reply in its outcome, which may be the one
+    /// that a person has entered.
     async fn answer_of_outcome(
         &self,
         owned: &Owned<L>,
@@ -138,7 +139,6 @@
         let end = match outcome {
             Some(Outcome {
                 result: ActionResult::Done(reply),
-                resolved_by: None,
                 ..
             }) => Ok(Answer {
                 call: action.call,
@@ -152,7 +152,7 @@
                 ran: Ran::Yes,
                 ..Refusal::not_run(
                     RefusalCode::AnswerLost,
-                    "The action ran; a person has resolved it.",
+                    "The action ran; its answer was not kept.",
                 )
             }),
         };
