--- a/src/entry/owner/lookup.rs
+++ b/src/entry/owner/lookup.rs
@@ -50,7 +50,7 @@
             }
         }
         match action {
-            Some(action) => self.answer_of_action(owned, &action).await,
+            Some(action) => self.answer_of_action(owned, &action, call).await,
             None => Ok(None),
         }
     }
@@ -98,8 +98,15 @@
         &self,
         owned: &Owned<L>,
         action: &Action,
+        call: CallId,
     ) -> Result<Option<(CallId, Answers)>, Refusal> {
         let refusal = match action.state {
+            // Its id has been used; a retry with its key comes under a new one.
+            ActionPhase::NotRun(_) if action.call == call => {
+                let message = "The action was voided before it ran.";
+                Refusal::not_run(RefusalCode::EndpointFailed, message)
+                    .retry_after_ms(SETTLING_RETRY_MS)
+            }
             ActionPhase::NotRun(_) => return Ok(None),
             ActionPhase::Open => {
                 let message = "The outcome of the action is being settled.";
@@ -118,7 +125,8 @@
         Ok(Some((action.call, Answers::ended(Err(refusal)))))
     }
 
-    /// Makes the answer of an action that ran from the reply in its outcome.
+    /// Makes the answer of an action that ran from the reply in its outcome, which may be the one
+    /// that a person has entered.
     async fn answer_of_outcome(
         &self,
         owned: &Owned<L>,
@@ -131,7 +139,6 @@
         let end = match outcome {
             Some(Outcome {
                 result: ActionResult::Done(reply),
-                resolved_by: None,
                 ..
             }) => Ok(Answer {
                 call: action.call,
@@ -145,7 +152,7 @@
                 ran: Ran::Yes,
                 ..Refusal::not_run(
                     RefusalCode::AnswerLost,
-                    "The action ran; a person has resolved it.",
+                    "The action ran; its answer was not kept.",
                 )
             }),
         };
--- a/src/sidecar/mod.rs
+++ b/src/sidecar/mod.rs
@@ -6,6 +6,8 @@
 mod probe;
 mod queue;
 mod serve;
+#[cfg(test)]
+mod tests;
 
 use crate::configuration::ConfigurationCell;
 use crate::coordination::admission::AdmissionConfig;
@@ -135,6 +137,11 @@
         open.count() + self.0.queue.open_actions()
     }
 
+    /// Returns the configuration version in force here.
+    pub(crate) fn configuration_version(&self) -> crate::ids::Offset {
+        self.0.configuration.version()
+    }
+
     pub(crate) fn is_leaving(&self) -> bool {
         self.0.leaving.load(Ordering::Relaxed)
     }
