--- a/src/cluster/mod.rs
+++ b/src/cluster/mod.rs
@@ -170,13 +170,13 @@
             .collect()
     }
 
-    /// Tells whether an entry knows the environments: it knows their members then.
+    /// Tells whether an entry knows the environments' members and can look for their programs.
     async fn serves(&self, address: SocketAddr) -> bool {
         let all = Deployment::iter().map(async |deployment| {
             let client = Client::new([address.to_string()], deployment.tokens()[0]);
             let unknown = client.history(0).await;
             matches!(unknown, Err(CallError::Refused(refusal))
-                if refusal.code != RefusalCode::Unauthorized)
+                if refusal.code == RefusalCode::NotFound)
         });
         futures_util::future::join_all(all)
             .await
--- a/src/entry/http/request.rs
+++ b/src/entry/http/request.rs
@@ -18,13 +18,25 @@
 /// Longest key of a program or call, in bytes.
 const KEY_MAX_BYTES: usize = 256;
 
+/// When to come back to a node that has not read its configuration, in milliseconds.
+const CONFIGURATION_RETRY_MS: u64 = 200;
+
 /// Finds out who calls.
 pub(super) fn caller(environments: &Environments, conn: &Conn) -> Result<Caller, Refusal> {
     let header = conn.request_headers().get_str("authorization");
     let token = header.and_then(|value| value.strip_prefix("Bearer "));
-    token
-        .and_then(|token| environments.caller(token))
-        .ok_or_else(unknown_caller)
+    let caller = token.and_then(|token| environments.caller(token));
+    caller.ok_or_else(|| match environments.is_empty() {
+        true => unread_configuration(),
+        false => unknown_caller(),
+    })
+}
+
+/// Refuses since this node has not read its configuration yet, and so knows nobody. The call may
+/// be a retry of one that ran.
+fn unread_configuration() -> Refusal {
+    let message = "This node has not read its configuration yet.";
+    Refusal::unknown(RefusalCode::NoOwner, message).retry_after_ms(CONFIGURATION_RETRY_MS)
 }
 
 /// Refuses a caller without a valid token.
--- a/src/entry/owner/keep.rs
+++ b/src/entry/owner/keep.rs
@@ -26,6 +26,9 @@
 /// Longest wait for one sidecar that is to hold an entry, or is asked for what it holds.
 const KEEP_LIMIT: Duration = Duration::from_millis(1_500);
 
+/// How often a sidecar is asked for what it holds.
+const KEPT_ATTEMPTS: usize = 3;
+
 impl<L: Log> Entry<L> {
     /// Puts entries into the memory of another VM; returns which one, or `None` if none takes them.
     ///
@@ -91,20 +94,33 @@
             let entry = self.clone();
             let tx = tx.clone();
             self.0.spawner.spawn(async move {
-                let reply = entry
-                    .ask_briefly(&sidecar, Request::Kept { partition })
-                    .await;
-                let _ = tx.try_send((sidecar, reply));
+                if let Some(entries) = entry.ask_kept(&sidecar, partition).await {
+                    let _ = tx.try_send((sidecar, entries));
+                }
             });
         }
         drop(tx);
-        while let Ok((sidecar, reply)) = replies.recv().await {
-            if let Some(Reply::Kept(entries)) = reply {
-                for entry in entries {
-                    self.take_over_entry(handle, &sidecar, entry).await;
-                }
+        let mut kept = Vec::new();
+        while let Ok((sidecar, entries)) = replies.recv().await {
+            kept.extend(entries.into_iter().map(|entry| (sidecar.clone(), entry)));
+        }
+        // Several sidecars may hold turns of one branch, which must be written in their order.
+        kept.sort_by_key(|(_, entry)| turn_number(entry));
+        for (sidecar, entry) in kept {
+            self.take_over_entry(handle, &sidecar, entry).await;
+        }
+    }
+
+    /// Asks a sidecar for what it holds, again if its link has gone silent.
+    async fn ask_kept(&self, sidecar: &NodeId, partition: Partition) -> Option<Vec<Record>> {
+        for _ in 0..KEPT_ATTEMPTS {
+            let asked = self.ask_briefly(sidecar, Request::Kept { partition });
+            if let Some(Reply::Kept(entries)) = asked.await {
+                return Some(entries);
             }
         }
+        log::warn!(target: "owner", "owner: {sidecar} does not say what it holds");
+        None
     }
 
     async fn take_over_entry(&self, handle: &PartitionHandle<L>, keeper: &NodeId, entry: Record) {
@@ -218,6 +234,14 @@
     }
 }
 
+/// Orders entries so that a program comes before its turns, and turns by their numbers.
+fn turn_number(entry: &Record) -> u32 {
+    match entry {
+        Record::Turn(turn) => turn.number,
+        _ => 0,
+    }
+}
+
 /// Where a turn that was pending belongs.
 enum Place {
     /// The log has it.
