--- a/src/coordination/cache/table.rs
+++ b/src/coordination/cache/table.rs
@@ -11,7 +11,7 @@
 pub struct CacheTableConfig {
     /// Programs that are remembered.
     pub programs: usize,
-    /// Part of the estimate that is believed after lost events.
+    /// Part of an engine's estimates that is believed after each lost event.
     pub gap_trust: f64,
     /// Cache lifetime assumed before anything was learned.
     pub lifetime: Duration,
@@ -21,7 +21,7 @@
     fn default() -> Self {
         Self {
             programs: 200_000,
-            gap_trust: 0.7,
+            gap_trust: 0.998,
             lifetime: Duration::from_secs(600),
         }
     }
@@ -30,6 +30,12 @@
 /// Weight of a new observation in the trust and the lifetime.
 const LEARN: f64 = 0.1;
 
+/// Lost events that count in one gap at most.
+const MAX_LOST: u64 = 1_000;
+
+/// Least part of an estimate that is believed: answers correct the rest.
+const MIN_TRUST: f64 = 0.5;
+
 /// Part of a prompt that must be found in the cache to count as a hit.
 const HIT_SHARE: f64 = 0.5;
 
@@ -149,7 +155,9 @@
             return;
         }
         if known.sequence > 0 && event.sequence > known.sequence + 1 {
-            known.trust *= self.cfg.gap_trust;
+            let lost = (event.sequence - known.sequence - 1).min(MAX_LOST);
+            known.trust *= self.cfg.gap_trust.powi(lost as i32);
+            known.trust = known.trust.max(MIN_TRUST);
         }
         known.sequence = event.sequence;
         self.correct(now, index, event);
--- a/src/sidecar/mod.rs
+++ b/src/sidecar/mod.rs
@@ -6,6 +6,8 @@
 mod probe;
 mod queue;
 mod serve;
+#[cfg(test)]
+mod tests;
 
 use crate::configuration::ConfigurationCell;
 use crate::coordination::admission::AdmissionConfig;
