Split links' messages, turns and the owner's tables by job; read a branch anew after a failure

Change: answer and digest messages, link traffic, turns and the table of programs have files of their own; a call that fails drops the tail. Conclusion: nothing else moves.

--- a/src/entry/owner.rs
+++ b/src/entry/owner.rs
@@ -9,11 +9,14 @@
 mod lookup;
 mod model;
 mod program;
+mod programs;
 mod settle;
 mod tool;
+mod turn;
 
 pub(crate) use answer::refuse_no_owner;
-pub(crate) use program::{AnswerEnd, Answers, Programs};
+pub(crate) use program::{AnswerEnd, Answers};
+pub(crate) use programs::Programs;
 
 use crate::coordination::partition::PartitionHandle;
 use crate::entry::Entry;
--- a/src/entry/owner/branch.rs
+++ b/src/entry/owner/branch.rs
@@ -155,6 +155,10 @@
         job: &CallJob,
     ) {
         let end = self.run_job(owned, branch, tail, job).await;
+        if end.is_err() {
+            // What the log has of the branch is read anew.
+            *tail = None;
+        }
         if not_run(&end) {
             owned.live.forget_call(job.call.call);
         }
--- /dev/null
+++ b/src/entry/owner/programs.rs
@@ -0,0 +1,99 @@
+//! The programs that an owner has in memory, and the partitions that are open for calls.
+
+use crate::entry::lock;
+use crate::entry::owner::program::LiveProgram;
+use crate::ids::{EnvironmentId, Epoch, MemberId, Partition, ProgramId};
+use std::collections::HashMap;
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::sync::{Arc, Mutex};
+
+/// Programs in memory.
+#[derive(Default)]
+pub(crate) struct Programs {
+    live: Mutex<HashMap<ProgramId, Arc<LiveProgram>>>,
+    beginning: Mutex<HashMap<(EnvironmentId, MemberId, String), ProgramId>>,
+    open: Mutex<HashMap<Partition, Epoch>>,
+    running: AtomicUsize,
+}
+
+impl Programs {
+    /// Opens a partition for calls in an epoch.
+    pub(super) fn open(&self, partition: Partition, epoch: Epoch) {
+        lock(&self.open).insert(partition, epoch);
+    }
+
+    /// Tells whether a partition is open for calls in an epoch.
+    pub(super) fn is_open(&self, partition: Partition, epoch: Epoch) -> bool {
+        lock(&self.open).get(&partition) == Some(&epoch)
+    }
+
+    /// Returns a program of an epoch.
+    pub(super) fn get(&self, program: ProgramId, epoch: Epoch) -> Option<Arc<LiveProgram>> {
+        let live = lock(&self.live).get(&program).cloned();
+        live.filter(|live| live.epoch == epoch)
+    }
+
+    /// Tells whether a program is in memory.
+    pub(super) fn contains(&self, program: ProgramId) -> bool {
+        lock(&self.live).contains_key(&program)
+    }
+
+    /// Adds a program that begins, or returns the one that is beginning under the same key.
+    pub(super) fn insert(
+        &self,
+        key: Option<&str>,
+        program: LiveProgram,
+    ) -> Result<Arc<LiveProgram>, ProgramId> {
+        if let Some(key) = key {
+            let name = (
+                program.environment.clone(),
+                program.member.clone(),
+                key.to_string(),
+            );
+            let mut beginning = lock(&self.beginning);
+            if let Some(first) = beginning.get(&name) {
+                return Err(*first);
+            }
+            beginning.insert(name, program.id);
+        }
+        Ok(self.adopt(program))
+    }
+
+    /// Adds a program as the log has it; one that is there already stays.
+    pub(super) fn adopt(&self, program: LiveProgram) -> Arc<LiveProgram> {
+        let mut live = lock(&self.live);
+        match live.get(&program.id) {
+            Some(known) if known.epoch == program.epoch => known.clone(),
+            _ => {
+                let program = Arc::new(program);
+                live.insert(program.id, program.clone());
+                program
+            }
+        }
+    }
+
+    /// Forgets a program.
+    pub(super) fn remove(&self, program: ProgramId) {
+        lock(&self.live).remove(&program);
+        lock(&self.beginning).retain(|_, id| *id != program);
+    }
+
+    /// Returns all programs.
+    pub(super) fn all(&self) -> Vec<Arc<LiveProgram>> {
+        lock(&self.live).values().cloned().collect()
+    }
+
+    /// Counts calls that run.
+    pub(crate) fn running(&self) -> usize {
+        self.running.load(Ordering::Relaxed)
+    }
+
+    /// Counts a call that begins or ends.
+    pub(super) fn count(&self, begins: bool) {
+        if begins {
+            self.running.fetch_add(1, Ordering::Relaxed);
+        } else {
+            self.running.fetch_sub(1, Ordering::Relaxed);
+        }
+    }
+}
--- /dev/null
+++ b/src/entry/owner/turn.rs
@@ -0,0 +1,159 @@
+//! Turns: written to the log, or held in a second memory until the log takes them.
+
+use crate::coordination::partition::{Commit, CommitError};
+use crate::entry::Entry;
+use crate::entry::owner::answer::{LOG_RETRY_MS, refuse_commit, refuse_no_owner};
+use crate::entry::owner::branch::{CallJob, Tail};
+use crate::entry::owner::lookup::last_content;
+use crate::entry::owner::model::Product;
+use crate::entry::owner::program::{AnswerEnd, Owned};
+use crate::ids::{CallId, NodeId, Offset};
+use crate::protocol::link::{Answer, Durability};
+use crate::protocol::log::Log;
+use crate::protocol::record::Turn;
+use crate::protocol::refusal::{Refusal, RefusalCode};
+use crate::state::receipt::ReceiptKey;
+use async_channel::Receiver;
+use futures_lite::FutureExt;
+use smol::Timer;
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+impl<L: Log> Entry<L> {
+    /// Writes a call's turn and makes its answer.
+    pub(super) async fn write_turn(
+        &self,
+        owned: &Owned<L>,
+        tail: &mut Tail,
+        job: &CallJob,
+        product: Product,
+    ) -> AnswerEnd {
+        let turn = self.make_turn(owned, tail, job, &product);
+        let turn = Arc::new(turn);
+        let commit = owned.handle.push(vec![Turn::clone(&turn).into()]);
+        let commit = commit.map_err(|error| refuse_commit(&error))?;
+        owned.live.add_pending(turn.clone());
+        tail.add(&turn, product.branch_tokens);
+        let durability = self.await_turn(owned, &turn, commit).await?;
+        let content = last_content(&turn);
+        Ok(Answer {
+            call: turn.call,
+            content,
+            status: product.status,
+            usage: product.usage,
+            spent: owned.live.with_ledger(|ledger| ledger.spent()),
+            durability,
+        })
+    }
+
+    fn make_turn(&self, owned: &Owned<L>, tail: &Tail, job: &CallJob, product: &Product) -> Turn {
+        Turn {
+            program: owned.live.id,
+            member: owned.live.member.clone(),
+            branch: job.call.branch,
+            number: tail.number + 1,
+            previous: tail.hash,
+            call: job.call.call,
+            key: job.call.key.clone(),
+            messages: product.messages.clone(),
+            spent: product.spent,
+            reserved: owned.live.reserve_ahead(product.branch_tokens),
+            endpoint: product.endpoint.clone(),
+        }
+    }
+
+    /// Waits for a turn's commit, or answers it as pending when the log does not take it.
+    async fn await_turn(
+        &self,
+        owned: &Owned<L>,
+        turn: &Arc<Turn>,
+        commit: Commit,
+    ) -> Result<Durability, Refusal> {
+        let (settled, result) = async_channel::bounded(1);
+        let entry = self.clone();
+        let (live, call) = (owned.live.clone(), turn.call);
+        // The turn goes on into the log, also when nobody waits any more.
+        self.0.spawner.spawn(async move {
+            let committed = commit.await;
+            match &committed {
+                Ok(_) => live.commit_pending(call),
+                Err(CommitError::Superseded(entries) | CommitError::Uncertain(entries)) => {
+                    entry.hand_over(entries.clone());
+                }
+                Err(_) => {}
+            }
+            let _ = settled.send(committed).await;
+        });
+        let late = async {
+            Timer::after(self.patience(&owned.handle)).await;
+            None
+        };
+        match async { result.recv().await.ok() }.or(late).await {
+            Some(committed) => durability_of(committed),
+            None => self.await_second_memory(owned, turn, result).await,
+        }
+    }
+
+    /// Waits until a turn is in the memory of another VM, or in the log after all.
+    async fn await_second_memory(
+        &self,
+        owned: &Owned<L>,
+        turn: &Arc<Turn>,
+        result: Receiver<Result<Offset, CommitError>>,
+    ) -> Result<Durability, Refusal> {
+        let give_up = Instant::now() + self.0.config.call_limit;
+        while Instant::now() < give_up {
+            let entries = vec![Turn::clone(turn).into()];
+            let kept = self
+                .keep(owned.live.id, entries, Some(&turn.endpoint))
+                .await;
+            if let Some(keeper) = kept {
+                self.forget_when_committed(owned, turn.call, keeper, result);
+                return Ok(Durability::Pending {
+                    receipt: ReceiptKey::new(&self.0.config.secret).sign(turn),
+                });
+            }
+            if let Ok(committed) = result.try_recv() {
+                return durability_of(committed);
+            }
+            Timer::after(KEEP_PAUSE).await;
+        }
+        let message = "Neither the log nor a second memory takes the turn yet.";
+        let refusal = Refusal::unknown(RefusalCode::LogDown, message);
+        Err(refusal.retry_after_ms(LOG_RETRY_MS))
+    }
+
+    fn forget_when_committed(
+        &self,
+        owned: &Owned<L>,
+        call: CallId,
+        keeper: NodeId,
+        result: Receiver<Result<Offset, CommitError>>,
+    ) {
+        let entry = self.clone();
+        let program = owned.live.id;
+        self.0.spawner.spawn(async move {
+            if let Ok(Ok(_)) = result.recv().await {
+                entry.forget_kept(keeper, program, vec![call]);
+            }
+        });
+    }
+}
+
+fn durability_of(committed: Result<Offset, CommitError>) -> Result<Durability, Refusal> {
+    match committed {
+        Ok(offset) => Ok(Durability::Committed { offset }),
+        Err(CommitError::Ignored(why)) => Err(refuse_commit(&CommitError::Ignored(why))),
+        Err(CommitError::Uncertain(_)) => Err(uncertain()),
+        Err(_) => Err(refuse_no_owner()),
+    }
+}
+
+/// Pause before a second memory is looked for again.
+const KEEP_PAUSE: Duration = Duration::from_millis(250);
+
+/// Refuses since nobody can say whether the log has the turn.
+fn uncertain() -> Refusal {
+    let message = "The partition changed its owner; read the call again.";
+    Refusal::unknown(RefusalCode::NoOwner, message).retry_after_ms(LOG_RETRY_MS)
+}
--- a/src/protocol/link.rs
+++ b/src/protocol/link.rs
@@ -3,6 +3,15 @@
 //! A link carries requests in both directions. Each request opens a stream of [`Event`]s that
 //! ends with one [`Reply`].
 
+mod answer;
+mod compact;
+mod digest;
+mod part;
+mod tokens;
+
+pub use answer::{ActionReply, ActionState, Answer, Durability, Generated, HistoryTurn};
+pub use digest::{Digest, Heard, Serving, SidecarLoad};
+
 use crate::ids::{
     BranchId, CallId, EndpointId, EnvironmentId, Epoch, Incarnation, MemberId, ModelId, NodeId,
     Offset, Partition, ProgramId,
@@ -344,164 +353,6 @@
     Refused(Refusal),
 }
 
-/// How safe an answer is.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-#[serde(tag = "durability", rename_all = "lowercase")]
-pub enum Durability {
-    /// In the log.
-    Committed {
-        /// Where.
-        offset: Offset,
-    },
-    /// In two memories until the log takes it; the receipt lets the caller bring it back.
-    Pending {
-        /// The signed turn, in hexadecimal.
-        receipt: String,
-    },
-}
-
-/// The answer of a call.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub struct Answer {
-    /// The call.
-    pub call: CallId,
-    /// The model's text, or the service's body.
-    pub content: String,
-    /// The service's HTTP status; `None` for a model.
-    pub status: Option<u16>,
-    /// Token counts; zero for a service.
-    pub usage: EngineUsage,
-    /// Spent by the program so far, this call included.
-    pub spent: Usage,
-    /// How safe it is.
-    pub durability: Durability,
-}
-
-/// A turn as callers read it.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub struct HistoryTurn {
-    /// The branch.
-    pub branch: BranchId,
-    /// Position in the branch, from 1.
-    pub number: u32,
-    /// The call that made it.
-    pub call: CallId,
-    /// The messages.
-    pub messages: Vec<Message>,
-    /// Whether it is in the log yet.
-    pub committed: bool,
-}
-
-/// A whole generation.
-#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
-pub struct Generated {
-    /// Token counts.
-    pub usage: EngineUsage,
-    /// Load at this moment.
-    pub load: SidecarLoad,
-    /// Time in the sidecar's queue, in milliseconds.
-    pub queued_ms: u64,
-    /// Time in the engine, in milliseconds.
-    pub ran_ms: u64,
-}
-
-/// What a sidecar knows of its endpoint.
-#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
-#[serde(from = "compact::CompactLoad", into = "compact::CompactLoad")]
-pub struct SidecarLoad {
-    /// Calls in the sidecar's queue.
-    pub queued: u32,
-    /// Prompt tokens in the sidecar's queue that must be computed, and tokens to generate.
-    pub queued_tokens: u64,
-    /// Calls handed to the endpoint.
-    pub running: u32,
-    /// Calls that the sidecar hands over at most.
-    pub cap: u32,
-    /// Smoothed prefill speed, tokens a second.
-    pub prefill_tokens_per_s: f64,
-    /// Smoothed time between two tokens of a stream, in milliseconds.
-    pub token_gap_ms: f64,
-    /// Smoothed time of a call in the endpoint, in milliseconds; 0 when none has finished.
-    pub call_ms: f64,
-    /// Expected wait of a call that comes now until it is handed over, in milliseconds.
-    pub wait_ms: u64,
-    /// Prompt tokens still to be computed, of calls waiting and handed over.
-    pub prefill_backlog_tokens: u64,
-    /// Whether the endpoint takes no new work.
-    pub leaving: bool,
-    /// The engine's own report.
-    pub engine: EngineLoad,
-}
-
-/// What became of a service call.
-#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
-pub struct ActionReply {
-    /// The state.
-    pub state: ActionState,
-    /// Time in the service, in milliseconds.
-    pub ran_ms: u64,
-    /// Load at this moment.
-    pub load: SidecarLoad,
-}
-
-/// State of a service call at the sidecar.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub enum ActionState {
-    /// Over.
-    Over(ActionResult),
-    /// Still running.
-    Running,
-    /// It never came, and it will be refused if it comes.
-    Voided,
-    /// This run of the sidecar cannot tell.
-    Unknown,
-}
-
-/// What nodes tell each other with every probe.
-#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
-#[serde(from = "compact::CompactDigest", into = "compact::CompactDigest")]
-pub struct Digest {
-    /// The node.
-    pub node: NodeId,
-    /// Its run.
-    pub incarnation: Incarnation,
-    /// Whether it is shutting down.
-    pub leaving: bool,
-    /// The configuration version it runs.
-    pub configuration: Offset,
-    /// Partitions it owns, with their epochs.
-    pub owned: Vec<(Partition, Epoch)>,
-    /// What it has heard of other nodes: node, run, age of the news in milliseconds, leaving.
-    pub heard: Vec<Heard>,
-    /// Load, if it is a sidecar.
-    pub load: Option<SidecarLoad>,
-    /// What its endpoint serves, if it is a sidecar.
-    pub serving: Option<Serving>,
-}
-
-/// What an endpoint serves.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub enum Serving {
-    /// Models and adapters with their versions.
-    Models(Vec<(ModelId, u32)>),
-    /// A service, by its name in the environment documents.
-    Service(String),
-}
-
-/// What a node has heard of another.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-#[serde(from = "compact::CompactHeard", into = "compact::CompactHeard")]
-pub struct Heard {
-    /// The other node.
-    pub node: NodeId,
-    /// Its run.
-    pub incarnation: Incarnation,
-    /// How old the news is, in milliseconds.
-    pub age_ms: u64,
-    /// Whether it is shutting down.
-    pub leaving: bool,
-}
-
 /// The messages of this system's links.
 pub(crate) enum Messages {}
 
@@ -510,7 +361,3 @@
     type Event = Event;
     type Reply = Reply;
 }
-
-mod compact;
-mod part;
-mod tokens;
--- a/src/transport/link.rs
+++ b/src/transport/link.rs
@@ -6,9 +6,11 @@
 
 mod connection;
 mod exchange;
+mod traffic;
 
-pub(crate) use connection::{Context, Traffic, accept, dial};
+pub(crate) use connection::{Context, accept, dial};
 pub(crate) use exchange::{Exchange, Gone, Inbound, Responder};
+pub(crate) use traffic::Traffic;
 
 use crate::transport::handshake::Remote;
 use async_channel::Sender;
--- a/src/transport/link/connection.rs
+++ b/src/transport/link/connection.rs
@@ -1,7 +1,8 @@
 //! Opening links, and the two tasks that drive one.
 
 use super::{
-    Frame, FrameOf, Inbound, Link, MESSAGE_MAX_BYTES, Responder, Serve, Shared, Timing, Wire,
+    Frame, FrameOf, Inbound, Link, MESSAGE_MAX_BYTES, Responder, Serve, Shared, Timing, Traffic,
+    Wire,
 };
 use crate::transport::handshake::{HandshakeError, Identity, Remote, Side, shake};
 use crate::transport::spawn::Spawner;
@@ -13,16 +14,13 @@
 use smol::Timer;
 use smol::net::{TcpListener, TcpStream};
 use std::future::Future;
-use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::atomic::AtomicU64;
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
 /// Frames are put into one message up to this size.
 const BATCH_BYTES: usize = 64 << 10;
 
-/// Bytes of the mask that a message of a dialling end carries.
-const MASK_BYTES: usize = 4;
-
 /// Pause after a failed accept, so that a lack of file handles does not spin.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
 
@@ -41,43 +39,6 @@
     pub(crate) traffic: Arc<Traffic>,
 }
 
-/// Bytes on the links of a node, frames included, without the headers of TCP and IP.
-#[derive(Debug, Default)]
-pub(crate) struct Traffic {
-    sent_bytes: AtomicU64,
-    received_bytes: AtomicU64,
-}
-
-impl Traffic {
-    fn add_sent(&self, payload: usize, mask: usize) {
-        let bytes = framed(payload) + mask as u64;
-        self.sent_bytes.fetch_add(bytes, Ordering::Relaxed);
-        metrics::counter!("galenapick_link_sent_bytes").increment(bytes);
-    }
-
-    fn add_received(&self, payload: usize) {
-        let bytes = framed(payload);
-        self.received_bytes.fetch_add(bytes, Ordering::Relaxed);
-        metrics::counter!("galenapick_link_received_bytes").increment(bytes);
-    }
-
-    /// Returns the bytes sent and received so far.
-    pub(crate) fn bytes(&self) -> (u64, u64) {
-        let sent = self.sent_bytes.load(Ordering::Relaxed);
-        (sent, self.received_bytes.load(Ordering::Relaxed))
-    }
-}
-
-/// Returns the size of a WebSocket message on the wire, without a mask.
-fn framed(payload: usize) -> u64 {
-    let header = match payload {
-        0..126 => 2,
-        126..=0xffff => 4,
-        _ => 10,
-    };
-    (payload + header) as u64
-}
-
 /// Dials another process.
 pub(crate) async fn dial<W: Wire, S: Serve<W>>(
     address: &str,
@@ -206,7 +167,7 @@
                 Err(_) => break,
             }
         }
-        traffic.add_sent(batch.len(), MASK_BYTES);
+        traffic.add_sent(batch.len());
         if socket.send(Message::binary(batch)).await.is_err() {
             break;
         }
