Remove the silenced lints and what they hid

Cause: dead code and unused imports were allowed while parts landed one by one. Change: the allowance is gone; nodes that leave the VM list lose their link, their place among the endpoints and their configuration transfer; first tokens count for burn; two unused parts are removed; the settings' region and fencing are logged. Conclusion: what is in the tree is used.

--- a/src/cli/operate/mod.rs
+++ b/src/cli/operate/mod.rs
@@ -13,7 +13,6 @@
 
 use super::{CommandError, CommandResult};
 use crate::settings::EXIT_OK;
-use lexopt::prelude::*;
 use options::Options;
 use std::process::ExitCode;
 
--- a/src/coordination/membership.rs
+++ b/src/coordination/membership.rs
@@ -119,8 +119,9 @@
         self.nodes.insert(node.to_string(), new);
     }
 
-    /// Takes the platform's list, which lags.
-    pub fn merge_list(&mut self, now: Instant, vms: &[Vm]) {
+    /// Takes the platform's list, which lags, and returns the nodes that are forgotten: those that
+    /// are neither listed nor in the settings, and do not answer.
+    pub fn merge_list(&mut self, now: Instant, vms: &[Vm]) -> Vec<NodeId> {
         for vm in vms.iter().filter(|vm| vm.node != self.node) {
             let node = self
                 .nodes
@@ -132,11 +133,16 @@
             node.failure_domain.clone_from(&vm.failure_domain);
             node.leaving |= vm.state == VmState::Leaving;
         }
-        let failed_after = self.config.failed_after;
-        self.nodes.retain(|name, node| {
-            let listed = vms.iter().any(|vm| vm.node == *name);
-            listed || node.fixed || now.saturating_duration_since(node.heard) < failed_after
-        });
+        let forgotten = |name: &&NodeId| {
+            let listed = vms.iter().any(|vm| vm.node == **name);
+            let failed = self.state(now, name) == Some(NodeState::Failed);
+            !listed && failed && !self.nodes[*name].fixed
+        };
+        let forgotten: Vec<NodeId> = self.nodes.keys().filter(forgotten).cloned().collect();
+        for name in &forgotten {
+            self.nodes.remove(name);
+        }
+        forgotten
     }
 
     /// Takes what a node says of itself and of others.
--- a/src/daemon.rs
+++ b/src/daemon.rs
@@ -77,7 +77,8 @@
             Node::Sidecar(sidecar) => serve_links(&build, link, sidecar.clone()),
         }
         let http = serve_http(&settings, http, &node);
-        log::info!(target: "daemon", "daemon: {} is up", settings.node.name);
+        let (name, region) = (&settings.node.name, &settings.node.region);
+        log::info!(target: "daemon", "daemon: {name} is up, region {region:?}");
         Ok(Self {
             node,
             http,
--- a/src/daemon/build.rs
+++ b/src/daemon/build.rs
@@ -191,6 +191,9 @@
                 ..ReleaseConfig::default()
             },
         };
+        if endpoint.kind == EndpointKind::Engine && !endpoint.checks_fencing {
+            log::info!(target: "sidecar", "sidecar: orders are fenced here alone");
+        }
         let timeout = Duration::from_millis(timing.log_timeout_ms);
         let connected = match endpoint.kind {
             EndpointKind::Engine => Endpoint::Engine(HttpEngine::new(&endpoint.url, timeout)),
--- a/src/entry/http.rs
+++ b/src/entry/http.rs
@@ -84,6 +84,32 @@
     open: OpenCall<L>,
 }
 
+/// What a call holds while it is answered.
+struct CallGuard<L: Log> {
+    open: OpenCall<L>,
+    limited: Option<Limited<L>>,
+    began: Instant,
+}
+
+impl<L: Log> CallGuard<L> {
+    fn new(open: OpenCall<L>, limited: Option<Limited<L>>) -> Self {
+        Self {
+            open,
+            limited,
+            began: Instant::now(),
+        }
+    }
+
+    /// Counts the first token of a call; answers that are read again do not count.
+    fn first_token(&self) {
+        if let Some(limited) = &self.limited {
+            let caller = &limited.caller;
+            let operations = self.open.0.operations();
+            operations.first_token(&caller.environment, &caller.member, self.began.elapsed());
+        }
+    }
+}
+
 /// Counts a request as open until it is dropped.
 struct OpenCall<L: Log>(Entry<L>);
 
@@ -148,7 +174,7 @@
     match result {
         Ok((route, limited, stream)) => {
             let Exchange { conn, open, .. } = exchange;
-            let guard = (open, limited);
+            let guard = CallGuard::new(open, Some(limited));
             (conn, answer(route, guard, stream, 0).await)
         }
         Err(refusal) => (exchange.conn, Err(refusal)),
@@ -220,14 +246,14 @@
         from,
     };
     let route = entry.route(program, request);
-    let sent = answer(route, (open, ()), stream, from).await;
+    let sent = answer(route, CallGuard::new(open, None), stream, from).await;
     (conn, sent)
 }
 
 /// Sends an answer as one object, or as events when it streams.
-async fn answer<L: Log, G: Send + 'static>(
+async fn answer<L: Log>(
     mut route: Route<L>,
-    guard: G,
+    guard: CallGuard<L>,
     stream: bool,
     from: u32,
 ) -> Result<Sent, Refusal> {
--- a/src/entry/http/stream.rs
+++ b/src/entry/http/stream.rs
@@ -1,6 +1,6 @@
 //! Answers as server-sent events.
 
-use super::body;
+use super::{CallGuard, body};
 use crate::entry::route::{Route, Step};
 use crate::protocol::caller::{AcceptedEvent, CallAnswer, TokensEvent};
 use crate::protocol::link::{Event, Reply};
@@ -11,9 +11,9 @@
 use trillium::Body;
 
 /// Starts to stream an answer. A refusal that comes before anything else is returned as such.
-pub(super) async fn body<L: Log, G: Send + 'static>(
+pub(super) async fn body<L: Log>(
     mut route: Route<L>,
-    guard: G,
+    guard: CallGuard<L>,
     from: u32,
 ) -> Result<Body, Refusal> {
     let first = route.next().await;
@@ -29,12 +29,13 @@
     spawner.spawn(async move {
         let mut writer = Writer {
             tx,
+            guard,
+            begun: false,
             run: None,
             next: from,
         };
         // A caller that has left reads the answer again by its id, or lets it go.
         let _ = writer.copy(first, &mut route).await;
-        drop(guard);
     });
     Ok(body)
 }
@@ -45,14 +46,16 @@
 /// Writes events.
 ///
 /// Invariant: all tokens before `next` that were written belong to `run`.
-struct Writer {
+struct Writer<L: Log> {
     tx: Sender<Vec<u8>>,
+    guard: CallGuard<L>,
+    begun: bool,
     run: Option<u64>,
     next: u32,
 }
 
-impl Writer {
-    async fn copy<L: Log>(&mut self, first: Step, route: &mut Route<L>) -> Result<(), Left> {
+impl<L: Log> Writer<L> {
+    async fn copy(&mut self, first: Step, route: &mut Route<L>) -> Result<(), Left> {
         let mut step = first;
         loop {
             match step {
@@ -71,6 +74,9 @@
                 Ok(())
             }
             Event::Tokens(tokens) => {
+                if !std::mem::replace(&mut self.begun, true) {
+                    self.guard.first_token();
+                }
                 self.next = tokens.index + tokens.count;
                 self.write("tokens", &TokensEvent::from(tokens)).await
             }
--- a/src/entry/members.rs
+++ b/src/entry/members.rs
@@ -36,7 +36,13 @@
     }
 
     fn take_vms(&self, vms: &[crate::protocol::vms::Vm]) {
-        lock(&self.0.members).merge_list(Instant::now(), vms);
+        let forgotten = lock(&self.0.members).merge_list(Instant::now(), vms);
+        for node in forgotten {
+            self.0.links.remove(&node);
+            lock(&self.0.chooser).remove(&node);
+            lock(&self.0.cache).endpoint_lost(&node);
+            self.0.operating.configurator.removed(&node);
+        }
         for vm in vms.iter().filter(|vm| vm.node != self.0.config.node) {
             self.0.links.set_address(&vm.node, &vm.address);
         }
--- a/src/entry/owner/model.rs
+++ b/src/entry/owner/model.rs
@@ -1,28 +1,22 @@
 //! Model calls: the branch's history and new messages go to an engine, the turn to the log.
 
 use crate::coordination::choice::Target;
-use crate::coordination::partition::{CommitError, LogHealth};
+use crate::coordination::partition::LogHealth;
 use crate::entry::Entry;
 use crate::entry::dispatch::{Finished, Sending};
-use crate::entry::owner::answer::{LOG_RETRY_MS, log_down, refuse_commit, refuse_no_owner};
+use crate::entry::owner::answer::log_down;
 use crate::entry::owner::branch::{CallJob, Tail, token_bound};
 use crate::entry::owner::budget::Reservation;
-use crate::entry::owner::program::{AnswerEnd, Owned};
+use crate::entry::owner::program::Owned;
 use crate::entry::owner::tool::ToolCall;
 use crate::entry::unix_ms;
-use crate::ids::{CallId, ModelId, NodeId, Offset, partition_of};
+use crate::ids::{ModelId, partition_of};
 use crate::protocol::engine::{EngineUsage, GenerateRequest};
-use crate::protocol::link::{Answer, Durability, Generate, Priority, Work};
+use crate::protocol::link::{Generate, Priority, Work};
 use crate::protocol::log::Log;
 use crate::protocol::message::{Message, Role, Usage};
-use crate::protocol::record::Turn;
 use crate::protocol::refusal::{Refusal, RefusalCode};
-use crate::state::receipt::ReceiptKey;
-use async_channel::Receiver;
-use futures_lite::FutureExt;
 use smallvec::SmallVec;
-use smol::Timer;
-use std::sync::Arc;
 use std::time::{Duration, Instant};
 
 /// A model call as it came.
--- a/src/entry/owner/program.rs
+++ b/src/entry/owner/program.rs
@@ -3,7 +3,7 @@
 use crate::coordination::partition::PartitionHandle;
 use crate::entry::lock;
 use crate::entry::owner::branch::Job;
-use crate::ids::{BranchId, CallId, EnvironmentId, Epoch, MemberId, Partition, ProgramId};
+use crate::ids::{BranchId, CallId, EnvironmentId, Epoch, MemberId, ProgramId};
 use crate::protocol::image;
 use crate::protocol::link::{Answer, Create, Tokens};
 use crate::protocol::message::Usage;
@@ -13,7 +13,6 @@
 use crate::transport::replay::Replay;
 use async_channel::Sender;
 use std::collections::HashMap;
-use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
--- a/src/environment/mod.rs
+++ b/src/environment/mod.rs
@@ -71,13 +71,6 @@
         &self.name
     }
 
-    /// Finds the member whose bearer token has this BLAKE3 hash.
-    pub(crate) fn member_by_token(&self, token_hash: &[u8; 32]) -> Option<(&MemberId, &Member)> {
-        self.members
-            .iter()
-            .find(|(_, member)| member.token_hash == *token_hash)
-    }
-
     /// Returns the version of a model or adapter, as callers name it; `None` if there is none.
     pub(crate) fn model_version(&self, id: &str) -> Option<u32> {
         match id.split_once(ADAPTER_SEPARATOR) {
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -10,12 +10,6 @@
 //! assert_eq!(format_id(id).len(), 32);
 //! ```
 
-#![allow(
-    dead_code,
-    unused_imports,
-    reason = "parts land before what calls them"
-)]
-
 mod adapter;
 mod cli;
 mod client;
--- a/src/protocol/link.rs
+++ b/src/protocol/link.rs
@@ -13,14 +13,14 @@
 pub use digest::{Digest, Heard, Serving, SidecarLoad};
 
 use crate::ids::{
-    BranchId, CallId, EndpointId, EnvironmentId, Epoch, Incarnation, MemberId, ModelId, NodeId,
-    Offset, Partition, ProgramId,
+    BranchId, CallId, EndpointId, EnvironmentId, Epoch, Incarnation, MemberId, ModelId, Offset,
+    Partition, ProgramId,
 };
 use crate::protocol::configuration::ConfigurationImage;
-use crate::protocol::engine::{EngineLoad, EngineOrder, EngineUsage, GenerateRequest};
+use crate::protocol::engine::{EngineOrder, GenerateRequest};
 use crate::protocol::message::{Message, Usage};
 use crate::protocol::operator::{OperatorQuery, OperatorReply};
-use crate::protocol::record::{ActionResult, EndReason, Entry};
+use crate::protocol::record::{EndReason, Entry};
 use crate::protocol::refusal::Refusal;
 use crate::protocol::service::ServiceRequest;
 use serde::{Deserialize, Serialize};
--- a/src/state/configuration/mod.rs
+++ b/src/state/configuration/mod.rs
@@ -5,5 +5,5 @@
 mod tests;
 mod view;
 
-pub(crate) use fold::{ConfigurationFold, Folded};
-pub(crate) use view::{Configuration, EnvironmentView};
+pub(crate) use fold::ConfigurationFold;
+pub(crate) use view::Configuration;
--- a/src/state/configuration/tests.rs
+++ b/src/state/configuration/tests.rs
@@ -1,4 +1,5 @@
-use super::{Configuration, ConfigurationFold, Folded};
+use super::fold::Folded;
+use super::{Configuration, ConfigurationFold};
 use crate::ids::Offset;
 use crate::protocol::configuration::{Change, ChangeAction, ConfigurationRecord, Promotion, Stage};
 use crate::protocol::log::LogRecord;
--- a/src/state/configuration/view.rs
+++ b/src/state/configuration/view.rs
@@ -19,8 +19,6 @@
 /// An environment in service.
 #[derive(Clone, Debug)]
 pub(crate) struct EnvironmentView {
-    /// Its version.
-    pub(crate) version: Offset,
     /// Trial or production.
     pub(crate) stage: Stage,
     /// What its document says.
@@ -114,7 +112,6 @@
         None => parse(image)?,
     };
     Some(EnvironmentView {
-        version: image.version,
         stage: image.stage,
         environment,
     })
--- a/src/transport/pool.rs
+++ b/src/transport/pool.rs
@@ -89,15 +89,6 @@
         }
     }
 
-    /// Closes all links.
-    pub(crate) fn close(&self) {
-        for (_, slot) in self.slots().drain() {
-            if let Some(link) = slot.link {
-                link.close();
-            }
-        }
-    }
-
     /// Returns the live link to a node, dialling if there is none.
     pub(crate) async fn link(&self, node: &str) -> Result<Link<W>, LinkError> {
         if let Some(link) = self.live(node) {
