--- a/examples/partition.rs
+++ b/examples/partition.rs
@@ -1,8 +1,8 @@
 //! Measures a partition: recovery from the whole stream and from a snapshot, and memory.
 //!
 //! `cargo run --release --example partition` prints one row for each number of programs. The log
-//! is the stand-in over HTTP on loopback; memory is the growth of the process's resident set while
-//! a cold reader folds the stream.
+//! is the stand-in over HTTP on loopback. Memory is the growth of the process's resident set by
+//! copies of the fold, and by a reader's cache of bodies over one without a cache.
 
 use galenapick::ids::{Offset, ProgramId, program_id};
 use galenapick::protocol::log::{Log, LogError, LogPage, ReadLimit};
@@ -25,6 +25,8 @@
 const TOKEN_BYTES: usize = 4;
 /// Entries of one push.
 const PUSH_ENTRIES: usize = 2_000;
+/// Copies of a fold whose memory is measured.
+const COPIES: u64 = 8;
 /// Bytes of a page of memory.
 const PAGE_BYTES: u64 = 4096;
 
@@ -88,6 +90,7 @@
 
     let (index, whole) = recover(&log, "reader-1", 0).await;
     print_row(programs, "beginning", &index, None);
+    print_copies(programs, &whole);
     drop(whole);
     let texts = programs * TURNS as usize * (TURN_BYTES + 1_000);
     let (cached, whole) = recover(&log, "reader-2", texts).await;
@@ -147,6 +150,21 @@
     );
 }
 
+/// Prints what the index of a program takes.
+fn print_copies(programs: usize, whole: &PartitionHandle<Counted>) {
+    let before = resident_bytes();
+    let copies: Vec<_> = (0..COPIES)
+        .map(|_| whole.with_state(Clone::clone))
+        .collect();
+    let grown = resident_bytes().saturating_sub(before);
+    println!(
+        "{programs:>9} {TURNS:>7} {:>10} {:>42}",
+        "index",
+        grown / COPIES / programs as u64
+    );
+    drop(copies);
+}
+
 fn config(cache_bytes: usize, snapshot_after_bytes: u64) -> PartitionConfig {
     PartitionConfig {
         commit: CommitLimits {
--- a/src/coordination/membership.rs
+++ b/src/coordination/membership.rs
@@ -5,7 +5,6 @@
 use crate::ids::{Epoch, FailureDomain, Incarnation, NodeId, Offset, Partition};
 use crate::protocol::link::{Digest, Heard, SidecarLoad};
 use crate::protocol::vms::{NodeRole, Vm, VmState};
-use fastrand::Rng;
 use std::collections::HashMap;
 use std::time::{Duration, Instant};
 
@@ -46,7 +45,8 @@
 
 /// A node as this one knows it.
 ///
-/// Invariant: `heard` never goes back within one incarnation.
+/// Invariants: `heard` never goes back within one incarnation; `unanswered` is the first probe
+/// that was sent after `heard`.
 #[derive(Clone, Debug)]
 pub struct Node {
     /// Its role.
@@ -59,6 +59,10 @@
     pub incarnation: Incarnation,
     /// When anything was heard of it last.
     pub heard: Instant,
+    /// Since when a probe is without an answer.
+    pub unanswered: Option<Instant>,
+    /// When it was probed last.
+    probed: Option<Instant>,
     /// Whether it will stop.
     pub leaving: bool,
     /// The configuration version it runs.
@@ -80,6 +84,7 @@
 /// let cfg = MembershipConfig::default();
 /// let mut members = Membership::new("entry-1", 1, cfg);
 /// members.add(now, "entry-2", NodeRole::Entry, "127.0.0.1:7001", "a");
+/// assert_eq!(members.pick(now, NodeRole::Entry, 1), ["entry-2"]);
 /// assert_eq!(members.state(now, "entry-2"), Some(NodeState::Live));
 /// assert_eq!(members.state(now + cfg.failed_after, "entry-2"), Some(NodeState::Failed));
 /// ```
@@ -159,12 +164,13 @@
         let Some(node) = self.nodes.get_mut(name) else {
             return;
         };
-        if incarnation != node.incarnation && at > node.heard {
+        if incarnation != node.incarnation && at >= node.heard {
             node.incarnation = incarnation;
             node.leaving = leaving;
         }
         if incarnation == node.incarnation {
             node.heard = node.heard.max(at);
+            node.unanswered = node.unanswered.filter(|since| *since > at);
             node.leaving |= leaving;
         }
     }
@@ -185,7 +191,10 @@
     /// Returns what is believed of a node.
     pub fn state(&self, now: Instant, name: &str) -> Option<NodeState> {
         let node = self.nodes.get(name)?;
-        let silence = now.saturating_duration_since(node.heard);
+        let silence = node
+            .unanswered
+            .map(|since| now.saturating_duration_since(since));
+        let silence = silence.unwrap_or_default();
         Some(if silence >= self.config.failed_after {
             NodeState::Failed
         } else if node.leaving {
@@ -238,12 +247,23 @@
         self.nodes.get(name)
     }
 
-    /// Picks up to `count` nodes of a role to be probed.
-    pub fn pick(&self, role: NodeRole, count: usize, rng: &mut Rng) -> Vec<NodeId> {
+    /// Picks up to `count` nodes of a role to be probed now: those without an answer first, then
+    /// those that were probed least recently.
+    pub fn pick(&mut self, now: Instant, role: NodeRole, count: usize) -> Vec<NodeId> {
         let nodes = self.nodes.iter().filter(|(_, node)| node.role == role);
-        let names: Vec<&NodeId> = nodes.map(|(name, _)| name).collect();
-        let picked = rng.choose_multiple(names, count);
-        picked.into_iter().cloned().collect()
+        let mut due: Vec<(bool, Option<Instant>, NodeId)> = nodes
+            .map(|(name, node)| (node.unanswered.is_none(), node.probed, name.clone()))
+            .collect();
+        due.sort_unstable();
+        due.truncate(count);
+        let picked: Vec<NodeId> = due.into_iter().map(|(_, _, name)| name).collect();
+        for name in &picked {
+            if let Some(node) = self.nodes.get_mut(name) {
+                node.probed = Some(now);
+                node.unanswered.get_or_insert(now);
+            }
+        }
+        picked
     }
 
     /// Writes what this node tells others.
@@ -285,6 +305,8 @@
         failure_domain: domain.to_string(),
         incarnation: 0,
         heard: now,
+        unanswered: None,
+        probed: None,
         leaving: false,
         configuration: 0,
         load: None,
--- a/src/daemon.rs
+++ b/src/daemon.rs
@@ -12,7 +12,7 @@
 use crate::settings::Settings;
 use crate::sidecar::Sidecar;
 use crate::telemetry::Telemetry;
-use crate::transport::link::{Serve, accept};
+use crate::transport::link::{Serve, Traffic, accept};
 use crate::transport::spawn::Runtime;
 use anyhow::Context;
 use build::Build;
@@ -20,6 +20,7 @@
 use smol::net::TcpListener;
 use std::net::SocketAddr;
 use std::process::ExitCode;
+use std::sync::Arc;
 use std::time::{Duration, Instant};
 use trillium::{Conn, Handler, Status};
 use trillium_router::Router;
@@ -27,6 +28,9 @@
 
 pub(crate) use signals::wait_for_signal;
 
+/// Connections that may wait to be accepted.
+const LISTEN_BACKLOG: i32 = 4_096;
+
 /// Pause between two looks at what still runs during a shutdown.
 const DRAIN_PAUSE: Duration = Duration::from_millis(20);
 
@@ -49,6 +53,7 @@
     http_address: SocketAddr,
     link_address: SocketAddr,
     shutdown_limit: Duration,
+    traffic: Arc<Traffic>,
     runtime: Option<Runtime>,
 }
 
@@ -79,6 +84,7 @@
             http_address,
             link_address,
             shutdown_limit: Duration::from_secs(settings.limits.shutdown_limit_s),
+            traffic: build.traffic(),
             runtime: Some(runtime),
         })
     }
@@ -107,6 +113,11 @@
         }
     }
 
+    /// Returns the bytes sent and received on links so far, without the headers of TCP and IP.
+    pub fn link_bytes(&self) -> (u64, u64) {
+        self.traffic.bytes()
+    }
+
     /// Tells whether callers may be sent here.
     pub fn is_ready(&self) -> bool {
         self.node.is_ready()
@@ -168,8 +179,11 @@
 }
 
 async fn listen(address: SocketAddr) -> anyhow::Result<TcpListener> {
-    let bound = TcpListener::bind(address).await;
-    bound.with_context(|| format!("{address} cannot be listened on"))
+    let listener = TcpListener::bind(address).await;
+    let listener = listener.with_context(|| format!("{address} cannot be listened on"))?;
+    // The standard library's backlog is too short for a burst of callers after a failure elsewhere.
+    rustix::net::listen(&listener, LISTEN_BACKLOG)?;
+    Ok(listener)
 }
 
 fn serve_links<S: Serve<Messages>>(build: &Build<'_>, listener: TcpListener, server: S) {
--- a/src/daemon/build.rs
+++ b/src/daemon/build.rs
@@ -15,20 +15,20 @@
 use crate::settings::{EndpointKind, EndpointSettings, Settings};
 use crate::sidecar::{Endpoint, Sidecar, SidecarConfig};
 use crate::transport::handshake::Identity;
-use crate::transport::link::{Context as LinkContext, Timing};
+use crate::transport::link::{Context as LinkContext, Timing, Traffic};
 use crate::transport::spawn::Spawner;
 use anyhow::Context;
 use std::sync::Arc;
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
 /// Nodes of each role that an entry probes in one round.
-const PROBES: usize = 8;
+const PROBES: usize = 3;
 
 /// Longest wait for a commit before a turn is answered as pending.
 const COMMIT_PATIENCE: Duration = Duration::from_secs(3);
 
 /// Longest time that one call may take.
-const CALL_LIMIT: Duration = Duration::from_secs(120);
+const CALL_LIMIT: Duration = Duration::from_secs(60);
 
 /// How long a sidecar keeps an answer for reading again.
 const KEEP_ANSWERS: Duration = Duration::from_secs(60);
@@ -49,6 +49,7 @@
     settings: &'a Settings,
     spawner: Spawner,
     incarnation: Incarnation,
+    traffic: Arc<Traffic>,
 }
 
 impl<'a> Build<'a> {
@@ -58,9 +59,15 @@
             settings,
             spawner,
             incarnation: draw_incarnation(),
+            traffic: Arc::default(),
         }
     }
 
+    /// Returns the counter of the links' bytes.
+    pub(super) fn traffic(&self) -> Arc<Traffic> {
+        self.traffic.clone()
+    }
+
     /// Makes the node that the settings describe and starts its tasks.
     pub(super) fn node(&self) -> anyhow::Result<Node> {
         match self.settings.node.role {
@@ -80,6 +87,7 @@
             timing: self.timing(),
             spawner: self.spawner.clone(),
             server,
+            traffic: self.traffic.clone(),
         }
     }
 
@@ -123,6 +131,7 @@
             incarnation: self.incarnation,
             failure_domain: settings.node.failure_domain.clone(),
             secret: settings.secret.bytes().into(),
+            traffic: self.traffic.clone(),
             partitions: settings.partition.count,
             partition: self.partition_config(),
             link: self.timing(),
--- a/src/entry/members.rs
+++ b/src/entry/members.rs
@@ -46,28 +46,34 @@
     pub(super) fn watch_members(&self) {
         let entry = self.clone();
         self.0.spawner.spawn(async move {
-            let mut rng = fastrand::Rng::new();
             loop {
-                entry.probe_round(&mut rng);
+                entry.probe_round();
                 entry.propose_owners();
                 entry.update_endpoints();
-                let jitter = 0.75 + rng.f64() / 2.0;
+                let jitter = 0.75 + fastrand::f64() / 2.0;
                 Timer::after(entry.0.config.probe_interval.mul_f64(jitter)).await;
             }
         });
     }
 
-    fn probe_round(&self, rng: &mut fastrand::Rng) {
+    fn probe_round(&self) {
         let digest = self.digest();
-        let picked = {
-            let members = lock(&self.0.members);
-            let mut picked = members.pick(NodeRole::Entry, self.0.config.probes, rng);
-            picked.extend(members.pick(NodeRole::Sidecar, self.0.config.probes, rng));
-            picked
+        let now = Instant::now();
+        let probes = self.0.config.probes;
+        let mut members = lock(&self.0.members);
+        let picked = members.pick(now, NodeRole::Entry, probes);
+        let sidecars = members.pick(now, NodeRole::Sidecar, probes);
+        drop(members);
+        // Sidecars have no use for news of entries.
+        let brief = Digest {
+            heard: Vec::new(),
+            owned: Vec::new(),
+            ..digest.clone()
         };
-        for node in picked {
+        let entries = picked.into_iter().map(|node| (node, digest.clone()));
+        let sidecars = sidecars.into_iter().map(|node| (node, brief.clone()));
+        for (node, digest) in entries.chain(sidecars) {
             let entry = self.clone();
-            let digest = digest.clone();
             self.0
                 .spawner
                 .spawn(async move { entry.probe(node, digest).await });
--- a/src/entry/mod.rs
+++ b/src/entry/mod.rs
@@ -25,7 +25,7 @@
 use crate::protocol::refusal::{Refusal, RefusalCode};
 use crate::state::partition::Owner;
 use crate::transport::handshake::{Identity, Remote};
-use crate::transport::link::{Context, Responder, Serve, Timing};
+use crate::transport::link::{Context, Responder, Serve, Timing, Traffic};
 use crate::transport::pool::Pool;
 use crate::transport::spawn::Spawner;
 use owner::Programs;
@@ -33,6 +33,9 @@
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::{Duration, Instant};
 
+/// An endpoint that nothing was heard of for so long gets no work, whatever probes say.
+const SILENT_AFTER: Duration = Duration::from_secs(120);
+
 /// Settings of an entry.
 #[derive(Clone)]
 pub(crate) struct EntryConfig {
@@ -44,6 +47,8 @@
     pub(crate) failure_domain: FailureDomain,
     /// The secret that all nodes of the deployment share.
     pub(crate) secret: Arc<[u8]>,
+    /// Counts the bytes of all links.
+    pub(crate) traffic: Arc<Traffic>,
     /// Number of partitions of the deployment.
     pub(crate) partitions: Partition,
     /// Settings of each partition.
@@ -131,7 +136,7 @@
             partitions,
             members,
             environments,
-            chooser: Mutex::new(Chooser::new(ChoiceConfig::default())),
+            chooser: Mutex::new(Chooser::new(choice_config())),
             cache: Mutex::new(CacheTable::new(CacheTableConfig::default(), now)),
             retries: Mutex::new(Retries::new(RetryConfig::default())),
             limits: Mutex::default(),
@@ -209,6 +214,14 @@
     handle
 }
 
+/// Silence is judged by unanswered probes, since with many endpoints each is probed rarely.
+fn choice_config() -> ChoiceConfig {
+    ChoiceConfig {
+        silent_after: SILENT_AFTER,
+        ..ChoiceConfig::default()
+    }
+}
+
 fn link_context<S>(config: &EntryConfig, spawner: &Spawner, server: S) -> Context<S> {
     Context {
         identity: Identity {
@@ -219,6 +232,7 @@
         timing: config.link,
         spawner: spawner.clone(),
         server,
+        traffic: config.traffic.clone(),
     }
 }
 
--- a/src/entry/owner/keep.rs
+++ b/src/entry/owner/keep.rs
@@ -241,7 +241,12 @@
         if turn.number == head.number + 1 && turn.previous == head.hash {
             return Place::Next(Box::new(Record::Turn(turn)));
         }
-        if turn.number > head.number {
+        // A turn that continues one which lost its place has lost its own with it.
+        let after_lost = program
+            .superseded
+            .iter()
+            .any(|s| s.branch == turn.branch && s.number + 1 == turn.number);
+        if turn.number > head.number + 1 && !after_lost {
             return Place::Early;
         }
         Place::Next(Box::new(Record::Superseded(turn)))
--- a/src/entry/owner/program.rs
+++ b/src/entry/owner/program.rs
@@ -25,9 +25,9 @@
 
 /// Reserved for a program before its first call, as far as the budget goes.
 const FIRST_RESERVE: Usage = Usage {
-    tokens: 8_192,
-    calls: 4,
-    time_ms: 120_000,
+    tokens: 4_096,
+    calls: 2,
+    time_ms: 60_000,
 };
 
 /// A program of this node with the partition that it is in.
--- a/src/protocol/link.rs
+++ b/src/protocol/link.rs
@@ -407,6 +407,7 @@
 
 /// What a sidecar knows of its endpoint.
 #[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+#[serde(from = "compact::CompactLoad", into = "compact::CompactLoad")]
 pub struct SidecarLoad {
     /// Calls in the sidecar's queue.
     pub queued: u32,
@@ -458,6 +459,7 @@
 
 /// What nodes tell each other with every probe.
 #[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+#[serde(from = "compact::CompactDigest", into = "compact::CompactDigest")]
 pub struct Digest {
     /// The node.
     pub node: NodeId,
@@ -488,6 +490,7 @@
 
 /// What a node has heard of another.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(from = "compact::CompactHeard", into = "compact::CompactHeard")]
 pub struct Heard {
     /// The other node.
     pub node: NodeId,
@@ -508,5 +511,6 @@
     type Reply = Reply;
 }
 
+mod compact;
 mod part;
 mod tokens;
--- a/src/state/mod.rs
+++ b/src/state/mod.rs
@@ -12,3 +12,6 @@
 pub(crate) mod receipt;
 pub(crate) mod snapshot;
 pub(crate) mod stream;
+
+#[cfg(test)]
+mod tests;
--- a/src/state/partition/entries.rs
+++ b/src/state/partition/entries.rs
@@ -17,10 +17,7 @@
         match entry {
             Entry::Created(created) => self.create(created),
             Entry::Turn(turn) => self.member_program(turn)?.add_turn(offset, turn),
-            Entry::Superseded(turn) => {
-                self.member_program(turn)?.add_superseded(offset, turn);
-                Ok(())
-            }
+            Entry::Superseded(turn) => self.member_program(turn)?.add_superseded(offset, turn),
             Entry::Intent(intent) => self.program_mut(intent.program)?.add_intent(offset, intent),
             Entry::Outcome(outcome) => self.outcome(offset, outcome),
             Entry::Ended(ended) => self.program_mut(ended.program)?.end(ended),
--- a/src/state/program.rs
+++ b/src/state/program.rs
@@ -19,7 +19,7 @@
     TurnNumber,
     /// The turn does not continue the hash chain of its branch.
     TurnChain,
-    /// The branch has a turn of that call.
+    /// The branch has a turn of that call, or one is kept beside.
     CallTwice,
     /// The program has ended.
     AfterEnd,
@@ -186,7 +186,10 @@
     }
 
     /// Keeps a turn beside the one that has its number. Its cost counts.
-    pub(crate) fn add_superseded(&mut self, offset: Offset, turn: &Turn) {
+    pub(crate) fn add_superseded(&mut self, offset: Offset, turn: &Turn) -> Result<(), EntryError> {
+        if self.superseded.iter().any(|kept| kept.call == turn.call) {
+            return Err(EntryError::CallTwice);
+        }
         self.superseded.push(SupersededTurn {
             branch: turn.branch,
             number: turn.number,
@@ -194,6 +197,7 @@
             offset,
         });
         self.spent += turn.spent;
+        Ok(())
     }
 
     /// Notes that a turn's body was written again.
--- /dev/null
+++ b/src/state/tests.rs
@@ -0,0 +1,286 @@
+//! Tests of the folds against records as no correct owner writes them, and of receipts.
+
+use crate::ids::{CallId, ProgramId};
+use crate::protocol::message::{Message, Role, Usage};
+use crate::protocol::record::{
+    ActionResult, Batch, Claim, Created, Entry, Intent, Outcome, Record, Reserved, Turn,
+};
+use crate::protocol::service::ServiceRequest;
+use crate::state::history::{BodyCache, HistoryError, beginning, turn_hash, verify};
+use crate::state::partition::{Applied, PartitionState, Void};
+use crate::state::program::EntryError;
+use crate::state::receipt::{ReceiptError, ReceiptKey};
+use googletest::prelude::*;
+use proptest::prelude::*;
+use std::sync::Arc;
+
+/// The program of most tests.
+const PROGRAM: ProgramId = 1 << 80;
+
+fn unit(amount: u64) -> Usage {
+    Usage {
+        tokens: amount,
+        calls: amount,
+        time_ms: amount,
+    }
+}
+
+fn created(program: ProgramId, member: &str) -> Entry {
+    Entry::Created(Created {
+        program,
+        member: member.to_owned(),
+        environment: "tn-north".to_owned(),
+        key: None,
+        budget: unit(100),
+        deadline_ms: 0,
+        reserved: unit(0),
+    })
+}
+
+fn turn(member: &str, number: u32, previous: [u8; 32], call: CallId) -> Turn {
+    Turn {
+        program: PROGRAM,
+        member: member.to_owned(),
+        branch: 0,
+        number,
+        previous,
+        call,
+        key: None,
+        messages: vec![Message::new(Role::User, call.to_string())],
+        spent: unit(1),
+        reserved: unit(0),
+        endpoint: "engine-1".to_owned(),
+    }
+}
+
+fn first_turn(call: CallId) -> Turn {
+    turn("saa", 1, beginning(&"saa".to_owned(), PROGRAM, 0), call)
+}
+
+fn intent(call: CallId) -> Entry {
+    Entry::Intent(Intent {
+        program: PROGRAM,
+        branch: 0,
+        call,
+        key: None,
+        service: "bank-core".to_owned(),
+        request: ServiceRequest {
+            operation: "transfer".to_owned(),
+            call,
+            body: String::new(),
+        },
+        endpoint: "bank-core-1".to_owned(),
+        incarnation: 1,
+        reserved: unit(5),
+    })
+}
+
+fn outcome(call: CallId, result: ActionResult, resolved_by: Option<&str>) -> Entry {
+    Entry::Outcome(Outcome {
+        program: PROGRAM,
+        call,
+        result,
+        spent: unit(0),
+        resolved_by: resolved_by.map(str::to_owned),
+    })
+}
+
+/// A stream with one owner and the program of member "saa".
+struct Stream {
+    state: PartitionState,
+    offset: u64,
+    sequence: u64,
+}
+
+impl Stream {
+    fn new() -> Self {
+        let mut stream = Self {
+            state: PartitionState::new(),
+            offset: 0,
+            sequence: 0,
+        };
+        stream.claim();
+        stream.write(vec![created(PROGRAM, "saa")]);
+        stream
+    }
+
+    fn claim(&mut self) {
+        self.offset += 1;
+        let claim = Record::Claim(Claim {
+            owner: format!("entry-{}", self.offset),
+            incarnation: 1,
+            expects: self.state.epoch(),
+            root: 0,
+        });
+        self.state.apply(self.offset, &claim);
+        self.sequence = 0;
+    }
+
+    fn write(&mut self, entries: Vec<Entry>) -> Applied {
+        self.offset += 1;
+        self.sequence += 1;
+        let batch = Batch {
+            epoch: self.state.epoch(),
+            sequence: self.sequence,
+            root: 0,
+            entries,
+        };
+        self.state.apply(self.offset, &Record::Batch(batch))
+    }
+
+    /// Writes one entry that must be ignored, and returns why.
+    fn refused(&mut self, entry: Entry) -> EntryError {
+        match self.write(vec![entry]) {
+            Applied::Accepted(ignored) if ignored.len() == 1 => ignored[0].1,
+            other => panic!("not refused: {other:?}"),
+        }
+    }
+}
+
+#[gtest]
+fn a_turn_of_another_member_is_never_mixed_in() {
+    let mut stream = Stream::new();
+    let foreign = turn("eve", 1, beginning(&"eve".to_owned(), PROGRAM, 0), 1);
+    expect_that!(
+        stream.refused(Entry::Turn(foreign)),
+        eq(EntryError::OtherMember)
+    );
+    expect_that!(stream.state.faults(), eq(1));
+}
+
+#[gtest]
+fn a_branch_takes_only_its_next_turn() {
+    let mut stream = Stream::new();
+    let first = first_turn(1);
+    stream.write(vec![Entry::Turn(first.clone())]);
+    let again = Entry::Turn(first.clone());
+    expect_that!(stream.refused(again), eq(EntryError::TurnNumber));
+    let broken = Entry::Turn(turn("saa", 2, [7; 32], 2));
+    expect_that!(stream.refused(broken), eq(EntryError::TurnChain));
+    let twice = Entry::Turn(turn("saa", 2, turn_hash(&first), 1));
+    expect_that!(stream.refused(twice), eq(EntryError::CallTwice));
+    let program = stream.state.program(PROGRAM).unwrap();
+    expect_that!(program.turns(), eq(1));
+    expect_that!(program.spent, eq(unit(1)));
+}
+
+#[gtest]
+fn a_turn_that_lost_its_place_is_kept_once() {
+    let mut stream = Stream::new();
+    stream.write(vec![Entry::Turn(first_turn(1))]);
+    let other = Entry::Superseded(first_turn(2));
+    stream.write(vec![other.clone()]);
+    expect_that!(stream.refused(other), eq(EntryError::CallTwice));
+    let program = stream.state.program(PROGRAM).unwrap();
+    expect_that!(program.superseded.len(), eq(1));
+    expect_that!(program.spent, eq(unit(2)));
+}
+
+#[gtest]
+fn an_action_has_one_intent_and_one_outcome() {
+    let mut stream = Stream::new();
+    let done = || ActionResult::NotRun("voided".to_owned());
+    expect_that!(
+        stream.refused(outcome(9, done(), None)),
+        eq(EntryError::OutcomeWithoutIntent)
+    );
+    stream.write(vec![intent(9)]);
+    expect_that!(stream.refused(intent(9)), eq(EntryError::IntentTwice));
+    stream.write(vec![outcome(9, done(), None)]);
+    let twice = outcome(9, done(), Some("a person"));
+    expect_that!(stream.refused(twice), eq(EntryError::OutcomeTwice));
+}
+
+#[gtest]
+fn only_a_person_resolves_an_unknown_action() {
+    let mut stream = Stream::new();
+    stream.write(vec![intent(9)]);
+    let unknown = ActionResult::Unknown("no answer".to_owned());
+    stream.write(vec![outcome(9, unknown, None)]);
+    expect_that!(stream.state.unresolved().count(), eq(1));
+    let not_run = || ActionResult::NotRun("not in the books".to_owned());
+    let by_nobody = outcome(9, not_run(), None);
+    expect_that!(stream.refused(by_nobody), eq(EntryError::OutcomeTwice));
+    stream.write(vec![outcome(9, not_run(), Some("amina: looked it up"))]);
+    expect_that!(stream.state.unresolved().count(), eq(0));
+}
+
+#[gtest]
+fn a_takeover_charges_reservations_but_not_open_actions() {
+    let mut stream = Stream::new();
+    let reserved = Entry::Reserved(Reserved {
+        program: PROGRAM,
+        reserved: unit(8),
+    });
+    stream.write(vec![reserved, intent(9)]);
+    stream.claim();
+    let program = stream.state.program(PROGRAM).unwrap();
+    expect_that!(program.spent, eq(unit(3)));
+    expect_that!(program.reserved_in_all(), eq(unit(5)));
+}
+
+#[gtest]
+fn after_the_release_nothing_of_the_epoch_counts() {
+    let mut stream = Stream::new();
+    stream.write(vec![Entry::Released]);
+    let late = stream.write(vec![Entry::Turn(first_turn(1))]);
+    expect_that!(late, eq(&Applied::Void(Void::Released)));
+}
+
+#[gtest]
+fn a_history_of_mixed_turns_is_refused() {
+    let member = "saa".to_owned();
+    let first = first_turn(1);
+    let mut foreign = turn("saa", 2, turn_hash(&first), 2);
+    foreign.program += 1;
+    let turns = [Arc::new(first.clone()), Arc::new(foreign)];
+    expect_that!(
+        verify(&member, PROGRAM, 0, &turns),
+        err(eq(&HistoryError::Mixed))
+    );
+    let changed = turn("saa", 2, [7; 32], 2);
+    let turns = [Arc::new(first), Arc::new(changed)];
+    expect_that!(
+        verify(&member, PROGRAM, 0, &turns),
+        err(eq(&HistoryError::Broken))
+    );
+}
+
+#[gtest]
+fn the_cache_drops_what_was_used_longest_ago() {
+    let mut cache = BodyCache::new(1_200);
+    for call in 1..=3 {
+        let mut body = first_turn(call);
+        body.number = call as u32;
+        cache.insert(Arc::new(body));
+        // The first stays in use.
+        cache.get(&(PROGRAM, 0, 1));
+    }
+    cache.insert(Arc::new(turn("saa", 4, [0; 32], 4)));
+    expect_that!(cache.get(&(PROGRAM, 0, 1)).is_some(), eq(true));
+    expect_that!(cache.get(&(PROGRAM, 0, 2)).is_some(), eq(false));
+    expect_that!(cache.weight_bytes(), le(1_200));
+}
+
+proptest! {
+    #[test]
+    fn a_changed_receipt_is_refused(call: u128, text: String, at: prop::sample::Index) {
+        let key = ReceiptKey::new(b"secret");
+        let mut signed = first_turn(call);
+        signed.messages[0].content = text;
+        let receipt = key.sign(&signed);
+        prop_assert_eq!(key.verify(&receipt), Ok(signed));
+        let mut digits: Vec<char> = receipt.chars().collect();
+        let index = at.index(digits.len());
+        digits[index] = if digits[index] == '0' { '1' } else { '0' };
+        let changed: String = digits.into_iter().collect();
+        prop_assert_eq!(key.verify(&changed), Err(ReceiptError::Forged));
+        let other = ReceiptKey::new(b"another");
+        prop_assert_eq!(other.verify(&receipt), Err(ReceiptError::Forged));
+    }
+
+    #[test]
+    fn any_text_is_no_receipt(text: String) {
+        prop_assert!(ReceiptKey::new(b"secret").verify(&text).is_err());
+    }
+}
--- a/src/transport/link.rs
+++ b/src/transport/link.rs
@@ -7,7 +7,7 @@
 mod connection;
 mod exchange;
 
-pub(crate) use connection::{Context, accept, dial};
+pub(crate) use connection::{Context, Traffic, accept, dial};
 pub(crate) use exchange::{Exchange, Gone, Inbound, Responder};
 
 use crate::transport::handshake::Remote;
@@ -50,10 +50,12 @@
 /// How often an end speaks, and how long it bears silence.
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct Timing {
-    /// An end that has nothing to say sends a heartbeat after so long.
+    /// An end that has nothing to say sends a heartbeat after so long, while a stream is open.
     pub(crate) heartbeat: Duration,
-    /// An end that hears nothing for so long closes the link.
+    /// An end that hears nothing for so long closes the link, while a stream is open.
     pub(crate) deadline: Duration,
+    /// Both times are so many times longer while no stream is open.
+    pub(crate) idle_factor: u32,
     /// Connecting and the handshake take so long at most.
     pub(crate) connect: Duration,
 }
@@ -63,6 +65,7 @@
         Self {
             heartbeat: Duration::from_millis(500),
             deadline: Duration::from_millis(2_000),
+            idle_factor: 8,
             connect: Duration::from_millis(1_000),
         }
     }
@@ -150,6 +153,11 @@
         self.out.try_send(buf).map_err(|_| LinkError::Broken)
     }
 
+    /// Tells whether a stream is open in either direction.
+    fn is_active(&self) -> bool {
+        !self.opened().is_empty() || !self.served().is_empty()
+    }
+
     fn close(&self) {
         self.out.close();
         self.opened().clear();
--- a/src/transport/link/connection.rs
+++ b/src/transport/link/connection.rs
@@ -13,13 +13,16 @@
 use smol::Timer;
 use smol::net::{TcpListener, TcpStream};
 use std::future::Future;
-use std::sync::atomic::AtomicU64;
+use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
 /// Frames are put into one message up to this size.
 const BATCH_BYTES: usize = 64 << 10;
 
+/// Bytes of the mask that a message of a dialling end carries.
+const MASK_BYTES: usize = 4;
+
 /// Pause after a failed accept, so that a lack of file handles does not spin.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
 
@@ -34,6 +37,45 @@
     pub(crate) spawner: Spawner,
     /// Answers the other end's requests.
     pub(crate) server: S,
+    /// Counts the bytes of all links of the node.
+    pub(crate) traffic: Arc<Traffic>,
+}
+
+/// Bytes on the links of a node, frames included, without the headers of TCP and IP.
+#[derive(Debug, Default)]
+pub(crate) struct Traffic {
+    sent_bytes: AtomicU64,
+    received_bytes: AtomicU64,
+}
+
+impl Traffic {
+    fn add_sent(&self, payload: usize, mask: usize) {
+        let bytes = framed(payload) + mask as u64;
+        self.sent_bytes.fetch_add(bytes, Ordering::Relaxed);
+        metrics::counter!("galenapick_link_sent_bytes").increment(bytes);
+    }
+
+    fn add_received(&self, payload: usize) {
+        let bytes = framed(payload);
+        self.received_bytes.fetch_add(bytes, Ordering::Relaxed);
+        metrics::counter!("galenapick_link_received_bytes").increment(bytes);
+    }
+
+    /// Returns the bytes sent and received so far.
+    pub(crate) fn bytes(&self) -> (u64, u64) {
+        let sent = self.sent_bytes.load(Ordering::Relaxed);
+        (sent, self.received_bytes.load(Ordering::Relaxed))
+    }
+}
+
+/// Returns the size of a WebSocket message on the wire, without a mask.
+fn framed(payload: usize) -> u64 {
+    let header = match payload {
+        0..126 => 2,
+        126..=0xffff => 4,
+        _ => 10,
+    };
+    (payload + header) as u64
 }
 
 /// Dials another process.
@@ -128,10 +170,11 @@
         served: Mutex::default(),
     }));
     let (sender, receiver) = socket.split();
-    let heartbeat = context.timing.heartbeat;
+    let timing = context.timing;
     let writing = link.clone();
+    let traffic = context.traffic.clone();
     context.spawner.spawn(async move {
-        write::<W>(sender, queue, heartbeat).await;
+        write(sender, queue, &writing, timing, &traffic).await;
         writing.close();
     });
     let reading = link.clone();
@@ -149,14 +192,12 @@
 async fn write<W: Wire>(
     mut socket: WebSocketSender<TcpStream>,
     queue: Receiver<Vec<u8>>,
-    heartbeat: Duration,
+    link: &Link<W>,
+    timing: Timing,
+    traffic: &Traffic,
 ) {
     loop {
-        let idle = async {
-            Timer::after(heartbeat).await;
-            Ok(encode_heartbeat::<W>())
-        };
-        let Ok(mut batch) = queue.recv().or(idle).await else {
+        let Ok(mut batch) = queue.recv().or(beat(link, timing)).await else {
             break;
         };
         while batch.len() < BATCH_BYTES {
@@ -165,6 +206,7 @@
                 Err(_) => break,
             }
         }
+        traffic.add_sent(batch.len(), MASK_BYTES);
         if socket.send(Message::binary(batch)).await.is_err() {
             break;
         }
@@ -172,6 +214,20 @@
     let _ = socket.close(None).await;
 }
 
+/// Waits until a heartbeat is due. An idle link that becomes active beats in the quicker time.
+async fn beat<W: Wire>(
+    link: &Link<W>,
+    timing: Timing,
+) -> Result<Vec<u8>, async_channel::RecvError> {
+    for _ in 0..timing.idle_factor {
+        Timer::after(timing.heartbeat).await;
+        if link.0.is_active() {
+            break;
+        }
+    }
+    Ok(encode_heartbeat::<W>())
+}
+
 fn encode_heartbeat<W: Wire>() -> Vec<u8> {
     let mut buf = Vec::new();
     let frame: FrameOf<W> = Frame::Heartbeat;
@@ -203,7 +259,7 @@
 ) -> Closed {
     loop {
         let silent = async {
-            Timer::after(context.timing.deadline).await;
+            silence(link, context.timing).await;
             Err(Closed::Silent)
         };
         let message = match async { Ok(socket.next().await) }.or(silent).await {
@@ -211,7 +267,10 @@
             Err(reason) => return reason,
         };
         let taken = match message {
-            Some(Ok(Message::Binary(data))) => take_batch(&data, link, context),
+            Some(Ok(Message::Binary(data))) => {
+                context.traffic.add_received(data.len());
+                take_batch(&data, link, context)
+            }
             Some(Ok(Message::Close(_)) | Err(_)) | None => Err(Closed::Ended),
             Some(Ok(_)) => Ok(()),
         };
@@ -221,6 +280,20 @@
     }
 }
 
+/// Waits until silence has lasted too long: two deadlines in a row with a stream open, so that
+/// the other end has had one to notice the stream, or many without.
+async fn silence<W: Wire>(link: &Link<W>, timing: Timing) {
+    let mut was_active = false;
+    for _ in 0..timing.idle_factor {
+        Timer::after(timing.deadline / 2).await;
+        let active = link.0.is_active();
+        if active && was_active {
+            return;
+        }
+        was_active = active;
+    }
+}
+
 fn take_batch<W: Wire, S: Serve<W>>(
     mut data: &[u8],
     link: &Link<W>,
