--- a/src/daemon.rs
+++ b/src/daemon.rs
@@ -114,6 +114,14 @@
         }
     }
 
+    /// Returns the configuration version in force here; 0 if there is none.
+    pub fn configuration_version(&self) -> u64 {
+        match &self.node {
+            Node::Entry(entry) => entry.environments().version(),
+            Node::Sidecar(sidecar) => sidecar.configuration_version(),
+        }
+    }
+
     /// Returns the bytes sent and received on links so far, without the headers of TCP and IP.
     pub fn link_bytes(&self) -> (u64, u64) {
         self.traffic.bytes()
--- a/src/entry/http.rs
+++ b/src/entry/http.rs
@@ -84,32 +84,6 @@
     open: OpenCall<L>,
 }
 
-/// What a call holds while it is answered.
-struct CallGuard<L: Log> {
-    open: OpenCall<L>,
-    limited: Option<Limited<L>>,
-    began: Instant,
-}
-
-impl<L: Log> CallGuard<L> {
-    fn new(open: OpenCall<L>, limited: Option<Limited<L>>) -> Self {
-        Self {
-            open,
-            limited,
-            began: Instant::now(),
-        }
-    }
-
-    /// Counts the first token of a call; answers that are read again do not count.
-    fn first_token(&self) {
-        if let Some(limited) = &self.limited {
-            let caller = &limited.caller;
-            let operations = self.open.0.operations();
-            operations.first_token(&caller.environment, &caller.member, self.began.elapsed());
-        }
-    }
-}
-
 /// Counts a request as open until it is dropped.
 struct OpenCall<L: Log>(Entry<L>);
 
@@ -174,7 +148,7 @@
     match result {
         Ok((route, limited, stream)) => {
             let Exchange { conn, open, .. } = exchange;
-            let guard = CallGuard::new(open, Some(limited));
+            let guard = (open, limited);
             (conn, answer(route, guard, stream, 0).await)
         }
         Err(refusal) => (exchange.conn, Err(refusal)),
@@ -198,6 +172,7 @@
 struct Limited<L: Log> {
     entry: Entry<L>,
     caller: Caller,
+    began: Instant,
 }
 
 impl<L: Log> Limited<L> {
@@ -215,6 +190,7 @@
         Ok(Self {
             entry: entry.clone(),
             caller: caller.clone(),
+            began: Instant::now(),
         })
     }
 }
@@ -226,6 +202,20 @@
     }
 }
 
+impl<L: Log> stream::Guard for (OpenCall<L>, Limited<L>) {
+    fn first_token(&self) {
+        let Limited {
+            entry,
+            caller,
+            began,
+        } = &self.1;
+        let operations = entry.operations();
+        operations.first_token(&caller.environment, &caller.member, began.elapsed());
+    }
+}
+
+impl<L: Log> stream::Guard for OpenCall<L> {}
+
 async fn attach<L: Log>(exchange: Exchange<L>) -> (Conn, Result<Sent, Refusal>) {
     let Exchange {
         entry,
@@ -246,14 +236,14 @@
         from,
     };
     let route = entry.route(program, request);
-    let sent = answer(route, CallGuard::new(open, None), stream, from).await;
+    let sent = answer(route, open, stream, from).await;
     (conn, sent)
 }
 
 /// Sends an answer as one object, or as events when it streams.
-async fn answer<L: Log>(
+async fn answer<L: Log, G: stream::Guard>(
     mut route: Route<L>,
-    guard: CallGuard<L>,
+    guard: G,
     stream: bool,
     from: u32,
 ) -> Result<Sent, Refusal> {
--- a/src/entry/http/stream.rs
+++ b/src/entry/http/stream.rs
@@ -1,6 +1,6 @@
 //! Answers as server-sent events.
 
-use super::{CallGuard, body};
+use super::body;
 use crate::entry::route::{Route, Step};
 use crate::protocol::caller::{AcceptedEvent, CallAnswer, TokensEvent};
 use crate::protocol::link::{Event, Reply};
@@ -10,10 +10,16 @@
 use serde::Serialize;
 use trillium::Body;
 
+/// What is held while an answer is sent.
+pub(super) trait Guard: Send + Sync + 'static {
+    /// Hears that the first tokens of a stream are here.
+    fn first_token(&self) {}
+}
+
 /// Starts to stream an answer. A refusal that comes before anything else is returned as such.
-pub(super) async fn body<L: Log>(
+pub(super) async fn body<L: Log, G: Guard>(
     mut route: Route<L>,
-    guard: CallGuard<L>,
+    guard: G,
     from: u32,
 ) -> Result<Body, Refusal> {
     let first = route.next().await;
@@ -29,13 +35,12 @@
     spawner.spawn(async move {
         let mut writer = Writer {
             tx,
-            guard,
-            begun: false,
             run: None,
             next: from,
         };
         // A caller that has left reads the answer again by its id, or lets it go.
-        let _ = writer.copy(first, &mut route).await;
+        let _ = writer.copy(first, &mut route, &guard).await;
+        drop(guard);
     });
     Ok(body)
 }
@@ -46,18 +51,26 @@
 /// Writes events.
 ///
 /// Invariant: all tokens before `next` that were written belong to `run`.
-struct Writer<L: Log> {
+struct Writer {
     tx: Sender<Vec<u8>>,
-    guard: CallGuard<L>,
-    begun: bool,
     run: Option<u64>,
     next: u32,
 }
 
-impl<L: Log> Writer<L> {
-    async fn copy(&mut self, first: Step, route: &mut Route<L>) -> Result<(), Left> {
+impl Writer {
+    async fn copy<L: Log>(
+        &mut self,
+        first: Step,
+        route: &mut Route<L>,
+        guard: &impl Guard,
+    ) -> Result<(), Left> {
         let mut step = first;
+        let mut has_tokens = false;
         loop {
+            if !has_tokens && matches!(step, Step::Event(Event::Tokens(_))) {
+                has_tokens = true;
+                guard.first_token();
+            }
             match step {
                 Step::Event(event) => self.event(event).await?,
                 Step::Reply(reply) => return self.end(*reply).await,
@@ -74,9 +87,6 @@
                 Ok(())
             }
             Event::Tokens(tokens) => {
-                if !std::mem::replace(&mut self.begun, true) {
-                    self.guard.first_token();
-                }
                 self.next = tokens.index + tokens.count;
                 self.write("tokens", &TokensEvent::from(tokens)).await
             }
