--- a/src/transport/link/connection.rs
+++ b/src/transport/link/connection.rs
@@ -1,7 +1,8 @@
 //! Opening links, and the two tasks that drive one.
 
 use super::{
-    Frame, FrameOf, Inbound, Link, MESSAGE_MAX_BYTES, Responder, Serve, Shared, Timing, Wire,
+    Frame, FrameOf, Inbound, Link, MESSAGE_MAX_BYTES, Responder, Serve, Shared, Timing, Traffic,
+    Wire,
 };
 use crate::transport::handshake::{HandshakeError, Identity, Remote, Side, shake};
 use crate::transport::spawn::Spawner;
@@ -34,6 +35,8 @@
     pub(crate) spawner: Spawner,
     /// Answers the other end's requests.
     pub(crate) server: S,
+    /// Counts the bytes of all links of the node.
+    pub(crate) traffic: Arc<Traffic>,
 }
 
 /// Dials another process.
@@ -128,10 +131,11 @@
         served: Mutex::default(),
     }));
     let (sender, receiver) = socket.split();
-    let heartbeat = context.timing.heartbeat;
+    let timing = context.timing;
     let writing = link.clone();
+    let traffic = context.traffic.clone();
     context.spawner.spawn(async move {
-        write::<W>(sender, queue, heartbeat).await;
+        write(sender, queue, &writing, timing, &traffic).await;
         writing.close();
     });
     let reading = link.clone();
@@ -149,14 +153,12 @@
 async fn write<W: Wire>(
     mut socket: WebSocketSender<TcpStream>,
     queue: Receiver<Vec<u8>>,
-    heartbeat: Duration,
+    link: &Link<W>,
+    timing: Timing,
+    traffic: &Traffic,
 ) {
     loop {
-        let idle = async {
-            Timer::after(heartbeat).await;
-            Ok(encode_heartbeat::<W>())
-        };
-        let Ok(mut batch) = queue.recv().or(idle).await else {
+        let Ok(mut batch) = queue.recv().or(beat(link, timing)).await else {
             break;
         };
         while batch.len() < BATCH_BYTES {
@@ -165,6 +167,7 @@
                 Err(_) => break,
             }
         }
+        traffic.add_sent(batch.len());
         if socket.send(Message::binary(batch)).await.is_err() {
             break;
         }
@@ -172,6 +175,20 @@
     let _ = socket.close(None).await;
 }
 
+/// Waits until a heartbeat is due. An idle link that becomes active beats in the quicker time.
+async fn beat<W: Wire>(
+    link: &Link<W>,
+    timing: Timing,
+) -> Result<Vec<u8>, async_channel::RecvError> {
+    for _ in 0..timing.idle_factor {
+        Timer::after(timing.heartbeat).await;
+        if link.0.is_active() {
+            break;
+        }
+    }
+    Ok(encode_heartbeat::<W>())
+}
+
 fn encode_heartbeat<W: Wire>() -> Vec<u8> {
     let mut buf = Vec::new();
     let frame: FrameOf<W> = Frame::Heartbeat;
@@ -203,7 +220,7 @@
 ) -> Closed {
     loop {
         let silent = async {
-            Timer::after(context.timing.deadline).await;
+            silence(link, context.timing).await;
             Err(Closed::Silent)
         };
         let message = match async { Ok(socket.next().await) }.or(silent).await {
@@ -211,7 +228,10 @@
             Err(reason) => return reason,
         };
         let taken = match message {
-            Some(Ok(Message::Binary(data))) => take_batch(&data, link, context),
+            Some(Ok(Message::Binary(data))) => {
+                context.traffic.add_received(data.len());
+                take_batch(&data, link, context)
+            }
             Some(Ok(Message::Close(_)) | Err(_)) | None => Err(Closed::Ended),
             Some(Ok(_)) => Ok(()),
         };
@@ -221,6 +241,20 @@
     }
 }
 
+/// Waits until silence has lasted too long: two deadlines in a row with a stream open, so that
+/// the other end has had one to notice the stream, or many without.
+async fn silence<W: Wire>(link: &Link<W>, timing: Timing) {
+    let mut was_active = false;
+    for _ in 0..timing.idle_factor {
+        Timer::after(timing.deadline / 2).await;
+        let active = link.0.is_active();
+        if active && was_active {
+            return;
+        }
+        was_active = active;
+    }
+}
+
 fn take_batch<W: Wire, S: Serve<W>>(
     mut data: &[u8],
     link: &Link<W>,
