--- a/src/client/retry.rs
+++ b/src/client/retry.rs
@@ -4,7 +4,7 @@
 use crate::ids::{CallId, ProgramId};
 use crate::protocol::caller::{CallRequest, ProgramAnswer, ProgramRequest, TurnAnswer};
 use crate::protocol::link::Answer;
-use crate::protocol::refusal::RefusalCode;
+use crate::protocol::refusal::{Ran, RefusalCode};
 use smol::Timer;
 use std::future::Future;
 use std::time::{Duration, Instant};
@@ -266,7 +266,7 @@
         match result {
             Ok(_) | Err(CallError::Unreadable(_)) => None,
             Err(CallError::Refused(refusal)) => {
-                let again = self.keyed || refusal.ran == crate::Ran::No;
+                let again = self.keyed || refusal.ran == Ran::No;
                 let wait = refusal.retry_after_ms.map(Duration::from_millis);
                 wait.filter(|_| again)
             }
--- a/src/environment/difference.rs
+++ b/src/environment/difference.rs
@@ -1,34 +1,8 @@
 //! The difference between two environment documents, key by key.
 
 use crate::ini::Document;
-use serde::{Deserialize, Serialize};
+use crate::protocol::difference::Difference;
 use std::collections::BTreeMap;
-use std::fmt;
-
-/// One key that differs.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub struct Difference {
-    /// The section.
-    pub section: String,
-    /// The key; empty for a section without keys.
-    pub key: String,
-    /// The value before; `None` if it was not set.
-    pub before: Option<String>,
-    /// The value after; `None` if it is not set.
-    pub after: Option<String>,
-}
-
-impl fmt::Display for Difference {
-    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        write!(f, "[{}] {}: ", self.section, self.key)?;
-        match (&self.before, &self.after) {
-            (Some(before), Some(after)) => write!(f, "{before} -> {after}"),
-            (None, Some(after)) => write!(f, "added {after}"),
-            (Some(before), None) => write!(f, "removed {before}"),
-            (None, None) => f.write_str("unchanged"),
-        }
-    }
-}
 
 /// Values by section and key. A section itself counts as an empty key.
 type Values = BTreeMap<(String, String), String>;
--- a/src/environment/mod.rs
+++ b/src/environment/mod.rs
@@ -9,7 +9,7 @@
 
 use crate::ids::{EnvironmentId, FailureDomain, MemberId, ModelId};
 use crate::ini::Faults;
-pub use difference::Difference;
+pub use crate::protocol::difference::Difference;
 pub(crate) use difference::differences;
 pub(crate) use parts::{
     BudgetRules, CacheRules, DeadlineRules, LimitRules, Member, Model, Objectives, PromotionRules,
--- a/src/protocol/mod.rs
+++ b/src/protocol/mod.rs
@@ -2,6 +2,7 @@
 
 pub mod caller;
 pub mod configuration;
+pub mod difference;
 pub mod engine;
 pub mod image;
 pub mod link;
--- a/src/protocol/operator.rs
+++ b/src/protocol/operator.rs
@@ -1,11 +1,11 @@
 //! What the operator interface says, as JSON between the tool and an entry, and the questions that
 //! an entry passes on to the others.
 
-use crate::environment::Difference;
 use crate::ids::{
     EndpointId, EnvironmentId, Epoch, FailureDomain, MemberId, NodeId, Offset, Partition,
 };
 use crate::protocol::configuration::{ChangeNote, Stage};
+use crate::protocol::difference::Difference;
 use crate::protocol::message::Usage;
 use crate::protocol::vms::NodeRole;
 use serde::{Deserialize, Serialize};
