Let nodes that count as failed wait their turn for a probe

Cause: unanswered nodes always went first, so three nodes that never answer took all three probes of every round, and the others were never probed again: no load, no failure was seen by probes. Change: a node without an answer goes first only until it counts as failed; then it waits its turn. Conclusion: lost nodes cost a share of the probes and no longer all of them.

--- a/src/coordination/membership.rs
+++ b/src/coordination/membership.rs
@@ -253,12 +253,12 @@
         self.nodes.get(name)
     }
 
-    /// Picks up to `count` nodes of a role to be probed now: those without an answer first, then
-    /// those that were probed least recently.
+    /// Picks up to `count` nodes of a role to be probed now: those without an answer first unless
+    /// they count as failed, then those that were probed least recently.
     pub fn pick(&mut self, now: Instant, role: NodeRole, count: usize) -> Vec<NodeId> {
         let nodes = self.nodes.iter().filter(|(_, node)| node.role == role);
         let mut due: Vec<(bool, Option<Instant>, NodeId)> = nodes
-            .map(|(name, node)| (node.unanswered.is_none(), node.probed, name.clone()))
+            .map(|(name, node)| (!self.is_urgent(now, node), node.probed, name.clone()))
             .collect();
         due.sort_unstable();
         due.truncate(count);
@@ -272,6 +272,14 @@
         picked
     }
 
+    /// Tells whether a node without an answer may still count as failed or not.
+    fn is_urgent(&self, now: Instant, node: &Node) -> bool {
+        let failed_after = self.config.failed_after;
+        let silence = |since| now.saturating_duration_since(since);
+        node.unanswered
+            .is_some_and(|since| silence(since) < failed_after)
+    }
+
     /// Writes what this node tells others.
     pub fn digest(&mut self, now: Instant, owned: Vec<(Partition, Epoch)>) -> Digest {
         Digest {
--- /dev/null
+++ b/tests/membership.rs
@@ -0,0 +1,34 @@
+//! Probes go round all nodes.
+
+use galenapick::protocol::link::Digest;
+use galenapick::protocol::vms::NodeRole;
+use galenapick::{Membership, MembershipConfig};
+use googletest::prelude::*;
+use std::time::{Duration, Instant};
+
+#[googletest::test]
+fn nodes_that_never_answer_do_not_keep_others_from_being_probed() {
+    let start = Instant::now();
+    let mut members = Membership::new("entry-1", 1, MembershipConfig::default());
+    for index in 0..8 {
+        let name = format!("engine-{index}");
+        members.add(start, &name, NodeRole::Sidecar, "127.0.0.1:1", "a");
+    }
+    let mut probes = 0;
+    for round in 0..100 {
+        let now = start + Duration::from_millis(500) * round;
+        for name in members.pick(now, NodeRole::Sidecar, 3) {
+            if ["engine-0", "engine-1", "engine-2"].contains(&name.as_str()) {
+                continue;
+            }
+            probes += 1;
+            let digest = Digest {
+                node: name,
+                incarnation: 1,
+                ..Digest::default()
+            };
+            members.take(now, &digest);
+        }
+    }
+    expect_that!(probes, gt(100));
+}
