Find silent links by their probes, run a call anew where a sidecar does not know it

Cause: three tests with real processes failed after links without streams got slower heartbeats: a link that had gone silent was kept until its long idle deadline, since a probe without an answer did not close it; an owner that asked a sidecar to resume a call which had never arrived passed its not_found on to the caller; one lost append answer counted as an outage, so that actions were refused until their deadlines. Change: a probe without an answer closes a link on which nothing came meanwhile; an owner sends the generation itself again, which the sidecar joins by its id, and the request to resume is gone; the log counts as down after 1.5 s without an answer.

--- a/src/entry/dispatch.rs
+++ b/src/entry/dispatch.rs
@@ -187,18 +187,16 @@
         generate: &Generate,
         text: &Replay<Tokens, R>,
     ) -> Result<Generated, Refusal> {
-        let call = generate.request.call;
-        let mut request = Request::Generate(generate.clone());
         for _ in 0..=REJOINS_MAX {
-            let opened = self.0.links.open(endpoint, request.clone()).await;
+            // A sidecar that has the call already goes on with it.
+            let request = Request::Generate(generate.clone());
+            let opened = self.0.links.open(endpoint, request).await;
             let mut exchange = opened.map_err(|e| unreachable_endpoint(&e))?;
             match self.take_stream(&mut exchange, text).await {
                 Ok(Reply::Generated(generated)) => return Ok(generated),
                 Ok(Reply::Refused(refusal)) => return Err(refusal),
                 Ok(_) => return Err(unexpected_reply()),
                 Err(LinkError::Broken | LinkError::Unreachable(_)) => {
-                    let from = text.next_index();
-                    request = Request::Resume { call, from };
                     Timer::after(REJOIN_PAUSE).await;
                 }
             }
--- a/src/entry/members.rs
+++ b/src/entry/members.rs
@@ -92,8 +92,10 @@
             None
         };
         let ask = async { self.0.links.ask(&node, Request::Probe(digest)).await.ok() };
-        if let Some(Reply::Probed(digest)) = ask.or(late).await {
-            self.take_digest(&digest);
+        match ask.or(late).await {
+            Some(Reply::Probed(digest)) => self.take_digest(&digest),
+            // A connection may have gone silent for good while new ones work.
+            _ => (self.0.links).close_silent(&node, self.0.config.membership.suspect_after),
         }
     }
 
--- a/src/entry/owner/action.rs
+++ b/src/entry/owner/action.rs
@@ -1,11 +1,12 @@
 //! Calls that may not be repeated: intent, one dispatch, outcome, and only then the answer.
 
 use crate::coordination::choice::SentEnd;
-use crate::coordination::partition::{CommitError, LogHealth};
+use crate::coordination::partition::CommitError;
 use crate::entry::Entry;
 use crate::entry::owner::answer::{LOG_RETRY_MS, log_down, refuse_commit, refuse_no_owner};
 use crate::entry::owner::branch::{CallJob, Tail, token_bound};
 use crate::entry::owner::budget::Reservation;
+use crate::entry::owner::lookup::is_log_down;
 use crate::entry::owner::program::{AnswerEnd, Owned};
 use crate::entry::owner::tool::{ToolCall, tool_message, tool_sending, tool_spent};
 use crate::ids::{EndpointId, Incarnation, Offset};
@@ -45,7 +46,7 @@
         job: &CallJob,
         limit: Duration,
     ) -> AnswerEnd {
-        if let LogHealth::Down { .. } = owned.handle.health() {
+        if is_log_down(&owned.handle) {
             return Err(log_down());
         }
         let mut prepared = self.prepare(owned, job, limit).await?;
--- a/src/entry/owner/lookup.rs
+++ b/src/entry/owner/lookup.rs
@@ -181,9 +181,9 @@
 
     /// Returns how long a commit is waited for.
     pub(super) fn patience(&self, handle: &PartitionHandle<L>) -> Duration {
-        match handle.health() {
-            LogHealth::Up => self.0.config.commit_patience,
-            LogHealth::Down { .. } => self.0.config.commit_patience / 10,
+        match is_log_down(handle) {
+            true => self.0.config.commit_patience / 10,
+            false => self.0.config.commit_patience,
         }
     }
 }
@@ -210,3 +210,14 @@
     last.map(|message| message.content.clone())
         .unwrap_or_default()
 }
+
+/// Tells whether the log is down; one lost answer is settled by reading and is no outage.
+pub(super) fn is_log_down<L: Log>(handle: &PartitionHandle<L>) -> bool {
+    match handle.health() {
+        LogHealth::Up => false,
+        LogHealth::Down { since } => since.elapsed() >= OUTAGE_AFTER,
+    }
+}
+
+/// The log counts as down when it has not answered for so long.
+const OUTAGE_AFTER: Duration = Duration::from_millis(1_500);
--- a/src/protocol/link.rs
+++ b/src/protocol/link.rs
@@ -61,13 +61,6 @@
     },
     /// Owner to sidecar: generate.
     Generate(Generate),
-    /// Owner to sidecar: read a generation again, from a token on.
-    Resume {
-        /// The call.
-        call: CallId,
-        /// The first token wanted.
-        from: u32,
-    },
     /// Owner to sidecar: stop a call and forget its answer.
     Cancel {
         /// The call.
--- a/src/sidecar/serve.rs
+++ b/src/sidecar/serve.rs
@@ -19,16 +19,9 @@
     async fn serve(&self, _from: Remote, request: Request, mut responder: Responder<Messages>) {
         match request {
             Request::Generate(generate) => match self.generation(generate) {
-                Ok(generation) => self.follow(generation, 0, responder).await,
+                Ok(generation) => self.follow(generation, responder).await,
                 Err(refusal) => responder.reply(Reply::Refused(refusal)),
             },
-            Request::Resume { call, from } => {
-                let known = lock(&self.0.generations).get(&call).cloned();
-                match known {
-                    Some(generation) => self.follow(generation, from, responder).await,
-                    None => responder.reply(Reply::Refused(unknown_call())),
-                }
-            }
             other => {
                 let answer = self.answer(other);
                 let gone = async {
@@ -43,10 +36,6 @@
     }
 }
 
-fn unknown_call() -> Refusal {
-    Refusal::not_run(RefusalCode::NotFound, "The call is not known here.")
-}
-
 impl<E: Engine, S: Service> Sidecar<E, S> {
     async fn answer(&self, request: Request) -> Reply {
         match request {
@@ -108,9 +97,9 @@
         }
     }
 
-    /// Sends a generation's text from a position on.
-    async fn follow(&self, generation: Generation, from: u32, mut responder: Responder<Messages>) {
-        let sent = self.send_text(&generation, from, &mut responder).await;
+    /// Sends a generation's text.
+    async fn follow(&self, generation: Generation, mut responder: Responder<Messages>) {
+        let sent = self.send_text(&generation, &mut responder).await;
         if let Ok(reply) = sent {
             responder.reply(reply);
         }
@@ -119,10 +108,9 @@
     async fn send_text(
         &self,
         generation: &Generation,
-        from: u32,
         responder: &mut Responder<Messages>,
     ) -> Result<Reply, Gone> {
-        let mut follower = generation.text.follow(from);
+        let mut follower = generation.text.follow(0);
         loop {
             let next = async { Ok(follower.next().await) };
             let gone = async {
--- a/src/transport/link.rs
+++ b/src/transport/link.rs
@@ -20,7 +20,7 @@
 use std::future::Future;
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 /// Events that a stream may have under way before its reader grants more.
 const WINDOW_EVENTS: u32 = 64;
@@ -136,6 +136,7 @@
     next_stream: AtomicU64,
     opened: Mutex<HashMap<u64, Opened<W>>>,
     served: Mutex<HashMap<u64, Sender<u32>>>,
+    heard: Mutex<Instant>,
 }
 
 impl<W: Wire> Shared<W> {
@@ -187,6 +188,17 @@
         self.0.out.is_closed()
     }
 
+    /// Returns for how long nothing has come from the other end.
+    pub(crate) fn silence(&self) -> Duration {
+        let heard = self.0.heard.lock().unwrap_or_else(PoisonError::into_inner);
+        heard.elapsed()
+    }
+
+    fn note_heard(&self) {
+        let mut heard = self.0.heard.lock().unwrap_or_else(PoisonError::into_inner);
+        *heard = Instant::now();
+    }
+
     /// Closes the link; its streams end as broken.
     pub(crate) fn close(&self) {
         self.0.close();
--- a/src/transport/link/connection.rs
+++ b/src/transport/link/connection.rs
@@ -16,7 +16,7 @@
 use std::future::Future;
 use std::sync::atomic::AtomicU64;
 use std::sync::{Arc, Mutex};
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 /// Frames are put into one message up to this size.
 const BATCH_BYTES: usize = 64 << 10;
@@ -129,6 +129,7 @@
         next_stream: AtomicU64::new(1),
         opened: Mutex::default(),
         served: Mutex::default(),
+        heard: Mutex::new(Instant::now()),
     }));
     let (sender, receiver) = socket.split();
     let timing = context.timing;
@@ -229,6 +230,7 @@
         };
         let taken = match message {
             Some(Ok(Message::Binary(data))) => {
+                link.note_heard();
                 context.traffic.add_received(data.len());
                 take_batch(&data, link, context)
             }
--- a/src/transport/pool.rs
+++ b/src/transport/pool.rs
@@ -81,6 +81,15 @@
         }
     }
 
+    /// Closes a node's link if nothing has come on it for so long; the next request dials anew.
+    pub(crate) fn close_silent(&self, node: &str, silence: Duration) {
+        let link = self.live(node);
+        if let Some(link) = link.filter(|link| link.silence() >= silence) {
+            log::info!(target: "link", "link: silent to {node}, dialling anew");
+            link.close();
+        }
+    }
+
     /// Forgets a node and closes its link.
     pub(crate) fn remove(&self, node: &str) {
         let slot = self.slots().remove(node);
