--- a/src/coordination/membership.rs
+++ b/src/coordination/membership.rs
@@ -264,14 +264,19 @@
         due.truncate(count);
         let picked: Vec<NodeId> = due.into_iter().map(|(_, _, name)| name).collect();
         for name in &picked {
-            if let Some(node) = self.nodes.get_mut(name) {
-                node.probed = Some(now);
-                node.unanswered.get_or_insert(now);
-            }
+            self.probe_now(now, name);
         }
         picked
     }
 
+    /// Notes that a node is probed now.
+    pub fn probe_now(&mut self, now: Instant, name: &str) {
+        if let Some(node) = self.nodes.get_mut(name) {
+            node.probed = Some(now);
+            node.unanswered.get_or_insert(now);
+        }
+    }
+
     /// Tells whether a node without an answer may still count as failed or not.
     fn is_urgent(&self, now: Instant, node: &Node) -> bool {
         let failed_after = self.config.failed_after;
--- a/src/entry/members.rs
+++ b/src/entry/members.rs
@@ -12,6 +12,9 @@
 use smol::Timer;
 use std::time::Instant;
 
+/// Entries that watch the owner of a partition in order to replace it.
+const WATCHERS: usize = 2;
+
 impl<L: Log> Entry<L> {
     /// Adds a node from the settings.
     pub(crate) fn add_node(&self, node: &str, role: NodeRole, address: &str, domain: &str) {
@@ -67,9 +70,15 @@
         let now = Instant::now();
         let probes = self.0.config.probes;
         let mut members = lock(&self.0.members);
-        let picked = members.pick(now, NodeRole::Entry, probes);
+        let mut picked = members.pick(now, NodeRole::Entry, probes);
         let sidecars = members.pick(now, NodeRole::Sidecar, probes);
         drop(members);
+        for owner in self.watched_owners() {
+            if !picked.contains(&owner) {
+                lock(&self.0.members).probe_now(now, &owner);
+                picked.push(owner);
+            }
+        }
         // Sidecars have no use for news of entries.
         let brief = Digest {
             heard: Vec::new(),
@@ -86,6 +95,27 @@
         }
     }
 
+    /// Returns the owners that this node ranks next to replace. They are probed in every round, so
+    /// that a failed owner is found as soon among many entries as among few.
+    fn watched_owners(&self) -> Vec<NodeId> {
+        let own = &self.0.config.node;
+        let live = self.live_entries();
+        let mut owners = Vec::new();
+        for partition in 0..self.0.config.partitions {
+            let owner = lock(&self.0.members).owner(partition).cloned();
+            let Some(owner) = owner.filter(|owner| owner != own && !owners.contains(owner)) else {
+                continue;
+            };
+            let key = partition_key(partition);
+            let others = live.iter().filter(|node| **node != owner);
+            let ranked = rendezvous(&key, others.map(String::as_str));
+            if ranked.iter().take(WATCHERS).any(|node| node == own) {
+                owners.push(owner);
+            }
+        }
+        owners
+    }
+
     async fn probe(&self, node: NodeId, digest: Digest) {
         let late = async {
             Timer::after(self.0.config.membership.suspect_after).await;
