Keep all partitions within the deployment's appends; let redial_ms have its effect

Cause: appends_per_s was read and not used, so 16 partitions made up to 800 appends a second and the log throttled 472 of them in 8 s at 500 turns a second offered; redial_ms was read and not used. Change: the time between two appends to a partition's stream is its share of the deployment's appends, 300 a second by default, whoever owns it; the pool's longest pause comes from the settings. Conclusion: the budget of appends holds by construction.

--- a/src/daemon/build.rs
+++ b/src/daemon/build.rs
@@ -12,7 +12,7 @@
 use crate::ids::Incarnation;
 use crate::protocol::link::Serving;
 use crate::protocol::vms::NodeRole;
-use crate::settings::{EndpointKind, EndpointSettings, Settings};
+use crate::settings::{EndpointKind, EndpointSettings, PartitionSettings, Settings};
 use crate::sidecar::{Endpoint, Sidecar, SidecarConfig};
 use crate::transport::handshake::Identity;
 use crate::transport::link::{Context as LinkContext, Timing, Traffic};
@@ -96,6 +96,7 @@
         Timing {
             heartbeat: Duration::from_millis(timing.link_ping_ms),
             deadline: Duration::from_millis(timing.link_silence_ms),
+            redial_max: Duration::from_millis(timing.redial_ms),
             ..Timing::default()
         }
     }
@@ -155,7 +156,7 @@
         let default = PartitionConfig::default();
         PartitionConfig {
             commit: CommitLimits {
-                append_interval: Duration::from_millis(settings.partition.append_interval_ms),
+                append_interval: append_interval(&settings.partition),
                 backlog_bytes: settings.limits.backlog_bytes,
                 ..default.commit
             },
@@ -206,6 +207,14 @@
     }
 }
 
+/// Returns the time between two appends to one partition's stream: all partitions together, whoever
+/// owns them, stay within the deployment's appends.
+fn append_interval(settings: &PartitionSettings) -> Duration {
+    let least = Duration::from_millis(settings.append_interval_ms);
+    let share = Duration::from_secs(1) * u32::from(settings.count) / settings.appends_per_s.max(1);
+    least.max(share)
+}
+
 /// Puts environments in force that are not in the log.
 pub(super) fn adopt(entry: &Entry<HttpLog>, environments: Vec<Environment>) {
     let served = environments.into_iter().map(|document| Served {
--- a/src/settings/parts.rs
+++ b/src/settings/parts.rs
@@ -154,7 +154,7 @@
     pub(crate) count: Partition,
     /// Shortest time between two appends of one owner to one stream.
     pub(crate) append_interval_ms: u64,
-    /// Appends a second that this process makes at most.
+    /// Appends a second that all partitions of the deployment make at most; the same everywhere.
     pub(crate) appends_per_s: u32,
     /// How long the log keeps a record.
     pub(crate) retention_s: u64,
@@ -169,7 +169,7 @@
         Self {
             count: 16,
             append_interval_ms: 20,
-            appends_per_s: 100,
+            appends_per_s: 300,
             retention_s: 7 * 24 * 3600,
             idle_program_s: 3600,
             ended_program_s: 24 * 3600,
--- a/src/transport/link.rs
+++ b/src/transport/link.rs
@@ -56,8 +56,11 @@
     pub(crate) heartbeat: Duration,
     /// An end that hears nothing for so long closes the link, while a stream is open.
     pub(crate) deadline: Duration,
-    /// Both times are so many times longer while no stream is open.
+    /// The heartbeat is so many times slower, and the deadline half as many times longer, while no
+    /// stream is open.
     pub(crate) idle_factor: u32,
+    /// The longest pause after failed dials.
+    pub(crate) redial_max: Duration,
     /// Connecting and the handshake take so long at most.
     pub(crate) connect: Duration,
 }
@@ -68,6 +71,7 @@
             heartbeat: Duration::from_millis(500),
             deadline: Duration::from_millis(2_000),
             idle_factor: 8,
+            redial_max: Duration::from_secs(2),
             connect: Duration::from_millis(1_000),
         }
     }
--- a/src/transport/pool.rs
+++ b/src/transport/pool.rs
@@ -8,9 +8,6 @@
 /// The first pause after a failed dial.
 const BACKOFF_MIN: Duration = Duration::from_millis(50);
 
-/// The longest pause after failed dials.
-const BACKOFF_MAX: Duration = Duration::from_secs(2);
-
 /// One node's link.
 ///
 /// Invariant: nobody dials before `not_before`; `failures` counts dials since the last success.
@@ -39,9 +36,9 @@
         self.not_before = None;
     }
 
-    fn fail(&mut self) {
+    fn fail(&mut self, longest: Duration) {
         self.failures = self.failures.saturating_add(1);
-        self.not_before = Some(Instant::now() + backoff(self.failures));
+        self.not_before = Some(Instant::now() + backoff(self.failures, longest));
     }
 }
 
@@ -113,7 +110,7 @@
         match dial::<W, S>(&address, &self.context).await {
             Ok(link) => self.take_link(node, &address, link),
             Err(e) => {
-                self.update(node, &address, Slot::fail);
+                self.note_failure(node, &address);
                 Err(LinkError::Unreachable(e.to_string()))
             }
         }
@@ -158,7 +155,7 @@
         let found = link.remote().node.clone();
         if found != node {
             link.close();
-            self.update(node, address, Slot::fail);
+            self.note_failure(node, address);
             let why = format!("{address} is {found}, not {node}");
             return Err(LinkError::Unreachable(why));
         }
@@ -166,6 +163,11 @@
         Ok(link)
     }
 
+    fn note_failure(&self, node: &str, address: &str) {
+        let longest = self.context.timing.redial_max;
+        self.update(node, address, |slot| slot.fail(longest));
+    }
+
     /// Changes a slot unless its address has changed since.
     fn update(&self, node: &str, address: &str, change: impl FnOnce(&mut Slot<W>)) {
         let mut slots = self.slots();
@@ -180,9 +182,7 @@
 }
 
 /// Returns a jittered pause that doubles with each failure.
-fn backoff(failures: u32) -> Duration {
+fn backoff(failures: u32, longest: Duration) -> Duration {
     let doubled = BACKOFF_MIN * 2u32.pow(failures.clamp(1, 10) - 1);
-    doubled
-        .min(BACKOFF_MAX)
-        .mul_f64(0.5 + fastrand::f64() / 2.0)
+    doubled.min(longest).mul_f64(0.5 + fastrand::f64() / 2.0)
 }
