--- a/src/settings/parts.rs
+++ b/src/settings/parts.rs
@@ -84,8 +84,6 @@
 pub(crate) struct LimitSettings {
     /// Largest request body.
     pub(crate) max_body_bytes: usize,
-    /// Time for a request's headers to arrive.
-    pub(crate) header_timeout_ms: u64,
     /// Calls under way at once.
     pub(crate) open_calls: usize,
     /// Calls waiting in a sidecar.
@@ -96,21 +94,17 @@
     pub(crate) backlog_bytes: usize,
     /// Bodies of turns cached in memory.
     pub(crate) history_cache_bytes: usize,
-    /// Largest frame on a link.
-    pub(crate) max_frame_bytes: usize,
 }
 
 impl Default for LimitSettings {
     fn default() -> Self {
         Self {
             max_body_bytes: 4 << 20,
-            header_timeout_ms: 10_000,
             open_calls: 4_096,
             queued_calls: 1_024,
             shutdown_limit_s: 60,
             backlog_bytes: 64 << 20,
             history_cache_bytes: 64 << 20,
-            max_frame_bytes: 16 << 20,
         }
     }
 }
--- a/src/settings/read.rs
+++ b/src/settings/read.rs
@@ -234,11 +234,6 @@
     let mut reader = Reader::new(document, "limits");
     let limits = LimitSettings {
         max_body_bytes: reader.number("max_body_bytes", 1_024..=1 << 30, default.max_body_bytes),
-        header_timeout_ms: reader.number(
-            "header_timeout_ms",
-            100..=600_000,
-            default.header_timeout_ms,
-        ),
         open_calls: reader.number("open_calls", 1..=1_000_000, default.open_calls),
         queued_calls: reader.number("queued_calls", 1..=1_000_000, default.queued_calls),
         shutdown_limit_s: reader.number("shutdown_limit_s", 1..=86_400, default.shutdown_limit_s),
@@ -248,11 +243,6 @@
             0..=1 << 40,
             default.history_cache_bytes,
         ),
-        max_frame_bytes: reader.number(
-            "max_frame_bytes",
-            65_536..=1 << 30,
-            default.max_frame_bytes,
-        ),
     };
     faults.extend(reader.finish());
     limits
