--- a/src/entry/owner/end.rs
+++ b/src/entry/owner/end.rs
@@ -134,6 +134,7 @@
         for live in self.0.programs.all() {
             live.sweep(KEEP_ANSWERS, ORPHAN_AFTER);
             if let Some(idle) = live.idle() {
+                self.end_lapsed(&live, idle).await;
                 self.forget_idle(&live, idle);
             }
         }
@@ -149,11 +150,23 @@
         }
     }
 
-    /// Ends the programs of a partition whose deadline has passed or that have no calls any more.
+    /// Ends a program that has had no calls for too long.
+    async fn end_lapsed(&self, live: &LiveProgram, idle: Duration) {
+        let owned = self.partition(live.id).epoch() == Some(live.epoch);
+        if owned && idle >= self.0.config.idle_limit && live.ended().is_none() {
+            let caller = Caller {
+                environment: live.environment.clone(),
+                member: live.member.clone(),
+            };
+            self.end_quietly(&caller, live.id, EndReason::Lapsed).await;
+        }
+    }
+
+    /// Ends the programs of a partition whose deadline has passed.
     async fn end_overdue(&self, handle: &PartitionHandle<L>) {
-        let Some(epoch) = handle.epoch() else {
+        if handle.epoch().is_none() {
             return;
-        };
+        }
         let now_ms = unix_ms();
         let overdue: Vec<(Caller, ProgramId)> = handle.with_state(|state| {
             let open = state.programs().filter(|program| program.ended.is_none());
@@ -172,18 +185,6 @@
             self.end_quietly(&caller, program, EndReason::Deadline)
                 .await;
         }
-        for live in self.0.programs.all() {
-            let lapsed = live
-                .idle()
-                .is_some_and(|idle| idle >= self.0.config.idle_limit);
-            if live.epoch == epoch && lapsed && live.ended().is_none() {
-                let caller = Caller {
-                    environment: live.environment.clone(),
-                    member: live.member.clone(),
-                };
-                self.end_quietly(&caller, live.id, EndReason::Lapsed).await;
-            }
-        }
     }
 
     async fn end_quietly(&self, caller: &Caller, program: ProgramId, reason: EndReason) {
