--- /dev/null
+++ b/gateway/src/call.rs
@@ -0,0 +1,111 @@
+//! One request of a client, from its head to its answer.
+
+use crate::dialect::{CallInfo, Dialect};
+use crate::forward::{Execution, Outgoing, Sent};
+use crate::http::RequestHead;
+use crate::node::Gateway;
+use crate::reply::{Refusal, Reply, ReplyState};
+use crate::routes::{Route, RouteKind};
+use futures_lite::future;
+use smol::Timer;
+use std::cell::Cell;
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+/// When a client should come back to a gateway that has no configuration yet.
+const STARTING_RETRY: Duration = Duration::from_millis(300);
+
+/// A request of a client.
+pub(crate) struct Call {
+    pub(crate) head: RequestHead,
+    pub(crate) info: CallInfo,
+    pub(crate) body: Vec<u8>,
+    pub(crate) route: Rc<Route>,
+    pub(crate) received_at: Instant,
+    /// End of the client's patience or of the route's time, whichever is first.
+    pub(crate) deadline: Instant,
+    /// Whether it may have run, as far as it has got.
+    pub(crate) execution: Cell<Execution>,
+}
+
+impl Call {
+    /// Time until the deadline.
+    pub(crate) fn time_left(&self) -> Duration {
+        self.deadline.saturating_duration_since(Instant::now())
+    }
+
+    /// Id of the attempt; empty if the client gave none.
+    pub(crate) fn id(&self) -> &str {
+        self.info.request_id.as_deref().unwrap_or_default()
+    }
+}
+
+impl<D: Dialect> Gateway<D> {
+    /// Finds the route of a request.
+    pub(crate) fn route(&self, head: &RequestHead) -> Result<Rc<Route>, Refusal> {
+        let routes = self.routes.borrow();
+        if routes.version().is_none() {
+            return Err(Refusal::come_back(STARTING_RETRY, "no configuration yet"));
+        }
+        let route = routes.find(&head.host, &head.target);
+        route.ok_or(Refusal::new(404, "no such route"))
+    }
+
+    /// Serves a request by its deadline.
+    pub(crate) async fn serve(self: &Rc<Self>, call: &Call, reply: &Reply) {
+        let work = async {
+            match call.route.kind {
+                RouteKind::Streaming => self.serve_stream(call, reply).await,
+                RouteKind::Idempotent | RouteKind::AtMostOnce => {
+                    self.serve_plain(call, reply).await;
+                }
+            }
+            false
+        };
+        let time_out = async {
+            Timer::at(call.deadline).await;
+            true
+        };
+        if future::or(work, time_out).await {
+            self.time_out(call, reply).await;
+        }
+        crate::event!("answered", "request" => call.id(), "route" => call.route.name.as_str(),
+            "status" => reply.status(), "reply" => reply.state().to_string(),
+            "took_ms" => call.received_at.elapsed().as_millis());
+    }
+
+    /// Ends a request whose time is over.
+    async fn time_out(&self, call: &Call, reply: &Reply) {
+        crate::event!("timed_out", "request" => call.id(),
+            "execution" => call.execution.get().to_string());
+        if reply.state() != ReplyState::Pending {
+            reply.break_off();
+            return;
+        }
+        let refusal = match call.execution.get() {
+            Execution::NotRun => Refusal::new(503, "no time left"),
+            Execution::MayHaveRun => Refusal::new(504, "no answer in time"),
+        };
+        reply.refuse(&refusal).await;
+    }
+
+    async fn serve_plain(self: &Rc<Self>, call: &Call, reply: &Reply) {
+        let service = call.route.pick_service(&mut self.rng.borrow_mut());
+        let outgoing = Outgoing {
+            call,
+            service: &service,
+            body: &call.body,
+            prompt_tokens: 0,
+            cached: None,
+        };
+        match self.send(&outgoing).await {
+            Ok(Sent::Whole { head, body, .. }) => {
+                let passed =
+                    reply.pass_whole::<D>(head.status, &head.reason, &head.headers, &body);
+                passed.await;
+            }
+            Ok(Sent::Stream(_)) => reply.refuse(&Refusal::new(502, "unexpected stream")).await,
+            Err(failure) => reply.refuse(&failure.refusal()).await,
+        }
+    }
+}
--- /dev/null
+++ b/gateway/src/follow.rs
@@ -0,0 +1,363 @@
+//! Follows the topics of the store: turns, configuration and endpoints.
+
+use crate::dialect::{Dialect, NewestPage, Offset, Read, StoreRecord, Topic};
+use crate::node::Gateway;
+use crate::store::StoreLink;
+use crate::turns::Other;
+use futures_lite::future;
+use smol::Timer;
+use std::cell::Cell;
+use std::collections::{HashMap, HashSet};
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+/// Pause between two reads of the turns' topic when nobody waits for it. Programs pause for 60 ms
+/// and more between turns, so that most turns are known before they are named.
+const TURNS_PAUSE: Duration = Duration::from_millis(120);
+
+/// Pause between two reads of the endpoints' topic: a fraction of the time in which a leaving
+/// endpoint must get no more work.
+const ENDPOINTS_PAUSE: Duration = Duration::from_millis(350);
+
+/// How long the store holds a read of the configuration that has nothing new; well below the time
+/// in which a configuration must be in force, since a silent connection is noticed only then.
+const CONFIGURATION_WAIT: Duration = Duration::from_millis(900);
+
+/// Longest time of a read beyond its wait.
+const READ_TIMEOUT: Duration = Duration::from_millis(700);
+
+/// Longest time of a page of newest records, which may have a megabyte.
+const PAGE_TIMEOUT: Duration = Duration::from_secs(3);
+
+/// Pause after a failed call at first; doubled by each further one.
+const FIRST_PAUSE: Duration = Duration::from_millis(20);
+
+/// Longest pause after a failed call.
+const MOST_PAUSE: Duration = Duration::from_millis(250);
+
+/// How long an endpoint stays after its entry has vanished near a failure of the store: entries
+/// that lapsed meanwhile are back within two seconds of its return.
+const LAPSE_GRACE: Duration = Duration::from_millis(2_300);
+
+/// Time before now in which a failure of the store makes vanished entries doubtful.
+const LAPSE_WINDOW: Duration = Duration::from_secs(4);
+
+/// How far the turns' topic has been read, for those that wait for it.
+#[derive(Default)]
+pub(crate) struct TurnsProgress {
+    /// Reads begun; odd while one is under way would not do, so it only counts.
+    begun: Cell<u64>,
+    /// The highest number of a read that reached the topic's end.
+    reached_end: Cell<u64>,
+    /// Whether all that the topic holds has been read once.
+    is_loaded: Cell<bool>,
+    wanted: event_listener::Event,
+    is_wanted: Cell<bool>,
+    advanced: event_listener::Event,
+}
+
+impl TurnsProgress {
+    /// Whether all that the topic held at the start has been read.
+    pub(crate) fn is_loaded(&self) -> bool {
+        self.is_loaded.get()
+    }
+
+    fn want(&self) {
+        self.is_wanted.set(true);
+        self.wanted.notify(usize::MAX);
+    }
+
+    async fn pause(&self, limit: Duration) {
+        let listener = self.wanted.listen();
+        if self.is_wanted.get() {
+            return;
+        }
+        future::or(listener, async {
+            Timer::after(limit).await;
+        })
+        .await;
+    }
+}
+
+impl<D: Dialect> Gateway<D> {
+    /// Waits until the turns' topic has been read to an end that it reached after this call.
+    pub(crate) async fn read_all_turns(&self) {
+        let progress = &self.progress;
+        let due = progress.begun.get() + 1;
+        while progress.reached_end.get() < due {
+            let listener = progress.advanced.listen();
+            progress.want();
+            listener.await;
+        }
+    }
+
+    /// Waits until the record at an offset has been folded.
+    pub(crate) async fn read_turns_through(&self, offset: Offset) {
+        while self.turns.borrow().position() <= offset {
+            let listener = self.progress.advanced.listen();
+            self.progress.want();
+            listener.await;
+        }
+    }
+
+    /// Follows the turns' topic, for ever.
+    pub(crate) async fn follow_turns(self: Rc<Self>) {
+        let mut link = self.store_link();
+        loop {
+            let started_at = Instant::now();
+            let number = self.progress.begun.get() + 1;
+            self.progress.begun.set(number);
+            let (first, pages) = self.load(&mut link, Topic::Turns).await;
+            self.fold_turns(&pages);
+            self.turns.borrow_mut().advance(first);
+            self.progress.reached_end.set(number);
+            self.progress.is_loaded.set(true);
+            self.progress.advanced.notify(usize::MAX);
+            crate::event!("turns_loaded", "turns" => self.turns.borrow().len(),
+                "took_ms" => started_at.elapsed().as_millis());
+            self.tail_turns(&mut link).await;
+            crate::event!("turns_expired", "position" => self.turns.borrow().position());
+        }
+    }
+
+    /// Reads new records until those that are due have expired.
+    async fn tail_turns(&self, link: &mut StoreLink) {
+        let mut failures = Backoff::default();
+        loop {
+            let progress = &self.progress;
+            progress.is_wanted.set(false);
+            let number = progress.begun.get() + 1;
+            progress.begun.set(number);
+            let from = self.turns.borrow().position();
+            match self.read(link, Topic::Turns, from, Duration::ZERO).await {
+                Some(Read::Records { records, end }) => {
+                    failures.reset();
+                    self.fold_turns(&records);
+                    let read = from + records.len() as Offset;
+                    self.turns.borrow_mut().advance(read);
+                    if read >= end {
+                        progress.reached_end.set(number);
+                    }
+                    progress.advanced.notify(usize::MAX);
+                    if read >= end {
+                        progress.pause(TURNS_PAUSE).await;
+                    }
+                }
+                Some(Read::Expired) => return,
+                Some(Read::Refused) | None => failures.pause().await,
+            }
+        }
+    }
+
+    fn fold_turns(&self, records: &[StoreRecord]) {
+        let now = Instant::now();
+        let mut index = self.turns.borrow_mut();
+        for record in records {
+            match index.apply(now, record) {
+                Ok(Other::None) => {}
+                Ok(Other::Gateway(gateway)) => self.gossip.learn(&record.key, &gateway),
+                Err(error) => {
+                    crate::event!("record_unreadable",
+                        "key" => record.key.as_str(), "error" => error);
+                }
+            }
+        }
+    }
+
+    /// Follows the configuration, for ever.
+    pub(crate) async fn follow_configuration(self: Rc<Self>) {
+        let mut link = self.store_link();
+        loop {
+            let (mut from, records) = self.load(&mut link, Topic::Configuration).await;
+            self.apply_configuration(&records);
+            let mut failures = Backoff::default();
+            loop {
+                let wait = CONFIGURATION_WAIT;
+                match self.read(&mut link, Topic::Configuration, from, wait).await {
+                    Some(Read::Records { records, .. }) => {
+                        failures.reset();
+                        self.apply_configuration(&records);
+                        from += records.len() as Offset;
+                    }
+                    Some(Read::Expired) => break,
+                    Some(Read::Refused) | None => failures.pause().await,
+                }
+            }
+        }
+    }
+
+    fn apply_configuration(&self, records: &[StoreRecord]) {
+        let documents = records
+            .iter()
+            .filter(|record| record.key == D::configuration_key());
+        for value in documents.filter_map(|record| record.value.as_ref()) {
+            match D::read_configuration(value) {
+                Ok(configuration) => {
+                    let version = configuration.version;
+                    if self.routes.borrow_mut().apply(configuration) {
+                        crate::event!("configuration_in_force", "version" => version);
+                    }
+                }
+                Err(error) => crate::event!("configuration_unreadable", "error" => error),
+            }
+        }
+    }
+
+    /// Follows the list of endpoints, for ever.
+    pub(crate) async fn follow_endpoints(self: Rc<Self>) {
+        let mut link = self.store_link();
+        let mut vanished: HashMap<String, Instant> = HashMap::new();
+        loop {
+            let (mut from, records) = self.load(&mut link, Topic::Endpoints).await;
+            let listed: HashSet<&str> = records.iter().map(|record| record.key.as_str()).collect();
+            let known = self.endpoints.borrow().ids();
+            for id in known.iter().filter(|id| !listed.contains(&***id)) {
+                self.forget_endpoint(id, &mut vanished);
+            }
+            self.apply_endpoints(&records, &mut vanished);
+            self.endpoints_loaded.set(true);
+            let mut failures = Backoff::default();
+            loop {
+                match self.read(&mut link, Topic::Endpoints, from, Duration::ZERO).await {
+                    Some(Read::Records { records, .. }) => {
+                        failures.reset();
+                        from += records.len() as Offset;
+                        self.apply_endpoints(&records, &mut vanished);
+                        self.drop_vanished(&mut vanished);
+                        Timer::after(ENDPOINTS_PAUSE).await;
+                    }
+                    Some(Read::Expired) => break,
+                    Some(Read::Refused) | None => failures.pause().await,
+                }
+            }
+        }
+    }
+
+    fn apply_endpoints(&self, records: &[StoreRecord], vanished: &mut HashMap<String, Instant>) {
+        for record in records {
+            let Some(value) = &record.value else {
+                self.forget_endpoint(&record.key, vanished);
+                continue;
+            };
+            vanished.remove(&record.key);
+            match D::read_endpoint(&record.key, value) {
+                Ok(endpoint) => self.put_endpoint(endpoint),
+                Err(error) => {
+                    self.forget_endpoint(&record.key, vanished);
+                    crate::event!("endpoint_unreadable",
+                        "endpoint" => record.key.as_str(), "error" => error);
+                }
+            }
+        }
+    }
+
+    fn put_endpoint(&self, endpoint: crate::endpoints::EndpointRecord) {
+        let id = endpoint.id.clone();
+        let is_draining = endpoint.is_draining;
+        let before = self.endpoints.borrow().record(&id).cloned();
+        let is_reborn = before
+            .as_ref()
+            .is_some_and(|before| before.started_unix_ms != endpoint.started_unix_ms);
+        if is_reborn {
+            self.pool.close(&id);
+        }
+        let changed = self.endpoints.borrow_mut().put(endpoint);
+        if changed && (before.is_none() || is_draining || is_reborn) {
+            crate::event!("endpoint_listed", "endpoint" => &*id,
+                "draining" => is_draining, "reborn" => is_reborn);
+        }
+    }
+
+    /// Takes it that an entry has vanished: at once, or after a grace where the store was away.
+    fn forget_endpoint(&self, id: &str, vanished: &mut HashMap<String, Instant>) {
+        if self.endpoints.borrow().record(id).is_none() {
+            return;
+        }
+        let now = Instant::now();
+        if self.store_health.was_unstable(now, LAPSE_WINDOW) {
+            vanished.entry(id.to_owned()).or_insert(now + LAPSE_GRACE);
+            return;
+        }
+        self.remove_endpoint(id);
+    }
+
+    fn drop_vanished(&self, vanished: &mut HashMap<String, Instant>) {
+        let now = Instant::now();
+        vanished.retain(|id, until| {
+            if *until > now {
+                return true;
+            }
+            self.remove_endpoint(id);
+            false
+        });
+    }
+
+    fn remove_endpoint(&self, id: &str) {
+        if self.endpoints.borrow_mut().remove(id) {
+            self.pool.close(id);
+            crate::event!("endpoint_gone", "endpoint" => id);
+        }
+    }
+
+    /// Loads the newest records of a topic; returns where to read on, and the records.
+    ///
+    /// Pages are no snapshot: reading on from the first page's end makes up for what changed.
+    async fn load(&self, link: &mut StoreLink, topic: Topic) -> (Offset, Vec<StoreRecord>) {
+        let mut first = None;
+        let mut records: Vec<StoreRecord> = Vec::new();
+        loop {
+            let after = records.last().map(|record| record.key.clone());
+            let page = self.load_page(link, topic, after.as_deref()).await;
+            let end = *first.get_or_insert(page.end);
+            records.extend(page.records);
+            if !page.more {
+                return (end, records);
+            }
+        }
+    }
+
+    async fn load_page(&self, link: &mut StoreLink, topic: Topic, after: Option<&str>) -> NewestPage {
+        let call = D::newest(topic, after);
+        let mut failures = Backoff::default();
+        loop {
+            if let Ok((status, body)) = link.call(&call, PAGE_TIMEOUT).await
+                && let Some(page) = D::read_newest(status, &body)
+            {
+                return page;
+            }
+            failures.pause().await;
+        }
+    }
+
+    async fn read(
+        &self,
+        link: &mut StoreLink,
+        topic: Topic,
+        from: Offset,
+        wait: Duration,
+    ) -> Option<Read> {
+        let call = D::read(topic, from, wait);
+        let (status, body) = link.call(&call, wait + READ_TIMEOUT).await.ok()?;
+        Some(D::read_records(from, status, &body))
+    }
+}
+
+/// Pauses after failures in a row.
+#[derive(Debug, Default)]
+struct Backoff {
+    failures: u32,
+}
+
+impl Backoff {
+    fn reset(&mut self) {
+        self.failures = 0;
+    }
+
+    async fn pause(&mut self) {
+        let doubled = FIRST_PAUSE * 2_u32.pow(self.failures.min(8));
+        self.failures += 1;
+        let most = doubled.min(MOST_PAUSE);
+        let jitter = 0.5 + fastrand::f64() * 0.5;
+        Timer::after(most.mul_f64(jitter)).await;
+    }
+}
--- /dev/null
+++ b/gateway/src/http/body.rs
@@ -0,0 +1,161 @@
+//! Decoding of bodies as they arrive.
+
+use super::Framing;
+
+/// Longest line with the length of a chunk, in bytes; extensions are not used.
+const MAX_CHUNK_LINE_BYTES: usize = 256;
+
+/// Longest trailer, in bytes.
+const MAX_TRAILER_BYTES: usize = 8 * 1024;
+
+/// Why a body can't be decoded.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, strum::Display)]
+#[strum(serialize_all = "kebab-case")]
+pub(crate) enum BodyError {
+    /// The framing is broken.
+    Malformed,
+    /// The connection ended before the body did.
+    Truncated,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum State {
+    /// This many bytes are due; at 0 the body or the chunk is over.
+    Data(u64),
+    /// The line end after a chunk is due.
+    DataEnd,
+    /// The line with a chunk's length is due.
+    Size,
+    /// Trailer lines are due, up to an empty one.
+    Trailer,
+    /// Everything up to the connection's end belongs to the body.
+    UntilClose,
+    Done,
+}
+
+/// Decodes one body.
+#[derive(Debug)]
+pub(crate) struct BodyDecoder {
+    state: State,
+    chunked: bool,
+    trailer_bytes: usize,
+}
+
+impl BodyDecoder {
+    /// Makes a decoder for a framing.
+    pub(crate) fn new(framing: Framing) -> Self {
+        let state = match framing {
+            Framing::Empty | Framing::Length(0) => State::Done,
+            Framing::Length(length) => State::Data(length),
+            Framing::Chunked => State::Size,
+            Framing::UntilClose => State::UntilClose,
+        };
+        Self {
+            state,
+            chunked: framing == Framing::Chunked,
+            trailer_bytes: 0,
+        }
+    }
+
+    /// Tells whether the whole body has been decoded.
+    pub(crate) fn is_done(&self) -> bool {
+        self.state == State::Done
+    }
+
+    /// Decodes what `input` holds, appends it to `out` and returns the bytes consumed.
+    pub(crate) fn decode(&mut self, input: &[u8], out: &mut Vec<u8>) -> Result<usize, BodyError> {
+        let mut at = 0;
+        loop {
+            let rest = &input[at..];
+            match self.state {
+                State::Done => return Ok(at),
+                State::UntilClose => {
+                    out.extend_from_slice(rest);
+                    return Ok(input.len());
+                }
+                State::Data(due) => {
+                    let take = usize::try_from(due).map_or(rest.len(), |due| due.min(rest.len()));
+                    out.extend_from_slice(&rest[..take]);
+                    at += take;
+                    self.state = self.after_data(due - take as u64);
+                    if matches!(self.state, State::Data(_)) {
+                        return Ok(at);
+                    }
+                }
+                State::DataEnd => {
+                    if rest.len() < 2 {
+                        return Ok(at);
+                    }
+                    if &rest[..2] != b"\r\n" {
+                        return Err(BodyError::Malformed);
+                    }
+                    at += 2;
+                    self.state = State::Size;
+                }
+                State::Size => {
+                    let Some(line) = take_line(rest, MAX_CHUNK_LINE_BYTES)? else {
+                        return Ok(at);
+                    };
+                    at += line.len() + 2;
+                    self.state = match parse_chunk_size(line)? {
+                        0 => State::Trailer,
+                        size => State::Data(size),
+                    };
+                }
+                State::Trailer => {
+                    let Some(line) = take_line(rest, MAX_TRAILER_BYTES)? else {
+                        return Ok(at);
+                    };
+                    at += line.len() + 2;
+                    self.trailer_bytes += line.len();
+                    if self.trailer_bytes > MAX_TRAILER_BYTES {
+                        return Err(BodyError::Malformed);
+                    }
+                    if line.is_empty() {
+                        self.state = State::Done;
+                    }
+                }
+            }
+        }
+    }
+
+    /// Takes the orderly end of the connection.
+    pub(crate) fn end(&mut self) -> Result<(), BodyError> {
+        match self.state {
+            State::Done | State::UntilClose => {
+                self.state = State::Done;
+                Ok(())
+            }
+            _ => Err(BodyError::Truncated),
+        }
+    }
+
+    fn after_data(&self, due: u64) -> State {
+        match (due, self.chunked) {
+            (0, true) => State::DataEnd,
+            (0, false) => State::Done,
+            (due, _) => State::Data(due),
+        }
+    }
+}
+
+/// Returns the line at the start of `input` without its end; `None` if it is not complete.
+fn take_line(input: &[u8], limit_bytes: usize) -> Result<Option<&[u8]>, BodyError> {
+    match input.iter().position(|byte| *byte == b'\n') {
+        Some(at) if at > 0 && input[at - 1] == b'\r' => Ok(Some(&input[..at - 1])),
+        Some(_) => Err(BodyError::Malformed),
+        None if input.len() > limit_bytes => Err(BodyError::Malformed),
+        None => Ok(None),
+    }
+}
+
+fn parse_chunk_size(line: &[u8]) -> Result<u64, BodyError> {
+    let digits = line.split(|byte| *byte == b';').next().unwrap_or_default();
+    let text = str::from_utf8(digits).map_err(|_| BodyError::Malformed)?;
+    let text = text.trim_end_matches([' ', '\t']);
+    let is_hex = !text.is_empty() && text.bytes().all(|byte| byte.is_ascii_hexdigit());
+    if !is_hex {
+        return Err(BodyError::Malformed);
+    }
+    u64::from_str_radix(text, 16).map_err(|_| BodyError::Malformed)
+}
--- /dev/null
+++ b/gateway/src/http/mod.rs
@@ -0,0 +1,43 @@
+//! HTTP/1.1 with control over each byte and each close: heads, framing, bodies.
+
+mod body;
+mod head;
+mod response;
+#[cfg(test)]
+mod tests;
+mod wire;
+
+pub(crate) use body::{BodyDecoder, BodyError};
+pub use head::Header;
+pub(crate) use head::{Framing, HeadError, RequestHead, parse_request};
+pub(crate) use response::{ResponseHead, parse_response};
+pub(crate) use wire::Wire;
+
+/// Headers that concern one connection only and are never forwarded.
+const HOP_HEADERS: [&str; 9] = [
+    "connection",
+    "keep-alive",
+    "proxy-authenticate",
+    "proxy-authorization",
+    "proxy-connection",
+    "te",
+    "trailer",
+    "transfer-encoding",
+    "upgrade",
+];
+
+/// Tells whether a header concerns one connection only, by itself or as named in `Connection`.
+pub(crate) fn is_hop_header(name: &str, named: &[String]) -> bool {
+    HOP_HEADERS.iter().any(|hop| name.eq_ignore_ascii_case(hop))
+        || named.iter().any(|hop| name.eq_ignore_ascii_case(hop))
+}
+
+/// Returns the tokens of all `Connection` headers, in lowercase.
+pub(crate) fn connection_tokens(headers: &[Header]) -> Vec<String> {
+    let lines = headers.iter().filter(|header| header.is("connection"));
+    lines
+        .flat_map(|header| header.value.split(','))
+        .map(|token| token.trim().to_ascii_lowercase())
+        .filter(|token| !token.is_empty())
+        .collect()
+}
--- /dev/null
+++ b/gateway/src/http/response.rs
@@ -0,0 +1,80 @@
+//! Heads of answers.
+
+use super::head::{own_headers, parse_length};
+use super::{Framing, Header, connection_tokens};
+use std::time::Duration;
+
+/// Headers that a head may have.
+const MAX_HEADERS: usize = 96;
+
+/// Longest head of an answer, in bytes; endpoints send a few hundred.
+const MAX_HEAD_BYTES: usize = 64 * 1024;
+
+/// The head of an answer.
+#[derive(Clone, Debug)]
+pub(crate) struct ResponseHead {
+    pub(crate) status: u16,
+    pub(crate) reason: String,
+    pub(crate) headers: Vec<Header>,
+    pub(crate) framing: Framing,
+    /// Whether the connection may be used again.
+    pub(crate) keep_alive: bool,
+    /// How long the endpoint keeps an idle connection, if it says so.
+    pub(crate) idle_limit: Option<Duration>,
+}
+
+/// Parses the head at the start of `bytes`; `None` if it is not complete yet.
+///
+/// Returns the head and its length in bytes; an error means that the bytes are no answer.
+pub(crate) fn parse_response(bytes: &[u8]) -> Result<Option<(ResponseHead, usize)>, ()> {
+    let mut storage = [httparse::EMPTY_HEADER; MAX_HEADERS];
+    let mut response = httparse::Response::new(&mut storage);
+    let length = match response.parse(bytes) {
+        Ok(httparse::Status::Complete(length)) => length,
+        Ok(httparse::Status::Partial) if bytes.len() <= MAX_HEAD_BYTES => return Ok(None),
+        _ => return Err(()),
+    };
+    let status = response.code.ok_or(())?;
+    let headers = own_headers(response.headers).ok_or(())?;
+    let framing = response_framing(status, &headers)?;
+    let tokens = connection_tokens(&headers);
+    let closes = tokens.iter().any(|token| token == "close") || response.version == Some(0);
+    let head = ResponseHead {
+        status,
+        reason: response.reason.unwrap_or_default().to_owned(),
+        framing,
+        keep_alive: !closes && framing != Framing::UntilClose,
+        idle_limit: idle_limit(&headers),
+        headers,
+    };
+    Ok(Some((head, length)))
+}
+
+fn response_framing(status: u16, headers: &[Header]) -> Result<Framing, ()> {
+    if status < 200 || status == 204 || status == 304 {
+        return Ok(Framing::Empty);
+    }
+    let values = |name: &'static str| headers.iter().filter(move |header| header.is(name));
+    let mut lengths = values("content-length");
+    let length = lengths.next();
+    if lengths.any(|other| Some(&other.value) != length.map(|first| &first.value)) {
+        return Err(());
+    }
+    let mut codings = values("transfer-encoding");
+    match (codings.next(), length) {
+        (None, None) => Ok(Framing::UntilClose),
+        (None, Some(length)) => parse_length(&length.value).map(Framing::Length).ok_or(()),
+        (Some(coding), None) if coding.value.eq_ignore_ascii_case("chunked") => {
+            codings.next().map_or(Ok(Framing::Chunked), |_| Err(()))
+        }
+        _ => Err(()),
+    }
+}
+
+/// Reads `timeout=N` of a `Keep-Alive` header.
+fn idle_limit(headers: &[Header]) -> Option<Duration> {
+    let header = headers.iter().find(|header| header.is("keep-alive"))?;
+    let mut parts = header.value.split(',').map(str::trim);
+    let timeout = parts.find_map(|part| part.strip_prefix("timeout="))?;
+    timeout.trim().parse().ok().map(Duration::from_secs)
+}
--- /dev/null
+++ b/gateway/src/net.rs
@@ -0,0 +1,50 @@
+//! Sockets and time limits.
+
+use futures_lite::future;
+use rustix::net::sockopt;
+use smol::Timer;
+use smol::net::TcpStream;
+use std::io;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+/// Time after which unacknowledged data breaks a connection: a peer that is dark or cut off is
+/// noticed, one that is only slow is not, since its kernel acknowledges.
+const UNACKNOWLEDGED_LIMIT_MS: u32 = 1_500;
+
+/// Idle time before the first probe of a connection, and between two probes; the least that the
+/// kernel takes.
+const PROBE_INTERVAL: Duration = Duration::from_secs(1);
+
+/// Unanswered probes that break a connection.
+const PROBES: u32 = 2;
+
+/// Runs a future for so long; past that it is dropped and the outcome is a time-out.
+pub(crate) async fn within<T>(
+    limit: Duration,
+    work: impl Future<Output = io::Result<T>>,
+) -> io::Result<T> {
+    future::or(work, async {
+        Timer::after(limit).await;
+        Err(io::ErrorKind::TimedOut.into())
+    })
+    .await
+}
+
+/// Opens a connection that notices a silent peer.
+pub(crate) async fn connect(address: SocketAddr) -> io::Result<TcpStream> {
+    let stream = TcpStream::connect(address).await?;
+    tune(&stream)?;
+    Ok(stream)
+}
+
+/// Sets a connection's options: no delay of small writes, and probes for a silent peer.
+pub(crate) fn tune(stream: &TcpStream) -> io::Result<()> {
+    stream.set_nodelay(true)?;
+    sockopt::set_socket_keepalive(stream, true)?;
+    sockopt::set_tcp_keepidle(stream, PROBE_INTERVAL)?;
+    sockopt::set_tcp_keepintvl(stream, PROBE_INTERVAL)?;
+    sockopt::set_tcp_keepcnt(stream, PROBES)?;
+    sockopt::set_tcp_user_timeout(stream, UNACKNOWLEDGED_LIMIT_MS)?;
+    Ok(())
+}
--- /dev/null
+++ b/gateway/src/node.rs
@@ -0,0 +1,232 @@
+//! The gateway's process: what its tasks share, its start and its end.
+
+use crate::commit::Committer;
+use crate::dialect::Dialect;
+use crate::endpoints::Endpoints;
+use crate::events;
+use crate::follow::TurnsProgress;
+use crate::gossip::Gossip;
+use crate::pool::Pool;
+use crate::routes::Routes;
+use crate::store::{StoreHealth, StoreLink};
+use crate::turns::TurnIndex;
+use async_signal::{Signal, Signals};
+use futures_lite::StreamExt;
+use smol::net::{TcpListener, UdpSocket};
+use smol::{LocalExecutor, Timer};
+use std::cell::{Cell, RefCell};
+use std::io;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+/// Connections that may wait to be accepted: more than a burst brings between two turns of this
+/// process on a slow VM.
+const LISTEN_BACKLOG: i32 = 1_024;
+
+/// How long a stopping gateway takes new connections: two readiness probes a second apart must
+/// have missed before callers are sent elsewhere.
+const LEAVE_NOTICE: Duration = Duration::from_millis(2_800);
+
+/// Part of the grace that is left for the end of the process itself.
+const GRACE_MARGIN: Duration = Duration::from_millis(500);
+
+/// Pause between two looks at what a stopping gateway still has to do.
+const STOP_PAUSE: Duration = Duration::from_millis(20);
+
+/// Pause between two rounds of housekeeping.
+const SWEEP_PAUSE: Duration = Duration::from_secs(1);
+
+/// Pause between two announcements to other gateways; they also learn of each other by datagrams.
+const ANNOUNCE_PAUSE: Duration = Duration::from_secs(20);
+
+/// What a gateway is told at its start.
+#[derive(Clone, Debug, PartialEq)]
+pub struct GatewaySettings {
+    /// Its name.
+    pub name: String,
+    /// Its failure domain.
+    pub failure_domain: String,
+    /// Where clients connect.
+    pub clients: SocketAddr,
+    /// Where readiness is asked for.
+    pub readiness: SocketAddr,
+    /// Where other gateways send their datagrams.
+    pub gossip: SocketAddr,
+    /// The platform's store.
+    pub store: SocketAddr,
+    /// Time from the signal to stop until the process is killed.
+    pub stop_grace: Duration,
+}
+
+/// What the tasks of a gateway share. All run on one thread.
+pub(crate) struct Gateway<D: Dialect> {
+    pub(crate) settings: GatewaySettings,
+    /// Differs between two lifetimes of the process.
+    pub(crate) incarnation: u64,
+    pub(crate) executor: Rc<LocalExecutor<'static>>,
+    pub(crate) rng: RefCell<fastrand::Rng>,
+    pub(crate) routes: RefCell<Routes>,
+    pub(crate) endpoints: RefCell<Endpoints>,
+    pub(crate) endpoints_loaded: Cell<bool>,
+    pub(crate) turns: RefCell<TurnIndex>,
+    pub(crate) progress: TurnsProgress,
+    pub(crate) committer: Committer<D>,
+    pub(crate) gossip: Gossip,
+    pub(crate) pool: Pool,
+    pub(crate) store_health: Rc<StoreHealth>,
+    store_address: Rc<Cell<SocketAddr>>,
+    /// Requests under way.
+    pub(crate) busy: Cell<usize>,
+    stopping_since: Cell<Option<Instant>>,
+    is_ending: Cell<bool>,
+    ended: event_listener::Event,
+}
+
+impl<D: Dialect> Gateway<D> {
+    fn new(settings: GatewaySettings, executor: Rc<LocalExecutor<'static>>) -> Self {
+        let mut rng = fastrand::Rng::new();
+        Self {
+            incarnation: rng.u64(..),
+            executor,
+            rng: RefCell::new(rng),
+            routes: RefCell::default(),
+            endpoints: RefCell::default(),
+            endpoints_loaded: Cell::new(false),
+            turns: RefCell::default(),
+            progress: TurnsProgress::default(),
+            committer: Committer::new(),
+            gossip: Gossip::new(&settings.name),
+            pool: Pool::default(),
+            store_health: Rc::default(),
+            store_address: Rc::new(Cell::new(settings.store)),
+            busy: Cell::new(0),
+            stopping_since: Cell::new(None),
+            is_ending: Cell::new(false),
+            ended: event_listener::Event::new(),
+            settings,
+        }
+    }
+
+    /// Makes a connection to the store for one task.
+    pub(crate) fn store_link(&self) -> StoreLink {
+        StoreLink::new(self.store_address.clone(), self.store_health.clone())
+    }
+
+    /// Tells whether the process has been asked to stop.
+    pub(crate) fn is_stopping(&self) -> bool {
+        self.stopping_since.get().is_some()
+    }
+
+    /// Returns once idle connections are to be closed.
+    pub(crate) async fn ending(&self) {
+        while !self.is_ending.get() {
+            let listener = self.ended.listen();
+            if self.is_ending.get() {
+                return;
+            }
+            listener.await;
+        }
+    }
+
+    /// Tells whether callers should be sent here.
+    pub(crate) fn is_ready(&self) -> bool {
+        !self.is_stopping()
+            && self.routes.borrow().version().is_some()
+            && self.endpoints_loaded.get()
+            && self.progress.is_loaded()
+            && !self.store_health.is_lost(Instant::now())
+    }
+
+    async fn keep_house(self: Rc<Self>) {
+        let mut announced_at: Option<Instant> = None;
+        loop {
+            let now = Instant::now();
+            self.pool.sweep(now);
+            if announced_at.is_none_or(|at| now.duration_since(at) > ANNOUNCE_PAUSE) {
+                self.announce();
+                announced_at = Some(now);
+            }
+            self.drop_outdated(now);
+            Timer::after(SWEEP_PAUSE).await;
+        }
+    }
+
+    /// Drops the records of turns that nobody can continue any more.
+    fn drop_outdated(&self, now: Instant) {
+        if !self.committer.is_idle() {
+            return;
+        }
+        for key in self.turns.borrow().outdated(now) {
+            self.committer.add(key, None);
+        }
+    }
+
+    /// Takes the gateway out of rotation, lets it finish its requests and returns.
+    async fn stop(&self) {
+        let started_at = Instant::now();
+        self.stopping_since.set(Some(started_at));
+        crate::event!("stopping", "requests" => self.busy.get());
+        Timer::after(LEAVE_NOTICE).await;
+        self.is_ending.set(true);
+        self.ended.notify(usize::MAX);
+        let limit = self.settings.stop_grace.saturating_sub(GRACE_MARGIN);
+        while started_at.elapsed() < limit {
+            if self.busy.get() == 0 && self.committer.is_idle() {
+                break;
+            }
+            Timer::after(STOP_PAUSE).await;
+        }
+        crate::event!("stopped", "requests" => self.busy.get(),
+            "took_ms" => started_at.elapsed().as_millis());
+    }
+}
+
+/// Runs a gateway until it is asked to stop.
+///
+/// # Errors
+///
+/// Fails if one of its addresses can't be bound or signals can't be received.
+pub fn run_gateway<D: Dialect>(settings: GatewaySettings) -> io::Result<()> {
+    let executor = Rc::new(LocalExecutor::new());
+    let gateway = Rc::new(Gateway::<D>::new(settings, executor.clone()));
+    smol::block_on(executor.run(run(gateway)))
+}
+
+async fn run<D: Dialect>(gateway: Rc<Gateway<D>>) -> io::Result<()> {
+    let settings = &gateway.settings;
+    crate::event!("started", "gateway" => settings.name.as_str(),
+        "version" => env!("CARGO_PKG_VERSION"), "incarnation" => gateway.incarnation);
+    let clients = listen(settings.clients).await?;
+    let readiness = listen(settings.readiness).await?;
+    let gossip = UdpSocket::bind(settings.gossip).await?;
+    let mut signals = Signals::new([Signal::Term, Signal::Int])?;
+    let spawn = |task: std::pin::Pin<Box<dyn Future<Output = ()>>>| {
+        gateway.executor.spawn(task).detach();
+    };
+    let producer = format!("{}-{:x}", settings.name, gateway.incarnation);
+    let committer = gateway.clone();
+    spawn(Box::pin(async move {
+        let link = committer.store_link();
+        committer.committer.run(link, &producer).await;
+    }));
+    spawn(Box::pin(events::write_lines()));
+    spawn(Box::pin(gateway.clone().follow_configuration()));
+    spawn(Box::pin(gateway.clone().follow_endpoints()));
+    spawn(Box::pin(gateway.clone().follow_turns()));
+    spawn(Box::pin(gateway.clone().tell_counts(gossip.clone())));
+    spawn(Box::pin(gateway.clone().hear_counts(gossip)));
+    spawn(Box::pin(gateway.clone().keep_house()));
+    spawn(Box::pin(gateway.clone().answer_readiness(readiness)));
+    spawn(Box::pin(gateway.clone().accept_clients(clients)));
+    signals.next().await;
+    gateway.stop().await;
+    events::flush_now();
+    Ok(())
+}
+
+async fn listen(address: SocketAddr) -> io::Result<TcpListener> {
+    let listener = TcpListener::bind(address).await?;
+    rustix::net::listen(&listener, LISTEN_BACKLOG)?;
+    Ok(listener)
+}
--- /dev/null
+++ b/gateway/src/readiness.rs
@@ -0,0 +1,72 @@
+//! Tells the platform whether callers should be sent here.
+
+use crate::dialect::Dialect;
+use crate::http::{Framing, Wire, parse_request};
+use crate::node::Gateway;
+use crate::reply::{Refusal, Reply};
+use futures_lite::future;
+use smol::Timer;
+use smol::net::{TcpListener, TcpStream};
+use std::rc::Rc;
+use std::time::Duration;
+
+/// How long a connection of the platform may be idle; it asks every second.
+const IDLE_LIMIT: Duration = Duration::from_secs(30);
+
+/// Longest request; it has a few headers and no body.
+const MAX_HEAD_BYTES: usize = 8 * 1024;
+
+impl<D: Dialect> Gateway<D> {
+    /// Answers readiness probes, for ever.
+    pub(crate) async fn answer_readiness(self: Rc<Self>, listener: TcpListener) {
+        loop {
+            let Ok((stream, _)) = listener.accept().await else {
+                Timer::after(Duration::from_millis(20)).await;
+                continue;
+            };
+            let gateway = self.clone();
+            let task = async move { gateway.answer_probes(stream).await };
+            self.executor.spawn(task).detach();
+        }
+    }
+
+    async fn answer_probes(&self, stream: TcpStream) {
+        let mut wire = Wire::new(stream);
+        loop {
+            let idle = async {
+                Timer::after(IDLE_LIMIT).await;
+                false
+            };
+            if !future::or(read_probe(&mut wire), idle).await {
+                return;
+            }
+            let reply = Reply::new(wire.stream(), false);
+            let refusal = if self.is_ready() {
+                Refusal::new(200, "ready")
+            } else {
+                Refusal::new(503, "not ready")
+            };
+            reply.refuse(&refusal).await;
+            if !reply.keeps_connection() {
+                return;
+            }
+        }
+    }
+}
+
+/// Reads a probe; false at the connection's end or if it is none.
+async fn read_probe(wire: &mut Wire) -> bool {
+    loop {
+        match parse_request(wire.unread()) {
+            Ok(Some((head, length))) => {
+                wire.consume(length);
+                return head.framing == Framing::Empty;
+            }
+            Ok(None) if wire.unread().len() < MAX_HEAD_BYTES => match wire.fill().await {
+                Ok(count) if count > 0 => {}
+                _ => return false,
+            },
+            _ => return false,
+        }
+    }
+}
--- /dev/null
+++ b/gateway/src/stream.rs
@@ -0,0 +1,70 @@
+//! Splits a stream into its events.
+
+/// Collects the bytes of a stream and gives back whole events.
+#[derive(Debug, Default)]
+pub(crate) struct EventSplitter {
+    pending: Vec<u8>,
+    /// Where the search for the next event's end goes on.
+    searched: usize,
+}
+
+impl EventSplitter {
+    /// Takes bytes of the stream.
+    pub(crate) fn push(&mut self, bytes: &[u8]) {
+        self.pending.extend_from_slice(bytes);
+    }
+
+    /// Takes the next whole event, its closing empty line included.
+    pub(crate) fn next_event(&mut self) -> Option<Vec<u8>> {
+        let from = self.searched;
+        let found = (from..self.pending.len()).find_map(|at| event_end(&self.pending, at));
+        let Some(end) = found else {
+            // An end may straddle the bytes to come.
+            self.searched = self.pending.len().saturating_sub(3);
+            return None;
+        };
+        self.searched = 0;
+        let rest = self.pending.split_off(end);
+        Some(std::mem::replace(&mut self.pending, rest))
+    }
+
+    /// Takes what is left after the last whole event.
+    pub(crate) fn rest(&mut self) -> Vec<u8> {
+        self.searched = 0;
+        std::mem::take(&mut self.pending)
+    }
+}
+
+/// Returns the end of an event whose last line ends at `at`, if an empty line follows.
+fn event_end(bytes: &[u8], at: usize) -> Option<usize> {
+    let tail = &bytes[at..];
+    if tail.starts_with(b"\n\n") {
+        Some(at + 2)
+    } else if tail.starts_with(b"\n\r\n") {
+        Some(at + 3)
+    } else {
+        None
+    }
+}
+
+/// Appends the data of an event to a turn's text, with a line feed; returns whether it had any.
+pub(crate) fn append_data(event: &[u8], text: &mut Vec<u8>) -> bool {
+    let lines = event.split(|byte| *byte == b'\n');
+    let data = lines.filter_map(|line| {
+        let line = line.strip_suffix(b"\r").unwrap_or(line);
+        let value = line.strip_prefix(b"data:")?;
+        Some(value.strip_prefix(b" ").unwrap_or(value))
+    });
+    let mut has_data = false;
+    for value in data {
+        if has_data {
+            text.push(b'\n');
+        }
+        text.extend_from_slice(value);
+        has_data = true;
+    }
+    if has_data {
+        text.push(b'\n');
+    }
+    has_data
+}
