Let a record's place be asked for twice

Cause: a turn whose budget is nearly spent asked for its reservation's offset before the run and again before its first event; the second wait never ended, since the channel holds one value.

--- a/gateway/src/commit.rs
+++ b/gateway/src/commit.rs
@@ -50,13 +50,23 @@
 }
 
 /// A record's place in the topic, once it has one.
-pub(crate) struct Ticket(async_channel::Receiver<Offset>);
+pub(crate) struct Ticket {
+    place: async_channel::Receiver<Offset>,
+    /// The place, once it has been received: it may be asked for again.
+    known: Cell<Option<Offset>>,
+}
 
 impl Ticket {
     /// Waits until the record stands in the topic.
     pub(crate) async fn offset(&self) -> Offset {
-        match self.0.recv().await {
-            Ok(offset) => offset,
+        if let Some(offset) = self.known.get() {
+            return offset;
+        }
+        match self.place.recv().await {
+            Ok(offset) => {
+                self.known.set(Some(offset));
+                offset
+            }
             // The committer ends with the process.
             Err(_) => std::future::pending().await,
         }
@@ -84,7 +94,10 @@
     pub(crate) fn submit(&self, key: String, value: Vec<u8>) -> Ticket {
         let (sender, receiver) = async_channel::bounded(1);
         self.push(key, Some(value), Some(sender));
-        Ticket(receiver)
+        Ticket {
+            place: receiver,
+            known: Cell::new(None),
+        }
     }
 
     fn push(
