--- a/gateway/src/call.rs
+++ b/gateway/src/call.rs
@@ -99,9 +99,8 @@
             cached: None,
         };
         match self.send(&outgoing).await {
-            Ok(Sent::Whole { head, body, .. }) => {
-                let passed =
-                    reply.pass_whole::<D>(head.status, &head.reason, &head.headers, &body);
+            Ok(Sent::Whole { head, body }) => {
+                let passed = reply.pass_whole(head.status, &head.reason, &head.headers, &body);
                 passed.await;
             }
             Ok(Sent::Stream(_)) => reply.refuse(&Refusal::new(502, "unexpected stream")).await,
--- a/gateway/src/commit.rs
+++ b/gateway/src/commit.rs
@@ -108,7 +108,9 @@
     ) {
         let bytes = key.len() + value.as_ref().map_or(0, Vec::len);
         self.queued_bytes.set(self.queued_bytes.get() + bytes);
-        self.queue.borrow_mut().push_back(Waiting { key, value, done });
+        self.queue
+            .borrow_mut()
+            .push_back(Waiting { key, value, done });
         self.changed.notify(usize::MAX);
     }
 
--- a/gateway/src/dialect.rs
+++ b/gateway/src/dialect.rs
@@ -156,9 +156,6 @@
     /// Reads the headers of an endpoint's answer.
     fn read_answer(headers: &[Header]) -> AnswerInfo;
 
-    /// Tells whether a header is an endpoint's signature.
-    fn is_signature(name: &str) -> bool;
-
     /// Reads a configuration document.
     fn read_configuration(document: &[u8]) -> Result<Configuration, String>;
 
--- a/gateway/src/endpoints.rs
+++ b/gateway/src/endpoints.rs
@@ -4,6 +4,9 @@
 //! others every few ms, and adds what it has sent since; so two gateways seldom send to the same
 //! endpoint because both believe it idle.
 
+#[cfg(test)]
+mod tests;
+
 use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -283,7 +286,10 @@
 
     /// This gateway's own counts, without zeros.
     pub fn own_counts(&self) -> Vec<(InstanceId, u32)> {
-        let busy = self.endpoints.values().filter(|endpoint| endpoint.own_calls > 0);
+        let busy = self
+            .endpoints
+            .values()
+            .filter(|endpoint| endpoint.own_calls > 0);
         busy.map(|endpoint| (endpoint.record.id.clone(), endpoint.own_calls))
             .collect()
     }
--- a/gateway/src/follow.rs
+++ b/gateway/src/follow.rs
@@ -218,7 +218,10 @@
             self.endpoints_loaded.set(true);
             let mut failures = Backoff::default();
             loop {
-                match self.read(&mut link, Topic::Endpoints, from, Duration::ZERO).await {
+                match self
+                    .read(&mut link, Topic::Endpoints, from, Duration::ZERO)
+                    .await
+                {
                     Some(Read::Records { records, .. }) => {
                         failures.reset();
                         from += records.len() as Offset;
@@ -316,7 +319,12 @@
         }
     }
 
-    async fn load_page(&self, link: &mut StoreLink, topic: Topic, after: Option<&str>) -> NewestPage {
+    async fn load_page(
+        &self,
+        link: &mut StoreLink,
+        topic: Topic,
+        after: Option<&str>,
+    ) -> NewestPage {
         let call = D::newest(topic, after);
         let mut failures = Backoff::default();
         loop {
--- a/gateway/src/forward.rs
+++ b/gateway/src/forward.rs
@@ -1,11 +1,12 @@
 //! One request at one endpoint, and what its outcome says of whether it has run.
 
+#[cfg(test)]
+mod tests;
+
 use crate::call::Call;
 use crate::dialect::{AnswerInfo, Dialect, Dispatch};
 use crate::endpoints::{CallEnd, EndpointRecord, InstanceId, Want};
-use crate::http::{
-    BodyDecoder, Header, ResponseHead, Wire, connection_tokens, is_hop_header,
-};
+use crate::http::{BodyDecoder, Header, ResponseHead, Wire, connection_tokens, is_hop_header};
 use crate::net::{connect, within};
 use crate::node::Gateway;
 use crate::reply::Refusal;
@@ -151,17 +152,13 @@
     }
 
     /// Ends an answer that was read whole and keeps the connection where it can be used again.
-    pub(crate) fn finish(self) {
-        self.count.end.set(CallEnd::Answered);
+    pub(crate) fn finish(self, end: CallEnd) {
+        self.count.end.set(end);
         let is_clean = self.wire.unread().is_empty() && self.is_written;
         if is_clean && self.head.keep_alive && self.decoder.is_done() {
             let pool = &self.count.gateway.pool;
-            pool.put(
-                Instant::now(),
-                &self.endpoint,
-                self.wire,
-                self.head.idle_limit,
-            );
+            let idle_limit = self.head.idle_limit;
+            pool.put(Instant::now(), &self.endpoint, self.wire, idle_limit);
         }
     }
 }
@@ -279,34 +276,39 @@
             count,
         };
         match classify(exchange.head.status, &info) {
-            Meaning::Answer if is_stream(call, exchange.head.status) => Ok(Sent::Stream(exchange)),
+            Meaning::Answer if is_stream(call, exchange.head.status) => {
+                Ok(Sent::Stream(Box::new(exchange)))
+            }
             Meaning::Answer => {
-                let body = exchange.read_all().await.map_err(|failure| (failure, true))?;
+                let body = exchange
+                    .read_all()
+                    .await
+                    .map_err(|failure| (failure, true))?;
                 let head = exchange.head.clone();
-                let endpoint = exchange.endpoint.clone();
-                exchange.finish();
-                Ok(Sent::Whole {
-                    head,
-                    body,
-                    endpoint,
-                })
+                exchange.finish(CallEnd::Answered);
+                Ok(Sent::Whole { head, body })
             }
             Meaning::NotRun => {
                 // What follows on the connection is of no use to anybody.
                 exchange.count.end.set(CallEnd::Refused);
                 if exchange.read_all().await.is_ok() {
-                    let count_end = CallEnd::Refused;
-                    exchange.finish_as(count_end);
+                    exchange.finish(CallEnd::Refused);
                 }
                 Err((Failure::not_run("the endpoint refused the request"), true))
             }
             Meaning::FalsePromise => {
                 exchange.count.end.set(CallEnd::Broken);
-                Err((Failure::may_have_run("the endpoint failed the request"), true))
+                Err((
+                    Failure::may_have_run("the endpoint failed the request"),
+                    true,
+                ))
             }
             Meaning::Invalid => {
                 exchange.count.end.set(CallEnd::Broken);
-                Err((Failure::may_have_run("the endpoint sent no valid answer"), true))
+                Err((
+                    Failure::may_have_run("the endpoint sent no valid answer"),
+                    true,
+                ))
             }
         }
     }
@@ -347,30 +349,9 @@
 /// What an endpoint answered.
 pub(crate) enum Sent<D: Dialect> {
     /// A stream that has begun.
-    Stream(Exchange<D>),
+    Stream(Box<Exchange<D>>),
     /// A whole answer.
-    Whole {
-        head: ResponseHead,
-        body: Vec<u8>,
-        endpoint: InstanceId,
-    },
-}
-
-impl<D: Dialect> Exchange<D> {
-    /// Like [`Exchange::finish`], where the endpoint did not serve the request.
-    fn finish_as(self, end: CallEnd) {
-        let is_clean = self.wire.unread().is_empty() && self.is_written;
-        self.count.end.set(end);
-        if is_clean && self.head.keep_alive {
-            let pool = &self.count.gateway.pool;
-            pool.put(
-                Instant::now(),
-                &self.endpoint,
-                self.wire,
-                self.head.idle_limit,
-            );
-        }
-    }
+    Whole { head: ResponseHead, body: Vec<u8> },
 }
 
 fn is_stream(call: &Call, status: u16) -> bool {
@@ -417,10 +398,7 @@
             })
         })?;
         let info = D::read_answer(&head.headers);
-        let is_stray = info
-            .request_id
-            .as_ref()
-            .is_some_and(|id| id != request_id);
+        let is_stray = info.request_id.as_ref().is_some_and(|id| id != request_id);
         if !is_stray {
             return Ok((head, info));
         }
@@ -433,5 +411,7 @@
             dropped.clear();
         }
     }
-    Err(Failure::may_have_run("the endpoint answers other requests only"))
+    Err(Failure::may_have_run(
+        "the endpoint answers other requests only",
+    ))
 }
--- a/gateway/src/front.rs
+++ b/gateway/src/front.rs
@@ -128,13 +128,19 @@
         let began_at = Instant::now();
         let late = async {
             Timer::after(limits.head_timeout).await;
-            Err(NoRequest::Refused(Refusal::new(408, "the head took too long")))
+            Err(NoRequest::Refused(Refusal::new(
+                408,
+                "the head took too long",
+            )))
         };
         let head = future::or(read_head(wire, limits.head_bytes), late).await?;
         if let Framing::Length(length) = head.framing
             && length > limits.body_bytes as u64
         {
-            return Err(NoRequest::Refused(Refusal::new(413, "the body is too long")));
+            return Err(NoRequest::Refused(Refusal::new(
+                413,
+                "the body is too long",
+            )));
         }
         if head.expects_continue && head.framing != Framing::Empty {
             let go_on = wire.write_all(b"HTTP/1.1 100 Continue\r\n\r\n").await;
@@ -142,7 +148,10 @@
         }
         let late = async {
             Timer::after(BODY_TIMEOUT).await;
-            Err(NoRequest::Refused(Refusal::new(408, "the body took too long")))
+            Err(NoRequest::Refused(Refusal::new(
+                408,
+                "the body took too long",
+            )))
         };
         let body = future::or(read_body(wire, head.framing, limits.body_bytes), late).await?;
         Ok(Request {
@@ -221,7 +230,10 @@
     while !decoder.is_done() {
         match wire.read_body(&mut decoder, &mut body).await {
             Ok(()) if body.len() > limit_bytes => {
-                return Err(NoRequest::Refused(Refusal::new(413, "the body is too long")));
+                return Err(NoRequest::Refused(Refusal::new(
+                    413,
+                    "the body is too long",
+                )));
             }
             Ok(()) => {}
             Err(crate::http::BodyError::Truncated) => return Err(NoRequest::Closed),
--- a/gateway/src/gossip.rs
+++ b/gateway/src/gossip.rs
@@ -117,11 +117,6 @@
         peers.retain(|_, peer| now.saturating_duration_since(peer.heard_at) < PEER_LIMIT);
         peers.values().map(|peer| peer.address).collect()
     }
-
-    /// Number of other gateways heard of late.
-    pub(crate) fn len(&self) -> usize {
-        self.peers.borrow().len()
-    }
 }
 
 impl<D: Dialect> Gateway<D> {
--- a/gateway/src/reply.rs
+++ b/gateway/src/reply.rs
@@ -1,6 +1,5 @@
 //! The answer to one request of a client.
 
-use crate::dialect::Dialect;
 use crate::http::{Header, connection_tokens, is_hop_header};
 use futures_lite::AsyncWriteExt;
 use smol::net::TcpStream;
@@ -111,7 +110,7 @@
     }
 
     /// Passes on a whole answer of an endpoint.
-    pub(crate) async fn pass_whole<D: Dialect>(
+    pub(crate) async fn pass_whole(
         &self,
         status: u16,
         reason: &str,
--- a/gateway/src/routes.rs
+++ b/gateway/src/routes.rs
@@ -1,5 +1,8 @@
 //! The configuration in force: routes, services and limits.
 
+#[cfg(test)]
+mod tests;
+
 use std::collections::HashMap;
 use std::rc::Rc;
 use std::time::Duration;
--- a/gateway/src/store.rs
+++ b/gateway/src/store.rs
@@ -1,5 +1,8 @@
 //! Connection to the platform's store; each task that calls it has one of its own.
 
+#[cfg(test)]
+mod tests;
+
 use crate::dialect::StoreCall;
 use crate::http::{BodyDecoder, Wire};
 use crate::net::{connect, within};
--- a/gateway/src/stream.rs
+++ b/gateway/src/stream.rs
@@ -1,5 +1,8 @@
 //! Splits a stream into its events.
 
+#[cfg(test)]
+mod tests;
+
 /// Collects the bytes of a stream and gives back whole events.
 #[derive(Debug, Default)]
 pub(crate) struct EventSplitter {
--- a/gateway/src/turn_call.rs
+++ b/gateway/src/turn_call.rs
@@ -3,6 +3,7 @@
 use crate::call::Call;
 use crate::commit::{Committer, Ticket};
 use crate::dialect::Dialect;
+use crate::endpoints::CallEnd;
 use crate::forward::{Exchange, Outgoing, Sent};
 use crate::node::Gateway;
 use crate::record::{KeptTurn, Reservation, TurnRecord};
@@ -109,9 +110,8 @@
                 self.pass_stream(call, reply, exchange, &prepared, &service)
                     .await;
             }
-            Ok(Sent::Whole { head, body, .. }) => {
-                let passed =
-                    reply.pass_whole::<D>(head.status, &head.reason, &head.headers, &body);
+            Ok(Sent::Whole { head, body }) => {
+                let passed = reply.pass_whole(head.status, &head.reason, &head.headers, &body);
                 passed.await;
             }
             Err(failure) => reply.refuse(&failure.refusal()).await,
@@ -220,7 +220,7 @@
         &self,
         call: &Call,
         reply: &Reply,
-        mut exchange: Exchange<D>,
+        mut exchange: Box<Exchange<D>>,
         prepared: &Prepared<D>,
         service: &str,
     ) {
@@ -229,7 +229,9 @@
         {
             // It has begun to run, so it must not be said that it has not.
             drop(exchange);
-            return reply.refuse(&Refusal::new(502, "the budget is spent")).await;
+            return reply
+                .refuse(&Refusal::new(502, "the budget is spent"))
+                .await;
         }
         let head = &exchange.head;
         let begun = reply.begin(head.status, &head.reason, &head.headers).await;
@@ -244,9 +246,9 @@
             return reply.break_off();
         }
         let endpoint = exchange.endpoint.clone();
-        exchange.finish();
+        exchange.finish(CallEnd::Answered);
         if let Some(reserved) = &prepared.reserved {
-            self.keep(call, reserved, prepared, &endpoint, text).await;
+            self.keep(call, reserved, &endpoint, text).await;
         }
         // The client's close shows in the reply's state.
         let _ = reply.finish().await;
@@ -298,17 +300,9 @@
     }
 
     /// Keeps a turn that ended whole; returns once it stands in the topic.
-    async fn keep(
-        &self,
-        call: &Call,
-        reserved: &ReservedTurn<D>,
-        prepared: &Prepared<D>,
-        endpoint: &str,
-        text: Vec<u8>,
-    ) {
+    async fn keep(&self, call: &Call, reserved: &ReservedTurn<D>, endpoint: &str, text: Vec<u8>) {
         let spent_tokens = reserved.spent_tokens.get();
         let prompt_tokens = call.info.tokens.map_or(0, |(prompt, _)| prompt);
-        let _ = &prepared.chain;
         let record = TurnRecord::Kept(KeptTurn {
             program: reserved.program.clone(),
             spent_tokens,
@@ -323,7 +317,9 @@
             text,
         });
         reserved.is_kept.set(true);
-        let ticket = self.committer.submit(reserved.turn.clone(), record.encode());
+        let ticket = self
+            .committer
+            .submit(reserved.turn.clone(), record.encode());
         ticket.offset().await;
     }
 }
--- a/gateway/src/turns.rs
+++ b/gateway/src/turns.rs
@@ -4,6 +4,9 @@
 //! holds if the budget covers it beside all that stands before it. Whoever wrote a reservation
 //! that does not hold settles it with 0 tokens, so no gateway need repeat another's verdict.
 
+#[cfg(test)]
+mod tests;
+
 use crate::dialect::{Offset, StoreRecord};
 use crate::record::{KeptTurn, TurnRecord};
 use std::collections::HashMap;
@@ -41,7 +44,6 @@
     seen_at: Instant,
 }
 
-
 /// A turn's history, oldest first.
 pub(crate) type Chain = Vec<Rc<KeptTurn>>;
 
@@ -111,7 +113,11 @@
     }
 
     fn remove(&mut self, key: &str, before: Offset) {
-        if self.turns.get(key).is_none_or(|entry| entry.offset > before) {
+        if self
+            .turns
+            .get(key)
+            .is_none_or(|entry| entry.offset > before)
+        {
             return;
         }
         let Some(entry) = self.turns.remove(key) else {
@@ -159,9 +165,9 @@
         let Some(own) = self.turns.get(turn) else {
             return false;
         };
-        let counted = self.of_program(&own.program).filter(|entry| {
-            entry.offset <= own.offset || !matches!(entry.turn, Turn::Reserved(_))
-        });
+        let counted = self
+            .of_program(&own.program)
+            .filter(|entry| entry.offset <= own.offset || !matches!(entry.turn, Turn::Reserved(_)));
         let committed: u64 = counted.map(|entry| entry.turn.tokens()).sum();
         committed <= budget_tokens
     }
--- /dev/null
+++ b/gateway/src/turns/tests.rs
@@ -0,0 +1,163 @@
+use super::TurnIndex;
+use crate::dialect::StoreRecord;
+use crate::record::{KeptTurn, Reservation, TurnRecord};
+use googletest::prelude::*;
+use std::time::{Duration, Instant};
+
+const BUDGET: u64 = 600;
+
+/// An index with the records that a test appends to it.
+struct Log {
+    index: TurnIndex,
+    now: Instant,
+    next: u64,
+}
+
+impl Log {
+    fn new() -> Self {
+        Self {
+            index: TurnIndex::default(),
+            now: Instant::now(),
+            next: 0,
+        }
+    }
+
+    fn append(&mut self, key: &str, value: Option<TurnRecord>) {
+        let record = StoreRecord {
+            key: key.to_owned(),
+            value: value.map(|value| value.encode()),
+            offset: self.next,
+        };
+        self.next += 1;
+        self.index.apply(self.now, &record).expect("a valid record");
+        self.index.advance(self.next);
+    }
+
+    fn reserve(&mut self, turn: &str, max_tokens: u64) {
+        let reservation = Reservation {
+            program: "p".to_owned(),
+            max_tokens,
+            budget_tokens: Some(BUDGET),
+        };
+        self.append(turn, Some(TurnRecord::Reserved(reservation)));
+    }
+
+    fn settle(&mut self, turn: &str, spent_tokens: u64) {
+        let settled = TurnRecord::Settled {
+            program: "p".to_owned(),
+            spent_tokens,
+            budget_tokens: Some(BUDGET),
+        };
+        self.append(turn, Some(settled));
+    }
+
+    fn keep(&mut self, turn: &str, previous: Option<&str>, spent_tokens: u64) {
+        let kept = KeptTurn {
+            program: "p".to_owned(),
+            spent_tokens,
+            budget_tokens: Some(BUDGET),
+            previous: previous.map(str::to_owned),
+            endpoint: "e".to_owned(),
+            chain_tokens: 10,
+            keep_ms: 60_000,
+            text: turn.as_bytes().to_vec(),
+        };
+        self.append(turn, Some(TurnRecord::Kept(kept)));
+    }
+}
+
+#[googletest::test]
+fn a_chain_is_given_oldest_first() {
+    let mut log = Log::new();
+    log.keep("a", None, 1);
+    log.keep("b", Some("a"), 1);
+    log.keep("c", Some("b"), 1);
+    log.keep("d", Some("b"), 1);
+    let chain = log.index.chain("d").expect("known");
+    let texts: Vec<&[u8]> = chain.iter().map(|turn| turn.text.as_slice()).collect();
+    expect_that!(texts, elements_are![eq(b"a"), eq(b"b"), eq(b"d")]);
+}
+
+#[googletest::test]
+fn a_turn_that_is_not_kept_has_no_chain() {
+    let mut log = Log::new();
+    log.reserve("a", 100);
+    expect_that!(log.index.chain("a"), none());
+    log.settle("a", 10);
+    expect_that!(log.index.chain("a"), none());
+    expect_that!(log.index.chain("unknown"), none());
+}
+
+#[googletest::test]
+fn of_two_reservations_for_the_last_tokens_the_first_holds() {
+    let mut log = Log::new();
+    log.keep("a", None, 300);
+    log.reserve("b", 200);
+    log.reserve("c", 200);
+    expect_that!(log.index.holds("b", BUDGET), eq(true));
+    expect_that!(log.index.holds("c", BUDGET), eq(false));
+}
+
+#[googletest::test]
+fn a_denied_reservation_that_was_settled_takes_nothing() {
+    let mut log = Log::new();
+    log.reserve("a", 400);
+    log.reserve("b", 400);
+    log.settle("b", 0);
+    log.settle("a", 100);
+    log.reserve("c", 400);
+    expect_that!(log.index.holds("c", BUDGET), eq(true));
+    expect_that!(log.index.committed_tokens("p"), eq(500));
+}
+
+#[googletest::test]
+fn tokens_of_a_broken_turn_count() {
+    let mut log = Log::new();
+    log.reserve("a", 400);
+    log.settle("a", 350);
+    log.reserve("b", 300);
+    expect_that!(log.index.holds("b", BUDGET), eq(false));
+}
+
+#[googletest::test]
+fn a_reservation_that_was_never_settled_counts_whole() {
+    let mut log = Log::new();
+    log.reserve("lost", 400);
+    log.reserve("b", 300);
+    expect_that!(log.index.holds("b", BUDGET), eq(false));
+}
+
+#[googletest::test]
+fn records_read_twice_count_once() {
+    let mut log = Log::new();
+    log.keep("a", None, 300);
+    log.next = 0;
+    log.keep("a", None, 300);
+    expect_that!(log.index.committed_tokens("p"), eq(300));
+}
+
+#[googletest::test]
+fn an_older_record_does_not_undo_a_newer_one() {
+    let mut log = Log::new();
+    log.next = 5;
+    log.keep("a", None, 300);
+    log.next = 2;
+    log.reserve("a", 400);
+    expect_that!(log.index.committed_tokens("p"), eq(300));
+    expect_that!(log.index.chain("a"), some(anything()));
+}
+
+#[googletest::test]
+fn turns_that_nobody_can_continue_are_dropped() {
+    let mut log = Log::new();
+    log.keep("a", None, 300);
+    expect_that!(
+        log.index.outdated(log.now + Duration::from_secs(100)),
+        is_empty()
+    );
+    let later = log.now + Duration::from_secs(121);
+    expect_that!(log.index.outdated(later), elements_are![eq("a")]);
+    log.append("a", None);
+    expect_that!(log.index.len(), eq(0));
+    expect_that!(log.index.committed_tokens("p"), eq(0));
+}
