Count entries as doubtful from the store's return on; believe in prompt parts

Two changes that share follow.rs. 1. Cause: an entry that vanished within 4 s of a failed call was kept for 2.3 s from when it was missed; a server that left 0.7 s after the store was back to a VM got work 2.3 s later. Ruled out: a late read (the entry was read 70 ms after its removal). Now the grace runs from the store's return. Endpoints are chosen by the prompt parts believed in their memory, told by kept turns.

--- a/gateway/src/call.rs
+++ b/gateway/src/call.rs
@@ -1,6 +1,7 @@
 //! One request of a client, from its head to its answer.
 
 use crate::dialect::{CallInfo, Dialect};
+use crate::endpoints::InstanceId;
 use crate::forward::{Execution, Outgoing, Sent};
 use crate::http::RequestHead;
 use crate::node::Gateway;
@@ -8,7 +9,7 @@
 use crate::routes::{Route, RouteKind};
 use futures_lite::future;
 use smol::Timer;
-use std::cell::Cell;
+use std::cell::{Cell, RefCell};
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
@@ -26,6 +27,11 @@
     pub(crate) deadline: Instant,
     /// Whether it may have run, as far as it has got.
     pub(crate) execution: Cell<Execution>,
+    /// The endpoint that it was sent to last.
+    pub(crate) endpoint: RefCell<Option<InstanceId>>,
+    /// When the last send began, and when the answer did.
+    pub(crate) sent_at: Cell<Option<Instant>>,
+    pub(crate) answered_at: Cell<Option<Instant>>,
 }
 
 impl Call {
@@ -34,6 +40,20 @@
         self.deadline.saturating_duration_since(Instant::now())
     }
 
+    /// Logs how it ended.
+    fn log_end(&self, reply: &Reply) {
+        let since = |at: Option<Instant>| {
+            at.map_or(0, |at| at.duration_since(self.received_at).as_millis())
+        };
+        crate::event!("answered", "request" => self.id(),
+            "program" => self.info.program.as_deref().unwrap_or_default(),
+            "route" => self.route.name.as_str(), "kind" => self.route.kind.to_string(),
+            "endpoint" => self.endpoint.borrow().as_deref().unwrap_or_default(),
+            "status" => reply.status(), "reply" => reply.state().to_string(),
+            "sent_ms" => since(self.sent_at.get()), "first_ms" => since(self.answered_at.get()),
+            "took_ms" => self.received_at.elapsed().as_millis());
+    }
+
     /// Id of the attempt; empty if the client gave none.
     pub(crate) fn id(&self) -> &str {
         self.info.request_id.as_deref().unwrap_or_default()
@@ -69,9 +89,7 @@
         if future::or(work, time_out).await {
             self.time_out(call, reply).await;
         }
-        crate::event!("answered", "request" => call.id(), "route" => call.route.name.as_str(),
-            "status" => reply.status(), "reply" => reply.state().to_string(),
-            "took_ms" => call.received_at.elapsed().as_millis());
+        call.log_end(reply);
     }
 
     /// Ends a request whose time is over.
@@ -96,7 +114,6 @@
             service: &service,
             body: &call.body,
             prompt_tokens: 0,
-            cached: None,
         };
         match self.send(&outgoing).await {
             Ok(Sent::Whole { head, body }) => {
--- a/gateway/src/endpoints.rs
+++ b/gateway/src/endpoints.rs
@@ -7,6 +7,10 @@
 #[cfg(test)]
 mod tests;
 
+mod memory;
+
+use crate::dialect::PartId;
+use memory::PromptMemory;
 use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -87,8 +91,8 @@
     pub service: &'a str,
     /// Tokens of the prompt; 0 for plain calls.
     pub prompt_tokens: u32,
-    /// The endpoint that holds a part of the prompt in memory, with the tokens of that part.
-    pub cached: Option<(&'a str, u32)>,
+    /// Parts of the prompt with their tokens, in order.
+    pub prompt_parts: &'a [(PartId, u32)],
     /// Endpoints that the call was already sent to.
     pub exclude: &'a [InstanceId],
 }
@@ -115,6 +119,8 @@
     call_ms: Option<f64>,
     failures_in_row: u32,
     avoid_until: Option<Instant>,
+    /// What its memory is believed to hold.
+    memory: PromptMemory,
 }
 
 /// Counts of another gateway.
@@ -149,6 +155,7 @@
             call_ms: None,
             failures_in_row: 0,
             avoid_until: None,
+            memory: PromptMemory::default(),
             record,
         };
         self.endpoints.insert(endpoint.record.id.clone(), endpoint);
@@ -205,8 +212,7 @@
         let own_ms = endpoint.call_ms.unwrap_or(usual_ms);
         let slow_down_ms = usual_ms * SLOWDOWN_SHARE * calls * (1.0 + OTHERS_WEIGHT);
         let wait_ms = usual_ms * (calls + 1.0 - slots).max(0.0) / slots;
-        let cached = want.cached.filter(|(id, _)| **id == *record.id);
-        let cached_tokens = cached.map_or(0, |(_, tokens)| tokens);
+        let cached_tokens = endpoint.memory.cached_tokens(want.prompt_parts);
         let prefill_tokens = want.prompt_tokens.saturating_sub(cached_tokens);
         let prefill_ms = f64::from(prefill_tokens) / PREFILL_TOKENS_PER_MS;
         let far_ms = if record.failure_domain == near {
@@ -248,6 +254,13 @@
         }
     }
 
+    /// Notes that an endpoint has read the parts of a prompt, and holds them in memory.
+    pub fn remember(&mut self, id: &str, prompt_parts: &[(PartId, u32)], memory_tokens: u64) {
+        if let Some(endpoint) = self.endpoints.get_mut(id) {
+            endpoint.memory.remember(prompt_parts, memory_tokens);
+        }
+    }
+
     /// Notes the end of a call.
     pub fn end(&mut self, now: Instant, id: &str, took: Duration, end: CallEnd) {
         let Some(endpoint) = self.endpoints.get_mut(id) else {
--- a/gateway/src/endpoints/tests.rs
+++ b/gateway/src/endpoints/tests.rs
@@ -28,11 +28,14 @@
     chosen.map(|record| record.id.to_string())
 }
 
-fn want<'a>(cached: Option<(&'a str, u32)>) -> Want<'a> {
+/// Tokens of an engine's memory.
+const MEMORY_TOKENS: u64 = 10_000;
+
+fn want(prompt_parts: &[(u64, u32)]) -> Want<'_> {
     Want {
         service: "llm",
         prompt_tokens: 2_000,
-        cached,
+        prompt_parts,
         exclude: &[],
     }
 }
@@ -42,7 +45,7 @@
     let mut endpoints = endpoints(&["a", "b"]);
     let now = Instant::now();
     endpoints.begin("a");
-    expect_that!(choose(&endpoints, now, &want(None)), some(eq("b")));
+    expect_that!(choose(&endpoints, now, &want(&[])), some(eq("b")));
 }
 
 #[googletest::test]
@@ -51,9 +54,9 @@
     let now = Instant::now();
     endpoints.hear(now, "other", vec![("a".into(), 3)]);
     endpoints.begin("b");
-    expect_that!(choose(&endpoints, now, &want(None)), some(eq("b")));
+    expect_that!(choose(&endpoints, now, &want(&[])), some(eq("b")));
     let later = now + Duration::from_secs(5);
-    expect_that!(choose(&endpoints, later, &want(None)), some(eq("a")));
+    expect_that!(choose(&endpoints, later, &want(&[])), some(eq("a")));
 }
 
 #[googletest::test]
@@ -61,7 +64,9 @@
     let mut endpoints = endpoints(&["a", "b"]);
     let now = Instant::now();
     endpoints.begin("a");
-    let cached = want(Some(("a", 2_000)));
+    let parts = [(1, 500), (2, 1_500)];
+    endpoints.remember("a", &parts, MEMORY_TOKENS);
+    let cached = want(&parts);
     expect_that!(choose(&endpoints, now, &cached), some(eq("a")));
     for _ in 0..8 {
         endpoints.begin("a");
@@ -76,9 +81,9 @@
     endpoints.begin("a");
     endpoints.end(now, "a", Duration::ZERO, CallEnd::Broken);
     endpoints.begin("b");
-    expect_that!(choose(&endpoints, now, &want(None)), some(eq("b")));
+    expect_that!(choose(&endpoints, now, &want(&[])), some(eq("b")));
     let later = now + Duration::from_secs(1);
-    expect_that!(choose(&endpoints, later, &want(None)), some(eq("a")));
+    expect_that!(choose(&endpoints, later, &want(&[])), some(eq("a")));
 }
 
 #[googletest::test]
@@ -87,7 +92,7 @@
     let now = Instant::now();
     endpoints.begin("a");
     endpoints.end(now, "a", Duration::ZERO, CallEnd::Broken);
-    expect_that!(choose(&endpoints, now, &want(None)), some(eq("a")));
+    expect_that!(choose(&endpoints, now, &want(&[])), some(eq("a")));
 }
 
 #[googletest::test]
@@ -98,7 +103,7 @@
         ..record("a", "near")
     };
     endpoints.put(draining);
-    expect_that!(choose(&endpoints, Instant::now(), &want(None)), none());
+    expect_that!(choose(&endpoints, Instant::now(), &want(&[])), none());
 }
 
 #[googletest::test]
@@ -113,7 +118,7 @@
         ..record("a", "near")
     };
     expect_that!(endpoints.put(reborn), eq(true));
-    expect_that!(choose(&endpoints, now, &want(None)), some(eq("a")));
+    expect_that!(choose(&endpoints, now, &want(&[])), some(eq("a")));
 }
 
 #[googletest::test]
@@ -122,5 +127,41 @@
     endpoints.put(record("far", "other"));
     endpoints.put(record("near", "near"));
     let now = Instant::now();
-    expect_that!(choose(&endpoints, now, &want(None)), some(eq("near")));
+    expect_that!(choose(&endpoints, now, &want(&[])), some(eq("near")));
+}
+
+#[googletest::test]
+fn a_sub_agent_goes_where_its_parents_prompt_is() {
+    let mut endpoints = endpoints(&["a", "b"]);
+    let now = Instant::now();
+    endpoints.remember("a", &[(1, 500), (2, 1_500)], MEMORY_TOKENS);
+    endpoints.begin("a");
+    let child = [(1, 500), (2, 1_500), (3, 100)];
+    expect_that!(choose(&endpoints, now, &want(&child)), some(eq("a")));
+}
+
+#[googletest::test]
+fn parts_behind_one_that_is_missing_are_read_again() {
+    let mut endpoints = endpoints(&["a", "b"]);
+    let now = Instant::now();
+    endpoints.remember("a", &[(2, 1_500)], MEMORY_TOKENS);
+    endpoints.begin("a");
+    let parts = [(1, 500), (2, 1_500)];
+    expect_that!(choose(&endpoints, now, &want(&parts)), some(eq("b")));
+}
+
+#[googletest::test]
+fn the_parts_used_least_recently_are_taken_for_gone() {
+    let mut endpoints = endpoints(&["a", "b"]);
+    let now = Instant::now();
+    endpoints.remember("a", &[(1, 2_000)], MEMORY_TOKENS);
+    for part in 10..20 {
+        endpoints.remember("a", &[(part, 2_000)], MEMORY_TOKENS);
+    }
+    endpoints.begin("a");
+    expect_that!(choose(&endpoints, now, &want(&[(1, 2_000)])), some(eq("b")));
+    expect_that!(
+        choose(&endpoints, now, &want(&[(19, 2_000)])),
+        some(eq("a"))
+    );
 }
--- a/gateway/src/follow.rs
+++ b/gateway/src/follow.rs
@@ -1,6 +1,6 @@
 //! Follows the topics of the store: turns, configuration and endpoints.
 
-use crate::dialect::{Dialect, NewestPage, Offset, Read, StoreRecord, Topic};
+use crate::dialect::{Dialect, NewestPage, Offset, PartId, Read, StoreRecord, Topic};
 use crate::node::Gateway;
 use crate::store::StoreLink;
 use crate::turns::Other;
@@ -35,13 +35,6 @@
 /// Longest pause after a failed call.
 const MOST_PAUSE: Duration = Duration::from_millis(250);
 
-/// How long an endpoint stays after its entry has vanished near a failure of the store: entries
-/// that lapsed meanwhile are back within two seconds of its return.
-const LAPSE_GRACE: Duration = Duration::from_millis(2_300);
-
-/// Time before now in which a failure of the store makes vanished entries doubtful.
-const LAPSE_WINDOW: Duration = Duration::from_secs(4);
-
 /// How far the turns' topic has been read, for those that wait for it.
 #[derive(Default)]
 pub(crate) struct TurnsProgress {
@@ -155,6 +148,7 @@
         for record in records {
             match index.apply(now, record) {
                 Ok(Other::None) => {}
+                Ok(Other::Kept(turn)) => self.remember_prompt(&turn.endpoint, &turn.prompt_parts),
                 Ok(Other::Gateway(gateway)) => self.gossip.learn(&record.key, &gateway),
                 Err(error) => {
                     crate::event!("record_unreadable",
@@ -164,6 +158,17 @@
         }
     }
 
+    /// Notes that an engine holds a prompt in memory.
+    pub(crate) fn remember_prompt(&self, endpoint: &str, prompt_parts: &[(PartId, u32)]) {
+        let mut endpoints = self.endpoints.borrow_mut();
+        let service = endpoints.record(endpoint).map(|record| &record.service);
+        let routes = self.routes.borrow();
+        let service = service.and_then(|service| routes.service(service));
+        if let Some(engine) = service.and_then(|service| service.engine) {
+            endpoints.remember(endpoint, prompt_parts, engine.memory_tokens);
+        }
+    }
+
     /// Follows the configuration, for ever.
     pub(crate) async fn follow_configuration(self: Rc<Self>) {
         let mut link = self.store_link();
@@ -276,9 +281,8 @@
         if self.endpoints.borrow().record(id).is_none() {
             return;
         }
-        let now = Instant::now();
-        if self.store_health.was_unstable(now, LAPSE_WINDOW) {
-            vanished.entry(id.to_owned()).or_insert(now + LAPSE_GRACE);
+        if let Some(until) = self.store_health.doubtful_until(Instant::now()) {
+            vanished.entry(id.to_owned()).or_insert(until);
             return;
         }
         self.remove_endpoint(id);
--- a/gateway/src/forward.rs
+++ b/gateway/src/forward.rs
@@ -170,7 +170,6 @@
     pub(crate) service: &'a str,
     pub(crate) body: &'a [u8],
     pub(crate) prompt_tokens: u32,
-    pub(crate) cached: Option<(&'a str, u32)>,
 }
 
 impl<D: Dialect> Gateway<D> {
@@ -215,7 +214,7 @@
         let want = Want {
             service: outgoing.service,
             prompt_tokens: outgoing.prompt_tokens,
-            cached: outgoing.cached,
+            prompt_parts: &outgoing.call.info.prompt_parts,
             exclude: tried,
         };
         let near = &self.settings.failure_domain;
@@ -252,6 +251,9 @@
         };
         let request = self.request_bytes(outgoing, &endpoint.id);
         call.execution.set(Execution::MayHaveRun);
+        call.endpoint.replace(Some(endpoint.id.clone()));
+        call.sent_at.set(Some(Instant::now()));
+        self.remember_prompt(&endpoint.id, &call.info.prompt_parts);
         let is_written = Cell::new(false);
         let exchange = exchange::<D>(&mut wire, &request, call.id(), &is_written);
         let answered = if may_repeat && attempts_left > 0 && call.time_left() > REPEAT_AFTER * 2 {
@@ -267,6 +269,7 @@
             count.end.set(CallEnd::Broken);
             (failure, true)
         })?;
+        call.answered_at.set(Some(Instant::now()));
         let mut exchange = Exchange {
             decoder: BodyDecoder::new(head.framing),
             head,
--- a/gateway/src/front.rs
+++ b/gateway/src/front.rs
@@ -10,7 +10,7 @@
 use futures_lite::future;
 use smol::Timer;
 use smol::net::{TcpListener, TcpStream};
-use std::cell::Cell;
+use std::cell::{Cell, RefCell};
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
@@ -181,6 +181,9 @@
             head: request.head,
             body: request.body,
             execution: Cell::new(Execution::NotRun),
+            endpoint: RefCell::default(),
+            sent_at: Cell::new(None),
+            answered_at: Cell::new(None),
             info,
             route,
         };
--- a/gateway/src/record.rs
+++ b/gateway/src/record.rs
@@ -1,6 +1,8 @@
 //! Records of the turns' topic.
 
+use crate::dialect::PartId;
 use serde::{Deserialize, Serialize};
+use smallvec::SmallVec;
 use std::time::Duration;
 
 /// What stands under a turn's id, or under a gateway's key.
@@ -46,8 +48,8 @@
     pub(crate) previous: Option<String>,
     /// The endpoint that ran it, and so holds its prompt in memory.
     pub(crate) endpoint: String,
-    /// Tokens of the whole chain up to its end.
-    pub(crate) chain_tokens: u32,
+    /// Parts of its prompt with their tokens, the last one with what it generated.
+    pub(crate) prompt_parts: SmallVec<[(PartId, u32); 4]>,
     /// How long it can be continued, in milliseconds.
     pub(crate) keep_ms: u64,
     /// Its input, then the data of each event with a line feed.
--- a/gateway/src/store.rs
+++ b/gateway/src/store.rs
@@ -19,20 +19,29 @@
 /// answer takes to be noticed and repeated.
 const LOST_AFTER: Duration = Duration::from_millis(900);
 
+/// How long calls must have failed for entries to lapse meanwhile; far below the time after which
+/// silent endpoints are dropped, since some are dropped at once.
+const LAPSE_AFTER: Duration = Duration::from_millis(300);
+
+/// How long after its return entries that lapsed while the store was lost come back.
+const LAPSE_GRACE: Duration = Duration::from_millis(2_100);
+
 /// Whether the store answers, as all calls of this process see it.
 #[derive(Debug, Default)]
 pub(crate) struct StoreHealth {
     failing_since: Cell<Option<Instant>>,
-    /// End of the last time without answers.
-    unstable_at: Cell<Option<Instant>>,
+    /// End of the last spell of failures in which entries may have lapsed.
+    regained_at: Cell<Option<Instant>>,
 }
 
 impl StoreHealth {
     /// Notes an answer; returns how long the store had been lost, if it had been.
     pub(crate) fn succeeded(&self, now: Instant) -> Option<Duration> {
         let since = self.failing_since.take()?;
-        self.unstable_at.set(Some(now));
         let lost_for = now.saturating_duration_since(since);
+        if lost_for >= LAPSE_AFTER {
+            self.regained_at.set(Some(now));
+        }
         (lost_for >= LOST_AFTER).then_some(lost_for)
     }
 
@@ -41,7 +50,6 @@
         if self.failing_since.get().is_none() {
             self.failing_since.set(Some(now));
         }
-        self.unstable_at.set(Some(now));
     }
 
     /// Tells whether calls have failed for so long that new work should not rely on the store.
@@ -50,10 +58,13 @@
         since.is_some_and(|since| now.saturating_duration_since(since) >= LOST_AFTER)
     }
 
-    /// Tells whether calls failed within a time before now.
-    pub(crate) fn was_unstable(&self, now: Instant, within: Duration) -> bool {
-        let at = self.unstable_at.get();
-        at.is_some_and(|at| now.saturating_duration_since(at) < within)
+    /// Returns until when an entry that vanished may come back by itself; `None` if it is gone.
+    ///
+    /// The time runs from the store's return, not from when the entry was missed: whoever leaves
+    /// after the return is gone at once, or soon after.
+    pub(crate) fn doubtful_until(&self, now: Instant) -> Option<Instant> {
+        let until = self.regained_at.get()? + LAPSE_GRACE;
+        (until > now).then_some(until)
     }
 }
 
--- a/gateway/src/turn_call.rs
+++ b/gateway/src/turn_call.rs
@@ -33,8 +33,6 @@
 struct Prepared<D: Dialect> {
     /// Its history and its input, as the endpoint is to receive them.
     body: Vec<u8>,
-    /// The turn before.
-    chain: Chain,
     reserved: Option<ReservedTurn<D>>,
 }
 
@@ -95,15 +93,12 @@
                 return reply.refuse(&refusal).await;
             }
         };
-        let last = prepared.chain.last();
-        let cached = last.map(|turn| (turn.endpoint.as_str(), turn.chain_tokens));
         let service = call.route.pick_service(&mut self.rng.borrow_mut());
         let outgoing = Outgoing {
             call,
             service: &service,
             body: &prepared.body,
             prompt_tokens: call.info.tokens.map_or(0, |(prompt, _)| prompt),
-            cached,
         };
         match self.send(&outgoing).await {
             Ok(Sent::Stream(exchange)) => {
@@ -123,7 +118,6 @@
         if call.route.retention.is_none() {
             return Ok(Prepared {
                 body: call.body.clone(),
-                chain: Chain::new(),
                 reserved: None,
             });
         }
@@ -143,7 +137,6 @@
         body.extend_from_slice(&call.body);
         Ok(Prepared {
             body,
-            chain,
             reserved: Some(reserved),
         })
     }
@@ -302,14 +295,17 @@
     /// Keeps a turn that ended whole; returns once it stands in the topic.
     async fn keep(&self, call: &Call, reserved: &ReservedTurn<D>, endpoint: &str, text: Vec<u8>) {
         let spent_tokens = reserved.spent_tokens.get();
-        let prompt_tokens = call.info.tokens.map_or(0, |(prompt, _)| prompt);
+        let mut prompt_parts = call.info.prompt_parts.clone();
+        if let Some((_, tokens)) = prompt_parts.last_mut() {
+            *tokens += u32::try_from(spent_tokens).unwrap_or(u32::MAX);
+        }
         let record = TurnRecord::Kept(KeptTurn {
             program: reserved.program.clone(),
             spent_tokens,
             budget_tokens: reserved.budget_tokens,
             previous: call.info.previous_turn.clone(),
             endpoint: endpoint.to_owned(),
-            chain_tokens: prompt_tokens + u32::try_from(spent_tokens).unwrap_or(u32::MAX),
+            prompt_parts,
             keep_ms: call
                 .route
                 .retention
--- a/gateway/src/turns.rs
+++ b/gateway/src/turns.rs
@@ -68,12 +68,13 @@
         self.position = self.position.max(position);
     }
 
-    /// Folds a record; returns what it holds unless it concerns a turn.
+    /// Folds a record; returns what it holds beside a turn's place and its tokens.
     pub(crate) fn apply(&mut self, now: Instant, record: &StoreRecord) -> Result<Other, String> {
         let Some(value) = &record.value else {
             self.remove(&record.key, record.offset);
             return Ok(Other::None);
         };
+        let mut other = Other::None;
         let (program, turn) = match TurnRecord::decode(value)? {
             TurnRecord::Reserved(reservation) => {
                 (reservation.program, Turn::Reserved(reservation.max_tokens))
@@ -83,11 +84,15 @@
                 spent_tokens,
                 ..
             } => (program, Turn::Settled(spent_tokens)),
-            TurnRecord::Kept(kept) => (kept.program.clone(), Turn::Kept(Rc::new(kept))),
+            TurnRecord::Kept(kept) => {
+                let kept = Rc::new(kept);
+                other = Other::Kept(kept.clone());
+                (kept.program.clone(), Turn::Kept(kept))
+            }
             TurnRecord::Gateway(gateway) => return Ok(Other::Gateway(gateway)),
         };
         self.put(now, record, &program, turn);
-        Ok(Other::None)
+        Ok(other)
     }
 
     fn put(&mut self, now: Instant, record: &StoreRecord, program: &str, turn: Turn) {
@@ -204,11 +209,13 @@
     }
 }
 
-/// What a record holds that is not of a turn.
+/// What a record says beside a turn's place and its tokens.
 #[derive(Debug, PartialEq, Eq)]
 pub(crate) enum Other {
     /// Nothing.
     None,
+    /// A turn that ended whole.
+    Kept(Rc<KeptTurn>),
     /// Where a gateway listens.
     Gateway(crate::record::GatewayRecord),
 }
--- a/gateway/src/turns/tests.rs
+++ b/gateway/src/turns/tests.rs
@@ -2,6 +2,7 @@
 use crate::dialect::StoreRecord;
 use crate::record::{KeptTurn, Reservation, TurnRecord};
 use googletest::prelude::*;
+use smallvec::SmallVec;
 use std::time::{Duration, Instant};
 
 const BUDGET: u64 = 600;
@@ -58,7 +59,7 @@
             budget_tokens: Some(BUDGET),
             previous: previous.map(str::to_owned),
             endpoint: "e".to_owned(),
-            chain_tokens: 10,
+            prompt_parts: SmallVec::new(),
             keep_ms: 60_000,
             text: turn.as_bytes().to_vec(),
         };
