Weigh a prompt that is read again by the batch that it stops

Cause: in bursts engines spent a third of their time on reading prompts again; the choice moved turns away from their cache at two or three calls' difference, since a call counted 3 % of a usual call's whole time.

--- a/gateway/src/call.rs
+++ b/gateway/src/call.rs
@@ -114,6 +114,7 @@
             service: &service,
             body: &call.body,
             prompt_tokens: 0,
+            answer_tokens: 0,
         };
         match self.send(&outgoing).await {
             Ok(Sent::Whole { head, body }) => {
--- a/gateway/src/dialect.rs
+++ b/gateway/src/dialect.rs
@@ -26,6 +26,8 @@
     pub previous_turn: Option<String>,
     /// Prompt tokens, and tokens generated at most.
     pub tokens: Option<(u32, u32)>,
+    /// Tokens of the answer, as the client expects; good at the median only.
+    pub answer_tokens: Option<u32>,
     /// Parts of the prompt with their tokens, in order.
     pub prompt_parts: SmallVec<[(PartId, u32); 4]>,
     /// Requests with the same value concern the same object.
--- a/gateway/src/endpoints.rs
+++ b/gateway/src/endpoints.rs
@@ -7,9 +7,11 @@
 #[cfg(test)]
 mod tests;
 
+mod cost;
 mod memory;
 
 use crate::dialect::PartId;
+use cost::{Work, engine_ms, service_ms};
 use memory::PromptMemory;
 use std::collections::HashMap;
 use std::net::SocketAddr;
@@ -19,27 +21,21 @@
 /// Id of an endpoint's instance.
 pub type InstanceId = Rc<str>;
 
-/// Prompt tokens that an engine reads in a ms; of the order of today's accelerators.
-const PREFILL_TOKENS_PER_MS: f64 = 75.0;
-
-/// Part by which a running request slows each other one in its batch; a batch's step grows by
-/// about 3 % a request on today's engines.
-const SLOWDOWN_SHARE: f64 = 0.033;
-
-/// Weight of the slow-down of the others beside the call's own; both count the same.
-const OTHERS_WEIGHT: f64 = 1.0;
-
 /// Cost of another failure domain, in ms: there and back, and its bytes are not free.
 const FAR_MS: f64 = 5.0;
 
 /// Random part of a cost in ms, so that gateways that know the same do not choose the same.
 const JITTER_MS: f64 = 1.0;
 
+/// Factor by which an endpoint's calls take longer than its service's before it counts as slow;
+/// the times of calls differ by so much by themselves.
+const SLOW_FACTOR: f64 = 1.6;
+
 /// Time of a call assumed before any ended, in ms.
 const DEFAULT_CALL_MS: f64 = 200.0;
 
 /// Weight of the newest call in the average time of calls.
-const TIME_WEIGHT: f64 = 0.1;
+const TIME_WEIGHT: f64 = 0.05;
 
 /// How long an endpoint is avoided after a failure at first; doubled by each further one.
 const AVOID_FIRST: Duration = Duration::from_millis(400);
@@ -91,6 +87,8 @@
     pub service: &'a str,
     /// Tokens of the prompt; 0 for plain calls.
     pub prompt_tokens: u32,
+    /// Tokens that the answer is expected to have.
+    pub answer_tokens: u32,
     /// Parts of the prompt with their tokens, in order.
     pub prompt_parts: &'a [(PartId, u32)],
     /// Endpoints that the call was already sent to.
@@ -205,23 +203,33 @@
 
     fn cost_ms(&self, now: Instant, endpoint: &Endpoint, want: &Want<'_>, near: &str) -> f64 {
         let record = &endpoint.record;
-        let calls = f64::from(self.calls_of(now, endpoint));
-        let slots = f64::from(record.slots.max(1));
-        let service_ms = self.service_ms.get(&record.service).copied();
-        let usual_ms = service_ms.unwrap_or(DEFAULT_CALL_MS);
-        let own_ms = endpoint.call_ms.unwrap_or(usual_ms);
-        let slow_down_ms = usual_ms * SLOWDOWN_SHARE * calls * (1.0 + OTHERS_WEIGHT);
-        let wait_ms = usual_ms * (calls + 1.0 - slots).max(0.0) / slots;
-        let cached_tokens = endpoint.memory.cached_tokens(want.prompt_parts);
-        let prefill_tokens = want.prompt_tokens.saturating_sub(cached_tokens);
-        let prefill_ms = f64::from(prefill_tokens) / PREFILL_TOKENS_PER_MS;
+        let service_average = self.service_ms.get(&record.service).copied();
+        let usual_ms = service_average.unwrap_or(DEFAULT_CALL_MS);
+        let work = Work {
+            calls: f64::from(self.calls_of(now, endpoint)),
+            slots: f64::from(record.slots.max(1)),
+            usual_ms,
+        };
         let far_ms = if record.failure_domain == near {
             0.0
         } else {
             FAR_MS
         };
-        let slower_ms = (own_ms - usual_ms).max(0.0);
-        slow_down_ms + wait_ms + prefill_ms + far_ms + slower_ms
+        let own_ms = endpoint.call_ms.unwrap_or(usual_ms);
+        let is_slow = own_ms > usual_ms * SLOW_FACTOR;
+        let slower_ms = if is_slow { own_ms - usual_ms } else { 0.0 };
+        let cost_ms = if want.prompt_tokens > 0 {
+            let cached_tokens = endpoint.memory.cached_tokens(want.prompt_parts);
+            let unread_tokens = want.prompt_tokens.saturating_sub(cached_tokens);
+            engine_ms(
+                &work,
+                f64::from(unread_tokens),
+                f64::from(want.answer_tokens),
+            )
+        } else {
+            service_ms(&work)
+        };
+        cost_ms + far_ms + slower_ms
     }
 
     /// Calls under way at an endpoint, as far as this gateway knows.
--- a/gateway/src/endpoints/tests.rs
+++ b/gateway/src/endpoints/tests.rs
@@ -35,6 +35,7 @@
     Want {
         service: "llm",
         prompt_tokens: 2_000,
+        answer_tokens: 70,
         prompt_parts,
         exclude: &[],
     }
--- a/gateway/src/forward.rs
+++ b/gateway/src/forward.rs
@@ -170,6 +170,7 @@
     pub(crate) service: &'a str,
     pub(crate) body: &'a [u8],
     pub(crate) prompt_tokens: u32,
+    pub(crate) answer_tokens: u32,
 }
 
 impl<D: Dialect> Gateway<D> {
@@ -214,6 +215,7 @@
         let want = Want {
             service: outgoing.service,
             prompt_tokens: outgoing.prompt_tokens,
+            answer_tokens: outgoing.answer_tokens,
             prompt_parts: &outgoing.call.info.prompt_parts,
             exclude: tried,
         };
--- a/gateway/src/turn_call.rs
+++ b/gateway/src/turn_call.rs
@@ -29,6 +29,9 @@
 /// back: so many may be under way elsewhere without being known here.
 const AMPLE_TURNS: u64 = 2;
 
+/// Tokens expected of an answer whose client gave no estimate.
+const USUAL_ANSWER_TOKENS: u32 = 70;
+
 /// What is known of a turn before it runs.
 struct Prepared<D: Dialect> {
     /// Its history and its input, as the endpoint is to receive them.
@@ -99,6 +102,7 @@
             service: &service,
             body: &prepared.body,
             prompt_tokens: call.info.tokens.map_or(0, |(prompt, _)| prompt),
+            answer_tokens: call.info.answer_tokens.unwrap_or(USUAL_ANSWER_TOKENS),
         };
         match self.send(&outgoing).await {
             Ok(Sent::Stream(exchange)) => {
