--- a/gateway/src/follow.rs
+++ b/gateway/src/follow.rs
@@ -281,7 +281,7 @@
         if self.endpoints.borrow().record(id).is_none() {
             return;
         }
-        if let Some(until) = self.store_health.doubtful_until(Instant::now()) {
+        if let Some(until) = self.store_ways.health().doubtful_until(Instant::now()) {
             vanished.entry(id.to_owned()).or_insert(until);
             return;
         }
--- a/gateway/src/gossip.rs
+++ b/gateway/src/gossip.rs
@@ -30,6 +30,9 @@
 /// Time without a datagram after which a gateway is told nothing any more.
 const PEER_LIMIT: Duration = Duration::from_secs(6);
 
+/// Time without a datagram after which a gateway is not asked to relay: two quiet pauses and some.
+const RELAY_LIMIT: Duration = Duration::from_millis(1_000);
+
 /// What one gateway tells the others.
 #[derive(Debug, Serialize, Deserialize)]
 struct Telling {
@@ -37,6 +40,8 @@
     incarnation: u64,
     /// Grows with each datagram of an incarnation; older ones arrive late and are dropped.
     number: u64,
+    /// Whether it reaches the store by itself.
+    reaches_store: bool,
     calls: Vec<(String, u32)>,
 }
 
@@ -45,6 +50,7 @@
     address: SocketAddr,
     incarnation: u64,
     number: u64,
+    reaches_store: bool,
     heard_at: Instant,
 }
 
@@ -89,6 +95,7 @@
             address,
             incarnation,
             number: 0,
+            reaches_store: false,
             heard_at: Instant::now(),
         };
         peers.insert(name.to_owned(), peer);
@@ -107,11 +114,22 @@
         let is_newer = telling.number > peer.number;
         if is_newer {
             peer.number = telling.number;
+            peer.reaches_store = telling.reaches_store;
             peer.heard_at = Instant::now();
         }
         is_newer
     }
 
+    /// Gateways that said of late that they reach the store.
+    fn relays(&self, now: Instant) -> Vec<SocketAddr> {
+        let peers = self.peers.borrow();
+        let relays = peers.values().filter(|peer| {
+            let age = now.saturating_duration_since(peer.heard_at);
+            peer.reaches_store && age < RELAY_LIMIT
+        });
+        relays.map(|peer| peer.address).collect()
+    }
+
     fn addresses(&self, now: Instant) -> Vec<SocketAddr> {
         let mut peers = self.peers.borrow_mut();
         peers.retain(|_, peer| now.saturating_duration_since(peer.heard_at) < PEER_LIMIT);
@@ -123,7 +141,7 @@
     /// Makes this gateway known to the others.
     pub(crate) fn announce(&self) {
         let record = GatewayRecord {
-            address: self.settings.gossip.to_string(),
+            address: self.settings.peers.to_string(),
             incarnation: self.incarnation,
         };
         let key = format!("{KEY_PREFIX}{}", self.settings.name);
@@ -141,6 +159,7 @@
             let now = Instant::now();
             let mut counts = self.endpoints.borrow().own_counts();
             counts.sort();
+            self.store_ways.set_relays(self.gossip.relays(now));
             let is_quiet = counts == last && now.duration_since(told_at) < QUIET_PAUSE;
             if is_quiet {
                 continue;
@@ -151,6 +170,7 @@
                 gateway: self.settings.name.clone(),
                 incarnation: self.incarnation,
                 number,
+                reaches_store: self.store_ways.is_direct(),
                 calls: calls.collect(),
             };
             let mut datagram = Vec::with_capacity(256);
--- a/gateway/src/lib.rs
+++ b/gateway/src/lib.rs
@@ -19,6 +19,7 @@
 mod pool;
 mod readiness;
 mod record;
+mod relay;
 mod reply;
 mod routes;
 mod store;
--- a/gateway/src/node.rs
+++ b/gateway/src/node.rs
@@ -8,7 +8,7 @@
 use crate::gossip::Gossip;
 use crate::pool::Pool;
 use crate::routes::Routes;
-use crate::store::{StoreHealth, StoreLink};
+use crate::store::{StoreLink, StoreWays};
 use crate::turns::TurnIndex;
 use async_signal::{Signal, Signals};
 use futures_lite::StreamExt;
@@ -51,8 +51,9 @@
     pub clients: SocketAddr,
     /// Where readiness is asked for.
     pub readiness: SocketAddr,
-    /// Where other gateways send their datagrams.
-    pub gossip: SocketAddr,
+    /// Where other gateways send their datagrams, and their calls of the store if they do not
+    /// reach it themselves.
+    pub peers: SocketAddr,
     /// The platform's store.
     pub store: SocketAddr,
     /// Time from the signal to stop until the process is killed.
@@ -74,8 +75,7 @@
     pub(crate) committer: Committer<D>,
     pub(crate) gossip: Gossip,
     pub(crate) pool: Pool,
-    pub(crate) store_health: Rc<StoreHealth>,
-    store_address: Rc<Cell<SocketAddr>>,
+    pub(crate) store_ways: Rc<StoreWays>,
     /// Requests under way.
     pub(crate) busy: Cell<usize>,
     stopping_since: Cell<Option<Instant>>,
@@ -98,8 +98,7 @@
             committer: Committer::new(),
             gossip: Gossip::new(&settings.name),
             pool: Pool::default(),
-            store_health: Rc::default(),
-            store_address: Rc::new(Cell::new(settings.store)),
+            store_ways: Rc::new(StoreWays::new(settings.store)),
             busy: Cell::new(0),
             stopping_since: Cell::new(None),
             is_ending: Cell::new(false),
@@ -110,7 +109,7 @@
 
     /// Makes a connection to the store for one task.
     pub(crate) fn store_link(&self) -> StoreLink {
-        StoreLink::new(self.store_address.clone(), self.store_health.clone())
+        StoreLink::new(self.store_ways.clone())
     }
 
     /// Tells whether the process has been asked to stop.
@@ -135,7 +134,7 @@
             && self.routes.borrow().version().is_some()
             && self.endpoints_loaded.get()
             && self.progress.is_loaded()
-            && !self.store_health.is_lost(Instant::now())
+            && !self.store_ways.health().is_lost(Instant::now())
     }
 
     async fn keep_house(self: Rc<Self>) {
@@ -199,7 +198,8 @@
         "version" => env!("CARGO_PKG_VERSION"), "incarnation" => gateway.incarnation);
     let clients = listen(settings.clients).await?;
     let readiness = listen(settings.readiness).await?;
-    let gossip = UdpSocket::bind(settings.gossip).await?;
+    let peers = listen(settings.peers).await?;
+    let gossip = UdpSocket::bind(settings.peers).await?;
     let mut signals = Signals::new([Signal::Term, Signal::Int])?;
     let spawn = |task: std::pin::Pin<Box<dyn Future<Output = ()>>>| {
         gateway.executor.spawn(task).detach();
@@ -216,6 +216,8 @@
     spawn(Box::pin(gateway.clone().follow_turns()));
     spawn(Box::pin(gateway.clone().tell_counts(gossip.clone())));
     spawn(Box::pin(gateway.clone().hear_counts(gossip)));
+    spawn(Box::pin(gateway.clone().accept_relayed(peers)));
+    spawn(Box::pin(gateway.clone().probe_store()));
     spawn(Box::pin(gateway.clone().keep_house()));
     spawn(Box::pin(gateway.clone().answer_readiness(readiness)));
     spawn(Box::pin(gateway.clone().accept_clients(clients)));
--- a/gateway/src/store.rs
+++ b/gateway/src/store.rs
@@ -6,7 +6,8 @@
 use crate::dialect::StoreCall;
 use crate::http::{BodyDecoder, Wire};
 use crate::net::{connect, within};
-use std::cell::Cell;
+use futures_lite::future;
+use std::cell::{Cell, RefCell};
 use std::io;
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -52,6 +53,11 @@
         }
     }
 
+    /// Tells whether the last call failed.
+    fn is_failing(&self) -> bool {
+        self.failing_since.get().is_some()
+    }
+
     /// Tells whether calls have failed for so long that new work should not rely on the store.
     pub(crate) fn is_lost(&self, now: Instant) -> bool {
         let since = self.failing_since.get();
@@ -68,21 +74,120 @@
     }
 }
 
+/// The ways to the store: its own address, and other gateways that reach it.
+#[derive(Debug)]
+pub(crate) struct StoreWays {
+    store: Cell<SocketAddr>,
+    /// Set while calls at the store's own address fail.
+    is_direct_lost: Cell<bool>,
+    /// Last answer at the store's own address.
+    direct_answer_at: Cell<Option<Instant>>,
+    /// Gateways that said of late that they reach the store.
+    relays: RefCell<Vec<SocketAddr>>,
+    health: StoreHealth,
+    /// Told when an answer ends a spell of failures.
+    regained: event_listener::Event,
+}
+
+impl StoreWays {
+    /// Makes the ways to a store that has not been called yet.
+    pub(crate) fn new(store: SocketAddr) -> Self {
+        Self {
+            store: Cell::new(store),
+            is_direct_lost: Cell::new(false),
+            direct_answer_at: Cell::new(None),
+            regained: event_listener::Event::new(),
+            relays: RefCell::default(),
+            health: StoreHealth::default(),
+        }
+    }
+
+    /// Whether the store answers, on any way.
+    pub(crate) fn health(&self) -> &StoreHealth {
+        &self.health
+    }
+
+    /// Whether the store answers at its own address.
+    pub(crate) fn is_direct(&self) -> bool {
+        !self.is_direct_lost.get()
+    }
+
+    /// Takes the gateways that reach the store.
+    pub(crate) fn set_relays(&self, relays: Vec<SocketAddr>) {
+        self.relays.replace(relays);
+    }
+
+    /// Chooses where the next call goes.
+    fn next_address(&self) -> SocketAddr {
+        let relays = self.relays.borrow();
+        if self.is_direct() || relays.is_empty() {
+            return self.store.get();
+        }
+        relays[fastrand::usize(..relays.len())]
+    }
+
+    /// Waits until the store answers after a spell of failures.
+    pub(crate) async fn regained(&self) {
+        self.regained.listen().await;
+    }
+
+    fn answered(&self, address: SocketAddr) {
+        let now = Instant::now();
+        if address == self.store.get() {
+            self.direct_answer_at.set(Some(now));
+            if self.is_direct_lost.replace(false) {
+                crate::event!("store_direct");
+                self.regained.notify(usize::MAX);
+            }
+        }
+        let was_failing = self.health.is_failing();
+        if let Some(lost_for) = self.health.succeeded(now) {
+            crate::event!("store_regained", "lost_for_ms" => lost_for.as_millis());
+        }
+        if was_failing {
+            self.regained.notify(usize::MAX);
+        }
+    }
+
+    /// Takes a call that failed, unless the way has answered another one since it began.
+    fn failed(&self, address: SocketAddr, began_at: Instant) {
+        let is_direct = address == self.store.get();
+        let answered_at = self.direct_answer_at.get();
+        if is_direct && answered_at.is_some_and(|at| at > began_at) {
+            return;
+        }
+        if is_direct && !self.is_direct_lost.replace(true) {
+            crate::event!("store_not_direct", "relays" => self.relays.borrow().len());
+        }
+        self.relays.borrow_mut().retain(|relay| *relay != address);
+        self.health.failed(Instant::now());
+    }
+}
+
 /// One connection to the store, opened anew after each failure.
 #[derive(Debug)]
 pub(crate) struct StoreLink {
-    address: Rc<Cell<SocketAddr>>,
-    health: Rc<StoreHealth>,
-    wire: Option<Wire>,
+    ways: Rc<StoreWays>,
+    /// Whether only the store's own address is called.
+    is_direct_only: bool,
+    open: Option<(SocketAddr, Wire)>,
 }
 
 impl StoreLink {
     /// Makes a link that is opened by the first call.
-    pub(crate) fn new(address: Rc<Cell<SocketAddr>>, health: Rc<StoreHealth>) -> Self {
+    pub(crate) fn new(ways: Rc<StoreWays>) -> Self {
         Self {
-            address,
-            health,
-            wire: None,
+            ways,
+            is_direct_only: false,
+            open: None,
+        }
+    }
+
+    /// Makes a link that never goes over another gateway.
+    pub(crate) fn direct(ways: Rc<StoreWays>) -> Self {
+        Self {
+            is_direct_only: true,
+            ..Self::new(ways)
         }
     }
 
@@ -94,23 +199,37 @@
         call: &StoreCall,
         timeout: Duration,
     ) -> io::Result<(u16, Vec<u8>)> {
+        let address = if self.is_direct_only {
+            self.ways.store.get()
+        } else {
+            self.ways.next_address()
+        };
         // Taken out, so that a call that is dropped midway leaves no connection behind.
-        let wire = self.wire.take();
-        let answer = within(timeout, exchange(self.address.get(), wire, call)).await;
-        match answer {
+        let open = self.open.take().filter(|(open, _)| *open == address);
+        let wire = open.map(|(_, wire)| wire);
+        let began_at = Instant::now();
+        // A connection from before the store's return may stay silent for good.
+        let begun_anew = async {
+            self.ways.regained().await;
+            Err(io::ErrorKind::Interrupted.into())
+        };
+        let answer = future::or(exchange(address, wire, call), begun_anew);
+        match within(timeout, answer).await {
             Ok((status, body, wire)) => {
-                self.wire = wire;
-                let is_refused = status >= 500 || status == 429;
-                if is_refused {
-                    self.health.failed(Instant::now());
-                } else if let Some(lost_for) = self.health.succeeded(Instant::now()) {
-                    crate::event!("store_regained", "lost_for_ms" => lost_for.as_millis());
+                self.open = wire.map(|wire| (address, wire));
+                if is_refusal(status) {
+                    self.ways.failed(address, began_at);
+                    crate::event!("store_call_refused", "address" => address.to_string(),
+                        "target" => call.target.as_str(), "status" => status);
+                } else {
+                    self.ways.answered(address);
                 }
                 Ok((status, body))
             }
+            Err(error) if error.kind() == io::ErrorKind::Interrupted => Err(error),
             Err(error) => {
-                self.health.failed(Instant::now());
-                crate::event!("store_call_failed",
+                self.ways.failed(address, began_at);
+                crate::event!("store_call_failed", "address" => address.to_string(),
                     "target" => call.target.as_str(), "error" => error.to_string());
                 Err(error)
             }
@@ -118,6 +237,11 @@
     }
 }
 
+/// Tells whether a status means that the store did nothing, and may do it later.
+fn is_refusal(status: u16) -> bool {
+    status >= 500 || status == 429
+}
+
 async fn exchange(
     address: SocketAddr,
     wire: Option<Wire>,
--- a/gateway/src/turn_call.rs
+++ b/gateway/src/turn_call.rs
@@ -16,11 +16,19 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
-/// When a client should come back while the store is lost, at least; outages last seconds.
-const STORE_RETRY_LEAST: Duration = Duration::from_millis(250);
+/// Part of a client's patience after which it should come back while the store is lost: outages
+/// last seconds, and clients wait no longer than a third.
+const STORE_RETRY_SHARE: f64 = 0.33;
 
-/// Spread of the time to come back, so that callers return one after the other.
-const STORE_RETRY_SPREAD: Duration = Duration::from_millis(500);
+/// Part of that time over which callers return one after the other.
+const STORE_RETRY_SPREAD: f64 = 0.25;
+
+/// Part of a client's patience for which a turn waits for the store to come back before it is
+/// refused: a turn that may yet be served is worth a wait, most of its time is left for the run.
+const STORE_WAIT_SHARE: f64 = 0.25;
+
+/// Longest wait for the word that a reservation holds, before the turn has run.
+const RESERVATION_LIMIT: Duration = Duration::from_millis(1_200);
 
 /// How long a turn waits to learn whether the turn before it exists.
 const LOOKUP_LIMIT: Duration = Duration::from_millis(900);
@@ -128,9 +136,9 @@
         if call.id().is_empty() {
             return Err(Refusal::new(400, "a turn needs a request id"));
         }
-        self.check_store()?;
+        self.check_store(call).await?;
         let chain = match &call.info.previous_turn {
-            Some(previous) => self.find_chain(previous).await?,
+            Some(previous) => self.find_chain(call, previous).await?,
             None => Chain::new(),
         };
         let reserved = self.reserve(call).await?;
@@ -145,16 +153,27 @@
         })
     }
 
-    /// Refuses turns while their end could not be kept.
-    fn check_store(&self) -> Result<(), Refusal> {
-        let now = Instant::now();
-        if self.store_health.is_lost(now) || self.committer.is_full() {
-            return Err(store_refusal("the store does not answer"));
+    /// Refuses turns while their end could not be kept; waits a little for the store to return.
+    async fn check_store(&self, call: &Call) -> Result<(), Refusal> {
+        if self.committer.is_full() {
+            return Err(store_refusal(call, "too much waits for the store"));
+        }
+        let health = self.store_ways.health();
+        if !health.is_lost(Instant::now()) {
+            return Ok(());
+        }
+        let wait = call.time_left().mul_f64(STORE_WAIT_SHARE);
+        let give_up = async {
+            Timer::after(wait).await;
+        };
+        future::or(self.store_ways.regained(), give_up).await;
+        if health.is_lost(Instant::now()) {
+            return Err(store_refusal(call, "the store does not answer"));
         }
         Ok(())
     }
 
-    async fn find_chain(&self, previous: &str) -> Result<Chain, Refusal> {
+    async fn find_chain(&self, call: &Call, previous: &str) -> Result<Chain, Refusal> {
         if let Some(chain) = self.turns.borrow().chain(previous) {
             return Ok(chain);
         }
@@ -167,7 +186,7 @@
             false
         };
         if !future::or(read, give_up).await {
-            return Err(store_refusal("the turn before can't be looked up"));
+            return Err(store_refusal(call, "the turn before can't be looked up"));
         }
         let chain = self.turns.borrow().chain(previous);
         chain.ok_or(Refusal::new(404, "no such turn"))
@@ -206,10 +225,19 @@
         let key = reserved.turn.clone();
         reserved.ticket = Some(self.committer.submit(key, record.encode()));
         let is_ample = committed + max_tokens * (1 + AMPLE_TURNS) <= budget_tokens;
-        if !is_ample && !reserved.holds().await {
-            return Err(Refusal::new(402, "the program's budget is spent"));
+        if is_ample {
+            return Ok(reserved);
+        }
+        let give_up = async {
+            Timer::after(RESERVATION_LIMIT).await;
+            None
+        };
+        let holds = future::or(async { Some(reserved.holds().await) }, give_up).await;
+        match holds {
+            Some(true) => Ok(reserved),
+            Some(false) => Err(Refusal::new(402, "the program's budget is spent")),
+            None => Err(store_refusal(call, "the budget can't be looked up")),
         }
-        Ok(reserved)
     }
 
     /// Passes a stream on, event by event; its end waits until the turn is kept.
@@ -324,7 +352,8 @@
     }
 }
 
-fn store_refusal(reason: &'static str) -> Refusal {
-    let spread = STORE_RETRY_SPREAD.mul_f64(fastrand::f64());
-    Refusal::come_back(STORE_RETRY_LEAST + spread, reason)
+fn store_refusal(call: &Call, reason: &'static str) -> Refusal {
+    let earlier = 1.0 - STORE_RETRY_SPREAD * fastrand::f64();
+    let after = call.time_left().mul_f64(STORE_RETRY_SHARE * earlier);
+    Refusal::come_back(after, reason)
 }
