--- a/gateway/src/readiness.rs
+++ b/gateway/src/readiness.rs
@@ -60,7 +60,7 @@
         match parse_request(wire.unread()) {
             Ok(Some((head, length))) => {
                 wire.consume(length);
-                return head.framing == Framing::Empty;
+                return matches!(head.framing, Framing::Empty | Framing::Length(0));
             }
             Ok(None) if wire.unread().len() < MAX_HEAD_BYTES => match wire.fill().await {
                 Ok(count) if count > 0 => {}
