--- a/gateway/src/lib.rs
+++ b/gateway/src/lib.rs
@@ -33,7 +33,7 @@
 };
 pub use endpoints::{CallEnd, EndpointRecord, Endpoints, InstanceId, ReportedLoad, Want};
 pub use http::Header;
-pub use node::{GatewaySettings, run_gateway};
+pub use node::{GatewaySettings, ReadSettings, run_gateway};
 pub use routes::{
     ClientLimits, Configuration, ConfigurationVersion, EngineLimits, Retention, Route, RouteKind,
     Routes, Service,
--- a/gateway/src/node.rs
+++ b/gateway/src/node.rs
@@ -11,7 +11,7 @@
 use crate::store::{StoreLink, StoreWays};
 use crate::turns::TurnIndex;
 use async_signal::{Signal, Signals};
-use futures_lite::StreamExt;
+use futures_lite::{StreamExt, future};
 use smol::net::{TcpListener, UdpSocket};
 use smol::{LocalExecutor, Timer};
 use std::cell::{Cell, RefCell};
@@ -40,6 +40,9 @@
 /// Pause between two announcements to other gateways; they also learn of each other by datagrams.
 const ANNOUNCE_PAUSE: Duration = Duration::from_secs(20);
 
+/// Pause between two looks at the settings, which may change without a signal.
+const SETTINGS_PAUSE: Duration = Duration::from_secs(2);
+
 /// What a gateway is told at its start.
 #[derive(Clone, Debug, PartialEq)]
 pub struct GatewaySettings {
@@ -60,6 +63,9 @@
     pub stop_grace: Duration,
 }
 
+/// Reads the settings again; errors are lines that say what is wrong.
+pub type ReadSettings = Box<dyn Fn() -> Result<GatewaySettings, Vec<String>>>;
+
 /// What the tasks of a gateway share. All run on one thread.
 pub(crate) struct Gateway<D: Dialect> {
     pub(crate) settings: GatewaySettings,
@@ -137,6 +143,43 @@
             && !self.store_ways.health().is_lost(Instant::now())
     }
 
+    /// Takes changed settings, for ever: after a signal, and by itself after a while.
+    async fn follow_settings(
+        self: Rc<Self>,
+        read_settings: ReadSettings,
+        asked: async_channel::Receiver<()>,
+    ) {
+        let mut known = self.settings.clone();
+        loop {
+            let pause = async {
+                Timer::after(SETTINGS_PAUSE).await;
+                false
+            };
+            let was_asked = future::or(async { asked.recv().await.is_ok() }, pause).await;
+            match read_settings() {
+                Ok(settings) => {
+                    if settings != known || was_asked {
+                        self.take_settings(&known, &settings);
+                        known = settings;
+                    }
+                }
+                // A file that is being written is read again soon.
+                Err(faults) => crate::event!("settings_unreadable", "faults" => faults.join("; ")),
+            }
+        }
+    }
+
+    /// Adopts what can change while the process runs.
+    fn take_settings(&self, before: &GatewaySettings, settings: &GatewaySettings) {
+        self.store_ways.set_store(settings.store);
+        let adopted = GatewaySettings {
+            store: settings.store,
+            ..before.clone()
+        };
+        crate::event!("settings_reloaded", "store" => settings.store.to_string(),
+            "needs_restart" => adopted != *settings);
+    }
+
     async fn keep_house(self: Rc<Self>) {
         let mut announced_at: Option<Instant> = None;
         loop {
@@ -186,13 +229,16 @@
 /// # Errors
 ///
 /// Fails if one of its addresses can't be bound or signals can't be received.
-pub fn run_gateway<D: Dialect>(settings: GatewaySettings) -> io::Result<()> {
+pub fn run_gateway<D: Dialect>(
+    settings: GatewaySettings,
+    read_settings: ReadSettings,
+) -> io::Result<()> {
     let executor = Rc::new(LocalExecutor::new());
     let gateway = Rc::new(Gateway::<D>::new(settings, executor.clone()));
-    smol::block_on(executor.run(run(gateway)))
+    smol::block_on(executor.run(run(gateway, read_settings)))
 }
 
-async fn run<D: Dialect>(gateway: Rc<Gateway<D>>) -> io::Result<()> {
+async fn run<D: Dialect>(gateway: Rc<Gateway<D>>, read_settings: ReadSettings) -> io::Result<()> {
     let settings = &gateway.settings;
     crate::event!("started", "gateway" => settings.name.as_str(),
         "version" => env!("CARGO_PKG_VERSION"), "incarnation" => gateway.incarnation);
@@ -200,7 +246,7 @@
     let readiness = listen(settings.readiness).await?;
     let peers = listen(settings.peers).await?;
     let gossip = UdpSocket::bind(settings.peers).await?;
-    let mut signals = Signals::new([Signal::Term, Signal::Int])?;
+    let mut signals = Signals::new([Signal::Term, Signal::Int, Signal::Hup])?;
     let spawn = |task: std::pin::Pin<Box<dyn Future<Output = ()>>>| {
         gateway.executor.spawn(task).detach();
     };
@@ -221,7 +267,17 @@
     spawn(Box::pin(gateway.clone().keep_house()));
     spawn(Box::pin(gateway.clone().answer_readiness(readiness)));
     spawn(Box::pin(gateway.clone().accept_clients(clients)));
-    signals.next().await;
+    let (ask, asked) = async_channel::bounded(1);
+    spawn(Box::pin(
+        gateway.clone().follow_settings(read_settings, asked),
+    ));
+    while let Some(signal) = signals.next().await {
+        if !matches!(signal, Ok(Signal::Hup)) {
+            break;
+        }
+        // A full channel means that the settings are about to be read anyway.
+        let _ = ask.try_send(());
+    }
     gateway.stop().await;
     events::flush_now();
     Ok(())
--- a/gateway/src/store.rs
+++ b/gateway/src/store.rs
@@ -112,6 +112,11 @@
         !self.is_direct_lost.get()
     }
 
+    /// Takes the store's own address.
+    pub(crate) fn set_store(&self, store: SocketAddr) {
+        self.store.set(store);
+    }
+
     /// Takes the gateways that reach the store.
     pub(crate) fn set_relays(&self, relays: Vec<SocketAddr>) {
         self.relays.replace(relays);
