Keep turns in four partitions by program; fold own turns at once

A partition executes one append after the other at 3 ms, and 34 gateways each keep one under way. Now a program's records stand in one of four partitions; a gateway folds its own turns as soon as they stand, and reads the partitions of others every 400 ms or when asked. A kept turn is never undone by a second use of its id.

--- a/gateway/src/commit.rs
+++ b/gateway/src/commit.rs
@@ -41,6 +41,7 @@
 
 /// Records that wait for the store.
 pub(crate) struct Committer<D> {
+    topic: Topic,
     queue: RefCell<VecDeque<Waiting>>,
     queued_bytes: Cell<usize>,
     /// Whether an append is under way.
@@ -75,8 +76,9 @@
 
 impl<D: Dialect> Committer<D> {
     /// Makes one without records.
-    pub(crate) fn new() -> Self {
+    pub(crate) fn new(topic: Topic) -> Self {
         Self {
+            topic,
             queue: RefCell::default(),
             queued_bytes: Cell::new(0),
             is_busy: Cell::new(false),
@@ -134,7 +136,7 @@
                 .map(|waiting| ((waiting.key, waiting.value), waiting.done))
                 .unzip();
             let append = Append {
-                topic: Topic::Turns,
+                topic: self.topic,
                 producer,
                 sequence,
                 records: &records,
--- a/gateway/src/dialect.rs
+++ b/gateway/src/dialect.rs
@@ -75,10 +75,13 @@
     Configuration,
     /// What endpoints say of themselves.
     Endpoints,
-    /// Turns, reservations and gateways; written by this system.
-    Turns,
+    /// Turns, reservations and gateways, in one of several partitions; written by this system.
+    Turns(PartitionNumber),
 }
 
+/// Number of a partition of a topic, from 0.
+pub type PartitionNumber = u32;
+
 /// A place in a topic.
 pub type Offset = u64;
 
--- a/gateway/src/follow.rs
+++ b/gateway/src/follow.rs
@@ -1,19 +1,20 @@
 //! Follows the topics of the store: turns, configuration and endpoints.
 
-use crate::dialect::{Dialect, NewestPage, Offset, PartId, Read, StoreRecord, Topic};
+use crate::dialect::{
+    Dialect, NewestPage, Offset, PartId, PartitionNumber, Read, StoreRecord, Topic,
+};
 use crate::node::Gateway;
+use crate::partition::Partition;
 use crate::store::StoreLink;
 use crate::turns::Other;
-use futures_lite::future;
 use smol::Timer;
-use std::cell::Cell;
 use std::collections::{HashMap, HashSet};
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
-/// Pause between two reads of the turns' topic when nobody waits for it. Programs pause for 60 ms
-/// and more between turns, so that most turns are known before they are named.
-const TURNS_PAUSE: Duration = Duration::from_millis(120);
+/// Pause between two reads of a partition when nobody waits for it. A gateway folds its own turns
+/// at once; those of others are read when they are named, so this only bounds their age.
+const TURNS_PAUSE: Duration = Duration::from_millis(400);
 
 /// Pause between two reads of the endpoints' topic: a fraction of the time in which a leaving
 /// endpoint must get no more work.
@@ -35,105 +36,54 @@
 /// Longest pause after a failed call.
 const MOST_PAUSE: Duration = Duration::from_millis(250);
 
-/// How far the turns' topic has been read, for those that wait for it.
-#[derive(Default)]
-pub(crate) struct TurnsProgress {
-    /// Reads begun; odd while one is under way would not do, so it only counts.
-    begun: Cell<u64>,
-    /// The highest number of a read that reached the topic's end.
-    reached_end: Cell<u64>,
-    /// Whether all that the topic holds has been read once.
-    is_loaded: Cell<bool>,
-    wanted: event_listener::Event,
-    is_wanted: Cell<bool>,
-    advanced: event_listener::Event,
-}
-
-impl TurnsProgress {
-    /// Whether all that the topic held at the start has been read.
-    pub(crate) fn is_loaded(&self) -> bool {
-        self.is_loaded.get()
-    }
-
-    fn want(&self) {
-        self.is_wanted.set(true);
-        self.wanted.notify(usize::MAX);
-    }
-
-    async fn pause(&self, limit: Duration) {
-        let listener = self.wanted.listen();
-        if self.is_wanted.get() {
-            return;
-        }
-        future::or(listener, async {
-            Timer::after(limit).await;
-        })
-        .await;
-    }
-}
-
 impl<D: Dialect> Gateway<D> {
-    /// Waits until the turns' topic has been read to an end that it reached after this call.
+    /// Waits until all partitions have been read to an end that they reached after this call.
     pub(crate) async fn read_all_turns(&self) {
-        let progress = &self.progress;
-        let due = progress.begun.get() + 1;
-        while progress.reached_end.get() < due {
-            let listener = progress.advanced.listen();
-            progress.want();
-            listener.await;
-        }
-    }
-
-    /// Waits until the record at an offset has been folded.
-    pub(crate) async fn read_turns_through(&self, offset: Offset) {
-        while self.turns.borrow().position() <= offset {
-            let listener = self.progress.advanced.listen();
-            self.progress.want();
-            listener.await;
+        let due: Vec<u64> = self.partitions.iter().map(Partition::want_all).collect();
+        for (partition, due) in self.partitions.iter().zip(due) {
+            partition.reached_end(due).await;
         }
     }
 
-    /// Follows the turns' topic, for ever.
-    pub(crate) async fn follow_turns(self: Rc<Self>) {
+    /// Follows a partition of the turns' topic, for ever.
+    pub(crate) async fn follow_turns(self: Rc<Self>, number: PartitionNumber) {
+        let partition = &self.partitions[number as usize];
         let mut link = self.store_link();
         loop {
             let started_at = Instant::now();
-            let number = self.progress.begun.get() + 1;
-            self.progress.begun.set(number);
-            let (first, pages) = self.load(&mut link, Topic::Turns).await;
+            let read = partition.begin_read();
+            let (first, pages) = self.load(&mut link, partition.topic()).await;
             self.fold_turns(&pages);
-            self.turns.borrow_mut().advance(first);
-            self.progress.reached_end.set(number);
-            self.progress.is_loaded.set(true);
-            self.progress.advanced.notify(usize::MAX);
-            crate::event!("turns_loaded", "turns" => self.turns.borrow().len(),
+            partition.advance(first);
+            partition.end_read(Some(read));
+            crate::event!("turns_loaded", "partition" => number,
+                "turns" => self.turns.borrow().len(),
                 "took_ms" => started_at.elapsed().as_millis());
-            self.tail_turns(&mut link).await;
-            crate::event!("turns_expired", "position" => self.turns.borrow().position());
+            self.tail_turns(partition, &mut link).await;
+            crate::event!("turns_expired", "partition" => number,
+                "position" => partition.position());
         }
     }
 
     /// Reads new records until those that are due have expired.
-    async fn tail_turns(&self, link: &mut StoreLink) {
+    async fn tail_turns(&self, partition: &Partition<D>, link: &mut StoreLink) {
         let mut failures = Backoff::default();
         loop {
-            let progress = &self.progress;
-            progress.is_wanted.set(false);
-            let number = progress.begun.get() + 1;
-            progress.begun.set(number);
-            let from = self.turns.borrow().position();
-            match self.read(link, Topic::Turns, from, Duration::ZERO).await {
+            let read = partition.begin_read();
+            let from = partition.position();
+            match self
+                .read(link, partition.topic(), from, Duration::ZERO)
+                .await
+            {
                 Some(Read::Records { records, end }) => {
                     failures.reset();
                     self.fold_turns(&records);
-                    let read = from + records.len() as Offset;
-                    self.turns.borrow_mut().advance(read);
-                    if read >= end {
-                        progress.reached_end.set(number);
-                    }
-                    progress.advanced.notify(usize::MAX);
-                    if read >= end {
-                        progress.pause(TURNS_PAUSE).await;
+                    let position = from + records.len() as Offset;
+                    partition.advance(position);
+                    let is_at_end = position >= end;
+                    partition.end_read(is_at_end.then_some(read));
+                    if is_at_end {
+                        partition.pause(TURNS_PAUSE).await;
                     }
                 }
                 Some(Read::Expired) => return,
@@ -142,6 +92,16 @@
         }
     }
 
+    /// Folds a record of this gateway as soon as it stands in its partition.
+    pub(crate) fn fold_own(&self, key: &str, value: Vec<u8>, offset: Offset) {
+        let record = StoreRecord {
+            key: key.to_owned(),
+            value: Some(value),
+            offset,
+        };
+        self.fold_turns(std::slice::from_ref(&record));
+    }
+
     fn fold_turns(&self, records: &[StoreRecord]) {
         let now = Instant::now();
         let mut index = self.turns.borrow_mut();
--- a/gateway/src/gossip.rs
+++ b/gateway/src/gossip.rs
@@ -145,8 +145,9 @@
             incarnation: self.incarnation,
         };
         let key = format!("{KEY_PREFIX}{}", self.settings.name);
-        self.committer
-            .add(key, Some(TurnRecord::Gateway(record).encode()));
+        let partition = self.partition_of(&key);
+        let record = TurnRecord::Gateway(record).encode();
+        partition.committer.add(key, Some(record));
     }
 
     /// Tells the others this gateway's counts, for ever.
--- a/gateway/src/lib.rs
+++ b/gateway/src/lib.rs
@@ -16,6 +16,7 @@
 mod http;
 mod net;
 mod node;
+mod partition;
 mod pool;
 mod readiness;
 mod record;
@@ -28,8 +29,8 @@
 mod turns;
 
 pub use dialect::{
-    AnswerInfo, Append, Appended, CallInfo, Dialect, Dispatch, NewestPage, Offset, PartId, Read,
-    StoreCall, StoreRecord, Topic,
+    AnswerInfo, Append, Appended, CallInfo, Dialect, Dispatch, NewestPage, Offset, PartId,
+    PartitionNumber, Read, StoreCall, StoreRecord, Topic,
 };
 pub use endpoints::{CallEnd, EndpointRecord, Endpoints, InstanceId, ReportedLoad, Want};
 pub use http::Header;
--- a/gateway/src/node.rs
+++ b/gateway/src/node.rs
@@ -1,11 +1,10 @@
 //! The gateway's process: what its tasks share, its start and its end.
 
-use crate::commit::Committer;
 use crate::dialect::Dialect;
 use crate::endpoints::Endpoints;
 use crate::events;
-use crate::follow::TurnsProgress;
 use crate::gossip::Gossip;
+use crate::partition::{PARTITIONS, Partition, partition_of};
 use crate::pool::Pool;
 use crate::routes::Routes;
 use crate::store::{StoreLink, StoreWays};
@@ -77,8 +76,7 @@
     pub(crate) endpoints: RefCell<Endpoints>,
     pub(crate) endpoints_loaded: Cell<bool>,
     pub(crate) turns: RefCell<TurnIndex>,
-    pub(crate) progress: TurnsProgress,
-    pub(crate) committer: Committer<D>,
+    pub(crate) partitions: Vec<Partition<D>>,
     pub(crate) gossip: Gossip,
     pub(crate) pool: Pool,
     pub(crate) store_ways: Rc<StoreWays>,
@@ -100,8 +98,7 @@
             endpoints: RefCell::default(),
             endpoints_loaded: Cell::new(false),
             turns: RefCell::default(),
-            progress: TurnsProgress::default(),
-            committer: Committer::new(),
+            partitions: (0..PARTITIONS).map(Partition::new).collect(),
             gossip: Gossip::new(&settings.name),
             pool: Pool::default(),
             store_ways: Rc::new(StoreWays::new(settings.store)),
@@ -113,6 +110,17 @@
         }
     }
 
+    /// Returns the partition of a program's records.
+    pub(crate) fn partition_of(&self, program: &str) -> &Partition<D> {
+        &self.partitions[partition_of(program) as usize]
+    }
+
+    /// Tells whether all records of this gateway stand in the store.
+    fn has_committed(&self) -> bool {
+        let mut partitions = self.partitions.iter();
+        partitions.all(|partition| partition.committer.is_idle())
+    }
+
     /// Makes a connection to the store for one task.
     pub(crate) fn store_link(&self) -> StoreLink {
         StoreLink::new(self.store_ways.clone())
@@ -139,7 +147,7 @@
         !self.is_stopping()
             && self.routes.borrow().version().is_some()
             && self.endpoints_loaded.get()
-            && self.progress.is_loaded()
+            && self.partitions.iter().all(Partition::is_loaded)
             && !self.store_ways.health().is_lost(Instant::now())
     }
 
@@ -196,11 +204,11 @@
 
     /// Drops the records of turns that nobody can continue any more.
     fn drop_outdated(&self, now: Instant) {
-        if !self.committer.is_idle() {
+        if !self.has_committed() {
             return;
         }
-        for key in self.turns.borrow().outdated(now) {
-            self.committer.add(key, None);
+        for (key, program) in self.turns.borrow().outdated(now) {
+            self.partition_of(&program).committer.add(key, None);
         }
     }
 
@@ -214,7 +222,7 @@
         self.ended.notify(usize::MAX);
         let limit = self.settings.stop_grace.saturating_sub(GRACE_MARGIN);
         while started_at.elapsed() < limit {
-            if self.busy.get() == 0 && self.committer.is_idle() {
+            if self.busy.get() == 0 && self.has_committed() {
                 break;
             }
             Timer::after(STOP_PAUSE).await;
@@ -250,16 +258,18 @@
     let spawn = |task: std::pin::Pin<Box<dyn Future<Output = ()>>>| {
         gateway.executor.spawn(task).detach();
     };
-    let producer = format!("{}-{:x}", settings.name, gateway.incarnation);
-    let committer = gateway.clone();
-    spawn(Box::pin(async move {
-        let link = committer.store_link();
-        committer.committer.run(link, &producer).await;
-    }));
+    for number in 0..PARTITIONS {
+        let producer = format!("{}-{:x}", settings.name, gateway.incarnation);
+        let committing = gateway.clone();
+        spawn(Box::pin(async move {
+            let committer = &committing.partitions[number as usize].committer;
+            committer.run(committing.store_link(), &producer).await;
+        }));
+        spawn(Box::pin(gateway.clone().follow_turns(number)));
+    }
     spawn(Box::pin(events::write_lines()));
     spawn(Box::pin(gateway.clone().follow_configuration()));
     spawn(Box::pin(gateway.clone().follow_endpoints()));
-    spawn(Box::pin(gateway.clone().follow_turns()));
     spawn(Box::pin(gateway.clone().tell_counts(gossip.clone())));
     spawn(Box::pin(gateway.clone().hear_counts(gossip)));
     spawn(Box::pin(gateway.clone().accept_relayed(peers)));
--- a/gateway/src/relay.rs
+++ b/gateway/src/relay.rs
@@ -3,7 +3,7 @@
 //! Any way to the store is as good as another: appends carry their writer's name and number, so a
 //! call that arrives on two ways is executed once.
 
-use crate::dialect::{Dialect, StoreCall, Topic};
+use crate::dialect::{Dialect, StoreCall};
 use crate::http::{BodyDecoder, Framing, Wire, parse_request};
 use crate::node::Gateway;
 use crate::reply::Reply;
@@ -78,8 +78,8 @@
             if self.store_ways.is_direct() {
                 continue;
             }
-            let from = self.turns.borrow().position();
-            let call = D::read(Topic::Turns, from, Duration::ZERO);
+            let partition = &self.partitions[0];
+            let call = D::read(partition.topic(), partition.position(), Duration::ZERO);
             // The link notes the outcome.
             let _ = link.call(&call, PROBE_TIMEOUT).await;
         }
--- a/gateway/src/turn_call.rs
+++ b/gateway/src/turn_call.rs
@@ -1,7 +1,7 @@
 //! Turns of programs: history before the run, budget before the tokens, record before the end.
 
 use crate::call::Call;
-use crate::commit::{Committer, Ticket};
+use crate::commit::Ticket;
 use crate::dialect::Dialect;
 use crate::endpoints::CallEnd;
 use crate::forward::{Exchange, Outgoing, Sent};
@@ -68,7 +68,8 @@
             spent_tokens: self.spent_tokens.get(),
             budget_tokens: self.budget_tokens,
         };
-        let committer: &Committer<D> = &self.gateway.committer;
+        let partition = self.gateway.partition_of(&self.program);
+        let committer = &partition.committer;
         committer.add(self.turn.clone(), Some(record.encode()));
     }
 }
@@ -80,7 +81,8 @@
             return true;
         };
         let offset = ticket.offset().await;
-        self.gateway.read_turns_through(offset).await;
+        let partition = self.gateway.partition_of(&self.program);
+        partition.read_through(offset).await;
         let turns = self.gateway.turns.borrow();
         let holds = turns.holds(&self.turn, budget_tokens);
         if !holds {
@@ -136,6 +138,9 @@
         if call.id().is_empty() {
             return Err(Refusal::new(400, "a turn needs a request id"));
         }
+        if self.turns.borrow().knows(call.id()) {
+            return Err(Refusal::new(400, "the request id was used before"));
+        }
         self.check_store(call).await?;
         let chain = match &call.info.previous_turn {
             Some(previous) => self.find_chain(call, previous).await?,
@@ -155,7 +160,8 @@
 
     /// Refuses turns while their end could not be kept; waits a little for the store to return.
     async fn check_store(&self, call: &Call) -> Result<(), Refusal> {
-        if self.committer.is_full() {
+        let program = call.info.program.as_deref().unwrap_or_default();
+        if self.partition_of(program).committer.is_full() {
             return Err(store_refusal(call, "too much waits for the store"));
         }
         let health = self.store_ways.health();
@@ -223,7 +229,8 @@
             budget_tokens: Some(budget_tokens),
         });
         let key = reserved.turn.clone();
-        reserved.ticket = Some(self.committer.submit(key, record.encode()));
+        let committer = &self.partition_of(&reserved.program).committer;
+        reserved.ticket = Some(committer.submit(key, record.encode()));
         let is_ample = committed + max_tokens * (1 + AMPLE_TURNS) <= budget_tokens;
         if is_ample {
             return Ok(reserved);
@@ -345,10 +352,11 @@
             text,
         });
         reserved.is_kept.set(true);
-        let ticket = self
-            .committer
-            .submit(reserved.turn.clone(), record.encode());
-        ticket.offset().await;
+        let committer = &self.partition_of(&reserved.program).committer;
+        let record = record.encode();
+        let ticket = committer.submit(reserved.turn.clone(), record.clone());
+        let offset = ticket.offset().await;
+        self.fold_own(&reserved.turn, record, offset);
     }
 }
 
--- a/gateway/src/turns.rs
+++ b/gateway/src/turns.rs
@@ -44,30 +44,25 @@
     seen_at: Instant,
 }
 
+impl Entry {
+    /// Tells whether a later record can't undo the entry: a turn that ended whole stays.
+    fn outlasts(&self, turn: &Turn) -> bool {
+        matches!(self.turn, Turn::Kept(_)) && !matches!(turn, Turn::Kept(_))
+    }
+}
+
 /// A turn's history, oldest first.
 pub(crate) type Chain = Vec<Rc<KeptTurn>>;
 
-/// The turns and budgets that the records up to `position` amount to.
+/// The turns and budgets that the records read so far amount to.
 #[derive(Debug, Default)]
 pub(crate) struct TurnIndex {
     turns: HashMap<Rc<str>, Entry>,
     /// Turns of each program that has any.
     programs: HashMap<Rc<str>, Vec<Rc<str>>>,
-    /// Offset of the next record to fold.
-    position: Offset,
 }
 
 impl TurnIndex {
-    /// Offset of the next record to fold.
-    pub(crate) fn position(&self) -> Offset {
-        self.position
-    }
-
-    /// Notes that all records before an offset have been folded.
-    pub(crate) fn advance(&mut self, position: Offset) {
-        self.position = self.position.max(position);
-    }
-
     /// Folds a record; returns what it holds beside a turn's place and its tokens.
     pub(crate) fn apply(&mut self, now: Instant, record: &StoreRecord) -> Result<Other, String> {
         let Some(value) = &record.value else {
@@ -97,7 +92,7 @@
 
     fn put(&mut self, now: Instant, record: &StoreRecord, program: &str, turn: Turn) {
         let known = self.turns.get(record.key.as_str());
-        if known.is_some_and(|entry| entry.offset >= record.offset) {
+        if known.is_some_and(|entry| entry.offset >= record.offset || entry.outlasts(&turn)) {
             return;
         }
         self.remove(&record.key, record.offset);
@@ -182,8 +177,13 @@
         turns.filter_map(|turn| self.turns.get(turn))
     }
 
-    /// Returns the keys of turns that nobody can continue any more.
-    pub(crate) fn outdated(&self, now: Instant) -> Vec<String> {
+    /// Tells whether a turn is known, however it ended.
+    pub(crate) fn knows(&self, turn: &str) -> bool {
+        self.turns.contains_key(turn)
+    }
+
+    /// Returns the keys of turns that nobody can continue any more, with their programs.
+    pub(crate) fn outdated(&self, now: Instant) -> Vec<(String, Rc<str>)> {
         let old = self.turns.iter().filter(|(_, entry)| {
             let keep = match &entry.turn {
                 Turn::Kept(kept) => (kept.keep() * KEEP_FACTOR).max(SETTLED_KEEP),
@@ -191,7 +191,8 @@
             };
             now.saturating_duration_since(entry.seen_at) > keep
         });
-        old.map(|(key, _)| key.to_string()).collect()
+        old.map(|(key, entry)| (key.to_string(), entry.program.clone()))
+            .collect()
     }
 
     /// Number of turns known.
--- a/gateway/src/turns/tests.rs
+++ b/gateway/src/turns/tests.rs
@@ -31,7 +31,6 @@
         };
         self.next += 1;
         self.index.apply(self.now, &record).expect("a valid record");
-        self.index.advance(self.next);
     }
 
     fn reserve(&mut self, turn: &str, max_tokens: u64) {
@@ -157,8 +156,21 @@
         is_empty()
     );
     let later = log.now + Duration::from_secs(121);
-    expect_that!(log.index.outdated(later), elements_are![eq("a")]);
+    expect_that!(
+        log.index.outdated(later),
+        eq(&[("a".to_owned(), "p".into())])
+    );
     log.append("a", None);
     expect_that!(log.index.len(), eq(0));
     expect_that!(log.index.committed_tokens("p"), eq(0));
 }
+
+#[googletest::test]
+fn a_second_use_of_an_id_does_not_undo_a_kept_turn() {
+    let mut log = Log::new();
+    log.keep("a", None, 30);
+    log.reserve("a", 100);
+    log.settle("a", 0);
+    expect_that!(log.index.chain("a"), some(anything()));
+    expect_that!(log.index.committed_tokens("p"), eq(30));
+}
