--- a/gateway/src/call.rs
+++ b/gateway/src/call.rs
@@ -89,6 +89,9 @@
         if future::or(work, time_out).await {
             self.time_out(call, reply).await;
         }
+        let took = call.received_at.elapsed();
+        self.counters
+            .answered(call.route.kind, reply.status(), took);
         call.log_end(reply);
     }
 
--- a/gateway/src/commit.rs
+++ b/gateway/src/commit.rs
@@ -4,13 +4,16 @@
 //! A resend has the number of the first send, so that the store executes it once, however late
 //! a lost call arrives.
 
+#[cfg(test)]
+mod tests;
+
 use crate::dialect::{Append, Appended, Dialect, Offset, Topic};
 use crate::store::StoreLink;
 use smol::Timer;
 use std::cell::{Cell, RefCell};
 use std::collections::VecDeque;
 use std::marker::PhantomData;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 /// Records in one append; the store's limit on a call's bytes is far above what they hold.
 const MAX_RECORDS: usize = 256;
@@ -21,9 +24,19 @@
 /// Bytes that may wait: some seconds of a busy gateway's turns.
 const MAX_WAITING_BYTES: usize = 8 * 1024 * 1024;
 
-/// Longest time of the first send; several times the usual time of an append.
+/// Longest time of the first send, as a multiple of the usual time of an append: an answer that is
+/// that late is most likely lost.
+const TIMEOUT_FACTOR: u32 = 8;
+
+/// Least time-out of a first send: appends of other gateways may stand before it.
+const LEAST_TIMEOUT: Duration = Duration::from_millis(200);
+
+/// Most time-out of a first send.
 const FIRST_TIMEOUT: Duration = Duration::from_millis(800);
 
+/// Weight of the newest append in the usual time.
+const TIME_WEIGHT: f64 = 0.2;
+
 /// Longest time of a resend; an overloaded store takes seconds.
 const MOST_TIMEOUT: Duration = Duration::from_secs(4);
 
@@ -33,6 +46,30 @@
 /// Longest pause between two sends.
 const MOST_PAUSE: Duration = Duration::from_millis(240);
 
+/// How long a first send may take, by how long appends took of late.
+#[derive(Clone, Copy, Debug)]
+struct SendTimes {
+    usual: Duration,
+}
+
+impl SendTimes {
+    /// Begins with what a store that is busy takes.
+    fn new() -> Self {
+        Self {
+            usual: FIRST_TIMEOUT / TIMEOUT_FACTOR,
+        }
+    }
+
+    fn took(&mut self, time: Duration) {
+        let kept = self.usual.mul_f64(1.0 - TIME_WEIGHT);
+        self.usual = kept + time.mul_f64(TIME_WEIGHT);
+    }
+
+    fn timeout(&self) -> Duration {
+        (self.usual * TIMEOUT_FACTOR).clamp(LEAST_TIMEOUT, FIRST_TIMEOUT)
+    }
+}
+
 struct Waiting {
     key: String,
     value: Option<Vec<u8>>,
@@ -129,6 +166,7 @@
     /// Appends what waits, for ever.
     pub(crate) async fn run(&self, mut link: StoreLink, producer: &str) {
         let mut sequence = 0;
+        let mut times = SendTimes::new();
         loop {
             let batch = self.next_batch().await;
             let (records, waiters): (Vec<_>, Vec<_>) = batch
@@ -141,7 +179,7 @@
                 sequence,
                 records: &records,
             };
-            let first = append_until_done::<D>(&mut link, &append).await;
+            let first = append_until_done::<D>(&mut link, &append, &mut times).await;
             sequence += 1;
             for (at, waiter) in waiters.into_iter().enumerate() {
                 if let Some(waiter) = waiter {
@@ -183,14 +221,22 @@
 }
 
 /// Sends an append until the store has it; returns the first record's offset.
-async fn append_until_done<D: Dialect>(link: &mut StoreLink, append: &Append<'_>) -> Offset {
+async fn append_until_done<D: Dialect>(
+    link: &mut StoreLink,
+    append: &Append<'_>,
+    times: &mut SendTimes,
+) -> Offset {
     let call = D::append(append);
-    let mut timeout = FIRST_TIMEOUT;
+    let mut timeout = times.timeout();
     let mut pause = FIRST_PAUSE;
     loop {
+        let sent_at = Instant::now();
         if let Ok((status, body)) = link.call(&call, timeout).await {
             match D::read_appended(status, &body) {
-                Appended::At(offset) => return offset,
+                Appended::At(offset) => {
+                    times.took(sent_at.elapsed());
+                    return offset;
+                }
                 Appended::Refused => {}
                 Appended::Conflict => {
                     // The name is new in each lifetime and numbers only grow.
--- a/gateway/src/lib.rs
+++ b/gateway/src/lib.rs
@@ -6,6 +6,7 @@
 
 mod call;
 mod commit;
+mod counters;
 mod dialect;
 mod endpoints;
 mod events;
--- a/gateway/src/node.rs
+++ b/gateway/src/node.rs
@@ -1,5 +1,6 @@
 //! The gateway's process: what its tasks share, its start and its end.
 
+use crate::counters::Counters;
 use crate::dialect::Dialect;
 use crate::endpoints::Endpoints;
 use crate::events;
@@ -80,6 +81,7 @@
     pub(crate) gossip: Gossip,
     pub(crate) pool: Pool,
     pub(crate) store_ways: Rc<StoreWays>,
+    pub(crate) counters: Counters,
     /// Requests under way.
     pub(crate) busy: Cell<usize>,
     stopping_since: Cell<Option<Instant>>,
@@ -102,6 +104,7 @@
             gossip: Gossip::new(&settings.name),
             pool: Pool::default(),
             store_ways: Rc::new(StoreWays::new(settings.store)),
+            counters: Counters::default(),
             busy: Cell::new(0),
             stopping_since: Cell::new(None),
             is_ending: Cell::new(false),
@@ -151,6 +154,25 @@
             && !self.store_ways.health().is_lost(Instant::now())
     }
 
+    /// All counters and gauges as text.
+    pub(crate) fn metrics(&self) -> String {
+        let health = self.store_ways.health();
+        self.counters.render(&[
+            ("requests_open", self.busy.get() as u64),
+            ("turns_known", self.turns.borrow().len() as u64),
+            (
+                "endpoints_known",
+                self.endpoints.borrow().ids().len() as u64,
+            ),
+            (
+                "configuration_version",
+                self.routes.borrow().version().unwrap_or_default(),
+            ),
+            ("store_lost", u64::from(health.is_lost(Instant::now()))),
+            ("store_direct", u64::from(self.store_ways.is_direct())),
+        ])
+    }
+
     /// Takes changed settings, for ever: after a signal, and by itself after a while.
     async fn follow_settings(
         self: Rc<Self>,
--- a/gateway/src/readiness.rs
+++ b/gateway/src/readiness.rs
@@ -1,4 +1,4 @@
-//! Tells the platform whether callers should be sent here.
+//! Tells the platform whether callers should be sent here, and monitors what was counted.
 
 use crate::dialect::Dialect;
 use crate::http::{Framing, Wire, parse_request};
@@ -13,6 +13,9 @@
 /// How long a connection of the platform may be idle; it asks every second.
 const IDLE_LIMIT: Duration = Duration::from_secs(30);
 
+/// Where the counters are read.
+const METRICS_TARGET: &str = "/metrics";
+
 /// Longest request; it has a few headers and no body.
 const MAX_HEAD_BYTES: usize = 8 * 1024;
 
@@ -35,12 +38,18 @@
         loop {
             let idle = async {
                 Timer::after(IDLE_LIMIT).await;
-                false
+                None
             };
-            if !future::or(read_probe(&mut wire), idle).await {
+            let probe = async { read_probe(&mut wire).await };
+            let Some(target) = future::or(probe, idle).await else {
                 return;
-            }
+            };
             let reply = Reply::new(wire.stream(), false);
+            if target == METRICS_TARGET {
+                let metrics = self.metrics();
+                reply.pass_whole(200, "", &[], metrics.as_bytes()).await;
+                continue;
+            }
             let refusal = if self.is_ready() {
                 Refusal::new(200, "ready")
             } else {
@@ -54,19 +63,20 @@
     }
 }
 
-/// Reads a probe; false at the connection's end or if it is none.
-async fn read_probe(wire: &mut Wire) -> bool {
+/// Reads a probe and returns its target; `None` at the connection's end or if it is none.
+async fn read_probe(wire: &mut Wire) -> Option<String> {
     loop {
         match parse_request(wire.unread()) {
             Ok(Some((head, length))) => {
                 wire.consume(length);
-                return matches!(head.framing, Framing::Empty | Framing::Length(0));
+                let has_no_body = matches!(head.framing, Framing::Empty | Framing::Length(0));
+                return has_no_body.then_some(head.target);
             }
             Ok(None) if wire.unread().len() < MAX_HEAD_BYTES => match wire.fill().await {
                 Ok(count) if count > 0 => {}
-                _ => return false,
+                _ => return None,
             },
-            _ => return false,
+            _ => return None,
         }
     }
 }
--- a/src/cli/mod.rs
+++ b/src/cli/mod.rs
@@ -1,6 +1,7 @@
 //! The command-line tool.
 
 mod experiment;
+mod explain;
 mod operate;
 mod trial;
 
@@ -24,6 +25,7 @@
   actions    list and resolve calls that may not be repeated
   drain      give a node no new work
   burn       service-level burn and what happened
+  explain    the way of a request through the logs of gateways
 
   --help     print this text, or that of a command
   --version  print the version
@@ -86,6 +88,7 @@
         "load" => trial::load(parser),
         "standin" => trial::standin(parser),
         "experiment" => experiment::experiment(parser),
+        "explain" => explain::explain(parser),
         "env" | "status" | "programs" | "actions" | "drain" | "burn" => {
             operate::operate(command, parser)
         }
