--- a/gateway/src/endpoints.rs
+++ b/gateway/src/endpoints.rs
@@ -242,19 +242,6 @@
         endpoint.own_calls + others.sum::<u32>()
     }
 
-    /// Calls under way and places at all endpoints of a service that may be used.
-    pub fn occupancy(&self, now: Instant, service: &str) -> (u32, u32) {
-        let usable = self.endpoints.values().filter(|endpoint| {
-            *endpoint.record.service == *service && !endpoint.record.is_draining
-        });
-        usable.fold((0, 0), |(calls, slots), endpoint| {
-            (
-                calls + self.calls_of(now, endpoint),
-                slots + endpoint.record.slots,
-            )
-        })
-    }
-
     /// Notes that a call goes to an endpoint.
     pub fn begin(&mut self, id: &str) {
         if let Some(endpoint) = self.endpoints.get_mut(id) {
