--- a/gateway/src/front.rs
+++ b/gateway/src/front.rs
@@ -17,9 +17,6 @@
 /// Bytes of further requests that are read while one is served; past that, the client waits.
 const MAX_PIPELINED_BYTES: usize = 64 * 1024;
 
-/// Pause after a failed accept, such as for lack of descriptors.
-const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
-
 /// Longest time that a body may take to arrive.
 const BODY_TIMEOUT: Duration = Duration::from_secs(10);
 
@@ -62,17 +59,10 @@
     /// Accepts clients, for ever.
     pub(crate) async fn accept_clients(self: Rc<Self>, listener: TcpListener) {
         loop {
-            match listener.accept().await {
-                Ok((stream, _)) => {
-                    let gateway = self.clone();
-                    let task = async move { gateway.serve_connection(stream).await };
-                    self.executor.spawn(task).detach();
-                }
-                Err(error) => {
-                    crate::event!("accept_failed", "error" => error.to_string());
-                    Timer::after(ACCEPT_PAUSE).await;
-                }
-            }
+            let stream = net::accept(&listener).await;
+            let gateway = self.clone();
+            let task = async move { gateway.serve_connection(stream).await };
+            self.executor.spawn(task).detach();
         }
     }
 
--- a/gateway/src/net.rs
+++ b/gateway/src/net.rs
@@ -3,7 +3,7 @@
 use futures_lite::future;
 use rustix::net::sockopt;
 use smol::Timer;
-use smol::net::TcpStream;
+use smol::net::{TcpListener, TcpStream};
 use std::io;
 use std::net::SocketAddr;
 use std::time::Duration;
@@ -19,6 +19,22 @@
 /// Unanswered probes that break a connection.
 const PROBES: u32 = 2;
 
+/// Pause after a failed accept, such as for lack of descriptors.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
+
+/// Accepts the next connection; a failure is logged and tried again after a pause.
+pub(crate) async fn accept(listener: &TcpListener) -> TcpStream {
+    loop {
+        match listener.accept().await {
+            Ok((stream, _)) => return stream,
+            Err(error) => {
+                crate::event!("accept_failed", "error" => error.to_string());
+                Timer::after(ACCEPT_PAUSE).await;
+            }
+        }
+    }
+}
+
 /// Runs a future for so long; past that it is dropped and the outcome is a time-out.
 pub(crate) async fn within<T>(
     limit: Duration,
--- a/gateway/src/readiness.rs
+++ b/gateway/src/readiness.rs
@@ -2,6 +2,7 @@
 
 use crate::dialect::Dialect;
 use crate::http::{Framing, Wire, parse_request};
+use crate::net;
 use crate::node::Gateway;
 use crate::reply::{Refusal, Reply};
 use futures_lite::future;
@@ -23,10 +24,7 @@
     /// Answers readiness probes, for ever.
     pub(crate) async fn answer_readiness(self: Rc<Self>, listener: TcpListener) {
         loop {
-            let Ok((stream, _)) = listener.accept().await else {
-                Timer::after(Duration::from_millis(20)).await;
-                continue;
-            };
+            let stream = net::accept(&listener).await;
             let gateway = self.clone();
             let task = async move { gateway.answer_probes(stream).await };
             self.executor.spawn(task).detach();
--- a/gateway/src/relay.rs
+++ b/gateway/src/relay.rs
@@ -5,6 +5,7 @@
 
 use crate::dialect::{Dialect, StoreCall};
 use crate::http::{BodyDecoder, Framing, Wire, parse_request};
+use crate::net;
 use crate::node::Gateway;
 use crate::reply::Reply;
 use crate::store::StoreLink;
@@ -36,10 +37,7 @@
     /// Serves other gateways, for ever.
     pub(crate) async fn accept_relayed(self: Rc<Self>, listener: TcpListener) {
         loop {
-            let Ok((stream, _)) = listener.accept().await else {
-                Timer::after(Duration::from_millis(20)).await;
-                continue;
-            };
+            let stream = net::accept(&listener).await;
             let gateway = self.clone();
             let task = async move { gateway.relay_calls(stream).await };
             self.executor.spawn(task).detach();
