Promise nothing once any send of a request may have run

Cause, found on reading: a repeatable request whose first endpoint broke off and whose second refused was answered 503, which promises that it has not run. Ruled out for calls that may not be repeated: they end at the first doubt.

--- a/gateway/src/forward.rs
+++ b/gateway/src/forward.rs
@@ -197,13 +197,13 @@
                         "execution" => failure.execution.to_string(),
                         "left_ms" => call.time_left().as_millis());
                     sends += u32::from(was_sent);
-                    last = failure;
-                    if failure.execution == Execution::MayHaveRun {
-                        if !may_repeat {
-                            break;
-                        }
-                    } else {
-                        call.execution.set(Execution::NotRun);
+                    // One send that may have run is enough: no later refusal takes it back.
+                    if last.execution == Execution::NotRun {
+                        last = failure;
+                    }
+                    call.execution.set(last.execution);
+                    if last.execution == Execution::MayHaveRun && !may_repeat {
+                        break;
                     }
                 }
             }
