Read the requests of probes and of other gateways in one place

Found on reading the change: readiness and relay each had the same loop around the head of a request. Wire::read_request serves both; behaviour is the same.

--- a/gateway/src/http/wire.rs
+++ b/gateway/src/http/wire.rs
@@ -1,6 +1,6 @@
 //! A connection with the bytes that were read and not used yet.
 
-use super::{BodyDecoder, BodyError, ResponseHead, parse_response};
+use super::{BodyDecoder, BodyError, RequestHead, ResponseHead, parse_request, parse_response};
 use futures_lite::{AsyncRead, AsyncWriteExt, future};
 use smol::net::TcpStream;
 use std::io;
@@ -64,6 +64,24 @@
         stream.write_all(bytes).await
     }
 
+    /// Reads the head of a request of a trusted peer; `None` at the connection's end, or if it is
+    /// none or too long.
+    pub(crate) async fn read_request(&mut self, limit_bytes: usize) -> Option<RequestHead> {
+        loop {
+            match parse_request(&self.unread) {
+                Ok(Some((head, length))) => {
+                    self.consume(length);
+                    return Some(head);
+                }
+                Ok(None) if self.unread.len() < limit_bytes => match self.fill().await {
+                    Ok(count) if count > 0 => {}
+                    _ => return None,
+                },
+                _ => return None,
+            }
+        }
+    }
+
     /// Reads the head of an answer; interim answers are skipped.
     ///
     /// An error means that the connection broke or that the bytes are no answer.
--- a/gateway/src/readiness.rs
+++ b/gateway/src/readiness.rs
@@ -1,7 +1,7 @@
 //! Tells the platform whether callers should be sent here, and monitors what was counted.
 
 use crate::dialect::Dialect;
-use crate::http::{Framing, Wire, parse_request};
+use crate::http::{Framing, Wire};
 use crate::net;
 use crate::node::Gateway;
 use crate::reply::{Refusal, Reply};
@@ -63,18 +63,7 @@
 
 /// Reads a probe and returns its target; `None` at the connection's end or if it is none.
 async fn read_probe(wire: &mut Wire) -> Option<String> {
-    loop {
-        match parse_request(wire.unread()) {
-            Ok(Some((head, length))) => {
-                wire.consume(length);
-                let has_no_body = matches!(head.framing, Framing::Empty | Framing::Length(0));
-                return has_no_body.then_some(head.target);
-            }
-            Ok(None) if wire.unread().len() < MAX_HEAD_BYTES => match wire.fill().await {
-                Ok(count) if count > 0 => {}
-                _ => return None,
-            },
-            _ => return None,
-        }
-    }
+    let head = wire.read_request(MAX_HEAD_BYTES).await?;
+    let has_no_body = matches!(head.framing, Framing::Empty | Framing::Length(0));
+    has_no_body.then_some(head.target)
 }
--- a/gateway/src/relay.rs
+++ b/gateway/src/relay.rs
@@ -4,7 +4,7 @@
 //! call that arrives on two ways is executed once.
 
 use crate::dialect::{Dialect, StoreCall};
-use crate::http::{BodyDecoder, Framing, Wire, parse_request};
+use crate::http::{BodyDecoder, Framing, Wire};
 use crate::net;
 use crate::node::Gateway;
 use crate::reply::Reply;
@@ -86,19 +86,7 @@
 
 /// Reads a call as another gateway sends it; `None` at the connection's end.
 async fn read_call(wire: &mut Wire) -> Option<StoreCall> {
-    let head = loop {
-        match parse_request(wire.unread()) {
-            Ok(Some((head, length))) => {
-                wire.consume(length);
-                break head;
-            }
-            Ok(None) if wire.unread().len() < MAX_HEAD_BYTES => match wire.fill().await {
-                Ok(count) if count > 0 => {}
-                _ => return None,
-            },
-            _ => return None,
-        }
-    };
+    let head = wire.read_request(MAX_HEAD_BYTES).await?;
     let method = match head.method.as_str() {
         "GET" => "GET",
         "POST" => "POST",
