Leave partitions where they are in an outage of the store

Ruled out: the gateways' processor time (0.05 cores of 0.09 and more).

Change: whoever is heard of serves its partitions, over others if it does not reach the store itself; an answer is waited for as long as its gateway is heard of; while the store is lost one caller of a process tries for all, each 60 ms.

--- a/gateway/src/gossip.rs
+++ b/gateway/src/gossip.rs
@@ -53,8 +53,8 @@
 pub(crate) struct GatewayState {
     /// Whether it reaches the store by itself.
     pub(crate) reaches_store: bool,
-    /// Whether it is ready for requests, and so has loaded its partitions.
-    pub(crate) is_ready: bool,
+    /// Whether it has loaded the partitions that it serves.
+    pub(crate) has_loaded: bool,
     /// Whether it is about to stop.
     pub(crate) is_stopping: bool,
 }
@@ -215,7 +215,7 @@
     fn state(&self) -> GatewayState {
         GatewayState {
             reaches_store: self.reaches_store(),
-            is_ready: self.is_ready(),
+            has_loaded: self.turns_loaded.get(),
             is_stopping: self.is_stopping(),
         }
     }
--- a/gateway/src/ledger.rs
+++ b/gateway/src/ledger.rs
@@ -20,7 +20,7 @@
 const STORE_WAIT_SHARE: f64 = 0.25;
 
 /// How long a turn waits for what has to be read first.
-pub(crate) const LOOKUP_LIMIT: Duration = Duration::from_millis(900);
+const LOOKUP_LIMIT: Duration = Duration::from_millis(900);
 
 /// Turns that a budget must hold beyond this one for it to run before its reservation is read
 /// back: so many may be under way elsewhere without being known here.
@@ -45,7 +45,7 @@
 
 impl NewTurn {
     /// How long it waits for the store to come back.
-    pub(crate) fn store_wait(&self) -> Duration {
+    fn store_wait(&self) -> Duration {
         Duration::from_millis(self.patience_ms).mul_f64(STORE_WAIT_SHARE)
     }
 }
--- a/gateway/src/ledger_call.rs
+++ b/gateway/src/ledger_call.rs
@@ -2,7 +2,7 @@
 
 use crate::commit::Ticket;
 use crate::dialect::{Dialect, PartitionNumber};
-use crate::ledger::{Answer, Ask, Denial, History, LOOKUP_LIMIT, NewTurn, Reserved};
+use crate::ledger::{Answer, Ask, Denial, History, NewTurn, Reserved};
 use crate::node::Gateway;
 use crate::partition::{PARTITIONS, partition_of};
 use crate::peers::Asked;
@@ -17,10 +17,6 @@
 /// Pause between two looks at whether a gateway that has been asked is still heard of.
 const LOOK_PAUSE: Duration = Duration::from_millis(100);
 
-/// How long to wait for a record to stand in the store before it is written here as well; several
-/// times what an append takes at a store that is busy.
-const APPEND_LIMIT: Duration = Duration::from_millis(800);
-
 /// Parts of a history that are looked for in other partitions, at most; programs go on from turns
 /// of other programs a few times, not in loops.
 const MAX_PARTS: usize = 16;
@@ -76,8 +72,7 @@
         let mut is_asked_again = new.is_asked_again;
         if let Some(owner) = self.owner_of(partition_of(&new.program)) {
             let asked = self.ask_peer(owner, &Ask::Reserve(new.clone()));
-            let limit = LOOKUP_LIMIT + new.store_wait();
-            match self.answer_of(owner, &asked, limit).await {
+            match self.answer_of(owner, &asked).await {
                 Some(Answer::Reserved { history, is_ample }) => {
                     let reservation = match new.budget_tokens {
                         Some(_) => Reservation::There(owner, asked),
@@ -90,6 +85,9 @@
                     }));
                 }
                 Some(Answer::Begins(history)) => return Ok(Err(history)),
+                Some(Answer::Denied(Denial::StoreLost)) if self.reaches_store() => {
+                    self.do_without(owner, "reserve", &new.turn, None);
+                }
                 Some(Answer::Denied(denial)) => return Err(denial),
                 answer => self.do_without(owner, "reserve", &new.turn, answer),
             }
@@ -157,7 +155,7 @@
                 turn: turn.to_owned(),
             };
             let asked = self.ask_peer(owner, &ask);
-            match self.answer_of(owner, &asked, LOOKUP_LIMIT).await {
+            match self.answer_of(owner, &asked).await {
                 Some(Answer::Begins(history)) => return Ok(history),
                 Some(Answer::Denied(denial)) => return Err(denial),
                 answer => self.do_without(owner, "find", turn, answer),
@@ -171,12 +169,10 @@
         match reservation {
             Reservation::Free => return true,
             Reservation::Here(ticket) => return self.holds_here(new, ticket).await,
-            Reservation::There(owner, asked) => {
-                match self.answer_of(*owner, asked, APPEND_LIMIT).await {
-                    Some(Answer::Holds(holds)) => return holds,
-                    answer => self.do_without(*owner, "holds", &new.turn, answer),
-                }
-            }
+            Reservation::There(owner, asked) => match self.answer_of(*owner, asked).await {
+                Some(Answer::Holds(holds)) => return holds,
+                answer => self.do_without(*owner, "holds", &new.turn, answer),
+            },
         }
         // A second record of the same reservation counts once.
         let ticket = self.put_aside(new);
@@ -191,7 +187,7 @@
                 kept: kept.clone(),
             };
             let asked = self.ask_peer(owner, &ask);
-            match self.answer_of(owner, &asked, APPEND_LIMIT).await {
+            match self.answer_of(owner, &asked).await {
                 Some(Answer::Stands) => return,
                 answer => self.do_without(owner, "keep", turn, answer),
             }
@@ -213,7 +209,7 @@
                 spent_tokens,
             };
             let asked = self.ask_peer(owner, &ask);
-            match self.answer_of(owner, &asked, APPEND_LIMIT).await {
+            match self.answer_of(owner, &asked).await {
                 Some(Answer::Stands) => return,
                 answer => self.do_without(owner, "settle", turn, answer),
             }
@@ -221,9 +217,11 @@
         self.settle_here(turn, program, spent_tokens).await;
     }
 
-    /// Waits for the answer of a gateway; `None` if the time is up or it is not heard of any more.
-    async fn answer_of(&self, owner: SocketAddr, asked: &Asked, limit: Duration) -> Option<Answer> {
-        let give_up_at = Instant::now() + limit;
+    /// Waits for the answer of a gateway; `None` if it is not heard of any more.
+    ///
+    /// One that is heard of is waited for, however long the store takes: what it waits for would
+    /// take as long here, and in an outage each gateway would load all partitions.
+    async fn answer_of(&self, owner: SocketAddr, asked: &Asked) -> Option<Answer> {
         loop {
             let look = async {
                 Timer::after(LOOK_PAUSE).await;
@@ -236,8 +234,7 @@
                 }
                 return answer;
             }
-            let now = Instant::now();
-            if now >= give_up_at || !self.gossip.is_well(owner, now) {
+            if !self.gossip.is_well(owner, Instant::now()) {
                 return None;
             }
         }
--- a/gateway/src/owners.rs
+++ b/gateway/src/owners.rs
@@ -4,6 +4,9 @@
 //! have to read all records. Gateways that disagree on the owner both write, and the partition's
 //! order decides; so ownership needs no agreement, and nobody waits for it to pass on.
 
+#[cfg(test)]
+mod tests;
+
 use crate::dialect::{Dialect, PartitionNumber};
 use crate::node::Gateway;
 use std::hash::{DefaultHasher, Hash, Hasher};
@@ -17,7 +20,7 @@
     /// Where it is asked; `None` for this gateway.
     pub(crate) address: Option<SocketAddr>,
     /// Whether it has loaded its partitions.
-    pub(crate) is_ready: bool,
+    pub(crate) has_loaded: bool,
 }
 
 /// Chooses the owner of a partition: each gateway has a rank there that all compute alike, so that
@@ -38,38 +41,40 @@
 impl<D: Dialect> Gateway<D> {
     /// Returns where a partition is asked; `None` if it is served here.
     pub(crate) fn owner_of(&self, partition: PartitionNumber) -> Option<SocketAddr> {
-        let mut candidates = self.candidates(self.is_ready());
-        if candidates.iter().any(|candidate| candidate.is_ready) {
-            candidates.retain(|candidate| candidate.is_ready);
+        let mut candidates = self.candidates();
+        if candidates.iter().any(|candidate| candidate.has_loaded) {
+            candidates.retain(|candidate| candidate.has_loaded);
         }
         choose(partition, &candidates)?.address
     }
 
     /// Tells whether this gateway should have a partition loaded.
     pub(crate) fn owns(&self, partition: PartitionNumber) -> bool {
-        let owner = choose(partition, &self.candidates(false)).map(|owner| owner.address);
+        let owner = choose(partition, &self.candidates()).map(|owner| owner.address);
         owner == Some(None)
     }
 
     /// The gateways that may serve partitions, this one included.
-    fn candidates(&self, is_ready: bool) -> Vec<Candidate> {
+    ///
+    /// Whether one reaches the store does not count: it calls the store over the others, and an
+    /// outage, which each notices at its own time, must not move partitions about.
+    fn candidates(&self) -> Vec<Candidate> {
         let well = self.gossip.well(Instant::now());
         let mut candidates: Vec<Candidate> = well
             .into_iter()
-            .filter(|(_, _, state)| state.reaches_store && !state.is_stopping)
+            .filter(|(_, _, state)| !state.is_stopping)
             .map(|(name, address, state)| Candidate {
                 name,
                 address: Some(address),
-                is_ready: state.is_ready,
+                has_loaded: state.has_loaded,
             })
             .collect();
-        // One that is about to stop or is cut off serves itself only where nobody else can.
-        let is_fit = self.reaches_store() && !self.is_stopping();
-        if is_fit || candidates.is_empty() {
+        // One that is about to stop serves only where nobody else can.
+        if !self.is_stopping() || candidates.is_empty() {
             candidates.push(Candidate {
                 name: self.settings.name.clone(),
                 address: None,
-                is_ready: is_fit && is_ready,
+                has_loaded: self.turns_loaded.get(),
             });
         }
         candidates
--- a/gateway/src/store.rs
+++ b/gateway/src/store.rs
@@ -7,6 +7,7 @@
 use crate::http::{BodyDecoder, Wire};
 use crate::net::{connect, within};
 use futures_lite::future;
+use smol::Timer;
 use std::cell::{Cell, RefCell};
 use std::io;
 use std::net::SocketAddr;
@@ -27,6 +28,10 @@
 /// How long after its return entries that lapsed while the store was lost come back.
 const LAPSE_GRACE: Duration = Duration::from_millis(2_100);
 
+/// Pause between two calls while the store is lost: one caller tries for all, since refused calls
+/// cost too, and hundreds of them hold a store up that comes back.
+const TRY_PAUSE: Duration = Duration::from_millis(60);
+
 /// Whether the store answers, as all calls of this process see it.
 #[derive(Debug, Default)]
 pub(crate) struct StoreHealth {
@@ -85,6 +90,8 @@
     /// Gateways that said of late that they reach the store.
     relays: RefCell<Vec<SocketAddr>>,
     health: StoreHealth,
+    /// When the next call may be made while the store is lost.
+    next_try_at: Cell<Option<Instant>>,
     /// Told when an answer ends a spell of failures.
     regained: event_listener::Event,
 }
@@ -99,6 +106,26 @@
             regained: event_listener::Event::new(),
             relays: RefCell::default(),
             health: StoreHealth::default(),
+            next_try_at: Cell::new(None),
+        }
+    }
+
+    /// Waits for a caller's turn to try a store that is lost, or for its return.
+    async fn turn_to_try(&self) {
+        while self.health.is_lost(Instant::now()) {
+            let now = Instant::now();
+            match self.next_try_at.get() {
+                Some(at) if at > now => {
+                    let its_turn = async {
+                        Timer::at(at).await;
+                    };
+                    future::or(self.regained(), its_turn).await;
+                }
+                _ => {
+                    self.next_try_at.set(Some(now + TRY_PAUSE));
+                    return;
+                }
+            }
         }
     }
 
@@ -204,6 +231,9 @@
         call: &StoreCall,
         timeout: Duration,
     ) -> io::Result<(u16, Vec<u8>)> {
+        if !self.is_direct_only {
+            self.ways.turn_to_try().await;
+        }
         let address = if self.is_direct_only {
             self.ways.store.get()
         } else {
--- a/gateway/src/store/tests.rs
+++ b/gateway/src/store/tests.rs
@@ -1,5 +1,9 @@
-use super::StoreHealth;
+use super::{LOST_AFTER, StoreHealth, StoreWays, TRY_PAUSE};
+use futures_lite::future;
+use futures_util::future::join_all;
 use googletest::prelude::*;
+use smol::Timer;
+use std::cell::Cell;
 use std::time::{Duration, Instant};
 
 #[googletest::test]
@@ -43,3 +47,44 @@
     expect_that!(until, ge(back + Duration::from_secs(2)));
     expect_that!(health.doubtful_until(until), none());
 }
+
+#[googletest::test]
+fn while_the_store_is_lost_its_callers_try_one_after_the_other() {
+    let ways = StoreWays::new("127.0.0.1:1".parse().expect("an address"));
+    let tries = Cell::new(0);
+    ways.health.failed(Instant::now() - LOST_AFTER);
+    let callers = join_all([(); 20].map(|()| async {
+        loop {
+            ways.turn_to_try().await;
+            tries.set(tries.get() + 1);
+            Timer::after(Duration::from_millis(1)).await;
+        }
+    }));
+    let enough = async {
+        Timer::after(TRY_PAUSE * 5).await;
+    };
+    let callers = async {
+        callers.await;
+    };
+    smol::block_on(future::or(callers, enough));
+    expect_that!(tries.get(), all![ge(2), le(6)]);
+}
+
+#[googletest::test]
+fn all_callers_go_on_when_the_store_is_back() {
+    let store = "127.0.0.1:1".parse().expect("an address");
+    let ways = StoreWays::new(store);
+    ways.health.failed(Instant::now() - LOST_AFTER);
+    let callers = join_all([(); 20].map(|()| ways.turn_to_try()));
+    let back = async {
+        Timer::after(Duration::from_millis(5)).await;
+        ways.answered(store);
+        Timer::after(TRY_PAUSE / 3).await;
+        false
+    };
+    let all = async {
+        callers.await;
+        true
+    };
+    expect_that!(smol::block_on(future::or(all, back)), eq(true));
+}
