Let no late reservation replace a kept turn; refuse ids that are no keys

A gateway that was frozen answers, once it runs again, the questions that waited in its sockets: it wrote the reservation of a turn that another gateway had meanwhile reserved, run and kept. Both records had the turn's id as key; the topic keeps the newest of a key, and the index dropped an older record read later.

Ruled out: the read before a 404 (it was fresh); load on the machine (the order of the records alone makes it, see the tests).

Change: a reservation stands under a key of its writer and turn, what was kept under one of the turn alone. In whatever order records come, kept goes before settled and settled before reserved; a reservation written twice counts from the first time. The record that keeps a turn is followed by the end of its reservation, so that the topic holds one key a turn as before.

Found beside: an id of more than 255 bytes spoiled an append (its key's length is one byte); ids of turns above 200 bytes are refused now.

--- a/gateway/src/ledger.rs
+++ b/gateway/src/ledger.rs
@@ -8,11 +8,12 @@
 use crate::node::Gateway;
 use crate::partition::{Partition, partition_of};
 use crate::record::{KeptTurn, TurnRecord, encode};
-use crate::turns::Chain;
+use crate::turns::{Chain, WriterTag, kept_key, reservation_key};
 use futures_lite::future;
 use serde::{Deserialize, Serialize};
 use smallvec::SmallVec;
 use smol::Timer;
+use std::hash::{DefaultHasher, Hash, Hasher};
 use std::time::{Duration, Instant};
 
 /// Part of a client's patience for which a turn waits for the store to come back before it is
@@ -258,7 +259,8 @@
             max_tokens: new.max_tokens,
         };
         let committer = &self.partition_of(&new.program).committer;
-        committer.submit(new.turn.clone(), encode(&record))
+        let key = reservation_key(&new.turn, self.writer_tag());
+        committer.submit(key, encode(&record))
     }
 
     /// Waits until the partition's order says whether a reservation holds.
@@ -284,7 +286,10 @@
     pub(crate) async fn keep_here(&self, turn: &str, kept: KeptTurn) {
         let committer = &self.partition_of(&kept.program).committer;
         let record = encode(&TurnRecord::Kept(kept));
-        committer.submit(turn.to_owned(), record).offset().await;
+        let ticket = committer.submit(kept_key(turn), record);
+        // What was put aside is of no use any more.
+        committer.add(reservation_key(turn, self.writer_tag()), None);
+        ticket.offset().await;
     }
 
     /// Settles a turn that did not end whole; returns once that stands in the store.
@@ -294,7 +299,8 @@
             program,
             spent_tokens,
         });
-        committer.submit(turn.to_owned(), record).offset().await;
+        let key = reservation_key(turn, self.writer_tag());
+        committer.submit(key, record).offset().await;
     }
 
     /// Looks for a turn in a partition, in all that stood there when this was called.
@@ -339,6 +345,13 @@
         Ok(())
     }
 
+    /// Tells this gateway's reservations from those of others.
+    fn writer_tag(&self) -> WriterTag {
+        let mut hasher = DefaultHasher::new();
+        self.settings.name.hash(&mut hasher);
+        hasher.finish() as WriterTag
+    }
+
     /// Returns the partition of a program's records.
     pub(crate) fn partition_of(&self, program: &str) -> &Partition<D> {
         &self.partitions[partition_of(program) as usize]
--- a/gateway/src/record.rs
+++ b/gateway/src/record.rs
@@ -5,10 +5,10 @@
 use smallvec::SmallVec;
 use std::time::Duration;
 
-/// What stands under a turn's id.
+/// What stands under a turn's id, if it was kept, or under one of its reservations' keys.
 ///
-/// The newest record of a key says all that must last of it. A turn's records come in the order
-/// reserved, then kept or settled; a reservation is never written again after its end.
+/// The newest record of a key says all that must last of it. A reservation may be written late, by
+/// a gateway that was taken for lost: what was kept stands first, then what was settled.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub(crate) enum TurnRecord {
     /// A turn that may begin to run.
--- a/gateway/src/turn_call.rs
+++ b/gateway/src/turn_call.rs
@@ -26,6 +26,9 @@
 /// Longest wait for the word that a reservation holds, before the turn has run.
 const RESERVATION_LIMIT: Duration = Duration::from_millis(1_200);
 
+/// Longest id of a turn: keys of the store's topics have 255 bytes at most, and some are taken.
+const MAX_ID_BYTES: usize = 200;
+
 /// Tokens expected of an answer whose client gave no estimate.
 const USUAL_ANSWER_TOKENS: u32 = 70;
 
@@ -144,6 +147,9 @@
         if call.id().is_empty() {
             return Err(Refusal::new(400, "a turn needs a request id"));
         }
+        if call.id().len() > MAX_ID_BYTES {
+            return Err(Refusal::new(400, "the request id is too long"));
+        }
         let reserved = ReservedTurn::new(self, call);
         let begun = match self.begin_turn(&reserved.new).await {
             Ok(begun) => begun,
--- a/gateway/src/turns.rs
+++ b/gateway/src/turns.rs
@@ -9,6 +9,7 @@
 
 use crate::dialect::{Offset, StoreRecord};
 use crate::record::{KeptTurn, TurnRecord, decode};
+use smallvec::SmallVec;
 use std::collections::HashMap;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
@@ -24,30 +25,82 @@
 /// Turns in a chain at most; a longer one is a loop.
 const MAX_CHAIN: usize = 10_000;
 
-/// State of one turn.
-#[derive(Clone, Debug)]
-enum Turn {
-    /// Tokens put aside.
+/// Tokens of a turn under one reservation's key.
+#[derive(Clone, Copy, Debug)]
+enum Tokens {
+    /// Put aside.
     Reserved(u64),
-    /// Tokens given to clients.
+    /// Given to clients; the turn has ended.
     Settled(u64),
-    /// Ended whole.
-    Kept(Rc<KeptTurn>),
+}
+
+#[derive(Clone, Copy, Debug)]
+struct Reservation {
+    writer: WriterTag,
+    offset: Offset,
+    tokens: Tokens,
 }
 
 #[derive(Debug)]
-struct Entry {
-    /// Offset of the record that the state comes from.
+struct Kept {
     offset: Offset,
+    turn: Rc<KeptTurn>,
+}
+
+/// A turn; it has a reservation or was kept.
+#[derive(Debug)]
+struct Entry {
     program: Rc<str>,
-    turn: Turn,
+    kept: Option<Kept>,
+    /// One for each gateway that wrote any: two may have, if one was taken for lost.
+    reservations: SmallVec<[Reservation; 1]>,
     seen_at: Instant,
 }
 
 impl Entry {
-    /// Tells whether a later record can't undo the entry: a turn that ended whole stays.
-    fn outlasts(&self, turn: &Turn) -> bool {
-        matches!(self.turn, Turn::Kept(_)) && !matches!(turn, Turn::Kept(_))
+    /// Tokens that count for the budget, in whatever order records came: those of a turn that was
+    /// kept, or else settled, or else put aside.
+    fn tokens(&self) -> u64 {
+        if let Some(kept) = &self.kept {
+            return kept.turn.spent_tokens;
+        }
+        let settled = self.reservations.iter().filter_map(|one| match one.tokens {
+            Tokens::Settled(tokens) => Some(tokens),
+            Tokens::Reserved(_) => None,
+        });
+        let reserved = self.reservations.iter().map(|one| match one.tokens {
+            Tokens::Settled(tokens) | Tokens::Reserved(tokens) => tokens,
+        });
+        settled.max().or(reserved.max()).unwrap_or_default()
+    }
+
+    fn has_ended(&self) -> bool {
+        let mut reservations = self.reservations.iter();
+        self.kept.is_some() || reservations.any(|one| matches!(one.tokens, Tokens::Settled(_)))
+    }
+
+    /// Where its tokens were first put aside.
+    fn reserved_at(&self) -> Option<Offset> {
+        self.reservations.iter().map(|one| one.offset).min()
+    }
+
+    fn is_empty(&self) -> bool {
+        self.kept.is_none() && self.reservations.is_empty()
+    }
+
+    fn put_reservation(&mut self, new: Reservation) {
+        let mut known = self.reservations.iter_mut();
+        match known.find(|one| one.writer == new.writer) {
+            Some(one) if one.offset < new.offset => *one = new,
+            Some(_) => {}
+            None => self.reservations.push(new),
+        }
+    }
+
+    fn put_kept(&mut self, offset: Offset, turn: Rc<KeptTurn>) {
+        if self.kept.as_ref().is_none_or(|kept| kept.offset < offset) {
+            self.kept = Some(Kept { offset, turn });
+        }
     }
 }
 
@@ -63,6 +116,7 @@
 /// The turns and budgets that the records read so far amount to.
 #[derive(Debug, Default)]
 pub(crate) struct TurnIndex {
+    /// No entry is empty.
     turns: HashMap<Rc<str>, Entry>,
     /// Turns of each program that has any.
     programs: HashMap<Rc<str>, Vec<Rc<str>>>,
@@ -75,69 +129,81 @@
         now: Instant,
         record: &StoreRecord,
     ) -> Result<Option<Rc<KeptTurn>>, String> {
+        let (turn, writer) = split_key(&record.key).ok_or("not a turn's key")?;
+        let offset = record.offset;
         let Some(value) = &record.value else {
-            self.remove(&record.key, record.offset);
+            self.remove(turn, writer, offset);
             return Ok(None);
         };
-        let mut ended = None;
-        let (program, turn) = match decode(value)? {
+        let (program, tokens) = match decode(value)? {
+            TurnRecord::Kept(kept) => {
+                let kept = Rc::new(kept);
+                let entry = self.entry(now, turn, &kept.program);
+                entry.put_kept(offset, kept.clone());
+                return Ok(Some(kept));
+            }
             TurnRecord::Reserved {
                 program,
                 max_tokens,
-            } => (program, Turn::Reserved(max_tokens)),
+            } => (program, Tokens::Reserved(max_tokens)),
             TurnRecord::Settled {
                 program,
                 spent_tokens,
-            } => (program, Turn::Settled(spent_tokens)),
-            TurnRecord::Kept(kept) => {
-                let kept = Rc::new(kept);
-                ended = Some(kept.clone());
-                (kept.program.clone(), Turn::Kept(kept))
-            }
+            } => (program, Tokens::Settled(spent_tokens)),
         };
-        self.put(now, record, &program, turn);
-        Ok(ended)
+        let writer = writer.ok_or("a reservation without its writer")?;
+        self.entry(now, turn, &program)
+            .put_reservation(Reservation {
+                writer,
+                offset,
+                tokens,
+            });
+        Ok(None)
     }
 
-    fn put(&mut self, now: Instant, record: &StoreRecord, program: &str, turn: Turn) {
-        let known = self.turns.get(record.key.as_str());
-        if known.is_some_and(|entry| entry.offset >= record.offset || entry.outlasts(&turn)) {
-            return;
-        }
-        self.remove(&record.key, record.offset);
-        let key: Rc<str> = record.key.as_str().into();
-        let program: Rc<str> = match self.programs.get_key_value(program) {
+    /// Returns a turn's entry, made if it is not known.
+    fn entry(&mut self, now: Instant, turn: &str, program: &str) -> &mut Entry {
+        let turn: Rc<str> = match self.turns.get_key_value(turn) {
             Some((known, _)) => known.clone(),
-            None => program.into(),
-        };
-        let turns = self.programs.entry(program.clone()).or_default();
-        turns.push(key.clone());
-        let entry = Entry {
-            offset: record.offset,
-            program,
-            turn,
-            seen_at: now,
+            None => turn.into(),
         };
-        self.turns.insert(key, entry);
+        self.turns.entry(turn.clone()).or_insert_with(|| {
+            let program: Rc<str> = match self.programs.get_key_value(program) {
+                Some((known, _)) => known.clone(),
+                None => program.into(),
+            };
+            self.programs.entry(program.clone()).or_default().push(turn);
+            Entry {
+                program,
+                kept: None,
+                reservations: SmallVec::new(),
+                seen_at: now,
+            }
+        })
     }
 
-    fn remove(&mut self, key: &str, before: Offset) {
-        if self
-            .turns
-            .get(key)
-            .is_none_or(|entry| entry.offset > before)
-        {
+    /// Drops a reservation, or what was kept if no writer is given, unless it is newer.
+    fn remove(&mut self, turn: &str, writer: Option<WriterTag>, before: Offset) {
+        let Some(entry) = self.turns.get_mut(turn) else {
             return;
+        };
+        match writer {
+            Some(writer) => entry
+                .reservations
+                .retain(|one| one.writer != writer || one.offset > before),
+            None => entry.kept = entry.kept.take().filter(|kept| kept.offset > before),
         }
-        let Some(entry) = self.turns.remove(key) else {
+        if !entry.is_empty() {
             return;
-        };
-        let Some(turns) = self.programs.get_mut(&entry.program) else {
+        }
+        let Some(entry) = self.turns.remove(turn) else {
             return;
         };
-        turns.retain(|turn| **turn != *key);
-        if turns.is_empty() {
-            self.programs.remove(&entry.program);
+        if let Some(turns) = self.programs.get_mut(&entry.program) {
+            turns.retain(|known| **known != *turn);
+            if turns.is_empty() {
+                self.programs.remove(&entry.program);
+            }
         }
     }
 
@@ -146,13 +212,16 @@
         let mut chain = Chain::default();
         let mut at = Some(last.to_owned());
         while let Some(id) = at {
-            let turn = self.turns.get(id.as_str()).map(|entry| &entry.turn);
-            let (Some(Turn::Kept(kept)), true) = (turn, chain.turns.len() < MAX_CHAIN) else {
+            let kept = self
+                .turns
+                .get(id.as_str())
+                .and_then(|entry| entry.kept.as_ref());
+            let (Some(kept), true) = (kept, chain.turns.len() < MAX_CHAIN) else {
                 chain.missing = Some(id);
                 break;
             };
-            at = kept.previous.clone();
-            chain.turns.push(kept.clone());
+            at = kept.turn.previous.clone();
+            chain.turns.push(kept.turn.clone());
         }
         chain.turns.reverse();
         chain
@@ -160,9 +229,7 @@
 
     /// Returns the tokens that a program has spent or put aside.
     pub(crate) fn committed_tokens(&self, program: &str) -> u64 {
-        self.of_program(program)
-            .map(|entry| entry.turn.tokens())
-            .sum()
+        self.of_program(program).map(Entry::tokens).sum()
     }
 
     /// Tells whether a reservation that has been folded holds: the program's budget covers it
@@ -173,10 +240,11 @@
         let Some(own) = self.turns.get(turn) else {
             return false;
         };
+        let reserved_at = own.reserved_at();
         let counted = self
             .of_program(&own.program)
-            .filter(|entry| entry.offset <= own.offset || !matches!(entry.turn, Turn::Reserved(_)));
-        let committed: u64 = counted.map(|entry| entry.turn.tokens()).sum();
+            .filter(|entry| entry.has_ended() || entry.reserved_at() <= reserved_at);
+        let committed: u64 = counted.map(Entry::tokens).sum();
         committed <= budget_tokens
     }
 
@@ -190,16 +258,20 @@
         self.turns.contains_key(turn)
     }
 
-    /// Returns the keys of turns that nobody can continue any more.
+    /// Returns the keys of records that nobody needs any more.
     pub(crate) fn outdated(&self, now: Instant) -> Vec<String> {
-        let old = self.turns.iter().filter(|(_, entry)| {
-            let keep = match &entry.turn {
-                Turn::Kept(kept) => (kept.keep() * KEEP_FACTOR).max(SETTLED_KEEP),
-                _ => SETTLED_KEEP,
-            };
-            now.saturating_duration_since(entry.seen_at) > keep
-        });
-        old.map(|(key, _)| key.to_string()).collect()
+        let mut keys = Vec::new();
+        for (turn, entry) in &self.turns {
+            let keep = entry.kept.as_ref().map(|kept| kept.turn.keep());
+            let keep = keep.map_or(SETTLED_KEEP, |keep| (keep * KEEP_FACTOR).max(SETTLED_KEEP));
+            if now.saturating_duration_since(entry.seen_at) <= keep {
+                continue;
+            }
+            let reservations = entry.reservations.iter();
+            keys.extend(reservations.map(|one| reservation_key(turn, one.writer)));
+            keys.extend(entry.kept.as_ref().map(|_| kept_key(turn)));
+        }
+        keys
     }
 
     /// Number of turns known.
@@ -208,11 +280,33 @@
     }
 }
 
-impl Turn {
-    fn tokens(&self) -> u64 {
-        match self {
-            Turn::Reserved(tokens) | Turn::Settled(tokens) => *tokens,
-            Turn::Kept(kept) => kept.spent_tokens,
-        }
+/// Tells apart the gateways that write reservations of one turn. A late record of one that was
+/// taken for lost must not replace another's: the topic keeps only the newest record of a key.
+pub(crate) type WriterTag = u8;
+
+/// First character of the keys of what was kept.
+const KEPT: char = 'k';
+
+/// First character of the keys of reservations; the writer's tag follows.
+const RESERVED: char = 'r';
+
+/// Key of a turn that was kept.
+pub(crate) fn kept_key(turn: &str) -> String {
+    format!("{KEPT}{turn}")
+}
+
+/// Key of a turn's reservation by one writer.
+pub(crate) fn reservation_key(turn: &str, writer: WriterTag) -> String {
+    format!("{RESERVED}{writer:02x}{turn}")
+}
+
+/// Splits a key into the turn's id and the writer's tag, which what was kept has not; `None` if
+/// it is none of this topic's.
+fn split_key(key: &str) -> Option<(&str, Option<WriterTag>)> {
+    if let Some(turn) = key.strip_prefix(KEPT) {
+        return Some((turn, None));
     }
+    let (writer, turn) = key.strip_prefix(RESERVED)?.split_at_checked(2)?;
+    let writer = WriterTag::from_str_radix(writer, 16).ok()?;
+    Some((turn, Some(writer)))
 }
--- a/gateway/src/turns/tests.rs
+++ b/gateway/src/turns/tests.rs
@@ -1,4 +1,4 @@
-use super::TurnIndex;
+use super::{TurnIndex, kept_key, reservation_key, split_key};
 use crate::dialect::StoreRecord;
 use crate::record::{KeptTurn, TurnRecord, encode};
 use googletest::prelude::*;
@@ -38,7 +38,7 @@
             program: "p".to_owned(),
             max_tokens,
         };
-        self.append(turn, Some(reserved));
+        self.append(&reservation_key(turn, 1), Some(reserved));
     }
 
     fn settle(&mut self, turn: &str, spent_tokens: u64) {
@@ -46,7 +46,7 @@
             program: "p".to_owned(),
             spent_tokens,
         };
-        self.append(turn, Some(settled));
+        self.append(&reservation_key(turn, 1), Some(settled));
     }
 
     fn keep(&mut self, turn: &str, previous: Option<&str>, spent_tokens: u64) {
@@ -59,7 +59,7 @@
             keep_ms: 60_000,
             text: turn.as_bytes().to_vec(),
         };
-        self.append(turn, Some(TurnRecord::Kept(kept)));
+        self.append(&kept_key(turn), Some(TurnRecord::Kept(kept)));
     }
 }
 
@@ -168,12 +168,79 @@
         is_empty()
     );
     let later = log.now + Duration::from_secs(121);
-    expect_that!(log.index.outdated(later), eq(&["a".to_owned()]));
-    log.append("a", None);
+    expect_that!(log.index.outdated(later), eq(&[kept_key("a")]));
+    log.append(&kept_key("a"), None);
     expect_that!(log.index.len(), eq(0));
     expect_that!(log.index.committed_tokens("p"), eq(0));
 }
 
+/// What a gateway that was taken for lost writes late.
+fn reserve_late(log: &mut Log, turn: &str, max_tokens: u64) {
+    let reserved = TurnRecord::Reserved {
+        program: "p".to_owned(),
+        max_tokens,
+    };
+    log.append(&reservation_key(turn, 2), Some(reserved));
+}
+
+#[googletest::test]
+fn a_late_reservation_undoes_no_kept_turn_whatever_is_folded_first() {
+    let mut log = Log::new();
+    log.next = 10;
+    reserve_late(&mut log, "a", 100);
+    log.next = 4;
+    log.reserve("a", 100);
+    log.keep("a", None, 30);
+    expect_that!(log.index.chain("a").missing, none());
+    expect_that!(log.index.committed_tokens("p"), eq(30));
+}
+
+#[googletest::test]
+fn a_late_reservation_of_a_settled_turn_counts_nothing() {
+    let mut log = Log::new();
+    log.reserve("a", 100);
+    log.settle("a", 10);
+    reserve_late(&mut log, "a", 100);
+    expect_that!(log.index.committed_tokens("p"), eq(10));
+}
+
+#[googletest::test]
+fn a_turn_reserved_twice_counts_once_and_from_the_first_time() {
+    let mut log = Log::new();
+    log.reserve("a", 400);
+    log.reserve("b", 400);
+    reserve_late(&mut log, "a", 400);
+    expect_that!(log.index.committed_tokens("p"), eq(800));
+    expect_that!(log.index.holds("a", BUDGET), eq(true));
+    expect_that!(log.index.holds("b", BUDGET), eq(false));
+}
+
+#[googletest::test]
+fn keys_name_a_turn_whatever_its_id_looks_like() {
+    for id in ["k", "r", "r01", "", "kr7f"] {
+        expect_that!(split_key(&kept_key(id)), some(eq((id, None))));
+        expect_that!(
+            split_key(&reservation_key(id, 0xf)),
+            some(eq((id, Some(15))))
+        );
+    }
+    expect_that!(split_key("r0"), none());
+    expect_that!(split_key("x"), none());
+}
+
+#[googletest::test]
+fn a_reservation_is_dropped_without_the_turn() {
+    let mut log = Log::new();
+    log.reserve("a", 100);
+    log.keep("a", None, 30);
+    log.append(&reservation_key("a", 1), None);
+    expect_that!(log.index.chain("a").missing, none());
+    expect_that!(
+        log.index.outdated(log.now + Duration::from_secs(121)).len(),
+        eq(1)
+    );
+}
+
 #[googletest::test]
 fn a_second_use_of_an_id_does_not_undo_a_kept_turn() {
     let mut log = Log::new();
