Load each partition once after a loss of all, on the large VMs

Each listened for 0.3 s and then loaded what it took for its own among those it had heard; that made 32 loads of 8 partitions, 1.6 s each at the store's 10 MB/s. The first gateway with any partition loaded was asked for all of them. A small VM (0.09 of a core) could serve an eighth of all turns.

Ruled out: reading the other topics (below 0.1 s), processor time of the loads.

Change: a gateway whose record stands in the topic counts as present for 1.5 s until it is heard, so that all choose alike from the start and nobody loads for another; questions wait for one that is awaited. Gateways tell which partitions they have loaded, and a partition is asked where it is loaded until its owner has loaded it. VMs with less than half of the largest one's processor serve none. Gateways that were cut off from each other remember each other for 40 s (6 before, while announcements come every 20).

Tests: owners::tests (small_vms_..., a_partition_is_asked_where_it_is_loaded_..., an_owner_that_is_not_heard_yet_is_awaited).

--- a/gateway/src/follow.rs
+++ b/gateway/src/follow.rs
@@ -24,10 +24,6 @@
 /// may be back after a restart.
 const UNUSED_LIMIT: Duration = Duration::from_secs(30);
 
-/// How long a gateway that has started listens for others before it loads partitions: they answer
-/// a first datagram at once.
-const SETTLE_TIME: Duration = Duration::from_millis(300);
-
 /// Pause between two looks at whether the others' addresses are known.
 const SETTLE_LOOK: Duration = Duration::from_millis(20);
 
@@ -104,7 +100,6 @@
         while !self.gateways_loaded.get() {
             Timer::after(SETTLE_LOOK).await;
         }
-        Timer::after(SETTLE_TIME).await;
         self.note_loaded();
     }
 
--- a/gateway/src/gossip.rs
+++ b/gateway/src/gossip.rs
@@ -5,6 +5,7 @@
 use crate::dialect::{Append, Appended, Dialect, Topic};
 use crate::endpoints::InstanceId;
 use crate::node::Gateway;
+use crate::partition::PartitionSet;
 use crate::record::{GatewayRecord, decode, encode};
 use serde::{Deserialize, Serialize};
 use smol::Timer;
@@ -24,8 +25,13 @@
 /// Longest datagram.
 const MAX_DATAGRAM_BYTES: usize = 16 * 1024;
 
-/// Time without a datagram after which a gateway is told nothing any more.
-const PEER_LIMIT: Duration = Duration::from_secs(6);
+/// Time without a datagram after which a gateway is told nothing any more: two announcements, so
+/// that gateways which were cut off from each other for long meet again.
+const PEER_LIMIT: Duration = Duration::from_secs(40);
+
+/// How long a gateway whose record was read counts as one that is about to be heard: after a loss
+/// of all, processes start some hundred milliseconds apart.
+const PRESUME_FOR: Duration = Duration::from_millis(1_500);
 
 /// Time without a datagram after which a gateway is asked for nothing: two quiet pauses and some.
 const WELL_LIMIT: Duration = Duration::from_millis(1_000);
@@ -53,10 +59,12 @@
 pub(crate) struct GatewayState {
     /// Whether it reaches the store by itself.
     pub(crate) reaches_store: bool,
-    /// Whether it has loaded the partitions that it serves.
-    pub(crate) has_loaded: bool,
+    /// The partitions that it has loaded.
+    pub(crate) loaded: PartitionSet,
     /// Whether it is about to stop.
     pub(crate) is_stopping: bool,
+    /// What its VM may use, in thousandths of a core.
+    pub(crate) processor_permille: u32,
 }
 
 #[derive(Debug)]
@@ -78,6 +86,21 @@
             .is_some_and(|at| now.saturating_duration_since(at) < SUSPECT_FOR);
         self.number > 0 && is_heard && !is_suspect
     }
+
+    fn is_presumed(&self, now: Instant) -> bool {
+        let is_new = now.saturating_duration_since(self.heard_at) < PRESUME_FOR;
+        self.number == 0 && is_new && self.suspected_at.is_none()
+    }
+}
+
+/// A gateway that answers or is about to.
+#[derive(Clone, Debug)]
+pub(crate) struct KnownGateway {
+    pub(crate) name: String,
+    pub(crate) address: SocketAddr,
+    /// Whether it has been heard; otherwise only its record is known.
+    pub(crate) is_heard: bool,
+    pub(crate) state: GatewayState,
 }
 
 /// The other gateways.
@@ -105,10 +128,10 @@
             crate::event!("gateway_address_unreadable", "gateway" => name);
             return;
         };
-        self.meet(name, address, record.incarnation);
+        self.meet(name, address, record.incarnation, record.processor_permille);
     }
 
-    fn meet(&self, name: &str, address: SocketAddr, incarnation: u64) {
+    fn meet(&self, name: &str, address: SocketAddr, incarnation: u64, processor_permille: u32) {
         if name == self.own_name {
             return;
         }
@@ -121,7 +144,10 @@
             address,
             incarnation,
             number: 0,
-            state: GatewayState::default(),
+            state: GatewayState {
+                processor_permille,
+                ..GatewayState::default()
+            },
             heard_at: Instant::now(),
             suspected_at: None,
         };
@@ -134,7 +160,13 @@
         if telling.gateway == self.own_name {
             return false;
         }
-        self.meet(&telling.gateway, from, telling.incarnation);
+        let processor_permille = telling.state.processor_permille;
+        self.meet(
+            &telling.gateway,
+            from,
+            telling.incarnation,
+            processor_permille,
+        );
         let mut peers = self.peers.borrow_mut();
         let Some(peer) = peers.get_mut(&telling.gateway) else {
             return false;
@@ -157,11 +189,19 @@
         relays.map(|peer| peer.address).collect()
     }
 
-    /// The gateways that answer, with their addresses and what they said of themselves.
-    pub(crate) fn well(&self, now: Instant) -> Vec<(String, SocketAddr, GatewayState)> {
+    /// The gateways that answer, and those that are about to.
+    pub(crate) fn known(&self, now: Instant) -> Vec<KnownGateway> {
         let peers = self.peers.borrow();
-        let well = peers.iter().filter(|(_, peer)| peer.is_well(now));
-        well.map(|(name, peer)| (name.clone(), peer.address, peer.state))
+        let known = peers
+            .iter()
+            .filter(|(_, peer)| peer.is_well(now) || peer.is_presumed(now));
+        known
+            .map(|(name, peer)| KnownGateway {
+                name: name.clone(),
+                address: peer.address,
+                is_heard: peer.number > 0,
+                state: peer.state,
+            })
             .collect()
     }
 
@@ -193,6 +233,7 @@
         let record = GatewayRecord {
             address: self.settings.peers.to_string(),
             incarnation: self.incarnation,
+            processor_permille: self.processor_permille(),
         };
         let append = Append {
             topic: Topic::Gateways,
@@ -215,8 +256,9 @@
     fn state(&self) -> GatewayState {
         GatewayState {
             reaches_store: self.reaches_store(),
-            has_loaded: self.turns_loaded.get(),
+            loaded: self.loaded_partitions(),
             is_stopping: self.is_stopping(),
+            processor_permille: self.processor_permille(),
         }
     }
 
--- a/gateway/src/ledger_call.rs
+++ b/gateway/src/ledger_call.rs
@@ -70,7 +70,7 @@
     /// elsewhere.
     async fn try_begin(self: &Rc<Self>, new: &NewTurn) -> Result<Result<Begun, History>, Denial> {
         let mut is_asked_again = new.is_asked_again;
-        if let Some(owner) = self.owner_of(partition_of(&new.program)) {
+        if let Some(owner) = self.owner_of(partition_of(&new.program)).await {
             let asked = self.ask_peer(owner, &Ask::Reserve(new.clone()));
             match self.answer_of(owner, &asked).await {
                 Some(Answer::Reserved { history, is_ample }) => {
@@ -149,7 +149,7 @@
         partition: PartitionNumber,
         turn: &str,
     ) -> Result<History, Denial> {
-        if let Some(owner) = self.owner_of(partition) {
+        if let Some(owner) = self.owner_of(partition).await {
             let ask = Ask::Find {
                 partition,
                 turn: turn.to_owned(),
@@ -181,7 +181,7 @@
 
     /// Keeps a turn that ended whole; returns once it stands in the store.
     pub(crate) async fn keep_turn(self: &Rc<Self>, turn: &str, kept: KeptTurn) {
-        if let Some(owner) = self.owner_of(partition_of(&kept.program)) {
+        if let Some(owner) = self.owner_of(partition_of(&kept.program)).await {
             let ask = Ask::Keep {
                 turn: turn.to_owned(),
                 kept: kept.clone(),
@@ -202,7 +202,7 @@
         program: String,
         spent_tokens: u64,
     ) {
-        if let Some(owner) = self.owner_of(partition_of(&program)) {
+        if let Some(owner) = self.owner_of(partition_of(&program)).await {
             let ask = Ask::Settle {
                 turn: turn.to_owned(),
                 program: program.clone(),
--- a/gateway/src/node.rs
+++ b/gateway/src/node.rs
@@ -5,7 +5,7 @@
 use crate::endpoints::Endpoints;
 use crate::events;
 use crate::gossip::Gossip;
-use crate::partition::{PARTITIONS, Partition};
+use crate::partition::{PARTITIONS, Partition, PartitionSet};
 use crate::peers::PeerLinks;
 use crate::pool::Pool;
 use crate::routes::Routes;
@@ -61,6 +61,8 @@
     pub store: SocketAddr,
     /// Time from the signal to stop until the process is killed.
     pub stop_grace: Duration,
+    /// Part of a core that its VM may use.
+    pub processor_share: f64,
 }
 
 /// Reads the settings again; errors are lines that say what is wrong.
@@ -178,7 +180,7 @@
         self.counters.render(&[
             ("requests_open", self.busy.get() as u64),
             ("turns_known", self.turns_known() as u64),
-            ("partitions_loaded", self.partitions_loaded() as u64),
+            ("partitions_loaded", self.loaded_partitions().len()),
             (
                 "endpoints_known",
                 self.endpoints.borrow().ids().len() as u64,
@@ -200,9 +202,11 @@
             .sum()
     }
 
-    fn partitions_loaded(&self) -> usize {
+    /// The partitions that are loaded here.
+    pub(crate) fn loaded_partitions(&self) -> PartitionSet {
         let partitions = self.partitions.iter();
-        partitions.filter(|partition| partition.is_loaded()).count()
+        let loaded = partitions.filter(|partition| partition.is_loaded());
+        loaded.map(|partition| partition.number).collect()
     }
 
     /// Takes changed settings, for ever: after a signal, and by itself after a while.
--- a/gateway/src/owners.rs
+++ b/gateway/src/owners.rs
@@ -9,26 +9,68 @@
 
 use crate::dialect::{Dialect, PartitionNumber};
 use crate::node::Gateway;
+use crate::partition::PartitionSet;
+use smol::Timer;
 use std::hash::{DefaultHasher, Hash, Hasher};
 use std::net::SocketAddr;
-use std::time::Instant;
+use std::time::{Duration, Instant};
+
+/// How long a gateway that has just started waits for the addresses of the others.
+const ADDRESSES_LIMIT: Duration = Duration::from_millis(300);
+
+/// Pause between two looks at whether a gateway that is awaited has been heard.
+const LOOK_PAUSE: Duration = Duration::from_millis(20);
 
 /// A gateway that may serve a partition.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub(crate) struct Candidate {
     pub(crate) name: String,
-    /// Where it is asked; `None` for this gateway.
-    pub(crate) address: Option<SocketAddr>,
-    /// Whether it has loaded its partitions.
-    pub(crate) has_loaded: bool,
+    pub(crate) place: Place,
+    /// The partitions that it has loaded.
+    pub(crate) loaded: PartitionSet,
+    /// What its VM may use, in thousandths of a core.
+    pub(crate) processor_permille: u32,
+}
+
+/// Where a partition is served.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Place {
+    /// At this gateway.
+    Here,
+    /// At another one.
+    There(SocketAddr),
+    /// At another one that has not been heard yet.
+    Awaited,
 }
 
+/// Part of the largest VM's processor that a VM must have to serve partitions: one that is much
+/// smaller has enough to do with its own requests.
+const LEAST_PROCESSOR_SHARE: f64 = 0.5;
+
 /// Chooses the owner of a partition: each gateway has a rank there that all compute alike, so that
 /// only the partitions of a gateway that comes or goes change hands.
 pub(crate) fn choose(partition: PartitionNumber, candidates: &[Candidate]) -> Option<&Candidate> {
-    candidates
+    let processors = candidates.iter().map(|one| one.processor_permille);
+    let least = f64::from(processors.max()?) * LEAST_PROCESSOR_SHARE;
+    let large = candidates
         .iter()
-        .max_by_key(|candidate| rank(partition, &candidate.name))
+        .filter(|one| f64::from(one.processor_permille) >= least);
+    large.max_by_key(|one| rank(partition, &one.name))
+}
+
+/// Chooses where a partition is asked: at its owner, or at one that has it loaded as long as the
+/// owner has not.
+pub(crate) fn choose_asked(partition: PartitionNumber, candidates: &[Candidate]) -> Option<Place> {
+    let owner = choose(partition, candidates)?;
+    if !owner.loaded.contains(partition) {
+        let loaded = candidates
+            .iter()
+            .filter(|one| one.loaded.contains(partition));
+        if let Some(other) = loaded.max_by_key(|one| rank(partition, &one.name)) {
+            return Some(other.place);
+        }
+    }
+    Some(owner.place)
 }
 
 fn rank(partition: PartitionNumber, name: &str) -> u64 {
@@ -40,18 +82,23 @@
 
 impl<D: Dialect> Gateway<D> {
     /// Returns where a partition is asked; `None` if it is served here.
-    pub(crate) fn owner_of(&self, partition: PartitionNumber) -> Option<SocketAddr> {
-        let mut candidates = self.candidates();
-        if candidates.iter().any(|candidate| candidate.has_loaded) {
-            candidates.retain(|candidate| candidate.has_loaded);
+    pub(crate) async fn owner_of(&self, partition: PartitionNumber) -> Option<SocketAddr> {
+        let addresses_until = Instant::now() + ADDRESSES_LIMIT;
+        loop {
+            let knows_all = self.gateways_loaded.get() || Instant::now() > addresses_until;
+            match choose_asked(partition, &self.candidates()) {
+                Some(Place::There(address)) => return Some(address),
+                Some(Place::Here) | None if knows_all => return None,
+                // One that is awaited is heard soon or no longer awaited.
+                _ => Timer::after(LOOK_PAUSE).await,
+            };
         }
-        choose(partition, &candidates)?.address
     }
 
     /// Tells whether this gateway should have a partition loaded.
     pub(crate) fn owns(&self, partition: PartitionNumber) -> bool {
-        let owner = choose(partition, &self.candidates()).map(|owner| owner.address);
-        owner == Some(None)
+        let candidates = self.candidates();
+        choose(partition, &candidates).is_some_and(|owner| owner.place == Place::Here)
     }
 
     /// The gateways that may serve partitions, this one included.
@@ -59,24 +106,33 @@
     /// Whether one reaches the store does not count: it calls the store over the others, and an
     /// outage, which each notices at its own time, must not move partitions about.
     fn candidates(&self) -> Vec<Candidate> {
-        let well = self.gossip.well(Instant::now());
-        let mut candidates: Vec<Candidate> = well
-            .into_iter()
-            .filter(|(_, _, state)| !state.is_stopping)
-            .map(|(name, address, state)| Candidate {
-                name,
-                address: Some(address),
-                has_loaded: state.has_loaded,
+        let known = self.gossip.known(Instant::now());
+        let fit = known.into_iter().filter(|one| !one.state.is_stopping);
+        let mut candidates: Vec<Candidate> = fit
+            .map(|one| Candidate {
+                name: one.name,
+                place: match one.is_heard {
+                    true => Place::There(one.address),
+                    false => Place::Awaited,
+                },
+                loaded: one.state.loaded,
+                processor_permille: one.state.processor_permille,
             })
             .collect();
         // One that is about to stop serves only where nobody else can.
         if !self.is_stopping() || candidates.is_empty() {
             candidates.push(Candidate {
                 name: self.settings.name.clone(),
-                address: None,
-                has_loaded: self.turns_loaded.get(),
+                place: Place::Here,
+                loaded: self.loaded_partitions(),
+                processor_permille: self.processor_permille(),
             });
         }
         candidates
     }
+
+    /// What this gateway's VM may use, in thousandths of a core.
+    pub(crate) fn processor_permille(&self) -> u32 {
+        (self.settings.processor_share * 1_000.0) as u32
+    }
 }
--- a/gateway/src/owners/tests.rs
+++ b/gateway/src/owners/tests.rs
@@ -1,13 +1,14 @@
-use super::{Candidate, choose};
-use crate::partition::PARTITIONS;
+use super::{Candidate, Place, choose, choose_asked};
+use crate::partition::{PARTITIONS, PartitionSet};
 use googletest::prelude::*;
 use std::collections::HashSet;
 
 fn gateways(count: usize) -> Vec<Candidate> {
     let all = (0..count).map(|number| Candidate {
         name: format!("gateway-{number}"),
-        address: None,
-        has_loaded: true,
+        place: Place::There(([10, 0, 0, number as u8], 1).into()),
+        loaded: (0..PARTITIONS).collect(),
+        processor_permille: 500,
     });
     all.collect()
 }
@@ -52,3 +53,48 @@
 fn nobody_is_chosen_of_none() {
     expect_that!(choose(0, &[]), none());
 }
+
+#[googletest::test]
+fn small_vms_serve_no_partitions_beside_large_ones() {
+    let mut mixed = gateways(9);
+    for small in mixed.iter_mut().skip(2) {
+        small.processor_permille = 90;
+    }
+    let large = ["gateway-0", "gateway-1"];
+    for owner in owners(&mixed) {
+        expect_that!(large, contains(eq(owner.as_str())));
+    }
+    // Among themselves they do.
+    expect_that!(owners(&mixed[2..]).len(), eq(PARTITIONS as usize));
+}
+
+#[googletest::test]
+fn a_partition_is_asked_where_it_is_loaded_until_its_owner_has_loaded_it() {
+    let mut all = gateways(9);
+    let owner = choose(3, &all).expect("some").clone();
+    expect_that!(choose_asked(3, &all), some(eq(owner.place)));
+    for one in &mut all {
+        if one.name == owner.name {
+            one.loaded = [0, 1].into_iter().collect();
+        }
+    }
+    expect_that!(choose_asked(3, &all), some(not(eq(owner.place))));
+    // After a loss of all nobody has it: its owner is asked, so that it is loaded once.
+    for one in &mut all {
+        one.loaded = PartitionSet::default();
+    }
+    expect_that!(choose_asked(3, &all), some(eq(owner.place)));
+}
+
+#[googletest::test]
+fn an_owner_that_is_not_heard_yet_is_awaited() {
+    let mut all = gateways(9);
+    let owner = choose(3, &all).expect("some").name.clone();
+    for one in &mut all {
+        one.loaded = PartitionSet::default();
+        if one.name == owner {
+            one.place = Place::Awaited;
+        }
+    }
+    expect_that!(choose_asked(3, &all), some(eq(Place::Awaited)));
+}
--- a/gateway/src/partition.rs
+++ b/gateway/src/partition.rs
@@ -8,6 +8,7 @@
 use crate::dialect::{Dialect, Offset, PartitionNumber, Topic};
 use crate::turns::TurnIndex;
 use futures_lite::future;
+use serde::{Deserialize, Serialize};
 use smol::Timer;
 use std::cell::{Cell, RefCell};
 use std::hash::{DefaultHasher, Hash, Hasher};
@@ -18,6 +19,26 @@
 /// mean more calls for the same records. The same at all gateways, always.
 pub(crate) const PARTITIONS: PartitionNumber = 8;
 
+/// A set of partitions, one bit for each.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub(crate) struct PartitionSet(u64);
+
+impl PartitionSet {
+    pub(crate) fn contains(self, number: PartitionNumber) -> bool {
+        self.0 & 1 << number != 0
+    }
+
+    pub(crate) fn len(self) -> u64 {
+        u64::from(self.0.count_ones())
+    }
+}
+
+impl FromIterator<PartitionNumber> for PartitionSet {
+    fn from_iter<I: IntoIterator<Item = PartitionNumber>>(numbers: I) -> Self {
+        Self(numbers.into_iter().fold(0, |set, number| set | 1 << number))
+    }
+}
+
 /// The partition of a program's records.
 pub(crate) fn partition_of(program: &str) -> PartitionNumber {
     // The hasher has fixed keys: all gateways of a version agree.
--- a/gateway/src/record.rs
+++ b/gateway/src/record.rs
@@ -54,6 +54,8 @@
     pub(crate) address: String,
     /// Differs between two lifetimes of its process.
     pub(crate) incarnation: u64,
+    /// What its VM may use, in thousandths of a core.
+    pub(crate) processor_permille: u32,
 }
 
 impl KeptTurn {
