Write settlements at once

Ruled out: the order of records (reservation and settlement go in one append).

Change: settlements don't wait. They are rare, so calls stay as they are.

--- a/gateway/src/ledger.rs
+++ b/gateway/src/ledger.rs
@@ -31,10 +31,6 @@
 /// first token takes 20 ms and more, an append 6.
 const RUN_DELAY: Duration = Duration::from_millis(10);
 
-/// How long a settlement may wait for other records; until then the turn counts with all that it
-/// put aside.
-const SETTLE_DELAY: Duration = Duration::from_millis(40);
-
 /// A turn that is about to run.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub(crate) struct NewTurn {
@@ -310,7 +306,7 @@
             spent_tokens,
         });
         let key = reservation_key(turn, self.writer_tag());
-        committer.submit(key, record, SETTLE_DELAY).offset().await;
+        committer.submit(key, record, Duration::ZERO).offset().await;
     }
 
     /// Looks for a turn in a partition, in all that stood there when this was called.
