Tell counts in short datagrams, and keep their sums

A choice added the counts of all gateways for each endpoint, 1,700 look-ups by text.

In the burst the older counts cost more than the bytes; all are told each 40 ms.

Change: a datagram is a tuple, ids are hashes of 32 bits; the sums of the others' counts are kept as they arrive. The pause grows by 1 ms a gateway, so that 300 of them do not drown small VMs.

Tests: gossip::tests (new), newer_counts_of_a_gateway_replace_its_older_ones.

--- a/gateway/src/endpoints.rs
+++ b/gateway/src/endpoints.rs
@@ -14,6 +14,7 @@
 use cost::{Work, engine_ms, service_ms};
 use memory::PromptMemory;
 use std::collections::HashMap;
+use std::hash::{DefaultHasher, Hash, Hasher};
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
@@ -111,6 +112,7 @@
 #[derive(Debug)]
 struct Endpoint {
     record: EndpointRecord,
+    tag: InstanceTag,
     /// Calls of this gateway under way.
     own_calls: u32,
     /// Average time of its calls, in ms.
@@ -121,10 +123,21 @@
     memory: PromptMemory,
 }
 
+/// Short form of an instance's id, for counts; two that are alike only blur the counts.
+pub(crate) type InstanceTag = u32;
+
+/// Returns the short form of an instance's id.
+pub(crate) fn tag_of(id: &str) -> InstanceTag {
+    // The hasher has fixed keys: all gateways of a version agree.
+    let mut hasher = DefaultHasher::new();
+    id.hash(&mut hasher);
+    hasher.finish() as InstanceTag
+}
+
 /// Counts of another gateway.
 #[derive(Debug)]
 struct Hearsay {
-    calls: HashMap<InstanceId, u32>,
+    calls: Vec<(InstanceTag, u32)>,
     heard_at: Instant,
 }
 
@@ -135,6 +148,8 @@
     /// Average time of a service's calls, in ms.
     service_ms: HashMap<Rc<str>, f64>,
     hearsay: HashMap<String, Hearsay>,
+    /// Sum over `hearsay`: a choice looks at all endpoints, and there may be hundreds of gateways.
+    others: HashMap<InstanceTag, u32>,
 }
 
 impl Endpoints {
@@ -149,6 +164,7 @@
             }
         }
         let endpoint = Endpoint {
+            tag: tag_of(&record.id),
             own_calls: 0,
             call_ms: None,
             failures_in_row: 0,
@@ -193,7 +209,7 @@
         });
         let rank = |endpoint: &&Endpoint, rng: &mut fastrand::Rng| {
             let is_avoided = endpoint.avoid_until.is_some_and(|until| until > now);
-            let cost_ms = self.cost_ms(now, endpoint, want, near) + rng.f64() * JITTER_MS;
+            let cost_ms = self.cost_ms(endpoint, want, near) + rng.f64() * JITTER_MS;
             (is_avoided, cost_ms)
         };
         let ranked = usable.map(|endpoint| (rank(&endpoint, rng), endpoint));
@@ -201,12 +217,12 @@
         best.map(|(_, endpoint)| endpoint.record.clone())
     }
 
-    fn cost_ms(&self, now: Instant, endpoint: &Endpoint, want: &Want<'_>, near: &str) -> f64 {
+    fn cost_ms(&self, endpoint: &Endpoint, want: &Want<'_>, near: &str) -> f64 {
         let record = &endpoint.record;
         let service_average = self.service_ms.get(&record.service).copied();
         let usual_ms = service_average.unwrap_or(DEFAULT_CALL_MS);
         let work = Work {
-            calls: f64::from(self.calls_of(now, endpoint)),
+            calls: f64::from(self.calls_of(endpoint)),
             slots: f64::from(record.slots.max(1)),
             usual_ms,
         };
@@ -233,13 +249,8 @@
     }
 
     /// Calls under way at an endpoint, as far as this gateway knows.
-    fn calls_of(&self, now: Instant, endpoint: &Endpoint) -> u32 {
-        let fresh = self
-            .hearsay
-            .values()
-            .filter(|hearsay| now.saturating_duration_since(hearsay.heard_at) < HEARSAY_LIMIT);
-        let others = fresh.filter_map(|hearsay| hearsay.calls.get(&endpoint.record.id));
-        endpoint.own_calls + others.sum::<u32>()
+    fn calls_of(&self, endpoint: &Endpoint) -> u32 {
+        endpoint.own_calls + self.others.get(&endpoint.tag).copied().unwrap_or_default()
     }
 
     /// Notes that a call goes to an endpoint.
@@ -284,21 +295,50 @@
     }
 
     /// Takes the counts of another gateway.
-    pub fn hear(&mut self, now: Instant, gateway: &str, calls: Vec<(InstanceId, u32)>) {
+    pub(crate) fn hear(&mut self, now: Instant, gateway: &str, calls: Vec<(InstanceTag, u32)>) {
+        self.unhear(gateway);
+        for (tag, count) in &calls {
+            *self.others.entry(*tag).or_default() += count;
+        }
         let hearsay = Hearsay {
-            calls: calls.into_iter().collect(),
+            calls,
             heard_at: now,
         };
         self.hearsay.insert(gateway.to_owned(), hearsay);
     }
 
+    /// Drops the counts of gateways that have not been heard of late.
+    pub(crate) fn forget_silent(&mut self, now: Instant) {
+        let silent = self.hearsay.iter().filter(|(_, hearsay)| {
+            now.saturating_duration_since(hearsay.heard_at) >= HEARSAY_LIMIT
+        });
+        let silent: Vec<String> = silent.map(|(gateway, _)| gateway.clone()).collect();
+        for gateway in silent {
+            self.unhear(&gateway);
+        }
+    }
+
+    fn unhear(&mut self, gateway: &str) {
+        let Some(before) = self.hearsay.remove(gateway) else {
+            return;
+        };
+        for (tag, count) in before.calls {
+            if let Some(sum) = self.others.get_mut(&tag) {
+                *sum -= count;
+                if *sum == 0 {
+                    self.others.remove(&tag);
+                }
+            }
+        }
+    }
+
     /// This gateway's own counts, without zeros.
-    pub fn own_counts(&self) -> Vec<(InstanceId, u32)> {
+    pub(crate) fn own_counts(&self) -> Vec<(InstanceTag, u32)> {
         let busy = self
             .endpoints
             .values()
             .filter(|endpoint| endpoint.own_calls > 0);
-        busy.map(|endpoint| (endpoint.record.id.clone(), endpoint.own_calls))
+        busy.map(|endpoint| (endpoint.tag, endpoint.own_calls))
             .collect()
     }
 }
--- a/gateway/src/endpoints/tests.rs
+++ b/gateway/src/endpoints/tests.rs
@@ -1,4 +1,4 @@
-use super::{CallEnd, EndpointRecord, Endpoints, Want};
+use super::{CallEnd, EndpointRecord, Endpoints, Want, tag_of};
 use googletest::prelude::*;
 use std::time::{Duration, Instant};
 
@@ -53,11 +53,24 @@
 fn calls_of_other_gateways_count_until_they_are_old() {
     let mut endpoints = endpoints(&["a", "b"]);
     let now = Instant::now();
-    endpoints.hear(now, "other", vec![("a".into(), 3)]);
+    endpoints.hear(now, "other", vec![(tag_of("a"), 3)]);
     endpoints.begin("b");
     expect_that!(choose(&endpoints, now, &want(&[])), some(eq("b")));
-    let later = now + Duration::from_secs(5);
-    expect_that!(choose(&endpoints, later, &want(&[])), some(eq("a")));
+    endpoints.forget_silent(now + Duration::from_secs(1));
+    expect_that!(choose(&endpoints, now, &want(&[])), some(eq("b")));
+    endpoints.forget_silent(now + Duration::from_secs(5));
+    expect_that!(choose(&endpoints, now, &want(&[])), some(eq("a")));
+}
+
+#[googletest::test]
+fn newer_counts_of_a_gateway_replace_its_older_ones() {
+    let mut endpoints = endpoints(&["a", "b"]);
+    let now = Instant::now();
+    endpoints.hear(now, "other", vec![(tag_of("a"), 3)]);
+    endpoints.hear(now, "third", vec![(tag_of("a"), 1), (tag_of("b"), 2)]);
+    expect_that!(choose(&endpoints, now, &want(&[])), some(eq("b")));
+    endpoints.hear(now, "other", vec![]);
+    expect_that!(choose(&endpoints, now, &want(&[])), some(eq("a")));
 }
 
 #[googletest::test]
--- a/gateway/src/gossip.rs
+++ b/gateway/src/gossip.rs
@@ -2,8 +2,11 @@
 //!
 //! A lost datagram costs freshness only: each holds all of its sender's counts.
 
+#[cfg(test)]
+mod tests;
+
 use crate::dialect::{Append, Appended, Dialect, Topic};
-use crate::endpoints::InstanceId;
+use crate::endpoints::InstanceTag;
 use crate::node::Gateway;
 use crate::partition::PartitionSet;
 use crate::record::{GatewayRecord, decode, encode};
@@ -16,10 +19,15 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
-/// Pause between two tellings while counts change; short against the time of a call.
+/// Pause between two tellings while counts change; short against the time of a call. Telling other
+/// failure domains more seldom costs more in a burst than its bytes (docs/design/heavy-load.md).
 const TELL_PAUSE: Duration = Duration::from_millis(40);
 
-/// Pause between two tellings while they do not.
+/// Least pause for each gateway that is told, so that large sites don't drown small VMs: a
+/// datagram takes some 10 us at each end.
+const PAUSE_PER_PEER: Duration = Duration::from_millis(1);
+
+/// Pause between two tellings while nothing changes.
 const QUIET_PAUSE: Duration = Duration::from_millis(400);
 
 /// Longest datagram.
@@ -43,19 +51,61 @@
 const ANNOUNCE_TIMEOUT: Duration = Duration::from_millis(800);
 
 /// What one gateway tells the others.
-#[derive(Debug, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(from = "Datagram", into = "Datagram")]
 struct Telling {
     gateway: String,
     incarnation: u64,
     /// Grows with each datagram of an incarnation; older ones arrive late and are dropped.
     number: u64,
-    #[serde(flatten)]
     state: GatewayState,
-    calls: Vec<(String, u32)>,
+    calls: Vec<(InstanceTag, u32)>,
+}
+
+/// A telling on the wire, without the names of its fields, which would be most of it.
+type Datagram = (
+    (String, u64, u64),
+    (bool, PartitionSet, bool, u32),
+    Vec<(InstanceTag, u32)>,
+);
+
+impl From<Telling> for Datagram {
+    fn from(telling: Telling) -> Self {
+        let state = telling.state;
+        (
+            (telling.gateway, telling.incarnation, telling.number),
+            (
+                state.reaches_store,
+                state.loaded,
+                state.is_stopping,
+                state.processor_permille,
+            ),
+            telling.calls,
+        )
+    }
+}
+
+impl From<Datagram> for Telling {
+    fn from((identity, state, calls): Datagram) -> Self {
+        let (gateway, incarnation, number) = identity;
+        let (reaches_store, loaded, is_stopping, processor_permille) = state;
+        Self {
+            gateway,
+            incarnation,
+            number,
+            state: GatewayState {
+                reaches_store,
+                loaded,
+                is_stopping,
+                processor_permille,
+            },
+            calls,
+        }
+    }
 }
 
 /// What a gateway says of itself.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub(crate) struct GatewayState {
     /// Whether it reaches the store by itself.
     pub(crate) reaches_store: bool,
@@ -128,24 +178,24 @@
             crate::event!("gateway_address_unreadable", "gateway" => name);
             return;
         };
-        self.meet(name, address, record.incarnation, record.processor_permille);
+        self.meet(name, address, record);
     }
 
-    fn meet(&self, name: &str, address: SocketAddr, incarnation: u64, processor_permille: u32) {
+    fn meet(&self, name: &str, address: SocketAddr, record: &GatewayRecord) {
         if name == self.own_name {
             return;
         }
         let mut peers = self.peers.borrow_mut();
         let known = peers.get(name);
-        if known.is_some_and(|peer| peer.incarnation == incarnation) {
+        if known.is_some_and(|peer| peer.incarnation == record.incarnation) {
             return;
         }
         let peer = Peer {
             address,
-            incarnation,
+            incarnation: record.incarnation,
             number: 0,
             state: GatewayState {
-                processor_permille,
+                processor_permille: record.processor_permille,
                 ..GatewayState::default()
             },
             heard_at: Instant::now(),
@@ -160,13 +210,12 @@
         if telling.gateway == self.own_name {
             return false;
         }
-        let processor_permille = telling.state.processor_permille;
-        self.meet(
-            &telling.gateway,
-            from,
-            telling.incarnation,
-            processor_permille,
-        );
+        let record = GatewayRecord {
+            address: from.to_string(),
+            incarnation: telling.incarnation,
+            processor_permille: telling.state.processor_permille,
+        };
+        self.meet(&telling.gateway, from, &record);
         let mut peers = self.peers.borrow_mut();
         let Some(peer) = peers.get_mut(&telling.gateway) else {
             return false;
@@ -227,6 +276,32 @@
     }
 }
 
+/// What the other gateways were told last.
+#[derive(Debug, Default)]
+struct Told {
+    state: GatewayState,
+    calls: Vec<(InstanceTag, u32)>,
+    at: Option<Instant>,
+}
+
+impl Told {
+    /// Tells whether so many gateways are to be told something now.
+    fn is_due(&self, now: Instant, telling: &Telling, peers: usize) -> bool {
+        let Some(at) = self.at else {
+            return true;
+        };
+        let peers = u32::try_from(peers).unwrap_or(u32::MAX);
+        let pause = TELL_PAUSE.max(PAUSE_PER_PEER * peers);
+        let is_same = self.state == telling.state && self.calls == telling.calls;
+        let pause = if is_same {
+            pause.max(QUIET_PAUSE)
+        } else {
+            pause
+        };
+        now.saturating_duration_since(at) >= pause
+    }
+}
+
 impl<D: Dialect> Gateway<D> {
     /// Makes this gateway known to the others.
     pub(crate) async fn announce(&self) {
@@ -265,36 +340,39 @@
     /// Tells the others this gateway's counts, for ever.
     pub(crate) async fn tell_counts(self: Rc<Self>, socket: UdpSocket) {
         let mut number = 0;
-        let mut last: (GatewayState, Vec<(InstanceId, u32)>) = Default::default();
-        let mut told_at = Instant::now();
+        let mut told = Told::default();
         loop {
             Timer::after(TELL_PAUSE).await;
             let now = Instant::now();
-            let mut counts = self.endpoints.borrow().own_counts();
-            counts.sort();
             self.store_ways.set_relays(self.gossip.relays(now));
-            let state = self.state();
-            let is_same = state == last.0 && counts == last.1 && !self.gossip.has_met.take();
-            let is_quiet = is_same && now.duration_since(told_at) < QUIET_PAUSE;
-            if is_quiet {
-                continue;
+            self.endpoints.borrow_mut().forget_silent(now);
+            if self.gossip.has_met.take() {
+                told = Told::default();
             }
-            number += 1;
-            let calls = counts.iter().map(|(id, calls)| (id.to_string(), *calls));
+            let mut calls = self.endpoints.borrow().own_counts();
+            calls.sort_unstable();
             let telling = Telling {
                 gateway: self.settings.name.clone(),
                 incarnation: self.incarnation,
-                number,
-                state,
-                calls: calls.collect(),
+                number: number + 1,
+                state: self.state(),
+                calls,
             };
+            let addresses = self.gossip.addresses(now);
+            if !told.is_due(now, &telling, addresses.len()) {
+                continue;
+            }
+            number += 1;
             let datagram = encode(&telling);
-            for address in self.gossip.addresses(now) {
+            for address in addresses {
                 // The next datagram says the same and more.
                 let _ = socket.send_to(&datagram, address).await;
             }
-            last = (state, counts);
-            told_at = now;
+            told = Told {
+                state: telling.state,
+                calls: telling.calls,
+                at: Some(now),
+            };
         }
     }
 
@@ -318,12 +396,8 @@
                 }
             };
             if self.gossip.take(&telling, from) {
-                let calls = telling.calls.into_iter();
-                let calls = calls.map(|(id, calls)| (id.into(), calls)).collect();
-                let now = Instant::now();
-                self.endpoints
-                    .borrow_mut()
-                    .hear(now, &telling.gateway, calls);
+                let mut endpoints = self.endpoints.borrow_mut();
+                endpoints.hear(Instant::now(), &telling.gateway, telling.calls);
             }
         }
     }
