--- /dev/null
+++ b/gateway/examples/choice.rs
@@ -0,0 +1,60 @@
+//! Time of one choice of an endpoint, by the number of endpoints.
+
+use galenapick_gateway::{EndpointRecord, Endpoints, Want};
+use std::hint::black_box;
+use std::time::Instant;
+
+/// Endpoints of a small site, of a grown one, and of the largest that is planned.
+const SIZES: [u16; 3] = [9, 50, 650];
+
+/// Choices timed for each size.
+const CHOICES: u32 = 20_000;
+
+/// Prompts that each endpoint is believed to hold.
+const PROMPTS: u64 = 100;
+
+/// Tokens of an engine's memory.
+const MEMORY_TOKENS: u64 = 60_000;
+
+fn site(size: u16) -> Endpoints {
+    let mut endpoints = Endpoints::default();
+    for number in 0..size {
+        let id = format!("i-{number:010x}");
+        endpoints.put(EndpointRecord {
+            id: id.as_str().into(),
+            service: "llm".into(),
+            address: ([10, 0, 0, 1], number).into(),
+            failure_domain: format!("domain-{}", number % 4),
+            slots: 6,
+            is_draining: false,
+            started_unix_ms: None,
+        });
+        for prompt in 0..PROMPTS {
+            let part = u64::from(number) * PROMPTS + prompt;
+            endpoints.remember(&id, &[(0, 512), (part, 400)], MEMORY_TOKENS);
+        }
+        endpoints.begin(&id);
+    }
+    endpoints
+}
+
+fn main() {
+    let mut rng = fastrand::Rng::with_seed(1);
+    for size in SIZES {
+        let endpoints = site(size);
+        let started_at = Instant::now();
+        for number in 0..CHOICES {
+            let parts = [(0, 512), (u64::from(number) % PROMPTS, 400)];
+            let want = Want {
+                service: "llm",
+                prompt_tokens: 1_000,
+                answer_tokens: 70,
+                prompt_parts: &parts,
+                exclude: &[],
+            };
+            black_box(endpoints.choose(started_at, &want, "domain-1", &mut rng));
+        }
+        let took_us = started_at.elapsed().as_secs_f64() * 1e6 / f64::from(CHOICES);
+        println!("{size:4} endpoints: {took_us:.1} us a choice");
+    }
+}
