--- a/gateway/src/endpoints.rs
+++ b/gateway/src/endpoints.rs
@@ -11,10 +11,10 @@
 mod memory;
 
 use crate::dialect::PartId;
+use crate::stable_hash::stable_hash;
 use cost::{Work, engine_ms, service_ms};
 use memory::PromptMemory;
 use std::collections::HashMap;
-use std::hash::{DefaultHasher, Hash, Hasher};
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
@@ -128,10 +128,7 @@
 
 /// Returns the short form of an instance's id.
 pub(crate) fn tag_of(id: &str) -> InstanceTag {
-    // The hasher has fixed keys: all gateways of a version agree.
-    let mut hasher = DefaultHasher::new();
-    id.hash(&mut hasher);
-    hasher.finish() as InstanceTag
+    stable_hash(id) as InstanceTag
 }
 
 /// Counts of another gateway.
--- a/gateway/src/gossip.rs
+++ b/gateway/src/gossip.rs
@@ -178,24 +178,24 @@
             crate::event!("gateway_address_unreadable", "gateway" => name);
             return;
         };
-        self.meet(name, address, record);
+        self.meet(name, address, record.incarnation, record.processor_permille);
     }
 
-    fn meet(&self, name: &str, address: SocketAddr, record: &GatewayRecord) {
+    fn meet(&self, name: &str, address: SocketAddr, incarnation: u64, processor_permille: u32) {
         if name == self.own_name {
             return;
         }
         let mut peers = self.peers.borrow_mut();
         let known = peers.get(name);
-        if known.is_some_and(|peer| peer.incarnation == record.incarnation) {
+        if known.is_some_and(|peer| peer.incarnation == incarnation) {
             return;
         }
         let peer = Peer {
             address,
-            incarnation: record.incarnation,
+            incarnation,
             number: 0,
             state: GatewayState {
-                processor_permille: record.processor_permille,
+                processor_permille,
                 ..GatewayState::default()
             },
             heard_at: Instant::now(),
@@ -210,12 +210,13 @@
         if telling.gateway == self.own_name {
             return false;
         }
-        let record = GatewayRecord {
-            address: from.to_string(),
-            incarnation: telling.incarnation,
-            processor_permille: telling.state.processor_permille,
-        };
-        self.meet(&telling.gateway, from, &record);
+        let processor_permille = telling.state.processor_permille;
+        self.meet(
+            &telling.gateway,
+            from,
+            telling.incarnation,
+            processor_permille,
+        );
         let mut peers = self.peers.borrow_mut();
         let Some(peer) = peers.get_mut(&telling.gateway) else {
             return false;
--- a/gateway/src/ledger.rs
+++ b/gateway/src/ledger.rs
@@ -8,12 +8,12 @@
 use crate::node::Gateway;
 use crate::partition::{Partition, partition_of};
 use crate::record::{KeptTurn, TurnRecord, encode};
+use crate::stable_hash::stable_hash;
 use crate::turns::{Chain, WriterTag, kept_key, reservation_key};
 use futures_lite::future;
 use serde::{Deserialize, Serialize};
 use smallvec::SmallVec;
 use smol::Timer;
-use std::hash::{DefaultHasher, Hash, Hasher};
 use std::time::{Duration, Instant};
 
 /// Part of a client's patience for which a turn waits for the store to come back before it is
@@ -353,9 +353,7 @@
 
     /// Tells this gateway's reservations from those of others.
     fn writer_tag(&self) -> WriterTag {
-        let mut hasher = DefaultHasher::new();
-        self.settings.name.hash(&mut hasher);
-        hasher.finish() as WriterTag
+        stable_hash(&self.settings.name) as WriterTag
     }
 
     /// Returns the partition of a program's records.
--- a/gateway/src/lib.rs
+++ b/gateway/src/lib.rs
@@ -28,6 +28,7 @@
 mod relay;
 mod reply;
 mod routes;
+mod stable_hash;
 mod store;
 mod stream;
 mod turn_call;
--- a/gateway/src/owners.rs
+++ b/gateway/src/owners.rs
@@ -10,8 +10,8 @@
 use crate::dialect::{Dialect, PartitionNumber};
 use crate::node::Gateway;
 use crate::partition::PartitionSet;
+use crate::stable_hash::stable_hash;
 use smol::Timer;
-use std::hash::{DefaultHasher, Hash, Hasher};
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
@@ -74,10 +74,7 @@
 }
 
 fn rank(partition: PartitionNumber, name: &str) -> u64 {
-    // The hasher has fixed keys: all gateways of a version agree.
-    let mut hasher = DefaultHasher::new();
-    (partition, name).hash(&mut hasher);
-    hasher.finish()
+    stable_hash((partition, name))
 }
 
 impl<D: Dialect> Gateway<D> {
--- a/gateway/src/partition.rs
+++ b/gateway/src/partition.rs
@@ -6,12 +6,12 @@
 
 use crate::commit::Committer;
 use crate::dialect::{Dialect, Offset, PartitionNumber, Topic};
+use crate::stable_hash::stable_hash;
 use crate::turns::TurnIndex;
 use futures_lite::future;
 use serde::{Deserialize, Serialize};
 use smol::Timer;
 use std::cell::{Cell, RefCell};
-use std::hash::{DefaultHasher, Hash, Hasher};
 use std::time::{Duration, Instant};
 
 /// Partitions of the topic. One append at a time is under way in each, some 6 ms long, and takes
@@ -41,10 +41,7 @@
 
 /// The partition of a program's records.
 pub(crate) fn partition_of(program: &str) -> PartitionNumber {
-    // The hasher has fixed keys: all gateways of a version agree.
-    let mut hasher = DefaultHasher::new();
-    program.hash(&mut hasher);
-    (hasher.finish() % u64::from(PARTITIONS)) as PartitionNumber
+    (stable_hash(program) % u64::from(PARTITIONS)) as PartitionNumber
 }
 
 /// A partition as one gateway sees it.
