Accept other gateways' connections in one place; probe a lost store with an empty read

The probe of the store's own address read all gateways' records each half second since it no longer had a partition's position; it reads from the end of that topic now.

--- a/gateway/src/follow.rs
+++ b/gateway/src/follow.rs
@@ -193,20 +193,20 @@
     pub(crate) async fn follow_gateways(self: Rc<Self>) {
         let mut link = self.store_link();
         loop {
-            let (mut from, records) = self.load(&mut link, Topic::Gateways).await;
+            let (first, records) = self.load(&mut link, Topic::Gateways).await;
             self.meet_gateways(&records);
+            self.gateways_position.set(first);
             self.gateways_loaded.set(true);
             let mut pause = FIRST_GATEWAYS_PAUSE;
             loop {
                 Timer::after(pause).await;
                 pause = (pause * 2).min(GATEWAYS_PAUSE);
-                match self
-                    .read(&mut link, Topic::Gateways, from, Duration::ZERO)
-                    .await
-                {
+                let from = self.gateways_position.get();
+                let read = self.read(&mut link, Topic::Gateways, from, Duration::ZERO);
+                match read.await {
                     Some(Read::Records { records, .. }) => {
-                        from += records.len() as Offset;
                         self.meet_gateways(&records);
+                        self.gateways_position.set(from + records.len() as Offset);
                     }
                     Some(Read::Expired) => break,
                     Some(Read::Refused) | None => {}
--- a/gateway/src/node.rs
+++ b/gateway/src/node.rs
@@ -1,7 +1,7 @@
 //! The gateway's process: what its tasks share, its start and its end.
 
 use crate::counters::Counters;
-use crate::dialect::Dialect;
+use crate::dialect::{Dialect, Offset};
 use crate::endpoints::Endpoints;
 use crate::events;
 use crate::gossip::Gossip;
@@ -83,6 +83,8 @@
     pub(crate) turns_loaded: Cell<bool>,
     /// Whether the other gateways are known.
     pub(crate) gateways_loaded: Cell<bool>,
+    /// Offset of the next record of the gateways' topic.
+    pub(crate) gateways_position: Cell<Offset>,
     pub(crate) gossip: Gossip,
     pub(crate) peer_links: PeerLinks,
     /// Announcements of this gateway that stand in the store.
@@ -112,6 +114,7 @@
             partitions: (0..PARTITIONS).map(Partition::new).collect(),
             turns_loaded: Cell::new(false),
             gateways_loaded: Cell::new(false),
+            gateways_position: Cell::new(0),
             gossip: Gossip::new(&settings.name),
             peer_links: PeerLinks::default(),
             announcements: Cell::new(0),
--- a/gateway/src/peers.rs
+++ b/gateway/src/peers.rs
@@ -3,18 +3,18 @@
 //! One connection for each pair and direction carries all questions; each has a number, and its
 //! answers bear it. A frame is its length (4 bytes, big-endian) and a CBOR pair of the number and
 //! the question or answer. Frames are short, so a connection's first byte is 0, which begins no
-//! call of the store: both come to the same address.
+//! call of the store (`relay`): both come to the same address.
 
 use crate::dialect::Dialect;
 use crate::http::Wire;
 use crate::ledger::{Answer, Ask};
-use crate::net::{connect, within};
+use crate::net::{accept, connect, tune, within};
 use crate::node::Gateway;
 use crate::record::{decode, encode};
 use async_channel::{Receiver, Sender};
 use futures_lite::{AsyncWriteExt, future};
 use serde::{Deserialize, Serialize};
-use smol::net::TcpStream;
+use smol::net::{TcpListener, TcpStream};
 use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
 use std::io;
@@ -32,7 +32,7 @@
 const LENGTH_BYTES: usize = 4;
 
 /// First byte of each frame, since none is longer than [`MAX_FRAME_BYTES`].
-pub(crate) const FIRST_BYTE: u8 = 0;
+const FIRST_BYTE: u8 = 0;
 
 /// Frames on their way out of a connection.
 #[derive(Debug, Default)]
@@ -179,8 +179,34 @@
         link
     }
 
+    /// Serves other gateways, for ever.
+    pub(crate) async fn accept_peers(self: Rc<Self>, listener: TcpListener) {
+        loop {
+            let stream = accept(&listener).await;
+            let gateway = self.clone();
+            let task = async move { gateway.serve_peer(stream).await };
+            self.executor.spawn(task).detach();
+        }
+    }
+
+    async fn serve_peer(self: Rc<Self>, stream: TcpStream) {
+        if let Err(error) = tune(&stream) {
+            crate::event!("peer_untuned", "error" => error.to_string());
+        }
+        let mut wire = Wire::new(stream);
+        match wire.fill().await {
+            Ok(count) if count > 0 => {}
+            _ => return,
+        }
+        if wire.unread().first() == Some(&FIRST_BYTE) {
+            self.answer_peer(wire).await;
+        } else {
+            self.relay_calls(wire).await;
+        }
+    }
+
     /// Answers the questions of another gateway until the connection ends.
-    pub(crate) async fn answer_peer(self: &Rc<Self>, mut wire: Wire) {
+    async fn answer_peer(self: &Rc<Self>, mut wire: Wire) {
         let outbox = Rc::new(Outbox::default());
         let write = outbox.write(wire.stream());
         let read = async {
--- a/gateway/src/relay.rs
+++ b/gateway/src/relay.rs
@@ -1,19 +1,15 @@
-//! What gateways do for each other: answers about turns, and calls of the store on behalf of those
-//! that it turns away or that are cut off from it.
+//! Calls of the store on behalf of gateways that it turns away or that are cut off from it.
 //!
 //! Any way to the store is as good as another: appends carry their writer's name and number, so a
 //! call that arrives on two ways is executed once.
 
 use crate::dialect::{Dialect, StoreCall, Topic};
 use crate::http::{BodyDecoder, Framing, Wire};
-use crate::net;
 use crate::node::Gateway;
-use crate::peers;
 use crate::reply::Reply;
 use crate::store::StoreLink;
 use futures_lite::future;
 use smol::Timer;
-use smol::net::{TcpListener, TcpStream};
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -36,33 +32,8 @@
 const PROBE_TIMEOUT: Duration = Duration::from_millis(400);
 
 impl<D: Dialect> Gateway<D> {
-    /// Serves other gateways, for ever.
-    pub(crate) async fn accept_peers(self: Rc<Self>, listener: TcpListener) {
-        loop {
-            let stream = net::accept(&listener).await;
-            let gateway = self.clone();
-            let task = async move { gateway.serve_peer(stream).await };
-            self.executor.spawn(task).detach();
-        }
-    }
-
-    async fn serve_peer(self: Rc<Self>, stream: TcpStream) {
-        if let Err(error) = net::tune(&stream) {
-            crate::event!("peer_untuned", "error" => error.to_string());
-        }
-        let mut wire = Wire::new(stream);
-        match wire.fill().await {
-            Ok(count) if count > 0 => {}
-            _ => return,
-        }
-        if wire.unread().first() == Some(&peers::FIRST_BYTE) {
-            self.answer_peer(wire).await;
-        } else {
-            self.relay_calls(wire).await;
-        }
-    }
-
-    async fn relay_calls(&self, mut wire: Wire) {
+    /// Makes the calls of another gateway until its connection ends.
+    pub(crate) async fn relay_calls(&self, mut wire: Wire) {
         let mut link = StoreLink::direct(self.store_ways.clone());
         loop {
             let idle = async {
@@ -93,7 +64,8 @@
             if self.store_ways.is_direct() {
                 continue;
             }
-            let call = D::newest(Topic::Gateways, None);
+            let from = self.gateways_position.get();
+            let call = D::read(Topic::Gateways, from, Duration::ZERO);
             // The link notes the outcome.
             let _ = link.call(&call, PROBE_TIMEOUT).await;
         }
