Announce a gateway again soon if the store refused it; never miss readiness

Found on reading the change again. And a gateway noted that its partitions were loaded only after a load: if one passed to another gateway just before, it would not have become ready.

Ruled out: datagrams (they go to gateways that are known).

--- a/gateway/src/follow.rs
+++ b/gateway/src/follow.rs
@@ -103,8 +103,8 @@
         self.note_loaded();
     }
 
-    /// Notes whether all partitions that are served here have been loaded.
-    fn note_loaded(&self) {
+    /// Notes it once all partitions that are served here have been loaded.
+    pub(crate) fn note_loaded(&self) {
         let mut partitions = self.partitions.iter();
         if partitions.all(|partition| partition.is_loaded() || !self.owns(partition.number)) {
             self.turns_loaded.set(true);
--- a/gateway/src/gossip.rs
+++ b/gateway/src/gossip.rs
@@ -304,8 +304,8 @@
 }
 
 impl<D: Dialect> Gateway<D> {
-    /// Makes this gateway known to the others.
-    pub(crate) async fn announce(&self) {
+    /// Makes this gateway known to the others; returns whether its record stands in the store.
+    pub(crate) async fn announce(&self) -> bool {
         let record = GatewayRecord {
             address: self.settings.peers.to_string(),
             incarnation: self.incarnation,
@@ -326,6 +326,7 @@
         if is_done {
             self.announcements.set(self.announcements.get() + 1);
         }
+        is_done
     }
 
     /// What this gateway says of itself.
--- a/gateway/src/node.rs
+++ b/gateway/src/node.rs
@@ -254,11 +254,13 @@
         loop {
             let now = Instant::now();
             self.pool.sweep(now);
-            if announced_at.is_none_or(|at| now.duration_since(at) > ANNOUNCE_PAUSE) {
-                self.announce().await;
+            let is_due = announced_at.is_none_or(|at| now.duration_since(at) > ANNOUNCE_PAUSE);
+            if is_due && self.announce().await {
                 announced_at = Some(now);
             }
             self.drop_outdated(now);
+            // Ownership may change hands without a load here.
+            self.note_loaded();
             Timer::after(SWEEP_PAUSE).await;
         }
     }
