Say in one type how a turn has begun, and fold own records without copying them

Cause (reading the change again): Reserved and Begun said the same with a ticket or a reservation, try_begin returned a result in a result, and NotBegun wrapped Denial for one more reason. Each record of this gateway was copied to be folded, a history was put together byte by byte, and a key with its value had its type spelled out twice.

Change: Begun and Reservation serve this gateway and others alike, NoSuchTurn is a denial, appended records are handed over, Keyed stands in the dialect.

--- a/gateway/src/commit.rs
+++ b/gateway/src/commit.rs
@@ -8,7 +8,7 @@
 #[cfg(test)]
 mod tests;
 
-use crate::dialect::{Append, Appended, Dialect, Offset, Topic};
+use crate::dialect::{Append, Appended, Dialect, Keyed, Offset, Topic};
 use crate::store::StoreLink;
 use queue::CommitQueue;
 use smol::Timer;
@@ -66,9 +66,6 @@
     }
 }
 
-/// A key and its value; without one the key is dropped.
-pub(crate) type Keyed = (String, Option<Vec<u8>>);
-
 /// Records that wait for the store.
 pub(crate) struct Committer<D> {
     topic: Topic,
@@ -144,7 +141,7 @@
         &self,
         mut link: StoreLink,
         producer: &str,
-        on_appended: impl Fn(Offset, &[Keyed]),
+        on_appended: impl Fn(Offset, Vec<Keyed>),
     ) {
         let mut sequence = 0;
         let mut times = SendTimes::new();
@@ -163,7 +160,7 @@
             };
             let first = append_until_done::<D>(&mut link, &append, &mut times).await;
             sequence += 1;
-            on_appended(first, &records);
+            on_appended(first, records);
             for (at, waiter) in waiters.into_iter().enumerate() {
                 if let Some(waiter) = waiter {
                     // A request that has ended no longer asks for its record's place.
--- a/gateway/src/dialect.rs
+++ b/gateway/src/dialect.rs
@@ -98,6 +98,9 @@
     pub offset: Offset,
 }
 
+/// A key and its value; without one the key is dropped.
+pub type Keyed = (String, Option<Vec<u8>>);
+
 /// A batch of records to append.
 #[derive(Clone, Copy, Debug)]
 pub struct Append<'a> {
@@ -108,7 +111,7 @@
     /// Number of the batch; a resend has the same number.
     pub sequence: u64,
     /// Keys and values.
-    pub records: &'a [(String, Option<Vec<u8>>)],
+    pub records: &'a [Keyed],
 }
 
 /// What an append came to.
--- a/gateway/src/follow.rs
+++ b/gateway/src/follow.rs
@@ -1,8 +1,7 @@
 //! Follows the topics of the store: turns, configuration and endpoints.
 
-use crate::commit::Keyed;
 use crate::dialect::{
-    Dialect, NewestPage, Offset, PartId, PartitionNumber, Read, StoreRecord, Topic,
+    Dialect, Keyed, NewestPage, Offset, PartId, PartitionNumber, Read, StoreRecord, Topic,
 };
 use crate::node::Gateway;
 use crate::partition::Partition;
@@ -59,7 +58,7 @@
     pub(crate) async fn commit_turns(self: Rc<Self>, number: PartitionNumber) {
         let partition = &self.partitions[number as usize];
         let producer = self.producer();
-        let on_appended = |first, records: &[Keyed]| self.fold_own(partition, first, records);
+        let on_appended = |first, records: Vec<Keyed>| self.fold_own(partition, first, records);
         let committer = &partition.committer;
         committer
             .run(self.store_link(), &producer, on_appended)
@@ -158,17 +157,13 @@
     }
 
     /// Folds records of this gateway as soon as they stand in their partition.
-    fn fold_own(&self, partition: &Partition<D>, first: Offset, records: &[Keyed]) {
+    fn fold_own(&self, partition: &Partition<D>, first: Offset, records: Vec<Keyed>) {
         if !partition.is_loaded() {
             return;
         }
-        let at_offsets = records.iter().zip(first..);
+        let at_offsets = records.into_iter().zip(first..);
         let records: Vec<StoreRecord> = at_offsets
-            .map(|((key, value), offset)| StoreRecord {
-                key: key.clone(),
-                value: value.clone(),
-                offset,
-            })
+            .map(|((key, value), offset)| StoreRecord { key, value, offset })
             .collect();
         self.fold_turns(partition, &records);
         partition.advance_over(first, records.len());
--- a/gateway/src/ledger.rs
+++ b/gateway/src/ledger.rs
@@ -7,6 +7,7 @@
 use crate::dialect::{Dialect, PartId, PartitionNumber};
 use crate::node::Gateway;
 use crate::partition::{Partition, partition_of};
+use crate::peers::Asked;
 use crate::record::{KeptTurn, TurnRecord, encode};
 use crate::stable_hash::stable_hash;
 use crate::turns::{Chain, WriterTag, kept_key, reservation_key};
@@ -14,6 +15,7 @@
 use serde::{Deserialize, Serialize};
 use smallvec::SmallVec;
 use smol::Timer;
+use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
 /// Part of a client's patience for which a turn waits for the store to come back before it is
@@ -112,6 +114,8 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize, strum::Display)]
 #[strum(serialize_all = "kebab-case")]
 pub(crate) enum Denial {
+    /// The turn that it continues does not exist.
+    NoSuchTurn,
     /// The program's budget does not cover it.
     Spent,
     /// A turn with this id is known.
@@ -141,13 +145,9 @@
 impl History {
     fn of(chain: &Chain) -> Self {
         let last = chain.turns.last();
+        let texts: Vec<&[u8]> = chain.turns.iter().map(|turn| &*turn.text).collect();
         Self {
-            text: chain
-                .turns
-                .iter()
-                .flat_map(|turn| &turn.text)
-                .copied()
-                .collect(),
+            text: texts.concat(),
             endpoint: last.map(|turn| turn.endpoint.clone()),
             prompt_parts: last.map_or(SmallVec::new(), |turn| turn.prompt_parts.clone()),
             missing: chain.missing.clone(),
@@ -166,19 +166,35 @@
     }
 }
 
-/// What came of a [`NewTurn`].
-pub(crate) enum Reserved {
-    /// Its tokens are being put aside; the ticket is for the record, if it has a budget.
-    Here {
-        /// The whole history.
-        history: History,
-        /// Whether it may run before the reservation is known to hold.
-        is_ample: bool,
-        /// For the reservation's place.
-        ticket: Option<Ticket>,
-    },
+/// A reservation that is on its way.
+pub(crate) enum Reservation {
+    /// None is needed.
+    Free,
+    /// Written by this gateway.
+    Here(Ticket),
+    /// Asked of another gateway, at this address.
+    There(SocketAddr, Asked),
+}
+
+/// A turn's history, and its reservation.
+pub(crate) struct Begun {
+    pub(crate) history: History,
+    /// Whether it may run before the reservation is known to hold.
+    pub(crate) is_ample: bool,
+    pub(crate) reservation: Reservation,
+}
+
+/// Why a turn has not begun in its partition.
+pub(crate) enum NotBegun {
     /// A part of its history stands in another partition; nothing was put aside.
     BeginsElsewhere(History),
+    Denied(Denial),
+}
+
+impl From<Denial> for NotBegun {
+    fn from(denial: Denial) -> Self {
+        Self::Denied(denial)
+    }
 }
 
 impl<D: Dialect> Gateway<D> {
@@ -186,18 +202,15 @@
     pub(crate) async fn answer_ask(&self, ask: Ask, answer: impl Fn(&Answer)) {
         match ask {
             Ask::Reserve(new) => match self.reserve_here(&new).await {
-                Ok(Reserved::Here {
-                    history,
-                    is_ample,
-                    ticket,
-                }) => {
+                Ok(begun) => {
+                    let (history, is_ample) = (begun.history, begun.is_ample);
                     answer(&Answer::Reserved { history, is_ample });
-                    if let Some(ticket) = ticket {
+                    if let Reservation::Here(ticket) = begun.reservation {
                         answer(&Answer::Holds(self.holds_here(&new, &ticket).await));
                     }
                 }
-                Ok(Reserved::BeginsElsewhere(history)) => answer(&Answer::Begins(history)),
-                Err(denial) => answer(&Answer::Denied(denial)),
+                Err(NotBegun::BeginsElsewhere(history)) => answer(&Answer::Begins(history)),
+                Err(NotBegun::Denied(denial)) => answer(&Answer::Denied(denial)),
             },
             Ask::Keep { turn, kept } => {
                 self.keep_here(&turn, kept).await;
@@ -219,25 +232,25 @@
     }
 
     /// Finds a turn's history and puts its tokens aside.
-    pub(crate) async fn reserve_here(&self, new: &NewTurn) -> Result<Reserved, Denial> {
+    pub(crate) async fn reserve_here(&self, new: &NewTurn) -> Result<Begun, NotBegun> {
         let partition = self.partition_of(&new.program);
         self.check_store(partition, new.store_wait()).await?;
         within_limit(partition.loaded()).await?;
         if !new.is_asked_again && partition.index.borrow().knows(&new.turn) {
-            return Err(Denial::UsedBefore);
+            return Err(Denial::UsedBefore.into());
         }
         let history = match &new.previous {
             Some(previous) => self.find_fresh(partition, previous).await?,
             None => History::default(),
         };
         if history.missing.is_some() {
-            return Ok(Reserved::BeginsElsewhere(history));
+            return Err(NotBegun::BeginsElsewhere(history));
         }
         let Some(budget_tokens) = new.budget_tokens else {
-            return Ok(Reserved::Here {
+            return Ok(Begun {
                 history,
                 is_ample: true,
-                ticket: None,
+                reservation: Reservation::Free,
             });
         };
         let mut committed = partition.index.borrow().committed_tokens(&new.program);
@@ -246,15 +259,15 @@
             within_limit(partition.read_to_end()).await?;
             committed = partition.index.borrow().committed_tokens(&new.program);
             if committed + new.max_tokens > budget_tokens {
-                return Err(Denial::Spent);
+                return Err(Denial::Spent.into());
             }
         }
         let is_ample = committed + new.max_tokens * (1 + AMPLE_TURNS) <= budget_tokens;
         let delay = if is_ample { RUN_DELAY } else { Duration::ZERO };
-        Ok(Reserved::Here {
+        Ok(Begun {
             history,
             is_ample,
-            ticket: Some(self.put_aside(new, delay)),
+            reservation: Reservation::Here(self.put_aside(new, delay)),
         })
     }
 
--- a/gateway/src/ledger_call.rs
+++ b/gateway/src/ledger_call.rs
@@ -1,8 +1,7 @@
 //! Asks the gateway that serves a partition, and does without it where it does not answer.
 
-use crate::commit::Ticket;
 use crate::dialect::{Dialect, PartitionNumber};
-use crate::ledger::{Answer, Ask, Denial, History, NewTurn, Reserved};
+use crate::ledger::{Answer, Ask, Begun, Denial, History, NewTurn, NotBegun, Reservation};
 use crate::node::Gateway;
 use crate::partition::{PARTITIONS, partition_of};
 use crate::peers::Asked;
@@ -21,94 +20,55 @@
 /// of other programs a few times, not in loops.
 const MAX_PARTS: usize = 16;
 
-/// A reservation that is on its way.
-pub(crate) enum Reservation {
-    /// None is needed.
-    Free,
-    /// Written by this gateway.
-    Here(Ticket),
-    /// Asked of another gateway, at this address.
-    There(SocketAddr, Asked),
-}
-
-/// A turn's history, and its reservation.
-pub(crate) struct Begun {
-    pub(crate) history: History,
-    /// Whether it may run before the reservation is known to hold.
-    pub(crate) is_ample: bool,
-    pub(crate) reservation: Reservation,
-}
-
-/// Why a turn can't begin.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub(crate) enum NotBegun {
-    /// The turn that it continues does not exist.
-    NoSuchTurn,
-    Denied(Denial),
-}
-
 impl<D: Dialect> Gateway<D> {
     /// Finds a turn's history, wherever it stands, and puts its tokens aside.
-    pub(crate) async fn begin_turn(self: &Rc<Self>, new: &NewTurn) -> Result<Begun, NotBegun> {
-        let newest = match self.try_begin(new).await.map_err(NotBegun::Denied)? {
+    pub(crate) async fn begin_turn(self: &Rc<Self>, new: &NewTurn) -> Result<Begun, Denial> {
+        let newest = match self.try_begin(new).await {
             Ok(begun) => return Ok(begun),
-            Err(newest) => newest,
+            Err(NotBegun::Denied(denial)) => return Err(denial),
+            Err(NotBegun::BeginsElsewhere(newest)) => newest,
         };
         let history = self.find_rest(partition_of(&new.program), newest).await?;
         let with_history = NewTurn {
             previous: None,
             ..new.clone()
         };
-        let begun = self.try_begin(&with_history).await;
-        match begun.map_err(NotBegun::Denied)? {
+        match self.try_begin(&with_history).await {
             Ok(begun) => Ok(Begun { history, ..begun }),
-            Err(_) => Err(NotBegun::Denied(Denial::NotRead)),
+            Err(NotBegun::Denied(denial)) => Err(denial),
+            Err(NotBegun::BeginsElsewhere(_)) => Err(Denial::NotRead),
         }
     }
 
-    /// Asks for a reservation; the inner error is the newest part of a history that goes on
-    /// elsewhere.
-    async fn try_begin(self: &Rc<Self>, new: &NewTurn) -> Result<Result<Begun, History>, Denial> {
-        let mut is_asked_again = new.is_asked_again;
-        if let Some(owner) = self.owner_of(partition_of(&new.program)).await {
-            let asked = self.ask_peer(owner, &Ask::Reserve(new.clone()));
-            match self.answer_of(owner, &asked).await {
-                Some(Answer::Reserved { history, is_ample }) => {
-                    let reservation = match new.budget_tokens {
+    /// Asks for a reservation, or writes it here.
+    async fn try_begin(self: &Rc<Self>, new: &NewTurn) -> Result<Begun, NotBegun> {
+        let Some(owner) = self.owner_of(partition_of(&new.program)).await else {
+            return self.reserve_here(new).await;
+        };
+        let asked = self.ask_peer(owner, &Ask::Reserve(new.clone()));
+        match self.answer_of(owner, &asked).await {
+            Some(Answer::Reserved { history, is_ample }) => {
+                return Ok(Begun {
+                    history,
+                    is_ample,
+                    reservation: match new.budget_tokens {
                         Some(_) => Reservation::There(owner, asked),
                         None => Reservation::Free,
-                    };
-                    return Ok(Ok(Begun {
-                        history,
-                        is_ample,
-                        reservation,
-                    }));
-                }
-                Some(Answer::Begins(history)) => return Ok(Err(history)),
-                Some(Answer::Denied(Denial::StoreLost)) if self.reaches_store() => {
-                    self.do_without(owner, "reserve", &new.turn, None);
-                }
-                Some(Answer::Denied(denial)) => return Err(denial),
-                answer => self.do_without(owner, "reserve", &new.turn, answer),
+                    },
+                });
+            }
+            Some(Answer::Begins(history)) => return Err(NotBegun::BeginsElsewhere(history)),
+            Some(Answer::Denied(Denial::StoreLost)) if self.reaches_store() => {
+                self.do_without(owner, "reserve", &new.turn, None);
             }
-            is_asked_again = true;
+            Some(Answer::Denied(denial)) => return Err(denial.into()),
+            answer => self.do_without(owner, "reserve", &new.turn, answer),
         }
-        let here = NewTurn {
-            is_asked_again,
+        let again = NewTurn {
+            is_asked_again: true,
             ..new.clone()
         };
-        Ok(match self.reserve_here(&here).await? {
-            Reserved::Here {
-                history,
-                is_ample,
-                ticket,
-            } => Ok(Begun {
-                history,
-                is_ample,
-                reservation: ticket.map_or(Reservation::Free, Reservation::Here),
-            }),
-            Reserved::BeginsElsewhere(history) => Err(history),
-        })
+        self.reserve_here(&again).await
     }
 
     /// Finds the part of a history that is missing, in the other partitions.
@@ -116,7 +76,7 @@
         self: &Rc<Self>,
         own_partition: PartitionNumber,
         mut history: History,
-    ) -> Result<History, NotBegun> {
+    ) -> Result<History, Denial> {
         let mut searched = Some(own_partition);
         for _ in 0..MAX_PARTS {
             let Some(missing) = history.missing.clone() else {
@@ -136,11 +96,11 @@
             }
             match (older, unread) {
                 (Some(older), _) => history.prepend(older),
-                (None, Some(denial)) => return Err(NotBegun::Denied(denial)),
-                (None, None) => return Err(NotBegun::NoSuchTurn),
+                (None, Some(denial)) => return Err(denial),
+                (None, None) => return Err(Denial::NoSuchTurn),
             }
         }
-        Err(NotBegun::Denied(Denial::NotRead))
+        Err(Denial::NotRead)
     }
 
     /// Looks for a turn in a partition.
--- a/gateway/src/lib.rs
+++ b/gateway/src/lib.rs
@@ -35,7 +35,7 @@
 mod turns;
 
 pub use dialect::{
-    AnswerInfo, Append, Appended, CallInfo, Dialect, Dispatch, NewestPage, Offset, PartId,
+    AnswerInfo, Append, Appended, CallInfo, Dialect, Dispatch, Keyed, NewestPage, Offset, PartId,
     PartitionNumber, Read, StoreCall, StoreRecord, Topic,
 };
 pub use endpoints::{CallEnd, EndpointRecord, Endpoints, InstanceId, ReportedLoad, Want};
--- a/gateway/src/node.rs
+++ b/gateway/src/node.rs
@@ -198,7 +198,7 @@
     }
 
     /// Turns in the partitions that are loaded here.
-    pub(crate) fn turns_known(&self) -> usize {
+    fn turns_known(&self) -> usize {
         let partitions = self.partitions.iter();
         partitions
             .map(|partition| partition.index.borrow().len())
--- a/gateway/src/turn_call.rs
+++ b/gateway/src/turn_call.rs
@@ -4,8 +4,7 @@
 use crate::dialect::Dialect;
 use crate::endpoints::CallEnd;
 use crate::forward::{Exchange, Outgoing, Sent};
-use crate::ledger::{Denial, NewTurn};
-use crate::ledger_call::{NotBegun, Reservation};
+use crate::ledger::{Denial, NewTurn, Reservation};
 use crate::node::Gateway;
 use crate::record::KeptTurn;
 use crate::reply::{Refusal, Reply};
@@ -153,9 +152,9 @@
         let reserved = ReservedTurn::new(self, call);
         let begun = match self.begin_turn(&reserved.new).await {
             Ok(begun) => begun,
-            Err(not_begun) => {
+            Err(denial) => {
                 reserved.is_settled.set(true);
-                return Err(refusal(call, not_begun));
+                return Err(refusal(call, denial));
             }
         };
         // Set once, here.
@@ -171,8 +170,8 @@
             let holds = future::or(async { Some(reserved.holds().await) }, give_up).await;
             match holds {
                 Some(true) => {}
-                Some(false) => return Err(refusal(call, NotBegun::Denied(Denial::Spent))),
-                None => return Err(refusal(call, NotBegun::Denied(Denial::NotRead))),
+                Some(false) => return Err(refusal(call, Denial::Spent)),
+                None => return Err(refusal(call, Denial::NotRead)),
             }
         }
         let mut body = begun.history.text;
@@ -296,12 +295,9 @@
     }
 }
 
-fn refusal(call: &Call, not_begun: NotBegun) -> Refusal {
-    let denial = match not_begun {
-        NotBegun::NoSuchTurn => return Refusal::new(404, "no such turn"),
-        NotBegun::Denied(denial) => denial,
-    };
+fn refusal(call: &Call, denial: Denial) -> Refusal {
     match denial {
+        Denial::NoSuchTurn => Refusal::new(404, "no such turn"),
         Denial::Spent => Refusal::new(402, "the program's budget is spent"),
         Denial::UsedBefore => Refusal::new(400, "the request id was used before"),
         Denial::StoreLost => store_refusal(call, "the store does not answer"),
