Count what a stopping gateway waits for in one way; choose among one type of gateways

Cause (reading the change again): settlements were counted by hand beside the guard that counts requests, which could not be moved into a task; gossip's KnownGateway was turned field by field into the owners' Candidate for each question; the datagrams' number was added up in two places.

Change: the guard owns its count and serves both, gossip makes candidates, numbers grow with each look (receivers only ask which is newer).

--- a/gateway/src/front.rs
+++ b/gateway/src/front.rs
@@ -5,7 +5,7 @@
 use crate::forward::Execution;
 use crate::http::{BodyDecoder, Framing, HeadError, RequestHead, Wire, parse_request};
 use crate::net;
-use crate::node::Gateway;
+use crate::node::{Busy, Gateway};
 use crate::reply::{Refusal, Reply};
 use futures_lite::future;
 use smol::Timer;
@@ -39,22 +39,6 @@
     Refused(Refusal),
 }
 
-/// Counts what a process still has to do before it may end.
-struct Busy<'a>(&'a Cell<usize>);
-
-impl<'a> Busy<'a> {
-    fn new(count: &'a Cell<usize>) -> Self {
-        count.set(count.get() + 1);
-        Self(count)
-    }
-}
-
-impl Drop for Busy<'_> {
-    fn drop(&mut self) {
-        self.0.set(self.0.get() - 1);
-    }
-}
-
 impl<D: Dialect> Gateway<D> {
     /// Accepts clients, for ever.
     pub(crate) async fn accept_clients(self: Rc<Self>, listener: TcpListener) {
--- a/gateway/src/gossip.rs
+++ b/gateway/src/gossip.rs
@@ -8,6 +8,7 @@
 use crate::dialect::{Append, Appended, Dialect, Topic};
 use crate::endpoints::InstanceTag;
 use crate::node::Gateway;
+use crate::owners::{Candidate, Place};
 use crate::partition::PartitionSet;
 use crate::record::{GatewayRecord, decode, encode};
 use serde::{Deserialize, Serialize};
@@ -56,7 +57,7 @@
 struct Telling {
     gateway: String,
     incarnation: u64,
-    /// Grows with each datagram of an incarnation; older ones arrive late and are dropped.
+    /// Grows from datagram to datagram of an incarnation; older ones arrive late and are dropped.
     number: u64,
     state: GatewayState,
     calls: Vec<(InstanceTag, u32)>,
@@ -143,16 +144,6 @@
     }
 }
 
-/// A gateway that answers or is about to.
-#[derive(Clone, Debug)]
-pub(crate) struct KnownGateway {
-    pub(crate) name: String,
-    pub(crate) address: SocketAddr,
-    /// Whether it has been heard; otherwise only its record is known.
-    pub(crate) is_heard: bool,
-    pub(crate) state: GatewayState,
-}
-
 /// The other gateways.
 #[derive(Debug, Default)]
 pub(crate) struct Gossip {
@@ -239,20 +230,22 @@
         relays.map(|peer| peer.address).collect()
     }
 
-    /// The gateways that answer, and those that are about to.
-    pub(crate) fn known(&self, now: Instant) -> Vec<KnownGateway> {
+    /// The gateways that may serve partitions: those that answer or are about to, and will stay.
+    pub(crate) fn candidates(&self, now: Instant) -> Vec<Candidate> {
         let peers = self.peers.borrow();
-        let known = peers
-            .iter()
-            .filter(|(_, peer)| peer.is_well(now) || peer.is_presumed(now));
-        known
-            .map(|(name, peer)| KnownGateway {
-                name: name.clone(),
-                address: peer.address,
-                is_heard: peer.number > 0,
-                state: peer.state,
-            })
-            .collect()
+        let fit = peers.iter().filter(|(_, peer)| {
+            !peer.state.is_stopping && (peer.is_well(now) || peer.is_presumed(now))
+        });
+        fit.map(|(name, peer)| Candidate {
+            name: name.clone(),
+            place: match peer.number {
+                0 => Place::Awaited,
+                _ => Place::There(peer.address),
+            },
+            loaded: peer.state.loaded,
+            processor_permille: peer.state.processor_permille,
+        })
+        .collect()
     }
 
     /// Tells whether the gateway at an address answers.
@@ -353,10 +346,11 @@
             }
             let mut calls = self.endpoints.borrow().own_counts();
             calls.sort_unstable();
+            number += 1;
             let telling = Telling {
                 gateway: self.settings.name.clone(),
                 incarnation: self.incarnation,
-                number: number + 1,
+                number,
                 state: self.state(),
                 calls,
             };
@@ -364,7 +358,6 @@
             if !told.is_due(now, &telling, addresses.len()) {
                 continue;
             }
-            number += 1;
             let datagram = encode(&telling);
             for address in addresses {
                 // The next datagram says the same and more.
--- a/gateway/src/node.rs
+++ b/gateway/src/node.rs
@@ -65,6 +65,22 @@
     pub processor_share: f64,
 }
 
+/// Counts one thing that a process still has to do before it may end.
+pub(crate) struct Busy(Rc<Cell<usize>>);
+
+impl Busy {
+    pub(crate) fn new(count: &Rc<Cell<usize>>) -> Self {
+        count.set(count.get() + 1);
+        Self(count.clone())
+    }
+}
+
+impl Drop for Busy {
+    fn drop(&mut self) {
+        self.0.set(self.0.get() - 1);
+    }
+}
+
 /// Reads the settings again; errors are lines that say what is wrong.
 pub type ReadSettings = Box<dyn Fn() -> Result<GatewaySettings, Vec<String>>>;
 
@@ -90,12 +106,12 @@
     /// Announcements of this gateway that stand in the store.
     pub(crate) announcements: Cell<u64>,
     /// Settlements under way.
-    pub(crate) settling: Cell<usize>,
+    pub(crate) settling: Rc<Cell<usize>>,
     pub(crate) pool: Pool,
     pub(crate) store_ways: Rc<StoreWays>,
     pub(crate) counters: Counters,
     /// Requests under way.
-    pub(crate) busy: Cell<usize>,
+    pub(crate) busy: Rc<Cell<usize>>,
     stopping_since: Cell<Option<Instant>>,
     is_ending: Cell<bool>,
     ended: event_listener::Event,
@@ -118,11 +134,11 @@
             gossip: Gossip::new(&settings.name),
             peer_links: PeerLinks::default(),
             announcements: Cell::new(0),
-            settling: Cell::new(0),
+            settling: Rc::default(),
             pool: Pool::default(),
             store_ways: Rc::new(StoreWays::new(settings.store)),
             counters: Counters::default(),
-            busy: Cell::new(0),
+            busy: Rc::default(),
             stopping_since: Cell::new(None),
             is_ending: Cell::new(false),
             ended: event_listener::Event::new(),
--- a/gateway/src/owners.rs
+++ b/gateway/src/owners.rs
@@ -103,19 +103,7 @@
     /// Whether one reaches the store does not count: it calls the store over the others, and an
     /// outage, which each notices at its own time, must not move partitions about.
     fn candidates(&self) -> Vec<Candidate> {
-        let known = self.gossip.known(Instant::now());
-        let fit = known.into_iter().filter(|one| !one.state.is_stopping);
-        let mut candidates: Vec<Candidate> = fit
-            .map(|one| Candidate {
-                name: one.name,
-                place: match one.is_heard {
-                    true => Place::There(one.address),
-                    false => Place::Awaited,
-                },
-                loaded: one.state.loaded,
-                processor_permille: one.state.processor_permille,
-            })
-            .collect();
+        let mut candidates = self.gossip.candidates(Instant::now());
         // One that is about to stop serves only where nobody else can.
         if !self.is_stopping() || candidates.is_empty() {
             candidates.push(Candidate {
--- a/gateway/src/turn_call.rs
+++ b/gateway/src/turn_call.rs
@@ -5,7 +5,7 @@
 use crate::endpoints::CallEnd;
 use crate::forward::{Exchange, Outgoing, Sent};
 use crate::ledger::{Denial, NewTurn, Reservation};
-use crate::node::Gateway;
+use crate::node::{Busy, Gateway};
 use crate::record::KeptTurn;
 use crate::reply::{Refusal, Reply};
 use crate::stream::{EventSplitter, append_data};
@@ -59,10 +59,10 @@
         let NewTurn { turn, program, .. } = self.new.clone();
         let spent_tokens = self.spent_tokens.get();
         let executor = gateway.executor.clone();
-        gateway.settling.set(gateway.settling.get() + 1);
+        let busy = Busy::new(&gateway.settling);
         let settle = async move {
             gateway.settle_turn(&turn, program, spent_tokens).await;
-            gateway.settling.set(gateway.settling.get() - 1);
+            drop(busy);
         };
         executor.spawn(settle).detach();
     }
