Run work under a time limit in one place

Change: net::in_time races, within stands on it, and all of them call it. Work is polled before the timer as before; behaviour is as it was.

--- a/gateway/src/call.rs
+++ b/gateway/src/call.rs
@@ -4,11 +4,10 @@
 use crate::endpoints::InstanceId;
 use crate::forward::{Execution, Outgoing, Sent};
 use crate::http::RequestHead;
+use crate::net::in_time;
 use crate::node::Gateway;
 use crate::reply::{Refusal, Reply, ReplyState};
 use crate::routes::{Route, RouteKind};
-use futures_lite::future;
-use smol::Timer;
 use std::cell::{Cell, RefCell};
 use std::rc::Rc;
 use std::time::{Duration, Instant};
@@ -80,13 +79,8 @@
                     self.serve_plain(call, reply).await;
                 }
             }
-            false
         };
-        let time_out = async {
-            Timer::at(call.deadline).await;
-            true
-        };
-        if future::or(work, time_out).await {
+        if in_time(call.time_left(), work).await.is_none() {
             self.time_out(call, reply).await;
         }
         let took = call.received_at.elapsed();
--- a/gateway/src/forward.rs
+++ b/gateway/src/forward.rs
@@ -7,7 +7,7 @@
 use crate::dialect::{AnswerInfo, Dialect, Dispatch};
 use crate::endpoints::{CallEnd, EndpointRecord, InstanceId, Want};
 use crate::http::{BodyDecoder, Header, ResponseHead, Wire, connection_tokens, is_hop_header};
-use crate::net::{connect, within};
+use crate::net::{connect, in_time, within};
 use crate::node::Gateway;
 use crate::reply::Refusal;
 use crate::routes::RouteKind;
@@ -259,11 +259,9 @@
         let is_written = Cell::new(false);
         let exchange = exchange::<D>(&mut wire, &request, call.id(), &is_written);
         let answered = if may_repeat && attempts_left > 0 && call.time_left() > REPEAT_AFTER * 2 {
-            let give_up = async {
-                smol::Timer::after(REPEAT_AFTER).await;
-                Err(Failure::may_have_run("the endpoint did not answer in time"))
-            };
-            future::or(exchange, give_up).await
+            let answered = in_time(REPEAT_AFTER, exchange).await;
+            let late = Failure::may_have_run("the endpoint did not answer in time");
+            answered.unwrap_or(Err(late))
         } else {
             exchange.await
         };
--- a/gateway/src/front.rs
+++ b/gateway/src/front.rs
@@ -4,11 +4,10 @@
 use crate::dialect::Dialect;
 use crate::forward::Execution;
 use crate::http::{BodyDecoder, Framing, HeadError, RequestHead, Wire, parse_request};
-use crate::net;
+use crate::net::{self, in_time};
 use crate::node::{Busy, Gateway};
 use crate::reply::{Refusal, Reply};
 use futures_lite::future;
-use smol::Timer;
 use smol::net::{TcpListener, TcpStream};
 use std::cell::{Cell, RefCell};
 use std::rc::Rc;
@@ -86,48 +85,31 @@
         }
         let idle_timeout = self.routes.borrow().limits().idle_timeout;
         let read = async { matches!(wire.fill().await, Ok(count) if count > 0) };
-        let idle = async {
-            Timer::after(idle_timeout).await;
-            false
-        };
         let ending = async {
             self.ending().await;
             false
         };
-        future::or(read, future::or(idle, ending)).await
+        let read = in_time(idle_timeout, future::or(read, ending)).await;
+        read.unwrap_or(false)
     }
 
     async fn read_request(&self, wire: &mut Wire) -> Result<Request, NoRequest> {
         let limits = self.routes.borrow().limits();
         let began_at = Instant::now();
-        let late = async {
-            Timer::after(limits.head_timeout).await;
-            Err(NoRequest::Refused(Refusal::new(
-                408,
-                "the head took too long",
-            )))
-        };
-        let head = future::or(read_head(wire, limits.head_bytes), late).await?;
+        let head = in_time(limits.head_timeout, read_head(wire, limits.head_bytes)).await;
+        let head = head.unwrap_or_else(|| Err(refused(408, "the head took too long")))?;
         if let Framing::Length(length) = head.framing
             && length > limits.body_bytes as u64
         {
-            return Err(NoRequest::Refused(Refusal::new(
-                413,
-                "the body is too long",
-            )));
+            return Err(refused(413, "the body is too long"));
         }
         if head.expects_continue && head.framing != Framing::Empty {
             let go_on = wire.write_all(b"HTTP/1.1 100 Continue\r\n\r\n").await;
             go_on.map_err(|_| NoRequest::Closed)?;
         }
-        let late = async {
-            Timer::after(BODY_TIMEOUT).await;
-            Err(NoRequest::Refused(Refusal::new(
-                408,
-                "the body took too long",
-            )))
-        };
-        let body = future::or(read_body(wire, head.framing, limits.body_bytes), late).await?;
+        let read = read_body(wire, head.framing, limits.body_bytes);
+        let body = in_time(BODY_TIMEOUT, read).await;
+        let body = body.unwrap_or_else(|| Err(refused(408, "the body took too long")))?;
         Ok(Request {
             head,
             body,
@@ -187,14 +169,18 @@
             },
             Err(HeadError::TooLarge) => return Err(too_large()),
             Err(HeadError::Malformed) => {
-                return Err(NoRequest::Refused(Refusal::new(400, "malformed request")));
+                return Err(refused(400, "malformed request"));
             }
         }
     }
 }
 
 fn too_large() -> NoRequest {
-    NoRequest::Refused(Refusal::new(431, "the head is too long"))
+    refused(431, "the head is too long")
+}
+
+fn refused(status: u16, reason: &'static str) -> NoRequest {
+    NoRequest::Refused(Refusal::new(status, reason))
 }
 
 async fn read_body(
@@ -207,15 +193,12 @@
     while !decoder.is_done() {
         match wire.read_body(&mut decoder, &mut body).await {
             Ok(()) if body.len() > limit_bytes => {
-                return Err(NoRequest::Refused(Refusal::new(
-                    413,
-                    "the body is too long",
-                )));
+                return Err(refused(413, "the body is too long"));
             }
             Ok(()) => {}
             Err(crate::http::BodyError::Truncated) => return Err(NoRequest::Closed),
             Err(crate::http::BodyError::Malformed) => {
-                return Err(NoRequest::Refused(Refusal::new(400, "malformed body")));
+                return Err(refused(400, "malformed body"));
             }
         }
     }
@@ -246,8 +229,5 @@
             wire.consume(wire.unread().len());
         }
     };
-    let enough = async {
-        Timer::after(LINGER).await;
-    };
-    future::or(read, enough).await;
+    in_time(LINGER, read).await;
 }
--- a/gateway/src/ledger.rs
+++ b/gateway/src/ledger.rs
@@ -5,16 +5,15 @@
 
 use crate::commit::Ticket;
 use crate::dialect::{Dialect, PartId, PartitionNumber};
+use crate::net::in_time;
 use crate::node::Gateway;
 use crate::partition::{Partition, partition_of};
 use crate::peers::Asked;
 use crate::record::{KeptTurn, TurnRecord, encode};
 use crate::stable_hash::stable_hash;
 use crate::turns::{Chain, WriterTag, kept_key, reservation_key};
-use futures_lite::future;
 use serde::{Deserialize, Serialize};
 use smallvec::SmallVec;
-use smol::Timer;
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
@@ -354,10 +353,7 @@
         if !health.is_lost(Instant::now()) {
             return Ok(());
         }
-        let give_up = async {
-            Timer::after(wait).await;
-        };
-        future::or(self.store_ways.regained(), give_up).await;
+        in_time(wait, self.store_ways.regained()).await;
         if health.is_lost(Instant::now()) {
             return Err(Denial::StoreLost);
         }
@@ -376,13 +372,5 @@
 }
 
 async fn within_limit(read: impl Future<Output = ()>) -> Result<(), Denial> {
-    let read = async {
-        read.await;
-        Ok(())
-    };
-    let give_up = async {
-        Timer::after(LOOKUP_LIMIT).await;
-        Err(Denial::NotRead)
-    };
-    future::or(read, give_up).await
+    in_time(LOOKUP_LIMIT, read).await.ok_or(Denial::NotRead)
 }
--- a/gateway/src/ledger_call.rs
+++ b/gateway/src/ledger_call.rs
@@ -2,13 +2,12 @@
 
 use crate::dialect::{Dialect, PartitionNumber};
 use crate::ledger::{Answer, Ask, Begun, Denial, History, NewTurn, NotBegun, Reservation};
+use crate::net::in_time;
 use crate::node::Gateway;
 use crate::partition::{PARTITIONS, partition_of};
 use crate::peers::Asked;
 use crate::record::KeptTurn;
-use futures_lite::future;
 use futures_util::future::join_all;
-use smol::Timer;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
@@ -183,12 +182,7 @@
     /// take as long here, and in an outage each gateway would load all partitions.
     async fn answer_of(&self, owner: SocketAddr, asked: &Asked) -> Option<Answer> {
         loop {
-            let look = async {
-                Timer::after(LOOK_PAUSE).await;
-                None
-            };
-            let answer = async { Some(asked.next().await) };
-            if let Some(answer) = future::or(answer, look).await {
+            if let Some(answer) = in_time(LOOK_PAUSE, asked.next()).await {
                 if answer.is_none() {
                     self.gossip.suspect(owner);
                 }
--- a/gateway/src/net.rs
+++ b/gateway/src/net.rs
@@ -35,16 +35,23 @@
     }
 }
 
+/// Runs a future for so long; past that it is dropped and there is no outcome.
+pub(crate) async fn in_time<T>(limit: Duration, work: impl Future<Output = T>) -> Option<T> {
+    let work = async { Some(work.await) };
+    let give_up = async {
+        Timer::after(limit).await;
+        None
+    };
+    future::or(work, give_up).await
+}
+
 /// Runs a future for so long; past that it is dropped and the outcome is a time-out.
 pub(crate) async fn within<T>(
     limit: Duration,
     work: impl Future<Output = io::Result<T>>,
 ) -> io::Result<T> {
-    future::or(work, async {
-        Timer::after(limit).await;
-        Err(io::ErrorKind::TimedOut.into())
-    })
-    .await
+    let outcome = in_time(limit, work).await;
+    outcome.unwrap_or_else(|| Err(io::ErrorKind::TimedOut.into()))
 }
 
 /// Opens a connection that notices a silent peer.
--- a/gateway/src/node.rs
+++ b/gateway/src/node.rs
@@ -5,13 +5,14 @@
 use crate::endpoints::Endpoints;
 use crate::events;
 use crate::gossip::Gossip;
+use crate::net::in_time;
 use crate::partition::{PARTITIONS, Partition, PartitionSet};
 use crate::peers::PeerLinks;
 use crate::pool::Pool;
 use crate::routes::Routes;
 use crate::store::{StoreLink, StoreWays};
 use async_signal::{Signal, Signals};
-use futures_lite::{StreamExt, future};
+use futures_lite::StreamExt;
 use smol::net::{TcpListener, UdpSocket};
 use smol::{LocalExecutor, Timer};
 use std::cell::{Cell, RefCell};
@@ -236,11 +237,8 @@
     ) {
         let mut known = self.settings.clone();
         loop {
-            let pause = async {
-                Timer::after(SETTINGS_PAUSE).await;
-                false
-            };
-            let was_asked = future::or(async { asked.recv().await.is_ok() }, pause).await;
+            let asked = in_time(SETTINGS_PAUSE, asked.recv()).await;
+            let was_asked = asked.is_some_and(|asked| asked.is_ok());
             match read_settings() {
                 Ok(settings) => {
                     if settings != known || was_asked {
--- a/gateway/src/partition.rs
+++ b/gateway/src/partition.rs
@@ -6,11 +6,10 @@
 
 use crate::commit::Committer;
 use crate::dialect::{Dialect, Offset, PartitionNumber, Topic};
+use crate::net::in_time;
 use crate::stable_hash::stable_hash;
 use crate::turns::TurnIndex;
-use futures_lite::future;
 use serde::{Deserialize, Serialize};
-use smol::Timer;
 use std::cell::{Cell, RefCell};
 use std::time::{Duration, Instant};
 
@@ -188,10 +187,7 @@
         if self.is_wanted.get() {
             return;
         }
-        let enough = async {
-            Timer::after(limit).await;
-        };
-        future::or(listener, enough).await;
+        in_time(limit, listener).await;
     }
 
     fn want(&self) {
--- a/gateway/src/readiness.rs
+++ b/gateway/src/readiness.rs
@@ -2,11 +2,9 @@
 
 use crate::dialect::Dialect;
 use crate::http::{Framing, Wire};
-use crate::net;
+use crate::net::{self, in_time};
 use crate::node::Gateway;
 use crate::reply::{Refusal, Reply};
-use futures_lite::future;
-use smol::Timer;
 use smol::net::{TcpListener, TcpStream};
 use std::rc::Rc;
 use std::time::Duration;
@@ -34,12 +32,7 @@
     async fn answer_probes(&self, stream: TcpStream) {
         let mut wire = Wire::new(stream);
         loop {
-            let idle = async {
-                Timer::after(IDLE_LIMIT).await;
-                None
-            };
-            let probe = async { read_probe(&mut wire).await };
-            let Some(target) = future::or(probe, idle).await else {
+            let Some(target) = in_time(IDLE_LIMIT, read_probe(&mut wire)).await.flatten() else {
                 return;
             };
             let reply = Reply::new(wire.stream(), false);
--- a/gateway/src/relay.rs
+++ b/gateway/src/relay.rs
@@ -5,10 +5,10 @@
 
 use crate::dialect::{Dialect, StoreCall, Topic};
 use crate::http::{BodyDecoder, Framing, Wire};
+use crate::net::in_time;
 use crate::node::Gateway;
 use crate::reply::Reply;
 use crate::store::StoreLink;
-use futures_lite::future;
 use smol::Timer;
 use std::rc::Rc;
 use std::time::Duration;
@@ -36,11 +36,7 @@
     pub(crate) async fn relay_calls(&self, mut wire: Wire) {
         let mut link = StoreLink::direct(self.store_ways.clone());
         loop {
-            let idle = async {
-                Timer::after(IDLE_LIMIT).await;
-                None
-            };
-            let Some(call) = future::or(read_call(&mut wire), idle).await else {
+            let Some(call) = in_time(IDLE_LIMIT, read_call(&mut wire)).await.flatten() else {
                 return;
             };
             // Without an answer of the store there is none to give: the other gateway tries
--- a/gateway/src/turn_call.rs
+++ b/gateway/src/turn_call.rs
@@ -5,12 +5,11 @@
 use crate::endpoints::CallEnd;
 use crate::forward::{Exchange, Outgoing, Sent};
 use crate::ledger::{Denial, NewTurn, Reservation};
+use crate::net::in_time;
 use crate::node::{Busy, Gateway};
 use crate::record::KeptTurn;
 use crate::reply::{Refusal, Reply};
 use crate::stream::{EventSplitter, append_data};
-use futures_lite::future;
-use smol::Timer;
 use std::cell::{Cell, OnceCell};
 use std::rc::Rc;
 use std::time::Duration;
@@ -163,12 +162,7 @@
             self.remember_prompt(endpoint, &begun.history.prompt_parts);
         }
         if !begun.is_ample {
-            let give_up = async {
-                Timer::after(RESERVATION_LIMIT).await;
-                None
-            };
-            let holds = future::or(async { Some(reserved.holds().await) }, give_up).await;
-            match holds {
+            match in_time(RESERVATION_LIMIT, reserved.holds()).await {
                 Some(true) => {}
                 Some(false) => return Err(refusal(call, Denial::Spent)),
                 None => return Err(refusal(call, Denial::NotRead)),
