Make the turn that follows a branch's last one in one place

Cause (reading the change again): turns of engines and those that carry an action's outcome were put together field by field in two places, seven of eleven fields alike.

Change: next_turn serves both. Behaviour is as it was.

--- a/src/entry/owner/action.rs
+++ b/src/entry/owner/action.rs
@@ -9,12 +9,13 @@
 use crate::entry::owner::lookup::is_log_down;
 use crate::entry::owner::program::{AnswerEnd, Owned};
 use crate::entry::owner::tool::{ToolCall, tool_message, tool_sending, tool_spent};
+use crate::entry::owner::turn::next_turn;
 use crate::ids::{EndpointId, Incarnation, Offset};
 use crate::protocol::engine::EngineUsage;
 use crate::protocol::link::{ActionState, Answer, Durability, Invoke, Once, Work};
 use crate::protocol::log::Log;
 use crate::protocol::message::Usage;
-use crate::protocol::record::{ActionResult, Intent, Outcome, Turn};
+use crate::protocol::record::{ActionResult, Intent, Outcome};
 use crate::protocol::refusal::{Ran, Refusal, RefusalCode};
 use futures_lite::FutureExt;
 use smol::Timer;
@@ -197,19 +198,17 @@
         };
         let mut entries = vec![outcome.into()];
         if let ActionResult::Done(reply) = &settled.result {
-            let turn = Turn {
-                program: owned.live.id,
-                member: owned.live.member.clone(),
-                branch: job.call.branch,
-                number: tail.number + 1,
-                previous: tail.hash,
-                call: job.call.call,
-                key: job.call.key.clone(),
-                messages: vec![tool_message(reply)],
-                spent: Usage::default(),
-                reserved: owned.live.reserve_ahead(tail.tokens),
-                endpoint: endpoint.clone(),
-            };
+            let messages = vec![tool_message(reply)];
+            let spent = Usage::default();
+            let turn = next_turn(
+                owned,
+                tail,
+                job,
+                messages,
+                spent,
+                tail.tokens,
+                endpoint.clone(),
+            );
             tail.add(&turn, tail.tokens + token_bound(&turn.messages));
             entries.push(turn.into());
         }
--- a/src/entry/owner/turn.rs
+++ b/src/entry/owner/turn.rs
@@ -7,9 +7,10 @@
 use crate::entry::owner::lookup::last_content;
 use crate::entry::owner::model::Product;
 use crate::entry::owner::program::{AnswerEnd, Owned};
-use crate::ids::{CallId, NodeId, Offset};
+use crate::ids::{CallId, EndpointId, NodeId, Offset};
 use crate::protocol::link::{Answer, Durability};
 use crate::protocol::log::Log;
+use crate::protocol::message::{Message, Usage};
 use crate::protocol::record::Turn;
 use crate::protocol::refusal::{Refusal, RefusalCode};
 use crate::state::receipt::ReceiptKey;
@@ -28,8 +29,15 @@
         job: &CallJob,
         product: Product,
     ) -> AnswerEnd {
-        let turn = self.make_turn(owned, tail, job, &product);
-        let turn = Arc::new(turn);
+        let turn = Arc::new(next_turn(
+            owned,
+            tail,
+            job,
+            product.messages,
+            product.spent,
+            product.branch_tokens,
+            product.endpoint,
+        ));
         let commit = owned.handle.push(vec![Turn::clone(&turn).into()]);
         let commit = commit.map_err(|error| refuse_commit(&error))?;
         owned.live.add_pending(turn.clone());
@@ -46,22 +54,6 @@
         })
     }
 
-    fn make_turn(&self, owned: &Owned<L>, tail: &Tail, job: &CallJob, product: &Product) -> Turn {
-        Turn {
-            program: owned.live.id,
-            member: owned.live.member.clone(),
-            branch: job.call.branch,
-            number: tail.number + 1,
-            previous: tail.hash,
-            call: job.call.call,
-            key: job.call.key.clone(),
-            messages: product.messages.clone(),
-            spent: product.spent,
-            reserved: owned.live.reserve_ahead(product.branch_tokens),
-            endpoint: product.endpoint.clone(),
-        }
-    }
-
     /// Waits for a turn's commit, or answers it as pending when the log does not take it.
     async fn await_turn(
         &self,
@@ -157,3 +149,28 @@
     let message = "The partition changed its owner; read the call again.";
     Refusal::unknown(RefusalCode::NoOwner, message).retry_after_ms(LOG_RETRY_MS)
 }
+
+/// Makes the turn that follows the last one of a call's branch, which then has so many tokens.
+pub(super) fn next_turn<L: Log>(
+    owned: &Owned<L>,
+    tail: &Tail,
+    job: &CallJob,
+    messages: Vec<Message>,
+    spent: Usage,
+    branch_tokens: u64,
+    endpoint: EndpointId,
+) -> Turn {
+    Turn {
+        program: owned.live.id,
+        member: owned.live.member.clone(),
+        branch: job.call.branch,
+        number: tail.number + 1,
+        previous: tail.hash,
+        call: job.call.call,
+        key: job.call.key.clone(),
+        messages,
+        spent,
+        reserved: owned.live.reserve_ahead(branch_tokens),
+        endpoint,
+    }
+}
