Log the framing of an endpoint's answer and where its stream ended

Change: answered names the framing of the endpoint's answer; every stream that is forwarded logs stream_ended or stream_broken with the number of its events and the bytes after the last whole event; the reason of a broken one tells a malformed body, an orderly end of the connection and a failed connection apart. No decision changes.

--- a/gateway/src/call.rs
+++ b/gateway/src/call.rs
@@ -3,7 +3,7 @@
 use crate::dialect::{CallInfo, Dialect};
 use crate::endpoints::InstanceId;
 use crate::forward::{EndpointAnswer, Execution, OutgoingRequest};
-use crate::http::RequestHead;
+use crate::http::{Framing, RequestHead};
 use crate::net::with_timeout;
 use crate::node::Gateway;
 use crate::reply::{Refusal, Reply, ReplyState};
@@ -32,6 +32,8 @@
     pub(crate) sent_at: Cell<Option<Instant>>,
     /// When the head of the answer arrived.
     pub(crate) answered_at: Cell<Option<Instant>>,
+    /// Framing of the endpoint's answer.
+    pub(crate) framing: Cell<Option<Framing>>,
 }
 
 impl Call {
@@ -50,6 +52,7 @@
             "route" => self.route.name.as_str(), "kind" => self.route.kind.to_string(),
             "endpoint" => self.endpoint.borrow().as_deref().unwrap_or_default(),
             "status" => reply.status(), "reply" => reply.state().to_string(),
+            "framing" => self.framing.get().map_or_else(String::new, |framing| framing.to_string()),
             "sent_ms" => since(self.sent_at.get()), "first_ms" => since(self.answered_at.get()),
             "took_ms" => self.received_at.elapsed().as_millis());
     }
--- a/gateway/src/forward.rs
+++ b/gateway/src/forward.rs
@@ -7,7 +7,7 @@
 use crate::dialect::{AnswerInfo, Dialect, Dispatch};
 use crate::endpoints::{CallOutcome, EndpointRecord, EndpointRequirements, InstanceId};
 use crate::http::{
-    BodyDecoder, Connection, Header, ResponseHead, connection_tokens, is_hop_header,
+    BodyDecoder, BodyError, Connection, Header, ResponseHead, connection_tokens, is_hop_header,
 };
 use crate::net::{connect, io_with_timeout, with_timeout};
 use crate::node::Gateway;
@@ -140,10 +140,14 @@
     /// Appends the next bytes of the body to `out` and returns whether the body is complete.
     pub(crate) async fn read(&mut self, out: &mut Vec<u8>) -> Result<bool, Failure> {
         let read = self.connection.read_body(&mut self.decoder, out).await;
-        if read.is_err() {
+        read.map_err(|error| {
             self.guard.outcome.set(CallOutcome::Failed);
-            return Err(Failure::may_have_run("the endpoint broke off its answer"));
-        }
+            Failure::may_have_run(match error {
+                BodyError::Malformed => "the endpoint's answer is malformed",
+                BodyError::Truncated => "the endpoint broke off its answer",
+                BodyError::ConnectionFailed => "the connection broke during the answer",
+            })
+        })?;
         Ok(self.decoder.is_done())
     }
 
@@ -289,6 +293,7 @@
             (failure, true)
         })?;
         call.answered_at.set(Some(Instant::now()));
+        call.framing.set(Some(head.framing));
         let mut exchange = Exchange {
             decoder: BodyDecoder::new(head.framing),
             head,
--- a/gateway/src/front.rs
+++ b/gateway/src/front.rs
@@ -3,7 +3,9 @@
 use crate::call::Call;
 use crate::dialect::Dialect;
 use crate::forward::Execution;
-use crate::http::{BodyDecoder, Connection, Framing, HeadError, RequestHead, parse_request};
+use crate::http::{
+    BodyDecoder, BodyError, Connection, Framing, HeadError, RequestHead, parse_request,
+};
 use crate::net::{self, with_timeout};
 use crate::node::{Gateway, InFlightGuard};
 use crate::reply::{Refusal, Reply};
@@ -151,6 +153,7 @@
             endpoint: RefCell::default(),
             sent_at: Cell::new(None),
             answered_at: Cell::new(None),
+            framing: Cell::new(None),
             info,
             route,
         };
@@ -210,8 +213,10 @@
                 return Err(refused(413, "the body is too long"));
             }
             Ok(()) => {}
-            Err(crate::http::BodyError::Truncated) => return Err(ReadFailure::Closed),
-            Err(crate::http::BodyError::Malformed) => {
+            Err(BodyError::Truncated | BodyError::ConnectionFailed) => {
+                return Err(ReadFailure::Closed);
+            }
+            Err(BodyError::Malformed) => {
                 return Err(refused(400, "malformed body"));
             }
         }
--- a/gateway/src/http/body.rs
+++ b/gateway/src/http/body.rs
@@ -16,6 +16,8 @@
     Malformed,
     /// The connection ended before the body was complete.
     Truncated,
+    /// The connection failed before the body was complete.
+    ConnectionFailed,
 }
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
--- a/gateway/src/http/connection.rs
+++ b/gateway/src/http/connection.rs
@@ -124,7 +124,7 @@
             match self.fill().await {
                 Ok(0) => return decoder.end(),
                 Ok(_) => {}
-                Err(_) => return Err(BodyError::Truncated),
+                Err(_) => return Err(BodyError::ConnectionFailed),
             }
         }
     }
--- a/gateway/src/http/head.rs
+++ b/gateway/src/http/head.rs
@@ -22,7 +22,8 @@
 }
 
 /// Method by which the end of a body is found.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, strum::Display)]
+#[strum(serialize_all = "kebab-case")]
 pub(crate) enum Framing {
     /// There is no body.
     Empty,
--- a/gateway/src/stream.rs
+++ b/gateway/src/stream.rs
@@ -31,10 +31,9 @@
         Some(std::mem::replace(&mut self.pending, rest))
     }
 
-    /// Removes and returns the bytes after the last complete event.
-    pub(crate) fn rest(&mut self) -> Vec<u8> {
-        self.scan_start = 0;
-        std::mem::take(&mut self.pending)
+    /// Returns the bytes after the last complete event.
+    pub(crate) fn rest(&self) -> &[u8] {
+        &self.pending
     }
 }
 
--- a/gateway/src/stream/tests.rs
+++ b/gateway/src/stream/tests.rs
@@ -15,7 +15,7 @@
         }
         let expected = [&b"id: 1\ndata: a\n\n"[..], b"id: 2\r\ndata: b\r\n\r\n"];
         expect_that!(events, eq(&expected), "{size}");
-        expect_that!(splitter.rest(), eq(b"id: 3"));
+        expect_that!(splitter.rest(), eq(&b"id: 3"[..]));
     }
 }
 
--- a/gateway/src/turn_call.rs
+++ b/gateway/src/turn_call.rs
@@ -110,6 +110,15 @@
     }
 }
 
+/// What has been read of a stream.
+struct StreamProgress {
+    splitter: EventSplitter,
+    /// Input of the turn and the data of its events so far.
+    text: Vec<u8>,
+    /// Number of complete events with data.
+    event_count: u64,
+}
+
 impl<D: Dialect> Gateway<D> {
     /// Serves a request that is answered with a stream.
     pub(crate) async fn serve_stream(self: &Rc<Self>, call: &Call, reply: &Reply) {
@@ -209,17 +218,28 @@
         if head_written.is_err() {
             return;
         }
-        let mut text = call.body.clone();
-        let forwarded = self.forward_events(reply, &mut exchange, prepared, service, &mut text);
-        if let Err(reason) = forwarded.await {
-            crate::event!("stream_broken", "request" => call.id(),
-                "endpoint" => &*exchange.endpoint, "reason" => reason);
+        let mut progress = StreamProgress {
+            splitter: EventSplitter::default(),
+            text: call.body.clone(),
+            event_count: 0,
+        };
+        let forwarded = self.forward_events(reply, &mut exchange, prepared, service, &mut progress);
+        let forwarded = forwarded.await;
+        let (event, reason) = match forwarded {
+            Ok(()) => ("stream_ended", ""),
+            Err(reason) => ("stream_broken", reason),
+        };
+        crate::event!(event, "request" => call.id(), "endpoint" => &*exchange.endpoint,
+            "reason" => reason, "events" => progress.event_count,
+            "partial_bytes" => progress.splitter.rest().len());
+        if forwarded.is_err() {
             return reply.abort();
         }
         let endpoint = exchange.endpoint.clone();
         exchange.finish(CallOutcome::Answered);
         if let Some(reserved) = &prepared.reserved {
-            self.complete(call, reserved, &endpoint, text).await;
+            self.complete(call, reserved, &endpoint, progress.text)
+                .await;
         }
         // A closed client connection is visible in the reply's state.
         let _ = reply.finish().await;
@@ -231,10 +251,14 @@
         exchange: &mut Exchange<D>,
         prepared: &PreparedTurn<D>,
         service: &str,
-        text: &mut Vec<u8>,
+        progress: &mut StreamProgress,
     ) -> Result<(), &'static str> {
         let tokens_per_event = self.tokens_per_event(service);
-        let mut splitter = EventSplitter::default();
+        let StreamProgress {
+            splitter,
+            text,
+            event_count,
+        } = progress;
         let mut bytes = Vec::new();
         loop {
             let has_ended = exchange.read(&mut bytes).await;
@@ -247,10 +271,11 @@
                 count += u64::from(append_data(&event, text));
                 events.extend_from_slice(&event);
             }
+            *event_count += count;
             if has_ended {
                 let rest = splitter.rest();
-                count += u64::from(append_data(&rest, text));
-                events.extend_from_slice(&rest);
+                count += u64::from(append_data(rest, text));
+                events.extend_from_slice(rest);
             }
             if let Some(reserved) = &prepared.reserved {
                 let spent = reserved.spent_tokens.get() + count * tokens_per_event;
