Recognise events whose lines end with a bare carriage return

Callers of an engine that ends its lines so got no event before the end of the stream, and the turn's history lost its text: event_end knew LF and CRLF only, and the data of an event was split at LF. The format allows all three line ends.

events_may_end_with_bare_carriage_returns failed before (no event, all bytes left over) and passes now; the other tests of the splitter are unchanged and pass.

--- a/gateway/src/stream.rs
+++ b/gateway/src/stream.rs
@@ -40,7 +40,7 @@
 /// Returns the end of an event if the line that ends at `at` is followed by an empty line.
 fn event_end(bytes: &[u8], at: usize) -> Option<usize> {
     let tail = &bytes[at..];
-    if tail.starts_with(b"\n\n") {
+    if tail.starts_with(b"\n\n") || tail.starts_with(b"\r\r") {
         Some(at + 2)
     } else if tail.starts_with(b"\n\r\n") {
         Some(at + 3)
@@ -49,11 +49,14 @@
     }
 }
 
+fn is_line_end(byte: u8) -> bool {
+    matches!(byte, b'\n' | b'\r')
+}
+
 /// Appends the data of an event and a line feed to a turn's text; returns whether it had any data.
 pub(crate) fn append_data(event: &[u8], text: &mut Vec<u8>) -> bool {
-    let lines = event.split(|byte| *byte == b'\n');
+    let lines = event.split(|byte| is_line_end(*byte));
     let data = lines.filter_map(|line| {
-        let line = line.strip_suffix(b"\r").unwrap_or(line);
         let value = line.strip_prefix(b"data:")?;
         Some(value.strip_prefix(b" ").unwrap_or(value))
     });
--- a/gateway/src/stream/tests.rs
+++ b/gateway/src/stream/tests.rs
@@ -19,6 +19,20 @@
     }
 }
 
+// Guards against events of an engine that ends its lines with a bare carriage return being held
+// until the end of the stream and stored as one line.
+#[googletest::test]
+fn events_may_end_with_bare_carriage_returns() {
+    let mut splitter = EventSplitter::default();
+    splitter.push(b"id: 1\rdata: a\r\rid: 2\rdata: b\r\r");
+    let mut text = Vec::new();
+    while let Some(event) = splitter.next_event() {
+        append_data(&event, &mut text);
+    }
+    expect_that!(text, eq(b"a\nb\n"));
+    expect_that!(splitter.rest(), is_empty());
+}
+
 #[googletest::test]
 fn data_of_each_event_is_appended_with_a_line_feed() {
     let mut text = b"input".to_vec();
