Break a reply off whose stream ended inside an event

Cause: the end of a stream was known by the framing alone. Where an answer has neither a length nor chunks, a connection that is closed in the middle counts as the end of the body; what was left after the last whole event was then forwarded, counted and stored like an event, and the gateway wrote its own last chunk. The class of fault: the end of the transport was taken for the end of the message.

Every cut inside an event, unframed or in whole chunks, reached the client as complete.

Change: the splitter judges the end of a stream. One that ends inside an event is broken off in any framing, one without a framing also when it gave no event with data. The reply is aborted, the remainder is neither forwarded nor counted nor stored, the endpoint's call counts as failed and its connection is not used again. Whole events that arrived with the cut are still forwarded.

Why it works: a client gets the last chunk only after the bytes themselves show an event's end. Not covered: a stream without framing that is cut exactly between two events; nothing on the wire tells it from a whole one.

--- a/gateway/src/forward.rs
+++ b/gateway/src/forward.rs
@@ -141,7 +141,7 @@
     pub(crate) async fn read(&mut self, out: &mut Vec<u8>) -> Result<bool, Failure> {
         let read = self.connection.read_body(&mut self.decoder, out).await;
         read.map_err(|error| {
-            self.guard.outcome.set(CallOutcome::Failed);
+            self.record_failure();
             Failure::may_have_run(match error {
                 BodyError::Malformed => "the endpoint's answer is malformed",
                 BodyError::Truncated => "the endpoint broke off its answer",
@@ -151,6 +151,11 @@
         Ok(self.decoder.is_done())
     }
 
+    /// Records that the endpoint failed to send a complete answer.
+    pub(crate) fn record_failure(&self) {
+        self.guard.outcome.set(CallOutcome::Failed);
+    }
+
     /// Reads the rest of the body.
     pub(crate) async fn read_all(&mut self) -> Result<Vec<u8>, Failure> {
         let mut body = Vec::new();
--- a/gateway/src/stream.rs
+++ b/gateway/src/stream.rs
@@ -3,6 +3,8 @@
 #[cfg(test)]
 mod tests;
 
+use crate::http::Framing;
+
 /// Buffers the bytes of a stream and returns complete events.
 #[derive(Debug, Default)]
 pub(crate) struct EventSplitter {
@@ -31,6 +33,25 @@
         Some(std::mem::replace(&mut self.pending, rest))
     }
 
+    /// Checks whether a stream whose body has ended is complete; an error contains the reason why it
+    /// is not.
+    ///
+    /// A body that ended as its framing requires is not enough: the endpoint may have stopped inside
+    /// an event, and without a length or chunks a lost connection looks like the end.
+    pub(crate) fn check_end(
+        &self,
+        framing: Framing,
+        has_data_events: bool,
+    ) -> Result<(), &'static str> {
+        if !self.pending.iter().copied().all(is_line_end) {
+            return Err("the stream ended inside an event");
+        }
+        if framing == Framing::UntilClose && !has_data_events {
+            return Err("the connection ended before the first event");
+        }
+        Ok(())
+    }
+
     /// Returns the bytes after the last complete event.
     pub(crate) fn rest(&self) -> &[u8] {
         &self.pending
--- a/gateway/src/stream/tests.rs
+++ b/gateway/src/stream/tests.rs
@@ -1,4 +1,5 @@
 use super::{EventSplitter, append_data};
+use crate::http::Framing;
 use googletest::prelude::*;
 
 #[googletest::test]
@@ -44,3 +45,64 @@
     expect_that!(append_data(b": a comment\n\n", &mut text), eq(false));
     expect_that!(text, eq(b"inputa b\nc\nd\n"));
 }
+
+/// Returns whether a stream of these bytes that has ended counts as complete.
+fn is_complete(bytes: &[u8], framing: Framing) -> bool {
+    let mut splitter = EventSplitter::default();
+    splitter.push(bytes);
+    let mut has_data_events = false;
+    while let Some(event) = splitter.next_event() {
+        has_data_events |= append_data(&event, &mut Vec::new());
+    }
+    splitter.check_end(framing, has_data_events).is_ok()
+}
+
+// Guards against a stream that was broken off counting as complete because its body ended properly.
+#[googletest::test]
+fn a_stream_that_ends_inside_an_event_is_incomplete_in_any_framing() {
+    let complete = [
+        &b"id: 1\ndata: a\n\n"[..],
+        b"id: 1\r\ndata: a\r\n\r\n",
+        b"id: 1\rdata: a\r\r",
+        b"data: a\n\n\n",
+        b"data: a\n\n: a comment\n\n",
+    ];
+    let cut = [
+        &b"data: a\n\nid: 2"[..],
+        b"data: a\n\nid: 2\ndata: b",
+        b"data: a\n\nid: 2\ndata: b\n",
+        b"data: a\r\n\r\ndata: b\r\n",
+        b"d",
+    ];
+    for framing in [Framing::Chunked, Framing::Length(30), Framing::UntilClose] {
+        for bytes in complete {
+            expect_that!(
+                is_complete(bytes, framing),
+                eq(true),
+                "{framing}, {bytes:?}"
+            );
+        }
+        for bytes in cut {
+            expect_that!(
+                is_complete(bytes, framing),
+                eq(false),
+                "{framing}, {bytes:?}"
+            );
+        }
+    }
+}
+
+// Guards against an unframed stream without any answer counting as complete.
+#[googletest::test]
+fn a_stream_without_events_is_complete_only_if_it_is_framed() {
+    for framing in [Framing::Chunked, Framing::Empty] {
+        expect_that!(is_complete(b"", framing), eq(true), "{framing}");
+    }
+    for bytes in [&b""[..], b"\n", b": a comment\n\n"] {
+        expect_that!(
+            is_complete(bytes, Framing::UntilClose),
+            eq(false),
+            "{bytes:?}"
+        );
+    }
+}
--- a/gateway/src/turn_call.rs
+++ b/gateway/src/turn_call.rs
@@ -272,10 +272,10 @@
                 events.extend_from_slice(&event);
             }
             *event_count += count;
-            if has_ended {
-                let rest = splitter.rest();
-                count += u64::from(append_data(rest, text));
-                events.extend_from_slice(rest);
+            let framing = exchange.head.framing;
+            let checked_end = has_ended.then(|| splitter.check_end(framing, *event_count > 0));
+            if checked_end == Some(Ok(())) {
+                events.extend_from_slice(splitter.rest());
             }
             if let Some(reserved) = &prepared.reserved {
                 let spent = reserved.spent_tokens.get() + count * tokens_per_event;
@@ -283,8 +283,8 @@
             }
             let written = reply.write_chunk(&events).await;
             written.map_err(|_| "the client closed the connection")?;
-            if has_ended {
-                return Ok(());
+            if let Some(checked_end) = checked_end {
+                return checked_end.inspect_err(|_| exchange.record_failure());
             }
         }
     }
