Test that truncated answers are errors in the sidecar's and callers' clients

No fault was found: HttpService gives an unknown outcome for a body that is shorter than its length or chunks, or whose connection is reset; HttpEngine needs the [DONE] event and the client library the done event or a whole JSON document, so the end of a connection is never taken for the end of an answer there. Links carry whole websocket messages, gateways' links frames with a length.

--- a/src/client/tests.rs
+++ b/src/client/tests.rs
@@ -1,7 +1,7 @@
 //! Tests of the event parser, the collector and the retries.
 
 use super::sse::SseParser;
-use super::{CallError, Client, Collector, RetryDeadline, StreamFault, Timeouts};
+use super::{CallError, Client, Collector, RetryDeadline, StreamEvent, StreamFault, Timeouts};
 use crate::protocol::caller::{CallRequest, ProgramRequest};
 use crate::protocol::engine::EngineUsage;
 use crate::protocol::link::{Answer, Durability, Tokens};
@@ -197,6 +197,35 @@
     expect_that!(outcome.result.unwrap().content, eq("a b"));
 }
 
+// Guards against an answer that was broken off being returned as the whole answer. Without a length
+// or chunks only the last event, or the end of the document, shows the end.
+#[gtest]
+fn a_truncated_answer_is_an_error() {
+    let stream = "event: tokens\ndata: {\"index\":0,\"count\":1,\"text\":\"a\"}\n\n\
+                  event: done\ndata: {\"call\":\"00000000000000000000000000000001\"";
+    let unframed = |body: &str| format!("HTTP/1.1 200 OK\r\nconnection: close\r\n\r\n{body}");
+    for length in (0..=stream.len()).step_by(5) {
+        let read = with_answers(vec![events(&stream[..length])], async |client| {
+            let request = CallRequest::model("m", Vec::new(), 4);
+            let mut stream = client.stream(1, &request).await.unwrap();
+            loop {
+                match stream.next().await {
+                    Some(Ok(StreamEvent::Done(_))) => break true,
+                    Some(Ok(_)) => {}
+                    Some(Err(_)) | None => break false,
+                }
+            }
+        });
+        expect_that!(read, eq(false), "{length} bytes");
+    }
+    for length in (0..PROGRAM.len()).step_by(9) {
+        let created = with_answers(vec![unframed(&PROGRAM[..length])], async |client| {
+            client.create(&ProgramRequest::default()).await
+        });
+        expect_that!(created, err(anything()), "{length} bytes");
+    }
+}
+
 #[gtest]
 fn does_not_retry_a_broken_call_without_a_key() {
     let outcome = with_answers(vec![String::new()], async |client| {
