Send nothing new to an endpoint that states in an answer that it leaves

A gateway learned of it from the store alone, so callers were sent to a server that was about to end while the store was silent, slow or still called it ready.

Every head that arrives from an endpoint is looked at, whatever becomes of it: answers, refusals, tries that are retried, heads of streams at once, stray answers. The mark belongs to the lifetime (id and start time): it outlives its entry in the list, and only an entry of a later lifetime ends it. Answers that may come from another lifetime (421, answers to other requests) count only for the lifetime that they name.

Every way to an endpoint leads through Endpoints::choose, called by Gateway::choose, called by send, which serves first tries, retries and the choice by held prompts (the affinity of sessions and chains) of plain requests and turns. There are no hedges, resumed streams, pins, orders, moves or health checks in the gateway. Turns that wait for history or a reservation choose after the wait; a request whose connection was being opened is checked again before its first byte. Idle connections to a leaving endpoint are closed, none is put back. What was sent is let finish.

While the list of endpoints has not been read, the short delay stays.

Event endpoint_leaving (lifetime, request, what the list said and its age), counter galenapick_endpoints_leaving_total.

--- a/gateway/src/call.rs
+++ b/gateway/src/call.rs
@@ -15,6 +15,14 @@
 /// `Retry-After` delay while the gateway has no configuration yet.
 const STARTUP_RETRY_AFTER: Duration = Duration::from_millis(300);
 
+/// Fraction of the client's remaining time after which it should retry a request that cannot be
+/// served during an outage. Outages last seconds, and clients wait no longer than a third of their
+/// time.
+const OUTAGE_RETRY_SHARE: f64 = 0.33;
+
+/// Fraction of that retry delay over which clients' retries are spread.
+const OUTAGE_RETRY_SPREAD: f64 = 0.25;
+
 /// A client's request with its route and progress.
 pub(crate) struct Call {
     pub(crate) head: RequestHead,
@@ -42,6 +50,13 @@
         self.deadline.saturating_duration_since(Instant::now())
     }
 
+    /// Returns the refusal of a request that has not run and cannot be served soon.
+    pub(crate) fn refuse_during_outage(&self, reason: &'static str) -> Refusal {
+        let spread_factor = 1.0 - OUTAGE_RETRY_SPREAD * fastrand::f64();
+        let retry_after = self.time_left().mul_f64(OUTAGE_RETRY_SHARE * spread_factor);
+        Refusal::retry_later(retry_after, reason)
+    }
+
     /// Logs the outcome with its timings.
     fn log_answer(&self, reply: &Reply) {
         let since = |at: Option<Instant>| {
@@ -128,7 +143,7 @@
             Ok(EndpointAnswer::Stream(_)) => {
                 reply.refuse(&Refusal::new(502, "unexpected stream")).await
             }
-            Err(failure) => reply.refuse(&failure.refusal()).await,
+            Err(failure) => reply.refuse(&failure.refusal(call)).await,
         }
     }
 }
--- a/gateway/src/counters.rs
+++ b/gateway/src/counters.rs
@@ -4,7 +4,7 @@
 mod tests;
 
 use crate::routes::RouteKind;
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
 use std::fmt::Write;
 use std::time::Duration;
@@ -34,6 +34,7 @@
 pub(crate) struct Counters {
     answers: RefCell<BTreeMap<(String, u16), u64>>,
     times: RefCell<BTreeMap<String, Histogram>>,
+    endpoints_leaving: Cell<u64>,
 }
 
 impl Counters {
@@ -52,6 +53,11 @@
             .add(duration);
     }
 
+    /// Counts an endpoint that stated that it is leaving.
+    pub(crate) fn record_leaving_endpoint(&self) {
+        self.endpoints_leaving.set(self.endpoints_leaving.get() + 1);
+    }
+
     /// Renders all counters and the given gauges in the Prometheus text format.
     pub(crate) fn render(&self, gauges: &[(&str, u64)]) -> String {
         let mut text = String::new();
@@ -77,6 +83,8 @@
             write_metric(&mut text, "answer_ms_sum", &labels, histogram.sum_ms);
             write_metric(&mut text, "answer_ms_count", &labels, total);
         }
+        let endpoints_leaving = self.endpoints_leaving.get();
+        write_metric(&mut text, "endpoints_leaving_total", "", endpoints_leaving);
         for (name, value) in gauges {
             write_metric(&mut text, name, "", *value);
         }
--- a/gateway/src/dialect.rs
+++ b/gateway/src/dialect.rs
@@ -46,6 +46,11 @@
     pub has_not_run: bool,
     /// Load of the endpoint.
     pub load: Option<ReportedLoad>,
+    /// Whether the endpoint states that it is leaving. The statement holds for the lifetime that
+    /// sent the answer.
+    pub is_leaving: bool,
+    /// Id of the endpoint that sent the answer, if the answer names it.
+    pub instance: Option<String>,
 }
 
 /// Values that the gateway adds to a request to an endpoint.
--- a/gateway/src/endpoints.rs
+++ b/gateway/src/endpoints.rs
@@ -8,11 +8,13 @@
 mod tests;
 
 mod cost;
+mod leaving;
 mod memory;
 
 use crate::dialect::PartId;
 use crate::stable_hash::stable_hash;
 use cost::{EndpointLoad, engine_cost_ms, service_cost_ms};
+use leaving::LeavingInstances;
 use memory::PromptCache;
 use std::collections::HashMap;
 use std::net::SocketAddr;
@@ -114,6 +116,8 @@
 struct Endpoint {
     record: EndpointRecord,
     tag: InstanceTag,
+    /// Whether this lifetime stated in an answer that it is leaving, whatever its entry says.
+    is_leaving: bool,
     /// Calls of this gateway in flight.
     local_calls: u32,
     /// Moving average of its call durations, in ms.
@@ -124,6 +128,12 @@
     prompt_cache: PromptCache,
 }
 
+impl Endpoint {
+    fn takes_calls(&self) -> bool {
+        !self.record.is_draining && !self.is_leaving
+    }
+}
+
 /// Hash of an instance id, used in exchanged counts. A collision only adds two endpoints' counts
 /// together.
 pub(crate) type InstanceTag = u32;
@@ -144,6 +154,7 @@
 #[derive(Debug, Default)]
 pub struct Endpoints {
     endpoints: HashMap<InstanceId, Endpoint>,
+    leaving: LeavingInstances,
     /// Moving average of call durations by service, in ms.
     service_average_ms: HashMap<Rc<str>, f64>,
     peer_counts: HashMap<String, PeerCounts>,
@@ -157,6 +168,7 @@
     ///
     /// A new incarnation or a new address resets all that is known of the endpoint.
     pub fn upsert(&mut self, record: EndpointRecord) -> bool {
+        let is_leaving = self.leaving.check_entry(&record);
         if let Some(existing) = self.endpoints.get_mut(&record.id) {
             let is_new_incarnation = existing.record.started_unix_ms != record.started_unix_ms;
             if !is_new_incarnation && existing.record.address == record.address {
@@ -167,6 +179,7 @@
         }
         let endpoint = Endpoint {
             tag: instance_tag(&record.id),
+            is_leaving,
             local_calls: 0,
             average_call_ms: None,
             consecutive_failures: 0,
@@ -183,6 +196,40 @@
         self.endpoints.remove(id).is_some()
     }
 
+    /// Marks a lifetime of an endpoint as leaving, so that it is not chosen any more, and returns
+    /// whether it was not marked before. A lifetime that is known to have ended is not marked.
+    ///
+    /// Only the end of the lifetime ends the mark: entries may be old, or say nothing of it.
+    pub fn mark_leaving(
+        &mut self,
+        now: Instant,
+        id: &InstanceId,
+        started_unix_ms: Option<u64>,
+    ) -> bool {
+        let endpoint = self.endpoints.get_mut(id);
+        let current_start = endpoint
+            .as_ref()
+            .and_then(|endpoint| endpoint.record.started_unix_ms);
+        if current_start > started_unix_ms && started_unix_ms.is_some() {
+            return false;
+        }
+        if let Some(endpoint) = endpoint {
+            endpoint.is_leaving = true;
+        }
+        self.leaving.insert(now, id, started_unix_ms)
+    }
+
+    /// Returns whether an endpoint is known and takes new calls.
+    pub fn takes_calls(&self, id: &str) -> bool {
+        self.endpoints.get(id).is_some_and(Endpoint::takes_calls)
+    }
+
+    /// Returns whether any endpoint of a service takes new calls.
+    pub fn has_endpoint(&self, service: &str) -> bool {
+        let mut endpoints = self.endpoints.values();
+        endpoints.any(|endpoint| *endpoint.record.service == *service && endpoint.takes_calls())
+    }
+
     /// Returns the ids of all known endpoints, in no particular order.
     pub fn ids(&self) -> Vec<InstanceId> {
         self.endpoints.keys().cloned().collect()
@@ -206,7 +253,7 @@
         let usable = self.endpoints.values().filter(|endpoint| {
             let record = &endpoint.record;
             *record.service == *requirements.service
-                && !record.is_draining
+                && endpoint.takes_calls()
                 && !requirements.exclude.contains(&record.id)
         });
         let rank = |endpoint: &&Endpoint, rng: &mut fastrand::Rng| {
--- a/gateway/src/endpoints/tests.rs
+++ b/gateway/src/endpoints/tests.rs
@@ -202,3 +202,60 @@
         some(eq("a"))
     );
 }
+
+/// Returns an entry of another lifetime of the same id.
+fn lifetime(id: &str, started_unix_ms: Option<u64>) -> EndpointRecord {
+    EndpointRecord {
+        started_unix_ms,
+        ..record(id, "near")
+    }
+}
+
+// Guards against an entry that is older, newer or read again taking a leaving mark back.
+#[googletest::test]
+fn only_an_entry_of_a_later_lifetime_ends_the_leaving_mark() {
+    let now = Instant::now();
+    let mut endpoints = Endpoints::default();
+    endpoints.upsert(lifetime("a", Some(5)));
+    expect_that!(endpoints.mark_leaving(now, &"a".into(), Some(5)), eq(true));
+    expect_that!(endpoints.mark_leaving(now, &"a".into(), Some(5)), eq(false));
+    for started_unix_ms in [Some(5), Some(4), None] {
+        endpoints.upsert(lifetime("a", started_unix_ms));
+        expect_that!(endpoints.takes_calls("a"), eq(false), "{started_unix_ms:?}");
+        endpoints.remove("a");
+        endpoints.upsert(lifetime("a", started_unix_ms));
+        expect_that!(endpoints.takes_calls("a"), eq(false), "{started_unix_ms:?}");
+    }
+    let moved = EndpointRecord {
+        address: "10.0.0.2:80".parse().expect("an address"),
+        ..lifetime("a", Some(5))
+    };
+    endpoints.upsert(moved);
+    expect_that!(choose(&endpoints, now, &requirements(&[])), none());
+    endpoints.upsert(lifetime("a", Some(6)));
+    expect_that!(choose(&endpoints, now, &requirements(&[])), some(eq("a")));
+}
+
+// Guards against a late answer of an ended lifetime taking the next one out of use.
+#[googletest::test]
+fn an_answer_of_an_ended_lifetime_does_not_mark_the_next_one() {
+    let now = Instant::now();
+    let mut endpoints = Endpoints::default();
+    endpoints.upsert(lifetime("a", Some(6)));
+    expect_that!(endpoints.mark_leaving(now, &"a".into(), Some(5)), eq(false));
+    expect_that!(endpoints.takes_calls("a"), eq(true));
+}
+
+#[googletest::test]
+fn a_service_has_no_endpoint_once_all_are_draining_or_leaving() {
+    let now = Instant::now();
+    let mut endpoints = endpoints(&["a", "b"]);
+    expect_that!(endpoints.has_endpoint("llm"), eq(true));
+    expect_that!(endpoints.has_endpoint("other"), eq(false));
+    endpoints.mark_leaving(now, &"a".into(), Some(1));
+    endpoints.upsert(EndpointRecord {
+        is_draining: true,
+        ..record("b", "near")
+    });
+    expect_that!(endpoints.has_endpoint("llm"), eq(false));
+}
--- a/gateway/src/follow.rs
+++ b/gateway/src/follow.rs
@@ -303,6 +303,7 @@
             }
             self.apply_endpoints(&records, &mut removal_deadlines);
             self.endpoints_loaded.set(true);
+            self.endpoints_read_at.set(Some(Instant::now()));
             let mut failures = Backoff::default();
             loop {
                 match self
@@ -312,6 +313,7 @@
                     Some(ReadOutcome::Records { records, .. }) => {
                         failures.reset();
                         from += records.len() as Offset;
+                        self.endpoints_read_at.set(Some(Instant::now()));
                         self.apply_endpoints(&records, &mut removal_deadlines);
                         self.remove_overdue_endpoints(&mut removal_deadlines);
                         Timer::after(ENDPOINTS_POLL_INTERVAL).await;
--- a/gateway/src/forward.rs
+++ b/gateway/src/forward.rs
@@ -51,6 +51,8 @@
 pub(crate) struct Failure {
     pub(crate) execution: Execution,
     pub(crate) reason: &'static str,
+    /// Whether no endpoint of the service takes calls, so that an early retry would fail as well.
+    lacks_endpoint: bool,
 }
 
 impl Failure {
@@ -58,6 +60,7 @@
         Self {
             execution: Execution::NotRun,
             reason,
+            lacks_endpoint: false,
         }
     }
 
@@ -65,12 +68,14 @@
         Self {
             execution: Execution::MayHaveRun,
             reason,
+            lacks_endpoint: false,
         }
     }
 
     /// Returns the reply to send to the client.
-    pub(crate) fn refusal(&self) -> Refusal {
+    pub(crate) fn refusal(&self, call: &Call) -> Refusal {
         match self.execution {
+            Execution::NotRun if self.lacks_endpoint => call.refuse_during_outage(self.reason),
             Execution::NotRun => {
                 let delay = RETRY_AFTER.mul_f64(0.5 + fastrand::f64());
                 Refusal::retry_later(delay, self.reason)
@@ -169,7 +174,11 @@
     pub(crate) fn finish(self, outcome: CallOutcome) {
         self.guard.outcome.set(outcome);
         let is_clean = self.connection.unread().is_empty() && self.is_written;
-        if is_clean && self.head.keep_alive && self.decoder.is_done() {
+        let takes_calls = {
+            let endpoints = self.guard.gateway.endpoints.borrow();
+            endpoints.takes_calls(&self.endpoint)
+        };
+        if is_clean && takes_calls && self.head.keep_alive && self.decoder.is_done() {
             let pool = &self.guard.gateway.pool;
             let idle_timeout = self.head.idle_timeout;
             pool.put(
@@ -204,7 +213,7 @@
         let is_retryable = call.route.kind == RouteKind::Idempotent;
         let mut tried: SmallVec<[InstanceId; MAX_ENDPOINTS_TRIED]> = SmallVec::new();
         let mut send_count = 0;
-        let mut last = Failure::not_run("no endpoint of the service is known");
+        let mut last = self.no_endpoint();
         while send_count < call.route.max_attempts.max(1) && tried.len() < MAX_ENDPOINTS_TRIED {
             let Some(endpoint) = self.choose(outgoing, &tried) else {
                 break;
@@ -234,6 +243,16 @@
         Err(last)
     }
 
+    /// Returns the failure of a call to a service without an endpoint that takes calls.
+    pub(crate) fn no_endpoint(&self) -> Failure {
+        Failure {
+            execution: Execution::NotRun,
+            reason: "no endpoint of the service takes calls",
+            // Before the list of endpoints has been read, an early retry may succeed.
+            lacks_endpoint: self.endpoints_loaded.get(),
+        }
+    }
+
     fn choose(
         &self,
         outgoing: &OutgoingRequest<'_>,
@@ -278,13 +297,18 @@
                 }
             },
         };
+        // The endpoint may have announced that it leaves while the connection was opened.
+        if !self.endpoints.borrow().takes_calls(&endpoint.id) {
+            return Err((Failure::not_run("the endpoint is leaving"), false));
+        }
         let request = self.request_bytes(outgoing, &endpoint.id);
         call.execution.set(Execution::MayHaveRun);
         call.endpoint.replace(Some(endpoint.id.clone()));
         call.sent_at.set(Some(Instant::now()));
         self.record_prompt(&endpoint.id, &call.info.prompt_parts);
         let is_written = Cell::new(false);
-        let exchange = exchange::<D>(&mut connection, &request, call.id(), &is_written);
+        let observe = |answer: &ObservedAnswer<'_>| self.observe_answer(call, endpoint, answer);
+        let exchange = exchange::<D>(&mut connection, &request, call.id(), &is_written, &observe);
         let answered = if is_retryable && attempts_left > 0 && call.time_left() > RETRY_TIMEOUT * 2
         {
             let answered = with_timeout(RETRY_TIMEOUT, exchange).await;
@@ -345,6 +369,56 @@
         }
     }
 
+    /// Marks the lifetime that sent an answer if the answer states that it is leaving.
+    fn observe_answer(&self, call: &Call, called: &EndpointRecord, answer: &ObservedAnswer<'_>) {
+        if !answer.info.is_leaving {
+            return;
+        }
+        let Some((id, started_unix_ms)) = self.sender(called, answer) else {
+            crate::event!("endpoint_leaving_ignored", "request" => call.id(),
+                "called" => &*called.id, "status" => answer.status,
+                "named" => answer.info.instance.as_deref().unwrap_or_default());
+            return;
+        };
+        let now = Instant::now();
+        let mut endpoints = self.endpoints.borrow_mut();
+        if !endpoints.mark_leaving(now, &id, started_unix_ms) {
+            return;
+        }
+        let entry = match endpoints.record(&id) {
+            Some(record) if record.is_draining => "draining",
+            Some(_) => "ready",
+            None => "gone",
+        };
+        let read_at = self.endpoints_read_at.get();
+        self.pool.close(&id);
+        self.counters.record_leaving_endpoint();
+        crate::event!("endpoint_leaving", "endpoint" => &*id,
+            "started_unix_ms" => started_unix_ms.unwrap_or_default(), "request" => call.id(),
+            "status" => answer.status, "entry" => entry,
+            "entry_age_ms" => read_at.map_or(0, |at| now.duration_since(at).as_millis()));
+    }
+
+    /// Returns the id and start time of the lifetime that sent an answer, if that is certain.
+    ///
+    /// Status 421 comes from another lifetime than the called one, and so may an answer to another
+    /// request; they must name their sender.
+    fn sender(
+        &self,
+        called: &EndpointRecord,
+        answer: &ObservedAnswer<'_>,
+    ) -> Option<(InstanceId, Option<u64>)> {
+        match &answer.info.instance {
+            None if answer.status == 421 || answer.is_stray => None,
+            Some(named) if **named != *called.id => {
+                let endpoints = self.endpoints.borrow();
+                let record = endpoints.record(named)?;
+                Some((record.id.clone(), record.started_unix_ms))
+            }
+            _ => Some((called.id.clone(), called.started_unix_ms)),
+        }
+    }
+
     /// Serializes the request for an endpoint, with hop-by-hop and reserved headers removed.
     fn request_bytes(&self, outgoing: &OutgoingRequest<'_>, instance: &str) -> Vec<u8> {
         let call = outgoing.call;
@@ -398,6 +472,14 @@
         && !D::is_reserved(&header.name)
 }
 
+/// Head of an answer that arrived from an endpoint, whatever becomes of it.
+struct ObservedAnswer<'a> {
+    status: u16,
+    info: &'a AnswerInfo,
+    /// Whether it answers another request.
+    is_stray: bool,
+}
+
 /// Writes a request while reading the head of its answer.
 ///
 /// Both run concurrently because an endpoint may answer and close the connection before it has
@@ -407,6 +489,7 @@
     request: &[u8],
     request_id: &str,
     is_written: &Cell<bool>,
+    observe: &impl Fn(&ObservedAnswer<'_>),
 ) -> Result<(ResponseHead, AnswerInfo), Failure> {
     let writer = Connection::new(connection.stream());
     let write = async {
@@ -414,7 +497,8 @@
         is_written.set(writer.write_all(request).await.is_ok());
         future::pending().await
     };
-    future::or(read_matching_answer::<D>(connection, request_id), write).await
+    let read = read_matching_answer::<D>(connection, request_id, observe);
+    future::or(read, write).await
 }
 
 /// Reads the head of the answer to this request and discards answers to other requests.
@@ -423,6 +507,7 @@
 async fn read_matching_answer<D: Dialect>(
     connection: &mut Connection,
     request_id: &str,
+    observe: &impl Fn(&ObservedAnswer<'_>),
 ) -> Result<(ResponseHead, AnswerInfo), Failure> {
     for _ in 0..MAX_STRAY_ANSWERS {
         let head = connection.read_response().await.map_err(|error| {
@@ -434,6 +519,11 @@
         })?;
         let info = D::parse_answer(&head.headers);
         let is_stray = info.request_id.as_ref().is_some_and(|id| id != request_id);
+        observe(&ObservedAnswer {
+            status: head.status,
+            info: &info,
+            is_stray,
+        });
         if !is_stray {
             return Ok((head, info));
         }
--- a/gateway/src/forward/tests.rs
+++ b/gateway/src/forward/tests.rs
@@ -8,6 +8,8 @@
         is_signed,
         has_not_run,
         load: None,
+        is_leaving: false,
+        instance: None,
     }
 }
 
--- a/gateway/src/node.rs
+++ b/gateway/src/node.rs
@@ -96,6 +96,8 @@
     pub(crate) routes: RefCell<Routes>,
     pub(crate) endpoints: RefCell<Endpoints>,
     pub(crate) endpoints_loaded: Cell<bool>,
+    /// When the list of endpoints was last read from the store.
+    pub(crate) endpoints_read_at: Cell<Option<Instant>>,
     pub(crate) partitions: Vec<Partition<D>>,
     /// Whether all owned partitions have been loaded at least once.
     pub(crate) turns_loaded: Cell<bool>,
@@ -129,6 +131,7 @@
             routes: RefCell::default(),
             endpoints: RefCell::default(),
             endpoints_loaded: Cell::new(false),
+            endpoints_read_at: Cell::new(None),
             partitions: (0..PARTITION_COUNT).map(Partition::new).collect(),
             turns_loaded: Cell::new(false),
             gateways_loaded: Cell::new(false),
--- a/gateway/src/turn_call.rs
+++ b/gateway/src/turn_call.rs
@@ -15,13 +15,6 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-/// Fraction of the client's remaining time after which it should retry while the store is lost.
-/// Outages last seconds, and clients wait no longer than a third of their time.
-const STORE_RETRY_SHARE: f64 = 0.33;
-
-/// Fraction of that retry delay over which clients' retries are spread.
-const STORE_RETRY_SPREAD: f64 = 0.25;
-
 /// Maximum wait for the confirmation of a reservation before the turn runs.
 const RESERVATION_TIMEOUT: Duration = Duration::from_millis(1_200);
 
@@ -122,7 +115,13 @@
 impl<D: Dialect> Gateway<D> {
     /// Serves a request that is answered with a stream.
     pub(crate) async fn serve_stream(self: &Rc<Self>, call: &Call, reply: &Reply) {
-        let prepared = match self.prepare(call).await {
+        let service = call.route.pick_service(&mut self.rng.borrow_mut());
+        let prepared = if self.endpoints.borrow().has_endpoint(&service) {
+            self.prepare(call).await
+        } else {
+            Err(self.no_endpoint().refusal(call))
+        };
+        let prepared = match prepared {
             Ok(prepared) => prepared,
             Err(refusal) => {
                 crate::event!("turn_refused", "request" => call.id(), "status" => refusal.status,
@@ -130,7 +129,6 @@
                 return reply.refuse(&refusal).await;
             }
         };
-        let service = call.route.pick_service(&mut self.rng.borrow_mut());
         let outgoing = OutgoingRequest {
             call,
             service: &service,
@@ -147,7 +145,7 @@
                 let written = reply.write_answer(head.status, &head.reason, &head.headers, &body);
                 written.await;
             }
-            Err(failure) => reply.refuse(&failure.refusal()).await,
+            Err(failure) => reply.refuse(&failure.refusal(call)).await,
         }
     }
 
@@ -329,14 +327,8 @@
         Denial::NoSuchTurn => Refusal::new(404, "no such turn"),
         Denial::BudgetExhausted => Refusal::new(402, "the program's budget is spent"),
         Denial::DuplicateTurn => Refusal::new(400, "the request id was used before"),
-        Denial::StoreUnavailable => store_refusal(call, "the store does not answer"),
-        Denial::StoreBacklogged => store_refusal(call, "too much waits for the store"),
-        Denial::ReadTimedOut => store_refusal(call, "the turns have not been read in time"),
+        Denial::StoreUnavailable => call.refuse_during_outage("the store does not answer"),
+        Denial::StoreBacklogged => call.refuse_during_outage("too much waits for the store"),
+        Denial::ReadTimedOut => call.refuse_during_outage("the turns have not been read in time"),
     }
 }
-
-fn store_refusal(call: &Call, reason: &'static str) -> Refusal {
-    let spread_factor = 1.0 - STORE_RETRY_SPREAD * fastrand::f64();
-    let retry_after = call.time_left().mul_f64(STORE_RETRY_SHARE * spread_factor);
-    Refusal::retry_later(retry_after, reason)
-}
