--- a/src/cluster/mod.rs
+++ b/src/cluster/mod.rs
@@ -173,19 +173,25 @@
             .collect()
     }
 
-    /// Returns whether an entry accepts the client accounts of all environments and can look up
-    /// their programs. It shows this by reporting that an unknown program does not exist.
-    async fn is_serving(&self, address: SocketAddr) -> bool {
+    /// Checks that an entry accepts the client accounts of all environments and can look up their
+    /// programs. It shows this by reporting that an unknown program does not exist. An error
+    /// contains what it answered instead.
+    async fn check_serving(&self, address: SocketAddr) -> Result<(), String> {
         let checks = Deployment::iter().map(async |deployment| {
             let client = Client::new([address.to_string()], deployment.tokens()[0]);
-            let lookup = client.history(0).await;
-            matches!(lookup, Err(CallError::Refused(refusal))
-                if refusal.code == RefusalCode::NotFound)
+            match client.history(0).await {
+                Err(CallError::Refused(refusal)) if refusal.code == RefusalCode::NotFound => Ok(()),
+                Err(error) => Err(format!("lookup in {deployment}: {error}")),
+                Ok(_) => Err(format!("lookup in {deployment}: the program exists")),
+            }
         });
-        futures_util::future::join_all(checks)
-            .await
-            .into_iter()
-            .all(|is_serving| is_serving)
+        let outcomes = futures_util::future::join_all(checks).await;
+        outcomes.into_iter().collect()
+    }
+
+    async fn check_entry(&self, address: SocketAddr) -> Result<(), String> {
+        check_ready(address).await?;
+        self.check_serving(address).await
     }
 
     /// Waits until every entry can start programs in every environment.
@@ -193,8 +199,11 @@
         let deadline = Instant::now() + READY_TIMEOUT;
         for name in self.names_with_role(NodeRole::Entry) {
             let address = self.http_address(&name).context("no such node")?;
-            while !is_ready(address).await || !self.is_serving(address).await {
-                anyhow::ensure!(Instant::now() < deadline, "{name} did not become ready");
+            while let Err(reason) = self.check_entry(address).await {
+                anyhow::ensure!(
+                    Instant::now() < deadline,
+                    "{name} did not become ready: {reason}"
+                );
                 Timer::after(READY_POLL_INTERVAL).await;
             }
         }
@@ -213,9 +222,15 @@
     SocketAddr::from(([127, 0, 0, 1], 1))
 }
 
-async fn is_ready(address: SocketAddr) -> bool {
+/// Checks that a node reports itself ready; an error contains what it answered.
+async fn check_ready(address: SocketAddr) -> Result<(), String> {
     let config = trillium_smol::ClientConfig::default();
     let http = trillium_client::Client::new(config).without_keepalive();
     let answer = http.get(format!("http://{address}/readyz")).await;
-    answer.is_ok_and(|conn| conn.status().is_some_and(|status| status.is_success()))
+    let mut conn = answer.map_err(|error| error.to_string())?;
+    if conn.status().is_some_and(|status| status.is_success()) {
+        return Ok(());
+    }
+    let body = conn.response_body().read_string().await;
+    Err(body.map_or_else(|error| error.to_string(), |body| body.trim_end().to_owned()))
 }
--- a/src/daemon.rs
+++ b/src/daemon.rs
@@ -5,7 +5,7 @@
 mod signals;
 
 use crate::adapter::{HttpEngine, HttpLog, HttpService};
-use crate::entry::Entry;
+use crate::entry::{Entry, Unreadiness};
 use crate::environment::Environment;
 use crate::protocol::link::LinkProtocol;
 use crate::protocol::vms::NodeRole;
@@ -132,7 +132,7 @@
 
     /// Returns whether the node accepts callers, as reported by `/readyz`.
     pub fn is_ready(&self) -> bool {
-        self.node.is_ready()
+        self.node.unreadiness().is_none()
     }
 
     /// Aborts everything immediately, as if the process were killed.
@@ -182,11 +182,11 @@
         }
     }
 
-    /// Returns whether the node accepts callers.
-    fn is_ready(&self) -> bool {
+    /// Returns why the node does not accept callers, or `None` if it does.
+    fn unreadiness(&self) -> Option<Unreadiness> {
         match self {
-            Self::Entry(entry) => entry.is_ready(),
-            Self::Sidecar(sidecar) => !sidecar.is_leaving(),
+            Self::Entry(entry) => entry.unreadiness(),
+            Self::Sidecar(sidecar) => sidecar.is_leaving().then_some(Unreadiness::Leaving),
         }
     }
 }
@@ -235,13 +235,13 @@
     Router::new()
         .get("/healthz", |conn: Conn| async move { conn.ok("ok\n") })
         .get("/readyz", move |conn: Conn| {
-            let ready = node.is_ready();
+            let unreadiness = node.unreadiness();
             async move {
-                match ready {
-                    true => conn.ok("ready\n"),
-                    false => conn
+                match unreadiness {
+                    None => conn.ok("ready\n"),
+                    Some(reason) => conn
                         .with_status(Status::ServiceUnavailable)
-                        .with_body("not ready\n")
+                        .with_body(format!("not ready: {reason}\n"))
                         .halt(),
                 }
             }
--- a/src/entry/mod.rs
+++ b/src/entry/mod.rs
@@ -116,6 +116,23 @@
     operator_services: operator::OperatorServices<L>,
 }
 
+/// Reason why an entry cannot serve callers.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, strum::Display)]
+pub(crate) enum Unreadiness {
+    /// The node is shutting down.
+    #[strum(to_string = "the node is leaving")]
+    Leaving,
+    /// No environment has been read yet.
+    #[strum(to_string = "no environment is known")]
+    NoEnvironment,
+    /// The view of the other nodes is not settled.
+    #[strum(to_string = "the membership is not settled")]
+    MembershipUnsettled,
+    /// No live owner of this partition is known.
+    #[strum(to_string = "no owner of partition {0} is known")]
+    NoOwner(Partition),
+}
+
 impl<L: Log> Entry<L> {
     /// Creates an entry and starts its background tasks.
     pub(crate) fn start(
@@ -177,15 +194,21 @@
         self.0.partitions.iter().filter(owned_partitions).count()
     }
 
-    /// Returns whether this entry can serve callers.
-    ///
-    /// It must know at least one environment, have a settled membership view, know an owner for
-    /// every partition, and not be shutting down.
-    pub(crate) fn is_ready(&self) -> bool {
-        let served = !self.0.environments.is_empty();
-        let settled = lock(&self.0.membership).is_settled(Instant::now());
-        let owner = |p: Partition| self.owner_of(p).is_some();
-        served && settled && !self.is_leaving() && (0..self.0.config.partitions).all(owner)
+    /// Returns why this entry cannot serve callers, or `None` if it can.
+    pub(crate) fn unreadiness(&self) -> Option<Unreadiness> {
+        if self.is_leaving() {
+            return Some(Unreadiness::Leaving);
+        }
+        if self.0.environments.is_empty() {
+            return Some(Unreadiness::NoEnvironment);
+        }
+        if !lock(&self.0.membership).is_settled(Instant::now()) {
+            return Some(Unreadiness::MembershipUnsettled);
+        }
+        let mut partitions = 0..self.0.config.partitions;
+        partitions
+            .find(|partition| self.owner_of(*partition).is_none())
+            .map(Unreadiness::NoOwner)
     }
 
     fn is_leaving(&self) -> bool {
