Keep a leaving mark when a late list shows the lifetime that set it

If a server starts again under its id while the store is away and then says in an answer that it leaves, the gateway knows only its earlier lifetime; the mark was set on that one, and the entry that the store showed later, with the later start, ended it: calls went back to the leaving server. Now a start that precedes the answer by over 5 s (steps of the clocks) shows that the answer was that lifetime's own, and the mark stays.

--- a/gateway/src/endpoints.rs
+++ b/gateway/src/endpoints.rs
@@ -200,9 +200,10 @@
     /// whether it was not marked before. A lifetime that is known to have ended is not marked.
     ///
     /// Only the end of the lifetime ends the mark: entries may be old, or say nothing of it.
+    /// `now_unix_ms` is the time of the answer that showed it.
     pub fn mark_leaving(
         &mut self,
-        now: Instant,
+        now_unix_ms: u64,
         id: &InstanceId,
         started_unix_ms: Option<u64>,
     ) -> bool {
@@ -216,7 +217,7 @@
         if let Some(endpoint) = endpoint {
             endpoint.is_leaving = true;
         }
-        self.leaving.insert(now, id, started_unix_ms)
+        self.leaving.insert(now_unix_ms, id, started_unix_ms)
     }
 
     /// Returns whether an endpoint is known and takes new calls.
--- a/gateway/src/endpoints/leaving.rs
+++ b/gateway/src/endpoints/leaving.rs
@@ -2,25 +2,33 @@
 
 use super::{EndpointRecord, InstanceId};
 use std::collections::HashMap;
-use std::time::Instant;
 
 /// Maximum number of remembered lifetimes; many times the endpoints that leave in a day.
 const MAX_LEAVING: usize = 4_096;
 
+/// Time by which a lifetime must have started before an answer for the answer to be its own if the
+/// list of endpoints showed an earlier lifetime then. It covers steps of the clocks.
+const CLOCK_MARGIN_MS: u64 = 5_000;
+
 #[derive(Clone, Copy, Debug)]
 struct Mark {
     /// Start time of the lifetime in Unix milliseconds, if known.
     started_unix_ms: Option<u64>,
-    marked_at: Instant,
+    /// Time of the answer in Unix milliseconds.
+    marked_unix_ms: u64,
 }
 
-/// Relation of an entry to a lifetime that is leaving.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-enum Relation {
-    /// The entry describes the leaving lifetime, or one before it.
-    SameOrEarlier,
-    /// The entry describes a later lifetime of the same id.
-    Later,
+impl Mark {
+    /// Returns whether an entry with this start time describes a lifetime after the leaving one.
+    ///
+    /// An unknown start time does not prove that. Neither does a later one that precedes the answer:
+    /// the list was late, and the lifetime that it did not show yet has answered.
+    fn precedes(&self, started_unix_ms: Option<u64>) -> bool {
+        let (Some(leaving), Some(entry)) = (self.started_unix_ms, started_unix_ms) else {
+            return false;
+        };
+        entry > leaving && entry.saturating_add(CLOCK_MARGIN_MS) > self.marked_unix_ms
+    }
 }
 
 /// Leaving lifetimes by instance id.
@@ -36,13 +44,12 @@
     /// Marks a lifetime and returns whether it was not marked before.
     pub(super) fn insert(
         &mut self,
-        now: Instant,
+        now_unix_ms: u64,
         id: &InstanceId,
         started_unix_ms: Option<u64>,
     ) -> bool {
-        if let Some(mark) = self.marks.get(id)
-            && relation(mark.started_unix_ms, started_unix_ms) == Relation::SameOrEarlier
-        {
+        let mark = self.marks.get(id);
+        if mark.is_some_and(|mark| !mark.precedes(started_unix_ms)) {
             return false;
         }
         if self.marks.len() >= MAX_LEAVING {
@@ -50,7 +57,7 @@
         }
         let mark = Mark {
             started_unix_ms,
-            marked_at: now,
+            marked_unix_ms: now_unix_ms,
         };
         self.marks.insert(id.clone(), mark);
         true
@@ -62,26 +69,21 @@
         let Some(mark) = self.marks.get_mut(&record.id) else {
             return false;
         };
-        if relation(mark.started_unix_ms, record.started_unix_ms) == Relation::Later {
+        if mark.precedes(record.started_unix_ms) {
             self.marks.remove(&record.id);
             return false;
         }
-        mark.started_unix_ms = mark.started_unix_ms.or(record.started_unix_ms);
+        mark.started_unix_ms = mark.started_unix_ms.max(record.started_unix_ms);
         true
     }
 
     fn remove_oldest(&mut self) {
-        let oldest = self.marks.iter().min_by_key(|(_, mark)| mark.marked_at);
+        let oldest = self
+            .marks
+            .iter()
+            .min_by_key(|(_, mark)| mark.marked_unix_ms);
         if let Some(id) = oldest.map(|(id, _)| id.clone()) {
             self.marks.remove(&id);
         }
     }
 }
-
-/// Compares start times. An unknown one does not prove a later lifetime.
-fn relation(leaving_started: Option<u64>, entry_started: Option<u64>) -> Relation {
-    match (leaving_started, entry_started) {
-        (Some(leaving), Some(entry)) if entry > leaving => Relation::Later,
-        _ => Relation::SameOrEarlier,
-    }
-}
--- a/gateway/src/endpoints/tests.rs
+++ b/gateway/src/endpoints/tests.rs
@@ -203,6 +203,9 @@
     );
 }
 
+/// Time of the answers that state that an endpoint is leaving.
+const MARKED_UNIX_MS: u64 = 100_000;
+
 /// Returns an entry of another lifetime of the same id.
 fn lifetime(id: &str, started_unix_ms: Option<u64>) -> EndpointRecord {
     EndpointRecord {
@@ -217,8 +220,14 @@
     let now = Instant::now();
     let mut endpoints = Endpoints::default();
     endpoints.upsert(lifetime("a", Some(5)));
-    expect_that!(endpoints.mark_leaving(now, &"a".into(), Some(5)), eq(true));
-    expect_that!(endpoints.mark_leaving(now, &"a".into(), Some(5)), eq(false));
+    expect_that!(
+        endpoints.mark_leaving(MARKED_UNIX_MS, &"a".into(), Some(5)),
+        eq(true)
+    );
+    expect_that!(
+        endpoints.mark_leaving(MARKED_UNIX_MS, &"a".into(), Some(5)),
+        eq(false)
+    );
     for started_unix_ms in [Some(5), Some(4), None] {
         endpoints.upsert(lifetime("a", started_unix_ms));
         expect_that!(endpoints.takes_calls("a"), eq(false), "{started_unix_ms:?}");
@@ -232,27 +241,50 @@
     };
     endpoints.upsert(moved);
     expect_that!(choose(&endpoints, now, &requirements(&[])), none());
-    endpoints.upsert(lifetime("a", Some(6)));
+    endpoints.upsert(lifetime("a", Some(MARKED_UNIX_MS)));
     expect_that!(choose(&endpoints, now, &requirements(&[])), some(eq("a")));
 }
 
+// Guards against a mark that ends when a late list shows the lifetime that set it for the first time.
+#[googletest::test]
+fn an_entry_of_the_lifetime_that_answered_does_not_end_the_mark() {
+    for (started_unix_ms, takes_calls) in [
+        (MARKED_UNIX_MS - 20_000, false),
+        (MARKED_UNIX_MS - 1_000, true),
+        (MARKED_UNIX_MS + 1_000, true),
+    ] {
+        let mut endpoints = Endpoints::default();
+        endpoints.upsert(lifetime("a", Some(5)));
+        endpoints.mark_leaving(MARKED_UNIX_MS, &"a".into(), Some(5));
+        for _ in 0..2 {
+            endpoints.upsert(lifetime("a", Some(started_unix_ms)));
+            expect_that!(
+                endpoints.takes_calls("a"),
+                eq(takes_calls),
+                "started at {started_unix_ms}"
+            );
+        }
+    }
+}
+
 // Guards against a late answer of an ended lifetime taking the next one out of use.
 #[googletest::test]
 fn an_answer_of_an_ended_lifetime_does_not_mark_the_next_one() {
-    let now = Instant::now();
     let mut endpoints = Endpoints::default();
     endpoints.upsert(lifetime("a", Some(6)));
-    expect_that!(endpoints.mark_leaving(now, &"a".into(), Some(5)), eq(false));
+    expect_that!(
+        endpoints.mark_leaving(MARKED_UNIX_MS, &"a".into(), Some(5)),
+        eq(false)
+    );
     expect_that!(endpoints.takes_calls("a"), eq(true));
 }
 
 #[googletest::test]
 fn a_service_has_no_endpoint_once_all_are_draining_or_leaving() {
-    let now = Instant::now();
     let mut endpoints = endpoints(&["a", "b"]);
     expect_that!(endpoints.has_endpoint("llm"), eq(true));
     expect_that!(endpoints.has_endpoint("other"), eq(false));
-    endpoints.mark_leaving(now, &"a".into(), Some(1));
+    endpoints.mark_leaving(MARKED_UNIX_MS, &"a".into(), Some(1));
     endpoints.upsert(EndpointRecord {
         is_draining: true,
         ..record("b", "near")
--- a/gateway/src/events.rs
+++ b/gateway/src/events.rs
@@ -53,10 +53,15 @@
     }
 }
 
+/// Returns the time of day in Unix milliseconds.
+pub(crate) fn unix_ms() -> u64 {
+    let since_epoch = SystemTime::now().duration_since(UNIX_EPOCH);
+    since_epoch.map_or(0, |since| since.as_millis() as u64)
+}
+
 /// Adds an event to the buffer, or counts it as dropped if the buffer is full.
 pub(crate) fn push(name: &str, fields: &[(&str, Value)]) {
-    let since_epoch = SystemTime::now().duration_since(UNIX_EPOCH);
-    let unix_ms = since_epoch.map_or(0, |since| since.as_millis() as u64);
+    let unix_ms = unix_ms();
     let mut line = serde_json::Map::with_capacity(fields.len() + 2);
     line.insert("unix_ms".to_owned(), unix_ms.into());
     line.insert("event".to_owned(), name.into());
--- a/gateway/src/forward.rs
+++ b/gateway/src/forward.rs
@@ -380,9 +380,8 @@
                 "named" => answer.info.instance.as_deref().unwrap_or_default());
             return;
         };
-        let now = Instant::now();
         let mut endpoints = self.endpoints.borrow_mut();
-        if !endpoints.mark_leaving(now, &id, started_unix_ms) {
+        if !endpoints.mark_leaving(crate::events::unix_ms(), &id, started_unix_ms) {
             return;
         }
         let entry = match endpoints.record(&id) {
@@ -396,7 +395,7 @@
         crate::event!("endpoint_leaving", "endpoint" => &*id,
             "started_unix_ms" => started_unix_ms.unwrap_or_default(), "request" => call.id(),
             "status" => answer.status, "entry" => entry,
-            "entry_age_ms" => read_at.map_or(0, |at| now.duration_since(at).as_millis()));
+            "entry_age_ms" => read_at.map_or(0, |at| at.elapsed().as_millis()));
     }
 
     /// Returns the id and start time of the lifetime that sent an answer, if that is certain.
