Call one run of an endpoint an incarnation throughout

The glossary has that term for one run of a process; the new code and its tests said lifetime, which also means something else in Rust.

--- a/gateway/src/dialect.rs
+++ b/gateway/src/dialect.rs
@@ -46,7 +46,7 @@
     pub has_not_run: bool,
     /// Load of the endpoint.
     pub load: Option<ReportedLoad>,
-    /// Whether the endpoint states that it is leaving. The statement holds for the lifetime that
+    /// Whether the endpoint states that it is leaving. The statement holds for the incarnation that
     /// sent the answer.
     pub is_leaving: bool,
     /// Id of the endpoint that sent the answer, if the answer names it.
--- a/gateway/src/endpoints.rs
+++ b/gateway/src/endpoints.rs
@@ -116,7 +116,7 @@
 struct Endpoint {
     record: EndpointRecord,
     tag: InstanceTag,
-    /// Whether this lifetime stated in an answer that it is leaving, whatever its entry says.
+    /// Whether this incarnation stated in an answer that it is leaving, whatever its entry says.
     is_leaving: bool,
     /// Calls of this gateway in flight.
     local_calls: u32,
@@ -196,10 +196,10 @@
         self.endpoints.remove(id).is_some()
     }
 
-    /// Marks a lifetime of an endpoint as leaving, so that it is not chosen any more, and returns
-    /// whether it was not marked before. A lifetime that is known to have ended is not marked.
+    /// Marks an incarnation of an endpoint as leaving, so that it is not chosen any more, and returns
+    /// whether it was not marked before. An incarnation that is known to have ended is not marked.
     ///
-    /// Only the end of the lifetime ends the mark: entries may be old, or say nothing of it.
+    /// Only the end of the incarnation ends the mark: entries may be old, or say nothing of it.
     /// `now_unix_ms` is the time of the answer that showed it.
     pub fn mark_leaving(
         &mut self,
--- a/gateway/src/endpoints/tests.rs
+++ b/gateway/src/endpoints/tests.rs
@@ -206,8 +206,8 @@
 /// Time of the answers that state that an endpoint is leaving.
 const MARKED_UNIX_MS: u64 = 100_000;
 
-/// Returns an entry of another lifetime of the same id.
-fn lifetime(id: &str, started_unix_ms: Option<u64>) -> EndpointRecord {
+/// Returns an entry of another incarnation of the same id.
+fn incarnation(id: &str, started_unix_ms: Option<u64>) -> EndpointRecord {
     EndpointRecord {
         started_unix_ms,
         ..record(id, "near")
@@ -216,10 +216,10 @@
 
 // Guards against an entry that is older, newer or read again taking a leaving mark back.
 #[googletest::test]
-fn only_an_entry_of_a_later_lifetime_ends_the_leaving_mark() {
+fn only_an_entry_of_a_later_incarnation_ends_the_leaving_mark() {
     let now = Instant::now();
     let mut endpoints = Endpoints::default();
-    endpoints.upsert(lifetime("a", Some(5)));
+    endpoints.upsert(incarnation("a", Some(5)));
     expect_that!(
         endpoints.mark_leaving(MARKED_UNIX_MS, &"a".into(), Some(5)),
         eq(true)
@@ -229,35 +229,35 @@
         eq(false)
     );
     for started_unix_ms in [Some(5), Some(4), None] {
-        endpoints.upsert(lifetime("a", started_unix_ms));
+        endpoints.upsert(incarnation("a", started_unix_ms));
         expect_that!(endpoints.takes_calls("a"), eq(false), "{started_unix_ms:?}");
         endpoints.remove("a");
-        endpoints.upsert(lifetime("a", started_unix_ms));
+        endpoints.upsert(incarnation("a", started_unix_ms));
         expect_that!(endpoints.takes_calls("a"), eq(false), "{started_unix_ms:?}");
     }
     let moved = EndpointRecord {
         address: "10.0.0.2:80".parse().expect("an address"),
-        ..lifetime("a", Some(5))
+        ..incarnation("a", Some(5))
     };
     endpoints.upsert(moved);
     expect_that!(choose(&endpoints, now, &requirements(&[])), none());
-    endpoints.upsert(lifetime("a", Some(MARKED_UNIX_MS)));
+    endpoints.upsert(incarnation("a", Some(MARKED_UNIX_MS)));
     expect_that!(choose(&endpoints, now, &requirements(&[])), some(eq("a")));
 }
 
-// Guards against a mark that ends when a late list shows the lifetime that set it for the first time.
+// Guards against a late list ending a mark when it first shows the incarnation that set it.
 #[googletest::test]
-fn an_entry_of_the_lifetime_that_answered_does_not_end_the_mark() {
+fn an_entry_of_the_incarnation_that_answered_does_not_end_the_mark() {
     for (started_unix_ms, takes_calls) in [
         (MARKED_UNIX_MS - 20_000, false),
         (MARKED_UNIX_MS - 1_000, true),
         (MARKED_UNIX_MS + 1_000, true),
     ] {
         let mut endpoints = Endpoints::default();
-        endpoints.upsert(lifetime("a", Some(5)));
+        endpoints.upsert(incarnation("a", Some(5)));
         endpoints.mark_leaving(MARKED_UNIX_MS, &"a".into(), Some(5));
         for _ in 0..2 {
-            endpoints.upsert(lifetime("a", Some(started_unix_ms)));
+            endpoints.upsert(incarnation("a", Some(started_unix_ms)));
             expect_that!(
                 endpoints.takes_calls("a"),
                 eq(takes_calls),
@@ -267,11 +267,11 @@
     }
 }
 
-// Guards against a late answer of an ended lifetime taking the next one out of use.
+// Guards against a late answer of an ended incarnation taking the next one out of use.
 #[googletest::test]
-fn an_answer_of_an_ended_lifetime_does_not_mark_the_next_one() {
+fn an_answer_of_an_ended_incarnation_does_not_mark_the_next_one() {
     let mut endpoints = Endpoints::default();
-    endpoints.upsert(lifetime("a", Some(6)));
+    endpoints.upsert(incarnation("a", Some(6)));
     expect_that!(
         endpoints.mark_leaving(MARKED_UNIX_MS, &"a".into(), Some(5)),
         eq(false)
--- a/gateway/src/forward/leaving.rs
+++ b/gateway/src/forward/leaving.rs
@@ -14,7 +14,7 @@
 }
 
 impl<D: Dialect> Gateway<D> {
-    /// Marks the lifetime that sent an answer if the answer states that it is leaving.
+    /// Marks the incarnation that sent an answer if the answer states that it is leaving.
     pub(super) fn observe_answer(
         &self,
         call: &Call,
@@ -48,9 +48,9 @@
             "entry_age_ms" => read_at.map_or(0, |at| at.elapsed().as_millis()));
     }
 
-    /// Returns the id and start time of the lifetime that sent an answer, if that is certain.
+    /// Returns the id and start time of the incarnation that sent an answer, if that is certain.
     ///
-    /// Status 421 comes from another lifetime than the called one, and so may an answer to another
+    /// Status 421 comes from another incarnation than the called one, and so may an answer to another
     /// request; they must name their sender.
     fn sender(
         &self,
