--- a/src/adapter/tests.rs
+++ b/src/adapter/tests.rs
@@ -378,8 +378,7 @@
     }
 }
 
-// Guards against a stream that an engine broke off being returned as complete. Without a length or
-// chunks only the last event shows the end.
+// Guards against an unframed stream that an engine broke off being returned as complete.
 #[gtest]
 fn an_engine_stream_without_its_last_event_is_an_error() {
     const HEAD: &str = "HTTP/1.1 200 OK\r\ncontent-type: text/event-stream\r\n\r\n";
--- a/src/client/tests.rs
+++ b/src/client/tests.rs
@@ -197,8 +197,7 @@
     expect_that!(outcome.result.unwrap().content, eq("a b"));
 }
 
-// Guards against an answer that was broken off being returned as the whole answer. Without a length
-// or chunks only the last event, or the end of the document, shows the end.
+// Guards against an unframed answer that was broken off being returned as the whole answer.
 #[gtest]
 fn a_truncated_answer_is_an_error() {
     let stream = "event: tokens\ndata: {\"index\":0,\"count\":1,\"text\":\"a\"}\n\n\
