Count a program's budget on routes that keep no history

Cause: Gateway::prepare returned early for a route without retention, so that no tokens were reserved.

Change: reserving and settling tokens (reserved_turn.rs) is apart from keeping a turn. A turn that carries a budget is reserved whatever its route keeps. Without history there is neither a body to record nor an acknowledgement to wait for at the end of the answer: the reservation, which is durable before the first byte reaches the client, counts until the settlement is stored, also if all processes are lost in between. A turn of a program that carries no budget counts for later ones. A budget that can't be read, or that has no program or token count, is answered 400 instead of counting as none.

Reservations that wait for their append count now.

--- a/gateway/src/dialect.rs
+++ b/gateway/src/dialect.rs
@@ -22,6 +22,9 @@
     pub program_time_left: Option<Duration>,
     /// Maximum number of tokens that all turns of the program together may generate.
     pub budget_tokens: Option<u64>,
+    /// Whether the request carries a token budget that cannot be read. Unlike other unreadable
+    /// values it must not count as absent, since the program would run without a limit.
+    pub has_malformed_budget: bool,
     /// Turn that this request continues. A turn's id is the
     /// `request_id` of the request that started it.
     pub previous_turn: Option<String>,
@@ -162,7 +165,8 @@
 /// Translates between one platform's formats and the gateway's types. Implementations are
 /// stateless.
 pub trait Dialect: 'static {
-    /// Parses the headers of a client's request; an unreadable value counts as absent.
+    /// Parses the headers of a client's request; an unreadable value counts as absent, except for
+    /// the token budget.
     fn parse_call(headers: &[Header]) -> CallInfo;
 
     /// Returns whether a request header is reserved; reserved headers of clients are not forwarded.
--- a/gateway/src/ledger.rs
+++ b/gateway/src/ledger.rs
@@ -284,11 +284,11 @@
                 reservation: PendingReservation::NotNeeded,
             });
         };
-        let mut charged = partition.index.borrow().charged_tokens(&new_turn.program);
+        let mut charged = partition.charged_tokens(&new_turn.program);
         if charged + new_turn.max_tokens > budget_tokens {
             // The local state may be stale: turns may have settled for fewer tokens since.
             within_lookup_timeout(partition.read_to_end()).await?;
-            charged = partition.index.borrow().charged_tokens(&new_turn.program);
+            charged = partition.charged_tokens(&new_turn.program);
             if charged + new_turn.max_tokens > budget_tokens {
                 return Err(Denial::BudgetExhausted.into());
             }
@@ -312,9 +312,10 @@
             program: new_turn.program.clone(),
             max_tokens: new_turn.max_tokens,
         };
-        let committer = &self.program_partition(&new_turn.program).committer;
+        let partition = self.program_partition(&new_turn.program);
+        partition.queue_reservation(&new_turn.turn, &new_turn.program, new_turn.max_tokens);
         let key = reservation_key(&new_turn.turn, self.writer_tag());
-        committer.submit(key, encode(&record), delay)
+        partition.committer.submit(key, encode(&record), delay)
     }
 
     /// Waits until the reservation can be checked against the records before it. Returns whether
--- a/gateway/src/lib.rs
+++ b/gateway/src/lib.rs
@@ -28,6 +28,7 @@
 mod record;
 mod relay;
 mod reply;
+mod reserved_turn;
 mod routes;
 mod stable_hash;
 mod store;
--- a/gateway/src/node.rs
+++ b/gateway/src/node.rs
@@ -290,6 +290,7 @@
             return;
         }
         for partition in &self.partitions {
+            partition.forget_applied_reservations();
             if partition.is_loaded() && self.owns(partition.number) {
                 for key in partition.index.borrow().expired_keys(now) {
                     partition.committer.enqueue(key, None);
--- a/gateway/src/partition.rs
+++ b/gateway/src/partition.rs
@@ -44,6 +44,13 @@
     (stable_hash(program) % u64::from(PARTITION_COUNT)) as PartitionNumber
 }
 
+/// A reservation of this gateway that the index does not contain yet.
+struct QueuedReservation {
+    turn: String,
+    program: String,
+    max_tokens: u64,
+}
+
 /// State of a partition on one gateway.
 pub(crate) struct Partition<D> {
     pub(crate) number: PartitionNumber,
@@ -51,6 +58,9 @@
     pub(crate) committer: Committer<D>,
     /// State derived from the records read so far.
     pub(crate) index: RefCell<TurnIndex>,
+    /// Reservations of this gateway between their submission and the time at which the index
+    /// contains them; some may already be there.
+    queued_reservations: RefCell<Vec<QueuedReservation>>,
     /// Whether the partition was once read completely.
     is_loaded: Cell<bool>,
     /// Offset of the next record to apply. If the partition is loaded, all earlier records have
@@ -74,6 +84,7 @@
             number,
             committer: Committer::new(Topic::Turns(number)),
             index: RefCell::default(),
+            queued_reservations: RefCell::default(),
             is_loaded: Cell::new(false),
             next_offset: Cell::new(0),
             reads_started: Cell::new(0),
@@ -85,6 +96,35 @@
         }
     }
 
+    /// Counts a reservation that has been submitted, until the index contains it.
+    pub(crate) fn queue_reservation(&self, turn: &str, program: &str, max_tokens: u64) {
+        self.queued_reservations
+            .borrow_mut()
+            .push(QueuedReservation {
+                turn: turn.to_owned(),
+                program: program.to_owned(),
+                max_tokens,
+            });
+    }
+
+    /// Forgets the queued reservations that the index contains.
+    pub(crate) fn forget_applied_reservations(&self) {
+        let index = self.index.borrow();
+        let mut queued = self.queued_reservations.borrow_mut();
+        queued.retain(|reservation| !index.contains(&reservation.turn));
+    }
+
+    /// Returns the tokens that count against a program's budget, queued reservations included.
+    pub(crate) fn charged_tokens(&self, program: &str) -> u64 {
+        self.forget_applied_reservations();
+        let queued = self.queued_reservations.borrow();
+        let queued = queued
+            .iter()
+            .filter(|reservation| reservation.program == program);
+        let queued_tokens: u64 = queued.map(|reservation| reservation.max_tokens).sum();
+        self.index.borrow().charged_tokens(program) + queued_tokens
+    }
+
     pub(crate) fn topic(&self) -> Topic {
         Topic::Turns(self.number)
     }
--- /dev/null
+++ b/gateway/src/reserved_turn.rs
@@ -0,0 +1,111 @@
+//! The tokens of one turn: reserved before it runs, settled when it ends.
+
+use crate::call::Call;
+use crate::dialect::Dialect;
+use crate::ledger::{NewTurn, PendingReservation};
+use crate::node::{Gateway, InFlightGuard};
+use std::cell::{Cell, OnceCell};
+use std::rc::Rc;
+
+/// A turn whose tokens count against its program's budget. It is settled on drop unless that was
+/// done before or it completed.
+pub(crate) struct ReservedTurn<D: Dialect> {
+    gateway: Rc<Gateway<D>>,
+    pub(crate) new_turn: NewTurn,
+    reservation: OnceCell<PendingReservation>,
+    /// Whether the budget covers the reservation, once that is known.
+    confirmation: Cell<Option<bool>>,
+    spent_tokens: Cell<u64>,
+    /// Whether nothing is left to settle.
+    is_settled: Cell<bool>,
+}
+
+impl<D: Dialect> Drop for ReservedTurn<D> {
+    fn drop(&mut self) {
+        self.settle();
+    }
+}
+
+impl<D: Dialect> ReservedTurn<D> {
+    pub(crate) fn new(gateway: &Rc<Gateway<D>>, call: &Call) -> Self {
+        let info = &call.info;
+        let is_kept = call.route.retention.is_some();
+        let new_turn = NewTurn {
+            turn: call.id().to_owned(),
+            program: info.program.clone().unwrap_or_default(),
+            previous: info.previous_turn.clone().filter(|_| is_kept),
+            max_tokens: info
+                .tokens
+                .map_or(0, |(_, max_tokens)| u64::from(max_tokens)),
+            budget_tokens: info.budget_tokens,
+            time_left_ms: call.time_left().as_millis() as u64,
+            is_retry: false,
+        };
+        Self {
+            gateway: gateway.clone(),
+            new_turn,
+            reservation: OnceCell::new(),
+            confirmation: Cell::new(None),
+            spent_tokens: Cell::new(0),
+            is_settled: Cell::new(false),
+        }
+    }
+
+    /// Sets the reservation whose confirmation is awaited. Only the first call has an effect.
+    pub(crate) fn set_reservation(&self, reservation: PendingReservation) {
+        // A second reservation of the same turn would count once anyway.
+        let _ = self.reservation.set(reservation);
+    }
+
+    /// Waits until the reservation is confirmed or rejected. Returns whether the budget covers it.
+    pub(crate) async fn wait_for_confirmation(&self) -> bool {
+        if self.new_turn.budget_tokens.is_none() {
+            return true;
+        }
+        if let Some(is_confirmed) = self.confirmation.get() {
+            return is_confirmed;
+        }
+        let Some(reservation) = self.reservation.get() else {
+            return false;
+        };
+        let is_confirmed = self
+            .gateway
+            .confirm_reservation(&self.new_turn, reservation)
+            .await;
+        self.confirmation.set(Some(is_confirmed));
+        is_confirmed
+    }
+
+    /// Counts tokens that are about to be delivered to the client.
+    pub(crate) fn add_spent(&self, tokens: u64) {
+        self.spent_tokens.set(self.spent_tokens.get() + tokens);
+    }
+
+    pub(crate) fn spent_tokens(&self) -> u64 {
+        self.spent_tokens.get()
+    }
+
+    /// Marks the turn as stored, or as never reserved.
+    pub(crate) fn mark_settled(&self) {
+        self.is_settled.set(true);
+    }
+
+    /// Replaces the reservation by the spent tokens, in the background. Until the store has the
+    /// settlement, the reservation counts.
+    pub(crate) fn settle(&self) {
+        let spent_tokens = self.spent_tokens.get();
+        let has_record = self.new_turn.budget_tokens.is_some() || spent_tokens > 0;
+        if self.is_settled.replace(true) || !has_record || self.new_turn.program.is_empty() {
+            return;
+        }
+        let gateway = self.gateway.clone();
+        let NewTurn { turn, program, .. } = self.new_turn.clone();
+        let executor = gateway.executor.clone();
+        let guard = InFlightGuard::new(&gateway.settlements_in_flight);
+        let settle = async move {
+            gateway.settle_turn(&turn, program, spent_tokens).await;
+            drop(guard);
+        };
+        executor.spawn(settle).detach();
+    }
+}
--- a/gateway/src/turn_call.rs
+++ b/gateway/src/turn_call.rs
@@ -1,17 +1,19 @@
 //! Streaming requests and the turns of programs. The history is read before the run, the budget is
-//! checked before the first token, and the turn is stored before the stream ends.
+//! checked before the first token, and a turn that can be continued is stored before the stream
+//! ends.
 
 use crate::call::Call;
 use crate::dialect::Dialect;
 use crate::endpoints::CallOutcome;
 use crate::forward::{EndpointAnswer, Exchange, OutgoingRequest};
-use crate::ledger::{Denial, NewTurn, PendingReservation};
+use crate::ledger::Denial;
 use crate::net::with_timeout;
-use crate::node::{Gateway, InFlightGuard};
+use crate::node::Gateway;
 use crate::record::CompletedTurn;
 use crate::reply::{Refusal, Reply};
+use crate::reserved_turn::ReservedTurn;
+use crate::routes::Retention;
 use crate::stream::{EventSplitter, append_data};
-use std::cell::{Cell, OnceCell};
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -32,77 +34,6 @@
     reserved: Option<ReservedTurn<D>>,
 }
 
-/// A turn with reserved tokens. It is settled on drop unless it completed.
-struct ReservedTurn<D: Dialect> {
-    gateway: Rc<Gateway<D>>,
-    new_turn: NewTurn,
-    reservation: OnceCell<PendingReservation>,
-    /// Whether the budget covers the reservation, once that is known.
-    confirmation: Cell<Option<bool>>,
-    spent_tokens: Cell<u64>,
-    /// Whether nothing is left to settle because the turn was stored or was never reserved.
-    is_settled: Cell<bool>,
-}
-
-impl<D: Dialect> Drop for ReservedTurn<D> {
-    fn drop(&mut self) {
-        if self.is_settled.get() || self.new_turn.budget_tokens.is_none() {
-            return;
-        }
-        let gateway = self.gateway.clone();
-        let NewTurn { turn, program, .. } = self.new_turn.clone();
-        let spent_tokens = self.spent_tokens.get();
-        let executor = gateway.executor.clone();
-        let guard = InFlightGuard::new(&gateway.settlements_in_flight);
-        let settle = async move {
-            gateway.settle_turn(&turn, program, spent_tokens).await;
-            drop(guard);
-        };
-        executor.spawn(settle).detach();
-    }
-}
-
-impl<D: Dialect> ReservedTurn<D> {
-    fn new(gateway: &Rc<Gateway<D>>, call: &Call) -> Self {
-        let new_turn = NewTurn {
-            turn: call.id().to_owned(),
-            program: call.info.program.clone().unwrap_or_default(),
-            previous: call.info.previous_turn.clone(),
-            max_tokens: call
-                .info
-                .tokens
-                .map_or(0, |(_, max_tokens)| u64::from(max_tokens)),
-            budget_tokens: call.info.budget_tokens,
-            time_left_ms: call.time_left().as_millis() as u64,
-            is_retry: false,
-        };
-        Self {
-            gateway: gateway.clone(),
-            new_turn,
-            reservation: OnceCell::new(),
-            confirmation: Cell::new(None),
-            spent_tokens: Cell::new(0),
-            is_settled: Cell::new(false),
-        }
-    }
-
-    /// Waits until the reservation is confirmed or rejected. Returns whether the budget covers it.
-    async fn wait_for_confirmation(&self) -> bool {
-        if let Some(is_confirmed) = self.confirmation.get() {
-            return is_confirmed;
-        }
-        let Some(reservation) = self.reservation.get() else {
-            return false;
-        };
-        let is_confirmed = self
-            .gateway
-            .confirm_reservation(&self.new_turn, reservation)
-            .await;
-        self.confirmation.set(Some(is_confirmed));
-        is_confirmed
-    }
-}
-
 /// What has been read of a stream.
 struct StreamProgress {
     splitter: EventSplitter,
@@ -151,28 +82,31 @@
 
     /// Looks up a turn's history and reserves its tokens.
     async fn prepare(self: &Rc<Self>, call: &Call) -> Result<PreparedTurn<D>, Refusal> {
-        if call.route.retention.is_none() {
+        if let Some(reason) = turn_error(call) {
+            return Err(Refusal::new(400, reason));
+        }
+        if !is_accounted(call) {
             return Ok(PreparedTurn {
                 body: call.body.clone(),
                 reserved: None,
             });
         }
-        if call.id().is_empty() {
-            return Err(Refusal::new(400, "a turn needs a request id"));
-        }
-        if call.id().len() > MAX_TURN_ID_BYTES {
-            return Err(Refusal::new(400, "the request id is too long"));
-        }
         let reserved = ReservedTurn::new(self, call);
+        if call.route.retention.is_none() && call.info.budget_tokens.is_none() {
+            // There is nothing to look up, and its tokens are recorded once it has ended.
+            return Ok(PreparedTurn {
+                body: call.body.clone(),
+                reserved: Some(reserved),
+            });
+        }
         let started = match self.start_turn(&reserved.new_turn).await {
             Ok(started) => started,
             Err(denial) => {
-                reserved.is_settled.set(true);
+                reserved.mark_settled();
                 return Err(refusal(call, denial));
             }
         };
-        // Cannot fail: this is the only place that sets it.
-        let _ = reserved.reservation.set(started.reservation);
+        reserved.set_reservation(started.reservation);
         if let Some(endpoint) = &started.history.endpoint {
             self.record_prompt(endpoint, &started.history.prompt_parts);
         }
@@ -236,8 +170,14 @@
         let endpoint = exchange.endpoint.clone();
         exchange.finish(CallOutcome::Answered);
         if let Some(reserved) = &prepared.reserved {
-            self.complete(call, reserved, &endpoint, progress.text)
-                .await;
+            match call.route.retention {
+                Some(retention) => {
+                    self.complete(call, reserved, retention, &endpoint, progress.text)
+                        .await;
+                }
+                // Only later turns need the settlement, and until then the reservation counts.
+                None => reserved.settle(),
+            }
         }
         // A closed client connection is visible in the reply's state.
         let _ = reply.finish().await;
@@ -276,8 +216,7 @@
                 events.extend_from_slice(splitter.rest());
             }
             if let Some(reserved) = &prepared.reserved {
-                let spent = reserved.spent_tokens.get() + count * tokens_per_event;
-                reserved.spent_tokens.set(spent);
+                reserved.add_spent(count * tokens_per_event);
             }
             let written = reply.write_chunk(&events).await;
             written.map_err(|_| "the client closed the connection")?;
@@ -298,30 +237,54 @@
         self: &Rc<Self>,
         call: &Call,
         reserved: &ReservedTurn<D>,
+        retention: Retention,
         endpoint: &str,
         text: Vec<u8>,
     ) {
-        let spent_tokens = reserved.spent_tokens.get();
+        let spent_tokens = reserved.spent_tokens();
         let mut prompt_parts = call.info.prompt_parts.clone();
         if let Some((_, tokens)) = prompt_parts.last_mut() {
             *tokens += u32::try_from(spent_tokens).unwrap_or(u32::MAX);
         }
         self.record_prompt(endpoint, &prompt_parts);
-        let retention = call.route.retention;
         let completed = CompletedTurn {
             program: reserved.new_turn.program.clone(),
             spent_tokens,
             previous: call.info.previous_turn.clone(),
             endpoint: endpoint.to_owned(),
             prompt_parts,
-            retention_ms: retention.map_or(0, |retention| retention.duration.as_millis() as u64),
+            retention_ms: retention.duration.as_millis() as u64,
             text,
         };
-        reserved.is_settled.set(true);
+        reserved.mark_settled();
         self.complete_turn(call.id(), completed).await;
     }
 }
 
+/// Returns whether the turn's tokens or its history are recorded in the store.
+fn is_accounted(call: &Call) -> bool {
+    call.route.retention.is_some() || call.info.program.is_some()
+}
+
+/// Returns the reason why a turn cannot be served as the client means it.
+fn turn_error(call: &Call) -> Option<&'static str> {
+    let info = &call.info;
+    let has_budget = info.budget_tokens.is_some();
+    if info.has_malformed_budget {
+        Some("the token budget is malformed")
+    } else if is_accounted(call) && call.id().is_empty() {
+        Some("a turn needs a request id")
+    } else if is_accounted(call) && call.id().len() > MAX_TURN_ID_BYTES {
+        Some("the request id is too long")
+    } else if has_budget && info.program.is_none() {
+        Some("a token budget needs a program")
+    } else if has_budget && info.tokens.is_none() {
+        Some("a token budget needs the turn's token counts")
+    } else {
+        None
+    }
+}
+
 fn refusal(call: &Call, denial: Denial) -> Refusal {
     match denial {
         Denial::NoSuchTurn => Refusal::new(404, "no such turn"),
