Continue a broken stream at another endpoint where its route allows it

Callers saw: a stream of a resumable route that its endpoint broke off, left hanging or never began ended with a broken connection or a 502, and the client had to begin again.

Cause: neither the gateway nor the adapter knew that a route may be resumable.

Change: after a break, an event cut in half, or a pause of four times the route's longest one (600 ms at least), the request goes to another endpoint with the id of the last whole event that was forwarded, within the same answer, the route's attempts and the deadline. The connection to the first endpoint is closed before. Events at or before that id are not forwarded. A resumable request without an answer is retried like an idempotent one. A client's own Last-Event-Id goes to the endpoint; where it can't be served as meant (a route that isn't resumable or keeps its turns, no number) the answer is 400 and nothing runs. A route's attempts bound it: with one, the client resumes.

--- a/gateway/src/call.rs
+++ b/gateway/src/call.rs
@@ -2,12 +2,13 @@
 
 use crate::dialect::{CallInfo, Dialect};
 use crate::endpoints::InstanceId;
-use crate::forward::{EndpointAnswer, Execution, OutgoingRequest};
+use crate::forward::{EndpointAnswer, Execution, MAX_ENDPOINTS_TRIED, OutgoingRequest};
 use crate::http::{Framing, RequestHead};
 use crate::net::with_timeout;
 use crate::node::Gateway;
 use crate::reply::{Refusal, Reply, ReplyState};
 use crate::routes::{Route, RouteKind};
+use smallvec::SmallVec;
 use std::cell::{Cell, RefCell};
 use std::rc::Rc;
 use std::time::{Duration, Instant};
@@ -34,6 +35,10 @@
     pub(crate) deadline: Instant,
     /// Whether it may have run so far.
     pub(crate) execution: Cell<Execution>,
+    /// Number of endpoints to which it was sent.
+    pub(crate) send_count: Cell<u32>,
+    /// Endpoints to which it was sent or that could not be reached.
+    pub(crate) tried: RefCell<SmallVec<[InstanceId; MAX_ENDPOINTS_TRIED]>>,
     /// Endpoint to which it was last sent.
     pub(crate) endpoint: RefCell<Option<InstanceId>>,
     /// Start of the last attempt to send it.
@@ -134,6 +139,7 @@
             body: &call.body,
             prompt_tokens: 0,
             answer_tokens: 0,
+            resume_after: None,
         };
         match self.send(&request).await {
             Ok(EndpointAnswer::Whole { head, body }) => {
--- /dev/null
+++ b/gateway/src/event_stream.rs
@@ -0,0 +1,238 @@
+//! Forwards the events of a stream, and continues a broken one at another endpoint.
+
+use crate::dialect::Dialect;
+use crate::endpoints::{CallOutcome, InstanceId};
+use crate::forward::{EndpointAnswer, Exchange, OutgoingRequest};
+use crate::net::with_timeout;
+use crate::node::Gateway;
+use crate::reply::Reply;
+use crate::reserved_turn::ReservedTurn;
+use crate::stream::{EventId, EventSplitter, append_data, event_id};
+use std::rc::Rc;
+use std::time::Duration;
+
+/// Pause of a stream after which it is continued elsewhere, as a multiple of the route's longest
+/// acceptable pause. Endpoints that are only busy pause for less.
+const STALL_FACTOR: u32 = 4;
+
+/// Minimum pause after which a stream is continued elsewhere.
+const MIN_STALL: Duration = Duration::from_millis(600);
+
+/// A stream that was forwarded to its end.
+pub(crate) struct ForwardedStream {
+    /// Endpoint that sent the last event.
+    pub(crate) endpoint: InstanceId,
+    /// Input of the turn and the data of all events, each followed by a line feed.
+    pub(crate) text: Vec<u8>,
+}
+
+/// Reason why a stream broke.
+#[derive(Clone, Copy, Debug)]
+enum StreamBreak {
+    /// The client can no longer be reached.
+    Client(&'static str),
+    /// The endpoint broke the stream; another one may continue it.
+    Endpoint(&'static str),
+}
+
+impl StreamBreak {
+    fn reason(self) -> &'static str {
+        match self {
+            Self::Client(reason) | Self::Endpoint(reason) => reason,
+        }
+    }
+}
+
+/// Forwards one stream to a client.
+pub(crate) struct StreamForwarder<'a, D: Dialect> {
+    gateway: &'a Rc<Gateway<D>>,
+    outgoing: &'a OutgoingRequest<'a>,
+    reply: &'a Reply,
+    reserved: Option<&'a ReservedTurn<D>>,
+    tokens_per_event: u64,
+    /// Input of the turn and the data of the events so far; empty if the turn is not kept.
+    text: Vec<u8>,
+    /// Number of events with data that were forwarded.
+    event_count: u64,
+    /// Id of the last forwarded event that had one.
+    last_event_id: Option<EventId>,
+}
+
+impl<'a, D: Dialect> StreamForwarder<'a, D> {
+    pub(crate) fn new(
+        gateway: &'a Rc<Gateway<D>>,
+        outgoing: &'a OutgoingRequest<'a>,
+        reply: &'a Reply,
+        reserved: Option<&'a ReservedTurn<D>>,
+    ) -> Self {
+        let is_kept = outgoing.call.route.retention.is_some();
+        let text = is_kept.then(|| outgoing.call.body.clone());
+        Self {
+            gateway,
+            outgoing,
+            reply,
+            reserved,
+            tokens_per_event: gateway.tokens_per_event(outgoing.service),
+            text: text.unwrap_or_default(),
+            event_count: 0,
+            last_event_id: None,
+        }
+    }
+
+    /// Forwards a stream event by event, without its end. Returns `None` if it broke.
+    ///
+    /// The answer has the head of the first endpoint, whichever endpoints continue it.
+    pub(crate) async fn forward(mut self, exchange: Box<Exchange<D>>) -> Option<ForwardedStream> {
+        let head = &exchange.head;
+        let head_written = self
+            .reply
+            .start_chunked(head.status, &head.reason, &head.headers)
+            .await;
+        head_written.ok()?;
+        let mut exchange = exchange;
+        loop {
+            let can_resume = self.can_resume();
+            let forwarded = self.forward_events(&mut exchange, can_resume).await;
+            match forwarded {
+                Ok(()) => {
+                    self.log("stream_ended", &exchange, "");
+                    let endpoint = exchange.endpoint.clone();
+                    exchange.finish(CallOutcome::Answered);
+                    let text = self.text;
+                    return Some(ForwardedStream { endpoint, text });
+                }
+                Err(broken) => self.log("stream_broken", &exchange, broken.reason()),
+            }
+            if !can_resume || matches!(forwarded, Err(StreamBreak::Client(_))) {
+                return None;
+            }
+            // The endpoint stops its run when the connection closes.
+            drop(exchange);
+            exchange = self.resume().await?;
+        }
+    }
+
+    fn log(&self, event: &str, exchange: &Exchange<D>, reason: &str) {
+        crate::event!(event, "request" => self.outgoing.call.id(),
+            "endpoint" => &*exchange.endpoint, "reason" => reason, "events" => self.event_count,
+            "tokens" => self.event_count * self.tokens_per_event);
+    }
+
+    /// Returns whether the stream may go on at another endpoint if its current one fails.
+    fn can_resume(&self) -> bool {
+        let call = self.outgoing.call;
+        call.route.is_resumable && call.send_count.get() < call.route.max_attempts
+    }
+
+    /// Sends the request to another endpoint for the events after the last forwarded one.
+    async fn resume(&self) -> Option<Box<Exchange<D>>> {
+        let resumed = OutgoingRequest {
+            resume_after: self.last_event_id,
+            ..*self.outgoing
+        };
+        let (reason, exchange) = match self.gateway.send(&resumed).await {
+            Ok(EndpointAnswer::Stream(exchange)) => ("", Some(exchange)),
+            Ok(EndpointAnswer::Whole { .. }) => ("the endpoint answered without a stream", None),
+            Err(failure) => (failure.reason, None),
+        };
+        let call = self.outgoing.call;
+        crate::event!("stream_resumed", "request" => call.id(), "reason" => reason,
+            "endpoint" => exchange.as_ref().map_or("", |exchange| &*exchange.endpoint),
+            "last_event" => self.last_event_id.unwrap_or_default(),
+            "left_ms" => call.time_left().as_millis());
+        exchange
+    }
+
+    /// Forwards the events of one endpoint until its stream ends or breaks.
+    async fn forward_events(
+        &mut self,
+        exchange: &mut Exchange<D>,
+        can_resume: bool,
+    ) -> Result<(), StreamBreak> {
+        let resumed_after = self.last_event_id;
+        let mut splitter = EventSplitter::default();
+        loop {
+            let bytes = self.read(exchange, can_resume).await?;
+            splitter.push(&bytes.data);
+            let mut events = Vec::new();
+            while let Some(event) = splitter.next_event() {
+                let id = event_id(&event);
+                if id.is_some() && id <= resumed_after {
+                    exchange.record_failure();
+                    return Err(StreamBreak::Endpoint("the endpoint repeats events"));
+                }
+                self.last_event_id = id.or(self.last_event_id);
+                self.count(&event);
+                events.extend_from_slice(&event);
+            }
+            let framing = exchange.head.framing;
+            let has_data = self.event_count > 0;
+            let checked_end = bytes.is_last.then(|| splitter.check_end(framing, has_data));
+            if checked_end == Some(Ok(())) {
+                events.extend_from_slice(splitter.rest());
+            }
+            let written = self.reply.write_chunk(&events).await;
+            written.map_err(|_| StreamBreak::Client("the client closed the connection"))?;
+            if let Some(checked_end) = checked_end {
+                return checked_end.map_err(|reason| {
+                    exchange.record_failure();
+                    StreamBreak::Endpoint(reason)
+                });
+            }
+        }
+    }
+
+    /// Reads the next bytes. A pause is a failure if another endpoint may continue the stream.
+    async fn read(
+        &self,
+        exchange: &mut Exchange<D>,
+        can_resume: bool,
+    ) -> Result<StreamBytes, StreamBreak> {
+        let mut data = Vec::new();
+        let read = exchange.read(&mut data);
+        let read = if can_resume && self.event_count > 0 {
+            let longest_pause = self.outgoing.call.route.longest_pause;
+            let limit = (longest_pause * STALL_FACTOR).max(MIN_STALL);
+            with_timeout(limit, read).await
+        } else {
+            Some(read.await)
+        };
+        match read {
+            Some(Ok(is_last)) => Ok(StreamBytes { data, is_last }),
+            Some(Err(failure)) => Err(StreamBreak::Endpoint(failure.reason)),
+            None => {
+                exchange.record_failure();
+                Err(StreamBreak::Endpoint("the stream stalled"))
+            }
+        }
+    }
+
+    /// Counts an event that is about to be forwarded.
+    fn count(&mut self, event: &[u8]) {
+        if !append_data(event, &mut self.text) {
+            return;
+        }
+        self.event_count += 1;
+        if let Some(reserved) = self.reserved {
+            reserved.add_spent(self.tokens_per_event);
+        }
+        if self.outgoing.call.route.retention.is_none() {
+            self.text.clear();
+        }
+    }
+}
+
+/// Bytes read from a stream.
+struct StreamBytes {
+    data: Vec<u8>,
+    /// Whether the body ends with them.
+    is_last: bool,
+}
+
+impl<D: Dialect> Gateway<D> {
+    fn tokens_per_event(&self, service: &str) -> u64 {
+        let routes = self.routes.borrow();
+        let engine = routes.service(service).and_then(|service| service.engine);
+        engine.map_or(1, |engine| u64::from(engine.tokens_per_event.max(1)))
+    }
+}
--- a/gateway/src/forward.rs
+++ b/gateway/src/forward.rs
@@ -14,9 +14,9 @@
 use crate::node::Gateway;
 use crate::reply::Refusal;
 use crate::routes::RouteKind;
+use crate::stream::{EventId, LAST_EVENT_ID};
 use futures_lite::future;
 use leaving::ObservedAnswer;
-use smallvec::SmallVec;
 use std::cell::Cell;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
@@ -25,7 +25,7 @@
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(350);
 
 /// Maximum number of endpoints tried for one request, including unreachable ones.
-const MAX_ENDPOINTS_TRIED: usize = 4;
+pub(crate) const MAX_ENDPOINTS_TRIED: usize = 4;
 
 /// Number of answers to other requests after which a connection counts as broken.
 const MAX_STRAY_ANSWERS: u32 = 3;
@@ -201,36 +201,36 @@
     pub(crate) body: &'a [u8],
     pub(crate) prompt_tokens: u32,
     pub(crate) answer_tokens: u32,
+    /// Last event of the stream that was forwarded, if the request asks for the rest of a stream.
+    pub(crate) resume_after: Option<EventId>,
 }
 
 impl<D: Dialect> Gateway<D> {
     /// Sends a request to endpoints of its service until one answers.
     ///
-    /// After an attempt that may have run, only requests of idempotent routes are retried.
+    /// After an attempt that may have run, only idempotent requests and streams that can be resumed
+    /// are retried. Endpoints to which the request was sent earlier are not chosen again.
     pub(crate) async fn send(
         self: &Rc<Self>,
         outgoing: &OutgoingRequest<'_>,
     ) -> Result<EndpointAnswer<D>, Failure> {
         let call = outgoing.call;
-        let is_retryable = call.route.kind == RouteKind::Idempotent;
-        let mut tried: SmallVec<[InstanceId; MAX_ENDPOINTS_TRIED]> = SmallVec::new();
-        let mut send_count = 0;
+        let is_retryable = call.route.is_retryable();
         let mut last = self.no_endpoint();
-        while send_count < call.route.max_attempts.max(1) && tried.len() < MAX_ENDPOINTS_TRIED {
-            let Some(endpoint) = self.choose(outgoing, &tried) else {
+        while call.send_count.get() < call.route.max_attempts.max(1)
+            && call.tried.borrow().len() < MAX_ENDPOINTS_TRIED
+        {
+            let Some(endpoint) = self.choose(outgoing, &call.tried.borrow()) else {
                 break;
             };
-            tried.push(endpoint.id.clone());
-            let attempts_left = call.route.max_attempts.saturating_sub(send_count + 1);
-            let attempt = self.send_once(outgoing, &endpoint, is_retryable, attempts_left);
-            match attempt.await {
+            call.tried.borrow_mut().push(endpoint.id.clone());
+            match self.send_once(outgoing, &endpoint).await {
                 Ok(answer) => return Ok(answer),
-                Err((failure, was_sent)) => {
+                Err(failure) => {
                     crate::event!("attempt_failed", "request" => call.id(),
                         "endpoint" => &*endpoint.id, "reason" => failure.reason,
                         "execution" => failure.execution.to_string(),
                         "left_ms" => call.time_left().as_millis());
-                    send_count += u32::from(was_sent);
                     // Once an attempt may have run, a later refusal does not change that.
                     if last.execution == Execution::NotRun {
                         last = failure;
@@ -277,14 +277,12 @@
         endpoints.choose(Instant::now(), &requirements, local_domain, &mut rng)
     }
 
-    /// Sends a request to one endpoint. An error also contains whether any bytes were sent.
+    /// Sends a request to one endpoint.
     async fn send_once(
         self: &Rc<Self>,
         outgoing: &OutgoingRequest<'_>,
         endpoint: &EndpointRecord,
-        is_retryable: bool,
-        attempts_left: u32,
-    ) -> Result<EndpointAnswer<D>, (Failure, bool)> {
+    ) -> Result<EndpointAnswer<D>, Failure> {
         let call = outgoing.call;
         self.endpoints.borrow_mut().begin_call(&endpoint.id);
         let guard = CallGuard {
@@ -299,34 +297,33 @@
                 Ok(stream) => Connection::new(stream),
                 Err(_) => {
                     guard.outcome.set(CallOutcome::Failed);
-                    return Err((Failure::not_run("the endpoint can't be reached"), false));
+                    return Err(Failure::not_run("the endpoint can't be reached"));
                 }
             },
         };
         // The endpoint may have announced that it leaves while the connection was opened.
         if !self.endpoints.borrow().takes_calls(&endpoint.id) {
-            return Err((Failure::not_run("the endpoint is leaving"), false));
+            return Err(Failure::not_run("the endpoint is leaving"));
         }
         let request = self.request_bytes(outgoing, &endpoint.id);
         call.execution.set(Execution::MayHaveRun);
+        call.send_count.set(call.send_count.get() + 1);
         call.endpoint.replace(Some(endpoint.id.clone()));
         call.sent_at.set(Some(Instant::now()));
         self.record_prompt(&endpoint.id, &call.info.prompt_parts);
         let is_written = Cell::new(false);
         let observe = |answer: &ObservedAnswer<'_>| self.observe_answer(call, endpoint, answer);
         let exchange = exchange::<D>(&mut connection, &request, call.id(), &is_written, &observe);
-        let answered = if is_retryable && attempts_left > 0 && call.time_left() > RETRY_TIMEOUT * 2
-        {
+        let may_send_again = call.send_count.get() < call.route.max_attempts;
+        let is_idempotent = call.route.kind == RouteKind::Idempotent;
+        let answered = if is_idempotent && may_send_again && call.time_left() > RETRY_TIMEOUT * 2 {
             let answered = with_timeout(RETRY_TIMEOUT, exchange).await;
             let timeout = Failure::may_have_run("the endpoint did not answer in time");
             answered.unwrap_or(Err(timeout))
         } else {
             exchange.await
         };
-        let (head, info) = answered.map_err(|failure| {
-            guard.outcome.set(CallOutcome::Failed);
-            (failure, true)
-        })?;
+        let (head, info) = answered.inspect_err(|_| guard.outcome.set(CallOutcome::Failed))?;
         call.answered_at.set(Some(Instant::now()));
         call.framing.set(Some(head.framing));
         let mut exchange = Exchange {
@@ -342,10 +339,7 @@
                 Ok(EndpointAnswer::Stream(Box::new(exchange)))
             }
             AnswerClass::Answer => {
-                let body = exchange
-                    .read_all()
-                    .await
-                    .map_err(|failure| (failure, true))?;
+                let body = exchange.read_all().await?;
                 let head = exchange.head.clone();
                 exchange.finish(CallOutcome::Answered);
                 Ok(EndpointAnswer::Whole { head, body })
@@ -356,21 +350,15 @@
                 if exchange.read_all().await.is_ok() {
                     exchange.finish(CallOutcome::Refused);
                 }
-                Err((Failure::not_run("the endpoint refused the request"), true))
+                Err(Failure::not_run("the endpoint refused the request"))
             }
             AnswerClass::UnconfirmedRefusal => {
                 exchange.guard.outcome.set(CallOutcome::Failed);
-                Err((
-                    Failure::may_have_run("the endpoint failed the request"),
-                    true,
-                ))
+                Err(Failure::may_have_run("the endpoint failed the request"))
             }
             AnswerClass::Invalid => {
                 exchange.guard.outcome.set(CallOutcome::Failed);
-                Err((
-                    Failure::may_have_run("the endpoint sent no valid answer"),
-                    true,
-                ))
+                Err(Failure::may_have_run("the endpoint sent no valid answer"))
             }
         }
     }
@@ -387,13 +375,17 @@
         line(" HTTP/1.1\r\n");
         let connection_headers = connection_tokens(&head.headers);
         for header in &head.headers {
-            if is_forwarded::<D>(header, &connection_headers) {
+            let is_replaced = outgoing.resume_after.is_some() && header.is(LAST_EVENT_ID);
+            if !is_replaced && is_forwarded::<D>(header, &connection_headers) {
                 line(&header.name);
                 line(": ");
                 line(&header.value);
                 line("\r\n");
             }
         }
+        if let Some(last_event_id) = outgoing.resume_after {
+            line(&format!("{LAST_EVENT_ID}: {last_event_id}\r\n"));
+        }
         if head.framing != crate::http::Framing::Empty || !outgoing.body.is_empty() {
             line(&format!("Content-Length: {}\r\n", outgoing.body.len()));
         }
--- a/gateway/src/front.rs
+++ b/gateway/src/front.rs
@@ -150,6 +150,8 @@
             head: request.head,
             body: request.body,
             execution: Cell::new(Execution::NotRun),
+            send_count: Cell::new(0),
+            tried: RefCell::default(),
             endpoint: RefCell::default(),
             sent_at: Cell::new(None),
             answered_at: Cell::new(None),
--- a/gateway/src/lib.rs
+++ b/gateway/src/lib.rs
@@ -10,6 +10,7 @@
 mod counters;
 mod dialect;
 mod endpoints;
+mod event_stream;
 mod events;
 mod follow;
 mod forward;
--- a/gateway/src/routes.rs
+++ b/gateway/src/routes.rs
@@ -18,7 +18,7 @@
     Idempotent,
     /// Requests run at most once.
     AtMostOnce,
-    /// Answers are event streams; requests run at most once.
+    /// Answers are event streams; requests run at most once unless the route is resumable.
     Streaming,
 }
 
@@ -48,6 +48,10 @@
     pub priority: u32,
     /// Maximum number of endpoints to which a request is sent.
     pub max_attempts: u32,
+    /// Whether a broken stream may go on at another endpoint after its last event.
+    pub is_resumable: bool,
+    /// Longest pause between two events of a stream that its client accepts.
+    pub longest_pause: Duration,
     /// Retention of the route's turns; `None` if they are not stored.
     pub retention: Option<Retention>,
     /// Services that run its requests, each with its weight; never empty.
@@ -180,6 +184,11 @@
 }
 
 impl Route {
+    /// Returns whether a request that may have run may be sent to another endpoint.
+    pub fn is_retryable(&self) -> bool {
+        self.kind == RouteKind::Idempotent || self.kind == RouteKind::Streaming && self.is_resumable
+    }
+
     /// Picks one of the route's services at random, in proportion to their weights.
     pub fn pick_service(&self, rng: &mut fastrand::Rng) -> Rc<str> {
         let total: u32 = self.services.iter().map(|(_, weight)| weight).sum();
--- a/gateway/src/routes/tests.rs
+++ b/gateway/src/routes/tests.rs
@@ -13,6 +13,8 @@
         target_latency: Duration::from_millis(100),
         priority: 0,
         max_attempts: 2,
+        is_resumable: false,
+        longest_pause: Duration::ZERO,
         retention: None,
         services: vec![("a".into(), 90), ("b".into(), 10)],
     })
--- a/gateway/src/stream.rs
+++ b/gateway/src/stream.rs
@@ -5,6 +5,12 @@
 
 use crate::http::Framing;
 
+/// Header in which a client or a gateway names the last event that it received.
+pub(crate) const LAST_EVENT_ID: &str = "Last-Event-Id";
+
+/// Id of an event; ids increase within a stream.
+pub(crate) type EventId = u64;
+
 /// Buffers the bytes of a stream and returns complete events.
 #[derive(Debug, Default)]
 pub(crate) struct EventSplitter {
@@ -74,6 +80,13 @@
     matches!(byte, b'\n' | b'\r')
 }
 
+/// Returns the id of an event, if it has a numeric one.
+pub(crate) fn event_id(event: &[u8]) -> Option<EventId> {
+    let mut lines = event.split(|byte| is_line_end(*byte));
+    let value = lines.find_map(|line| line.strip_prefix(b"id:"))?;
+    str::from_utf8(value).ok()?.trim().parse().ok()
+}
+
 /// Appends the data of an event and a line feed to a turn's text; returns whether it had any data.
 pub(crate) fn append_data(event: &[u8], text: &mut Vec<u8>) -> bool {
     let lines = event.split(|byte| is_line_end(*byte));
--- a/gateway/src/turn_call.rs
+++ b/gateway/src/turn_call.rs
@@ -4,7 +4,7 @@
 
 use crate::call::Call;
 use crate::dialect::Dialect;
-use crate::endpoints::CallOutcome;
+use crate::event_stream::{ForwardedStream, StreamForwarder};
 use crate::forward::{EndpointAnswer, Exchange, OutgoingRequest};
 use crate::ledger::Denial;
 use crate::net::with_timeout;
@@ -13,7 +13,7 @@
 use crate::reply::{Refusal, Reply};
 use crate::reserved_turn::ReservedTurn;
 use crate::routes::Retention;
-use crate::stream::{EventSplitter, append_data};
+use crate::stream::{EventId, LAST_EVENT_ID};
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -34,15 +34,6 @@
     reserved: Option<ReservedTurn<D>>,
 }
 
-/// What has been read of a stream.
-struct StreamProgress {
-    splitter: EventSplitter,
-    /// Input of the turn and the data of its events so far.
-    text: Vec<u8>,
-    /// Number of complete events with data.
-    event_count: u64,
-}
-
 impl<D: Dialect> Gateway<D> {
     /// Serves a request that is answered with a stream.
     pub(crate) async fn serve_stream(self: &Rc<Self>, call: &Call, reply: &Reply) {
@@ -66,10 +57,12 @@
             body: &prepared.body,
             prompt_tokens: call.info.tokens.map_or(0, |(prompt, _)| prompt),
             answer_tokens: call.info.answer_tokens.unwrap_or(DEFAULT_ANSWER_TOKENS),
+            resume_after: None,
         };
         match self.send(&outgoing).await {
             Ok(EndpointAnswer::Stream(exchange)) => {
-                self.forward_stream(call, reply, exchange, &prepared, &service)
+                let reserved = prepared.reserved.as_ref();
+                self.forward_turn(&outgoing, reply, exchange, reserved)
                     .await;
             }
             Ok(EndpointAnswer::Whole { head, body }) => {
@@ -125,16 +118,16 @@
         })
     }
 
-    /// Forwards a stream event by event. The end of the stream waits until the turn is stored.
-    async fn forward_stream(
+    /// Forwards the stream of a turn. The end of the stream waits until the turn is stored.
+    async fn forward_turn(
         self: &Rc<Self>,
-        call: &Call,
+        outgoing: &OutgoingRequest<'_>,
         reply: &Reply,
-        mut exchange: Box<Exchange<D>>,
-        prepared: &PreparedTurn<D>,
-        service: &str,
+        exchange: Box<Exchange<D>>,
+        reserved: Option<&ReservedTurn<D>>,
     ) {
-        if let Some(reserved) = &prepared.reserved
+        let call = outgoing.call;
+        if let Some(reserved) = reserved
             && !reserved.wait_for_confirmation().await
         {
             // The turn has started to run, so the reply must not claim otherwise.
@@ -143,37 +136,14 @@
                 .refuse(&Refusal::new(502, "the budget is spent"))
                 .await;
         }
-        let head = &exchange.head;
-        let head_written = reply
-            .start_chunked(head.status, &head.reason, &head.headers)
-            .await;
-        if head_written.is_err() {
-            return;
-        }
-        let mut progress = StreamProgress {
-            splitter: EventSplitter::default(),
-            text: call.body.clone(),
-            event_count: 0,
-        };
-        let forwarded = self.forward_events(reply, &mut exchange, prepared, service, &mut progress);
-        let forwarded = forwarded.await;
-        let (event, reason) = match forwarded {
-            Ok(()) => ("stream_ended", ""),
-            Err(reason) => ("stream_broken", reason),
-        };
-        crate::event!(event, "request" => call.id(), "endpoint" => &*exchange.endpoint,
-            "reason" => reason, "events" => progress.event_count,
-            "partial_bytes" => progress.splitter.rest().len());
-        if forwarded.is_err() {
+        let forwarder = StreamForwarder::new(self, outgoing, reply, reserved);
+        let Some(forwarded) = forwarder.forward(exchange).await else {
             return reply.abort();
-        }
-        let endpoint = exchange.endpoint.clone();
-        exchange.finish(CallOutcome::Answered);
-        if let Some(reserved) = &prepared.reserved {
+        };
+        if let Some(reserved) = reserved {
             match call.route.retention {
                 Some(retention) => {
-                    self.complete(call, reserved, retention, &endpoint, progress.text)
-                        .await;
+                    self.complete(call, reserved, retention, forwarded).await;
                 }
                 // Only later turns need the settlement, and until then the reservation counts.
                 None => reserved.settle(),
@@ -183,75 +153,26 @@
         let _ = reply.finish().await;
     }
 
-    async fn forward_events(
-        &self,
-        reply: &Reply,
-        exchange: &mut Exchange<D>,
-        prepared: &PreparedTurn<D>,
-        service: &str,
-        progress: &mut StreamProgress,
-    ) -> Result<(), &'static str> {
-        let tokens_per_event = self.tokens_per_event(service);
-        let StreamProgress {
-            splitter,
-            text,
-            event_count,
-        } = progress;
-        let mut bytes = Vec::new();
-        loop {
-            let has_ended = exchange.read(&mut bytes).await;
-            let has_ended = has_ended.map_err(|failure| failure.reason)?;
-            splitter.push(&bytes);
-            bytes.clear();
-            let mut events = Vec::new();
-            let mut count = 0;
-            while let Some(event) = splitter.next_event() {
-                count += u64::from(append_data(&event, text));
-                events.extend_from_slice(&event);
-            }
-            *event_count += count;
-            let framing = exchange.head.framing;
-            let checked_end = has_ended.then(|| splitter.check_end(framing, *event_count > 0));
-            if checked_end == Some(Ok(())) {
-                events.extend_from_slice(splitter.rest());
-            }
-            if let Some(reserved) = &prepared.reserved {
-                reserved.add_spent(count * tokens_per_event);
-            }
-            let written = reply.write_chunk(&events).await;
-            written.map_err(|_| "the client closed the connection")?;
-            if let Some(checked_end) = checked_end {
-                return checked_end.inspect_err(|_| exchange.record_failure());
-            }
-        }
-    }
-
-    fn tokens_per_event(&self, service: &str) -> u64 {
-        let routes = self.routes.borrow();
-        let engine = routes.service(service).and_then(|service| service.engine);
-        engine.map_or(1, |engine| u64::from(engine.tokens_per_event.max(1)))
-    }
-
     /// Stores a completed turn. Returns once the store has acknowledged it.
     async fn complete(
         self: &Rc<Self>,
         call: &Call,
         reserved: &ReservedTurn<D>,
         retention: Retention,
-        endpoint: &str,
-        text: Vec<u8>,
+        forwarded: ForwardedStream,
     ) {
+        let ForwardedStream { endpoint, text } = forwarded;
         let spent_tokens = reserved.spent_tokens();
         let mut prompt_parts = call.info.prompt_parts.clone();
         if let Some((_, tokens)) = prompt_parts.last_mut() {
             *tokens += u32::try_from(spent_tokens).unwrap_or(u32::MAX);
         }
-        self.record_prompt(endpoint, &prompt_parts);
+        self.record_prompt(&endpoint, &prompt_parts);
         let completed = CompletedTurn {
             program: reserved.new_turn.program.clone(),
             spent_tokens,
             previous: call.info.previous_turn.clone(),
-            endpoint: endpoint.to_owned(),
+            endpoint: endpoint.to_string(),
             prompt_parts,
             retention_ms: retention.duration.as_millis() as u64,
             text,
@@ -276,6 +197,8 @@
         Some("a turn needs a request id")
     } else if is_accounted(call) && call.id().len() > MAX_TURN_ID_BYTES {
         Some("the request id is too long")
+    } else if let Err(reason) = check_resume(call) {
+        Some(reason)
     } else if has_budget && info.program.is_none() {
         Some("a token budget needs a program")
     } else if has_budget && info.tokens.is_none() {
@@ -285,6 +208,25 @@
     }
 }
 
+/// Checks whether a client that asks for the rest of a stream can get it.
+fn check_resume(call: &Call) -> Result<(), &'static str> {
+    let mut headers = call.head.headers.iter();
+    let Some(header) = headers.find(|header| header.is(LAST_EVENT_ID)) else {
+        return Ok(());
+    };
+    if !call.route.is_resumable {
+        return Err("the route's streams cannot be resumed");
+    }
+    if call.route.retention.is_some() {
+        // The gateway would not know the whole text of the turn.
+        return Err("a turn that can be continued cannot be resumed");
+    }
+    let is_number = header.value.parse::<EventId>().is_ok();
+    is_number
+        .then_some(())
+        .ok_or("the last event id is not a number")
+}
+
 fn refusal(call: &Call, denial: Denial) -> Refusal {
     match denial {
         Denial::NoSuchTurn => Refusal::new(404, "no such turn"),
