Bound what an endpoint's answer may cost

Callers saw: one endpoint that sends without end stopped a whole gateway. A turn whose record exceeds what the store accepts would have been appended again for ever and blocked its partition.

Cause: a connection whose bytes are always ready never let another task or timer run, and nothing but the head of an answer had a limit.

Change: limits.rs names what an exchange may cost: interim answers, head, whole answer, bytes between two events, stream, the turn's own tokens, record of a turn. An endpoint that exceeds a limit counts as failed.

--- a/gateway/src/event_stream.rs
+++ b/gateway/src/event_stream.rs
@@ -3,6 +3,7 @@
 use crate::dialect::Dialect;
 use crate::endpoints::{CallOutcome, InstanceId};
 use crate::forward::{EndpointAnswer, Exchange, OutgoingRequest};
+use crate::limits::{MAX_EVENT_BYTES, MAX_EXTRA_EVENTS, MAX_STREAM_BYTES, MAX_TURN_BYTES};
 use crate::net::with_timeout;
 use crate::node::Gateway;
 use crate::reply::Reply;
@@ -33,12 +34,14 @@
     Client(&'static str),
     /// The endpoint broke the stream; another one may continue it.
     Endpoint(&'static str),
+    /// The stream exceeds a limit that would hold elsewhere too.
+    Excess(&'static str),
 }
 
 impl StreamBreak {
     fn reason(self) -> &'static str {
         match self {
-            Self::Client(reason) | Self::Endpoint(reason) => reason,
+            Self::Client(reason) | Self::Endpoint(reason) | Self::Excess(reason) => reason,
         }
     }
 }
@@ -50,6 +53,8 @@
     reply: &'a Reply,
     reserved: Option<&'a ReservedTurn<D>>,
     tokens_per_event: u64,
+    /// Most events with data that the request allows.
+    max_events: u64,
     /// Input of the turn and the data of the events so far; empty if the turn is not kept.
     text: Vec<u8>,
     /// Number of events with data that were forwarded.
@@ -66,13 +71,23 @@
         reserved: Option<&'a ReservedTurn<D>>,
     ) -> Self {
         let is_kept = outgoing.call.route.retention.is_some();
+        let tokens_per_event = gateway.tokens_per_event(outgoing.service);
+        let max_tokens = outgoing
+            .call
+            .info
+            .tokens
+            .map(|(_, tokens)| u64::from(tokens));
+        let max_events = max_tokens.map_or(u64::MAX, |tokens| {
+            tokens.div_ceil(tokens_per_event) + MAX_EXTRA_EVENTS
+        });
         let text = is_kept.then(|| outgoing.call.body.clone());
         Self {
             gateway,
             outgoing,
             reply,
             reserved,
-            tokens_per_event: gateway.tokens_per_event(outgoing.service),
+            tokens_per_event,
+            max_events,
             text: text.unwrap_or_default(),
             event_count: 0,
             last_event_id: None,
@@ -103,7 +118,7 @@
                 }
                 Err(broken) => self.log("stream_broken", &exchange, broken.reason()),
             }
-            if !can_resume || matches!(forwarded, Err(StreamBreak::Client(_))) {
+            if !can_resume || !matches!(forwarded, Err(StreamBreak::Endpoint(_))) {
                 return None;
             }
             // The endpoint stops its run when the connection closes.
@@ -115,7 +130,7 @@
     fn log(&self, event: &str, exchange: &Exchange<D>, reason: &str) {
         crate::event!(event, "request" => self.outgoing.call.id(),
             "endpoint" => &*exchange.endpoint, "reason" => reason, "events" => self.event_count,
-            "tokens" => self.event_count * self.tokens_per_event);
+            "tokens" => self.event_count * self.tokens_per_event, "bytes" => exchange.body_bytes());
     }
 
     /// Returns whether the stream may go on at another endpoint if its current one fails.
@@ -151,9 +166,11 @@
     ) -> Result<(), StreamBreak> {
         let resumed_after = self.last_event_id;
         let mut splitter = EventSplitter::default();
+        let mut bytes_since_data = 0;
         loop {
             let bytes = self.read(exchange, can_resume).await?;
             splitter.push(&bytes.data);
+            bytes_since_data += bytes.data.len();
             let mut events = Vec::new();
             while let Some(event) = splitter.next_event() {
                 let id = event_id(&event);
@@ -162,8 +179,13 @@
                     return Err(StreamBreak::Endpoint("the endpoint repeats events"));
                 }
                 self.last_event_id = id.or(self.last_event_id);
-                self.count(&event);
+                if self.count(&event) {
+                    bytes_since_data = splitter.rest().len();
+                }
                 events.extend_from_slice(&event);
+                if self.event_count > self.max_events {
+                    break;
+                }
             }
             let framing = exchange.head.framing;
             let has_data = self.event_count > 0;
@@ -173,6 +195,10 @@
             }
             let written = self.reply.write_chunk(&events).await;
             written.map_err(|_| StreamBreak::Client("the client closed the connection"))?;
+            if let Some(reason) = self.excess(exchange, bytes_since_data) {
+                exchange.record_failure();
+                return Err(StreamBreak::Excess(reason));
+            }
             if let Some(checked_end) = checked_end {
                 return checked_end.map_err(|reason| {
                     exchange.record_failure();
@@ -207,10 +233,25 @@
         }
     }
 
-    /// Counts an event that is about to be forwarded.
-    fn count(&mut self, event: &[u8]) {
+    /// Returns the reason why the stream must be cut off, if it exceeds a limit.
+    fn excess(&self, exchange: &Exchange<D>, bytes_since_data: usize) -> Option<&'static str> {
+        if self.event_count > self.max_events {
+            Some("the stream has more events than the turn's tokens")
+        } else if bytes_since_data > MAX_EVENT_BYTES {
+            Some("the stream has too many bytes without an event")
+        } else if exchange.body_bytes() > MAX_STREAM_BYTES {
+            Some("the stream is too large")
+        } else if self.text.len() > MAX_TURN_BYTES {
+            Some("the turn is too large to be kept")
+        } else {
+            None
+        }
+    }
+
+    /// Counts an event that is about to be forwarded. Returns whether it has data.
+    fn count(&mut self, event: &[u8]) -> bool {
         if !append_data(event, &mut self.text) {
-            return;
+            return false;
         }
         self.event_count += 1;
         if let Some(reserved) = self.reserved {
@@ -219,6 +260,7 @@
         if self.outgoing.call.route.retention.is_none() {
             self.text.clear();
         }
+        true
     }
 }
 
--- a/gateway/src/forward.rs
+++ b/gateway/src/forward.rs
@@ -8,8 +8,10 @@
 use crate::dialect::{AnswerInfo, Dialect, Dispatch};
 use crate::endpoints::{CallOutcome, EndpointRecord, EndpointRequirements, InstanceId};
 use crate::http::{
-    BodyDecoder, BodyError, Connection, Header, ResponseHead, connection_tokens, is_hop_header,
+    BodyDecoder, BodyError, Connection, Framing, Header, ResponseHead, connection_tokens,
+    is_hop_header,
 };
+use crate::limits::{BufferShare, MAX_ANSWER_BYTES};
 use crate::net::{connect, io_with_timeout, with_timeout};
 use crate::node::Gateway;
 use crate::reply::Refusal;
@@ -141,12 +143,26 @@
     /// Whether the whole request was written before the head of the answer arrived.
     is_written: bool,
     guard: CallGuard<D>,
+    /// Bytes of the body that were read.
+    body_bytes: u64,
 }
 
 impl<D: Dialect> Exchange<D> {
+    /// Bytes of the body that were read.
+    pub(crate) fn body_bytes(&self) -> u64 {
+        self.body_bytes
+    }
+
+    /// Returns an empty buffer's share of the gateway's memory.
+    pub(crate) fn buffer(&self) -> BufferShare {
+        self.guard.gateway.buffers.buffer()
+    }
+
     /// Appends the next bytes of the body to `out` and returns whether the body is complete.
     pub(crate) async fn read(&mut self, out: &mut Vec<u8>) -> Result<bool, Failure> {
+        let before = out.len();
         let read = self.connection.read_body(&mut self.decoder, out).await;
+        self.body_bytes += (out.len() - before) as u64;
         read.map_err(|error| {
             self.record_failure();
             Failure::may_have_run(match error {
@@ -163,11 +179,29 @@
         self.guard.outcome.set(CallOutcome::Failed);
     }
 
-    /// Reads the rest of the body.
+    /// Reads the whole body.
+    ///
+    /// An answer is not passed on before its end is known: a broken one can then still be replaced by
+    /// that of another endpoint, and the client never gets a part of it.
     pub(crate) async fn read_all(&mut self) -> Result<Vec<u8>, Failure> {
+        let too_large = Failure::may_have_run("the endpoint's answer is too large");
+        let is_announced = |length| length > MAX_ANSWER_BYTES as u64;
+        if matches!(self.head.framing, Framing::Length(length) if is_announced(length)) {
+            self.record_failure();
+            return Err(too_large);
+        }
+        let buffer = self.buffer();
         let mut body = Vec::new();
         while !self.decoder.is_done() {
             self.read(&mut body).await?;
+            if body.len() > MAX_ANSWER_BYTES {
+                self.record_failure();
+                return Err(too_large);
+            }
+            if !buffer.resize(body.capacity()) {
+                self.record_failure();
+                return Err(Failure::may_have_run("the gateway's buffers are full"));
+            }
         }
         Ok(body)
     }
@@ -333,6 +367,7 @@
             connection,
             is_written: is_written.get(),
             guard,
+            body_bytes: 0,
         };
         match classify(exchange.head.status, &info) {
             AnswerClass::Answer if is_stream(call, exchange.head.status) => {
@@ -386,7 +421,7 @@
         if let Some(last_event_id) = outgoing.resume_after {
             line(&format!("{LAST_EVENT_ID}: {last_event_id}\r\n"));
         }
-        if head.framing != crate::http::Framing::Empty || !outgoing.body.is_empty() {
+        if head.framing != Framing::Empty || !outgoing.body.is_empty() {
             line(&format!("Content-Length: {}\r\n", outgoing.body.len()));
         }
         let dispatch = Dispatch {
@@ -453,6 +488,7 @@
         let head = connection.read_response().await.map_err(|error| {
             Failure::may_have_run(match error.kind() {
                 std::io::ErrorKind::InvalidData => "the endpoint sent no answer in the protocol",
+                std::io::ErrorKind::FileTooLarge => "the endpoint sent too many interim answers",
                 std::io::ErrorKind::UnexpectedEof => "the endpoint closed the connection",
                 _ => "the connection to the endpoint broke",
             })
@@ -470,9 +506,14 @@
         crate::event!("stray_answer", "request" => request_id, "status" => head.status);
         let mut decoder = BodyDecoder::new(head.framing);
         let mut discarded = Vec::new();
+        let mut discarded_bytes = 0;
         while !decoder.is_done() {
             let read = connection.read_body(&mut decoder, &mut discarded).await;
             read.map_err(|_| Failure::may_have_run("a stray answer was broken off"))?;
+            discarded_bytes += discarded.len();
+            if discarded_bytes > MAX_ANSWER_BYTES {
+                return Err(Failure::may_have_run("a stray answer is too large"));
+            }
             discarded.clear();
         }
     }
--- a/gateway/src/front.rs
+++ b/gateway/src/front.rs
@@ -6,6 +6,7 @@
 use crate::http::{
     BodyDecoder, BodyError, Connection, Framing, HeadError, RequestHead, parse_request,
 };
+use crate::limits::BufferShare;
 use crate::net::{self, with_timeout};
 use crate::node::{Gateway, InFlightGuard};
 use crate::reply::{Refusal, Reply};
@@ -26,12 +27,17 @@
 /// connection is reset.
 const LINGER_TIMEOUT: Duration = Duration::from_millis(300);
 
+/// `Retry-After` delay of a request that does not fit into the gateway's buffers.
+const FULL_RETRY_AFTER: Duration = Duration::from_millis(300);
+
 /// A complete request.
 struct Request {
     head: RequestHead,
     body: Vec<u8>,
     /// When its first byte was available.
     started_at: Instant,
+    /// Memory of the body.
+    _buffer: BufferShare,
 }
 
 /// Reason why no request could be read.
@@ -117,13 +123,15 @@
             let interim = connection.write_all(b"HTTP/1.1 100 Continue\r\n\r\n").await;
             interim.map_err(|_| ReadFailure::Closed)?;
         }
-        let read = read_body(connection, head.framing, limits.body_bytes);
+        let buffer = self.buffers.buffer();
+        let read = read_body(connection, head.framing, limits.body_bytes, &buffer);
         let body = with_timeout(BODY_TIMEOUT, read).await;
         let body = body.unwrap_or_else(|| Err(refused(408, "the body took too long")))?;
         Ok(Request {
             head,
             body,
             started_at,
+            _buffer: buffer,
         })
     }
 
@@ -206,6 +214,7 @@
     connection: &mut Connection,
     framing: Framing,
     limit_bytes: usize,
+    buffer: &BufferShare,
 ) -> Result<Vec<u8>, ReadFailure> {
     let mut decoder = BodyDecoder::new(framing);
     let mut body = Vec::new();
@@ -214,6 +223,10 @@
             Ok(()) if body.len() > limit_bytes => {
                 return Err(refused(413, "the body is too long"));
             }
+            Ok(()) if !buffer.resize(body.capacity()) => {
+                let refusal = Refusal::retry_later(FULL_RETRY_AFTER, "too many bytes are received");
+                return Err(ReadFailure::Refused(refusal));
+            }
             Ok(()) => {}
             Err(BodyError::Truncated | BodyError::ConnectionFailed) => {
                 return Err(ReadFailure::Closed);
--- a/gateway/src/http/connection.rs
+++ b/gateway/src/http/connection.rs
@@ -1,6 +1,7 @@
 //! Buffered connection that reads HTTP messages.
 
 use super::{BodyDecoder, BodyError, RequestHead, ResponseHead, parse_request, parse_response};
+use crate::limits::{BYTES_PER_POLL, MAX_ANSWER_HEAD_BYTES};
 use futures_lite::{AsyncRead, AsyncWriteExt, future};
 use smol::net::TcpStream;
 use std::io;
@@ -15,6 +16,8 @@
 pub(crate) struct Connection {
     stream: TcpStream,
     unread: Vec<u8>,
+    /// Bytes read since the task last let others run.
+    read_since_yield_bytes: usize,
 }
 
 impl Connection {
@@ -23,6 +26,7 @@
         Self {
             stream,
             unread: Vec::new(),
+            read_since_yield_bytes: 0,
         }
     }
 
@@ -43,9 +47,15 @@
 
     /// Reads more bytes into the buffer and returns their number, 0 at the end of the connection.
     ///
-    /// Dropping the future loses no bytes.
+    /// Dropping the future loses no bytes. A peer whose bytes are always ready does not keep other
+    /// tasks and timers from running.
     pub(crate) async fn fill(&mut self) -> io::Result<usize> {
         future::poll_fn(|context| {
+            if self.read_since_yield_bytes >= BYTES_PER_POLL {
+                self.read_since_yield_bytes = 0;
+                context.waker().wake_by_ref();
+                return Poll::Pending;
+            }
             let start = self.unread.len();
             self.unread.resize(start + READ_BYTES, 0);
             let stream = Pin::new(&mut self.stream);
@@ -55,6 +65,10 @@
                 _ => 0,
             };
             self.unread.truncate(start + count);
+            match read {
+                Poll::Ready(_) => self.read_since_yield_bytes += count,
+                Poll::Pending => self.read_since_yield_bytes = 0,
+            }
             read
         })
         .await
@@ -87,9 +101,11 @@
 
     /// Reads the head of an answer and skips interim answers.
     ///
-    /// Returns an error of kind `InvalidData` if the bytes are not a valid answer, and other errors if
-    /// the connection fails or ends.
+    /// Returns an error of kind `InvalidData` if the bytes are not a valid answer, of kind
+    /// `FileTooLarge` if there are too many interim answers, and other errors if the connection fails
+    /// or ends.
     pub(crate) async fn read_response(&mut self) -> io::Result<ResponseHead> {
+        let mut interim_bytes = 0;
         loop {
             match parse_response(&self.unread) {
                 Ok(Some((head, length))) => {
@@ -97,6 +113,10 @@
                     if head.status >= 200 {
                         return Ok(head);
                     }
+                    interim_bytes += length;
+                    if interim_bytes > MAX_ANSWER_HEAD_BYTES {
+                        return Err(io::ErrorKind::FileTooLarge.into());
+                    }
                 }
                 Ok(None) => {
                     if self.fill().await? == 0 {
--- a/gateway/src/http/response.rs
+++ b/gateway/src/http/response.rs
@@ -2,14 +2,12 @@
 
 use super::head::{copy_headers, parse_length};
 use super::{Framing, Header, connection_tokens};
+use crate::limits::MAX_ANSWER_HEAD_BYTES;
 use std::time::Duration;
 
 /// Maximum number of headers.
 const MAX_HEADERS: usize = 96;
 
-/// Maximum size of an incomplete head, in bytes; endpoints send a few hundred.
-const MAX_HEAD_BYTES: usize = 64 * 1024;
-
 /// The head of an answer.
 #[derive(Clone, Debug)]
 pub(crate) struct ResponseHead {
@@ -31,7 +29,7 @@
     let mut response = httparse::Response::new(&mut storage);
     let length = match response.parse(bytes) {
         Ok(httparse::Status::Complete(length)) => length,
-        Ok(httparse::Status::Partial) if bytes.len() <= MAX_HEAD_BYTES => return Ok(None),
+        Ok(httparse::Status::Partial) if bytes.len() <= MAX_ANSWER_HEAD_BYTES => return Ok(None),
         _ => return Err(()),
     };
     let status = response.code.ok_or(())?;
--- a/gateway/src/lib.rs
+++ b/gateway/src/lib.rs
@@ -19,6 +19,7 @@
 mod http;
 mod ledger;
 mod ledger_call;
+mod limits;
 mod net;
 mod node;
 mod owners;
--- a/gateway/src/node.rs
+++ b/gateway/src/node.rs
@@ -5,6 +5,7 @@
 use crate::endpoints::Endpoints;
 use crate::events;
 use crate::gossip::Gossip;
+use crate::limits::BufferGauge;
 use crate::net::with_timeout;
 use crate::partition::{PARTITION_COUNT, Partition, PartitionSet};
 use crate::peers::PeerLinks;
@@ -65,6 +66,8 @@
     pub stop_grace: Duration,
     /// Processor share available to its VM, as a fraction of a core.
     pub processor_share: f64,
+    /// Memory available to the process; `None` if it is not limited.
+    pub memory_bytes: Option<u64>,
 }
 
 /// Counts one task that must finish before the process may end. Dropping the guard ends the count.
@@ -111,6 +114,8 @@
     pub(crate) announcements: Cell<u64>,
     /// Number of settlements in flight.
     pub(crate) settlements_in_flight: Rc<Cell<usize>>,
+    /// Memory taken by messages that are being received.
+    pub(crate) buffers: Rc<BufferGauge>,
     pub(crate) pool: Pool,
     pub(crate) store_paths: Rc<StorePaths>,
     pub(crate) counters: Counters,
@@ -141,6 +146,7 @@
             announcements: Cell::new(0),
             settlements_in_flight: Rc::default(),
             pool: Pool::default(),
+            buffers: BufferGauge::new(settings.memory_bytes),
             store_paths: Rc::new(StorePaths::new(settings.store_address)),
             counters: Counters::default(),
             requests_in_flight: Rc::default(),
--- a/gateway/src/turn_call.rs
+++ b/gateway/src/turn_call.rs
@@ -7,6 +7,7 @@
 use crate::event_stream::{ForwardedStream, StreamForwarder};
 use crate::forward::{EndpointAnswer, Exchange, OutgoingRequest};
 use crate::ledger::Denial;
+use crate::limits::MAX_TURN_INPUT_BYTES;
 use crate::net::with_timeout;
 use crate::node::Gateway;
 use crate::record::CompletedTurn;
@@ -75,6 +76,9 @@
 
     /// Looks up a turn's history and reserves its tokens.
     async fn prepare(self: &Rc<Self>, call: &Call) -> Result<PreparedTurn<D>, Refusal> {
+        if call.route.retention.is_some() && call.body.len() > MAX_TURN_INPUT_BYTES {
+            return Err(Refusal::new(413, "the turn is too large to be kept"));
+        }
         if let Some(reason) = turn_error(call) {
             return Err(Refusal::new(400, reason));
         }
