Report endpoints that fail to the other gateways

Cause: an engine that fails a turn at once looks idle, and each of 127 gateways backed off only after failures of its own.

Change: a gateway reports as many calls more at an endpoint in back-off as it has slots. Peers see it as busy rather than idle, the more gateways report it; a false report of one gateway costs it some calls, but keeps it in use. The datagram's format stays.

--- a/gateway/src/endpoints.rs
+++ b/gateway/src/endpoints.rs
@@ -4,6 +4,8 @@
 //! receives the counts of its peers every few milliseconds. It adds its own current count to theirs,
 //! so two gateways seldom overload the same endpoint because both consider it idle.
 
+#[cfg(test)]
+mod fleet_tests;
 #[cfg(test)]
 mod tests;
 
@@ -132,6 +134,10 @@
     fn takes_calls(&self) -> bool {
         !self.record.is_draining && !self.is_leaving
     }
+
+    fn is_backing_off(&self, now: Instant) -> bool {
+        self.backoff_until.is_some_and(|until| until > now)
+    }
 }
 
 /// Hash of an instance id, used in exchanged counts. A collision only adds two endpoints' counts
@@ -143,7 +149,7 @@
     stable_hash(id) as InstanceTag
 }
 
-/// Calls in flight of one peer.
+/// Counts that one peer reported.
 #[derive(Debug)]
 struct PeerCounts {
     calls: Vec<(InstanceTag, u32)>,
@@ -258,7 +264,7 @@
                 && !requirements.exclude.contains(&record.id)
         });
         let rank = |endpoint: &&Endpoint, rng: &mut fastrand::Rng| {
-            let is_backing_off = endpoint.backoff_until.is_some_and(|until| until > now);
+            let is_backing_off = endpoint.is_backing_off(now);
             let cost_ms =
                 self.cost_ms(endpoint, requirements, local_domain) + rng.f64() * JITTER_MS;
             (is_backing_off, cost_ms)
@@ -421,14 +427,21 @@
         }
     }
 
-    /// Returns this gateway's calls in flight by endpoint, without zeros.
-    pub(crate) fn local_counts(&self) -> Vec<(InstanceTag, u32)> {
-        let active = self
-            .endpoints
-            .values()
-            .filter(|endpoint| endpoint.local_calls > 0);
-        active
-            .map(|endpoint| (endpoint.tag, endpoint.local_calls))
-            .collect()
+    /// Returns the counts to report to peers by endpoint, without zeros: this gateway's calls in
+    /// flight and, at an endpoint in back-off, as many more as the endpoint has slots.
+    ///
+    /// An endpoint that fails at once looks idle, and each of many gateways would send calls to it
+    /// until it has seen failures of its own. A false report of one gateway makes the endpoint look
+    /// busy, but keeps it in use.
+    pub(crate) fn reported_counts(&self, now: Instant) -> Vec<(InstanceTag, u32)> {
+        let counts = self.endpoints.values().map(|endpoint| {
+            let failing = if endpoint.is_backing_off(now) {
+                endpoint.record.slots.max(1)
+            } else {
+                0
+            };
+            (endpoint.tag, endpoint.local_calls + failing)
+        });
+        counts.filter(|(_, count)| *count > 0).collect()
     }
 }
--- a/gateway/src/gossip.rs
+++ b/gateway/src/gossip.rs
@@ -1,4 +1,5 @@
-//! Heartbeats between gateways, which carry their state and their numbers of calls in flight.
+//! Heartbeats between gateways, which carry their state, their numbers of calls in flight and the
+//! endpoints that fail for them.
 //!
 //! Each heartbeat contains all counts of its sender, so a lost datagram only delays an update.
 
@@ -353,7 +354,7 @@
             if self.gossip.has_new_peer.take() {
                 last_sent = LastHeartbeat::default();
             }
-            let mut calls = self.endpoints.borrow().local_counts();
+            let mut calls = self.endpoints.borrow().reported_counts(now);
             calls.sort_unstable();
             number += 1;
             let heartbeat = Heartbeat {
