Compare a call for a random subset of the endpoints on large sites

Cause: counts of peers are 126 ms old at 127 gateways, and all gateways compared all engines by the same counts. Each chose the one that looked least loaded, some 150 turns between two heartbeats, until its queue showed.

Change: where there are more than 8 gateways, a call is compared for a random subset of its service's endpoints: a share of 8 in the number of gateways, at least two of the own failure domain and two of the others, and always the one that caches most of the prompt.

--- a/gateway/src/endpoints.rs
+++ b/gateway/src/endpoints.rs
@@ -12,12 +12,14 @@
 mod cost;
 mod leaving;
 mod memory;
+mod sample;
 
 use crate::dialect::PartId;
 use crate::stable_hash::stable_hash;
 use cost::{EndpointLoad, engine_cost_ms, service_cost_ms};
 use leaving::LeavingInstances;
 use memory::PromptCache;
+use sample::sample;
 use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -247,7 +249,8 @@
         self.endpoints.get(id).map(|endpoint| &endpoint.record)
     }
 
-    /// Returns the endpoint with the lowest cost for a call; `None` if no endpoint is usable.
+    /// Returns the endpoint with the lowest cost for a call; `None` if no endpoint is usable. Where
+    /// there are many gateways, only a random subset of the endpoints is compared.
     ///
     /// An endpoint in back-off after a failure is chosen only if there is no other.
     pub fn choose(
@@ -263,14 +266,18 @@
                 && endpoint.takes_calls()
                 && !requirements.exclude.contains(&record.id)
         });
-        let rank = |endpoint: &&Endpoint, rng: &mut fastrand::Rng| {
-            let is_backing_off = endpoint.is_backing_off(now);
-            let cost_ms =
-                self.cost_ms(endpoint, requirements, local_domain) + rng.f64() * JITTER_MS;
-            (is_backing_off, cost_ms)
+        let gateways = self.peer_counts.len() + 1;
+        let cached_tokens = |endpoint: &Endpoint| {
+            endpoint
+                .prompt_cache
+                .cached_tokens(requirements.prompt_parts)
         };
-        let ranked = usable.map(|endpoint| (rank(&endpoint, rng), endpoint));
-        let best = ranked.min_by(|(a, _), (b, _)| a.0.cmp(&b.0).then(a.1.total_cmp(&b.1)));
+        let sampled = sample(usable, now, local_domain, gateways, cached_tokens, rng);
+        let ranked = sampled.into_iter().map(|endpoint| {
+            let cost_ms = self.cost_ms(endpoint, requirements, local_domain);
+            (cost_ms + rng.f64() * JITTER_MS, endpoint)
+        });
+        let best = ranked.min_by(|(a, _), (b, _)| a.total_cmp(b));
         best.map(|(_, endpoint)| endpoint.record.clone())
     }
 
--- /dev/null
+++ b/gateway/src/endpoints/sample.rs
@@ -0,0 +1,55 @@
+//! Random subset of the endpoints that a call is compared for.
+//!
+//! Counts of peers are as old as their heartbeats. If many gateways compare all endpoints by the
+//! same counts, they all choose the one that looks least loaded until the next heartbeats show
+//! otherwise. The subset gets smaller as the number of gateways grows.
+
+use super::Endpoint;
+use std::time::Instant;
+
+/// Number of gateways up to which all endpoints are compared, since the counts of so few peers are
+/// fresh and few calls arrive between them.
+const FULL_VIEW_GATEWAYS: usize = 8;
+
+/// Minimum number of endpoints in the subset, from the local failure domain and from the others
+/// each.
+const MIN_SAMPLE: usize = 2;
+
+/// Returns the endpoints to compare, out of the usable ones.
+///
+/// Endpoints in back-off are included only if all are. The endpoint that caches most of the prompt
+/// is always included, since a call may cost less there than at any idle one.
+pub(super) fn sample<'a>(
+    usable: impl Iterator<Item = &'a Endpoint>,
+    now: Instant,
+    local_domain: &str,
+    gateways: usize,
+    cached_tokens: impl Fn(&Endpoint) -> u32,
+    rng: &mut fastrand::Rng,
+) -> Vec<&'a Endpoint> {
+    let (backing_off, healthy): (Vec<_>, Vec<_>) =
+        usable.partition(|endpoint| endpoint.is_backing_off(now));
+    let mut usable = if healthy.is_empty() {
+        backing_off
+    } else {
+        healthy
+    };
+    if gateways <= FULL_VIEW_GATEWAYS {
+        return usable;
+    }
+    let cached = usable
+        .iter()
+        .map(|endpoint| (cached_tokens(endpoint), *endpoint));
+    let best_cached = cached.max_by_key(|(tokens, _)| *tokens);
+    rng.shuffle(&mut usable);
+    let (mut sampled, mut remote): (Vec<_>, Vec<_>) = usable
+        .into_iter()
+        .partition(|endpoint| endpoint.record.failure_domain == local_domain);
+    for group in [&mut sampled, &mut remote] {
+        let share = group.len() * FULL_VIEW_GATEWAYS / gateways;
+        group.truncate(share.max(MIN_SAMPLE));
+    }
+    sampled.append(&mut remote);
+    sampled.extend(best_cached.and_then(|(tokens, endpoint)| (tokens > 0).then_some(endpoint)));
+    sampled
+}
