Keep the turns of a program while it still runs

Callers would see: a program that runs for longer than two minutes loses its first turns. Their tokens no longer count against its budget, so a loop could go on for ever, and a later turn whose history begins with them is answered 404.

Cause: each turn's records expired by themselves, a multiple of the route's retention after they were read.

Change: the records of a program expire together, when its last one has. Test: two turns of 350 tokens and a third one 100 s later; after 119 s more the first two had expired before, none has now, and after 121 s all have.

--- a/gateway/src/turns.rs
+++ b/gateway/src/turns.rs
@@ -100,6 +100,13 @@
             .min()
     }
 
+    fn has_expired(&self, now: Instant) -> bool {
+        let completed = self.completed.as_ref();
+        let retention = completed.map_or(Duration::ZERO, |completed| completed.turn.retention());
+        let retention = (retention * RETENTION_FACTOR).max(MIN_RETENTION);
+        now.saturating_duration_since(self.seen_at) > retention
+    }
+
     fn is_empty(&self) -> bool {
         self.completed.is_none() && self.reservations.is_empty()
     }
@@ -285,23 +292,27 @@
         self.turns.contains_key(turn)
     }
 
-    /// Returns the keys of records whose retention has expired.
+    /// Returns the keys of the records of programs whose last record has expired.
+    ///
+    /// While a program runs, its earlier turns count against its budget and belong to the history of
+    /// its later ones.
     pub(crate) fn expired_keys(&self, now: Instant) -> Vec<String> {
         let mut keys = Vec::new();
-        for (turn, entry) in &self.turns {
-            let retention = entry
-                .completed
-                .as_ref()
-                .map(|completed| completed.turn.retention());
-            let retention = retention.map_or(MIN_RETENTION, |retention| {
-                (retention * RETENTION_FACTOR).max(MIN_RETENTION)
+        for turns in self.programs.values() {
+            let entries = turns.iter().filter_map(|turn| {
+                let entry = self.turns.get(turn)?;
+                Some((turn, entry))
             });
-            if now.saturating_duration_since(entry.seen_at) <= retention {
+            if !entries.clone().all(|(_, entry)| entry.has_expired(now)) {
                 continue;
             }
-            let reservations = entry.reservations.iter();
-            keys.extend(reservations.map(|reservation| reservation_key(turn, reservation.writer)));
-            keys.extend(entry.completed.as_ref().map(|_| completed_key(turn)));
+            for (turn, entry) in entries {
+                let reservations = entry.reservations.iter();
+                keys.extend(
+                    reservations.map(|reservation| reservation_key(turn, reservation.writer)),
+                );
+                keys.extend(entry.completed.as_ref().map(|_| completed_key(turn)));
+            }
         }
         keys
     }
--- a/gateway/src/turns/tests.rs
+++ b/gateway/src/turns/tests.rs
@@ -174,6 +174,23 @@
     expect_that!(log.index.charged_tokens("p"), eq(0));
 }
 
+// Guards against a program that outlives the retention of its first turns: their tokens no longer
+// counted, and later turns could not be continued.
+#[googletest::test]
+fn turns_of_a_program_that_still_runs_do_not_expire() {
+    let mut log = Log::new();
+    log.complete("a", None, 300);
+    log.reserve("b", 100);
+    log.settle("b", 50);
+    log.now += Duration::from_secs(100);
+    log.complete("c", Some("a"), 200);
+    let later = log.now + Duration::from_secs(119);
+    expect_that!(log.index.expired_keys(later), is_empty());
+    expect_that!(log.index.charged_tokens("p"), eq(550));
+    let last = log.now + Duration::from_secs(121);
+    expect_that!(log.index.expired_keys(last).len(), eq(3));
+}
+
 /// Appends the late reservation of a second gateway that was considered lost.
 fn reserve_late(log: &mut Log, turn: &str, max_tokens: u64) {
     let reserved = TurnRecord::Reserved {
