--- a/gateway/src/call.rs
+++ b/gateway/src/call.rs
@@ -8,6 +8,7 @@
 use crate::node::Gateway;
 use crate::reply::{Refusal, Reply, ReplyState};
 use crate::routes::{Route, RouteKind};
+use crate::stream::{EventId, LAST_EVENT_ID};
 use smallvec::SmallVec;
 use std::cell::{Cell, RefCell};
 use std::rc::Rc;
@@ -77,6 +78,13 @@
             "took_ms" => self.received_at.elapsed().as_millis());
     }
 
+    /// Returns the last event that the client has of a stream of which it asks for the rest.
+    pub(crate) fn last_event_id(&self) -> Option<EventId> {
+        let mut headers = self.head.headers.iter();
+        let header = headers.find(|header| header.is(LAST_EVENT_ID))?;
+        header.value.parse().ok()
+    }
+
     /// Returns the id of the client's attempt; empty if the client sent none.
     pub(crate) fn id(&self) -> &str {
         self.info.request_id.as_deref().unwrap_or_default()
--- a/gateway/src/event_stream.rs
+++ b/gateway/src/event_stream.rs
@@ -59,7 +59,7 @@
     text: Vec<u8>,
     /// Number of events with data that were forwarded.
     event_count: u64,
-    /// Id of the last forwarded event that had one.
+    /// Id of the last event that the client has, if it had one.
     last_event_id: Option<EventId>,
 }
 
@@ -90,7 +90,7 @@
             max_events,
             text: text.unwrap_or_default(),
             event_count: 0,
-            last_event_id: None,
+            last_event_id: outgoing.call.last_event_id(),
         }
     }
 
--- a/gateway/src/turn_call.rs
+++ b/gateway/src/turn_call.rs
@@ -14,7 +14,7 @@
 use crate::reply::{Refusal, Reply};
 use crate::reserved_turn::ReservedTurn;
 use crate::routes::Retention;
-use crate::stream::{EventId, LAST_EVENT_ID};
+use crate::stream::LAST_EVENT_ID;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -215,9 +215,9 @@
 /// Checks whether a client that asks for the rest of a stream can get it.
 fn check_resume(call: &Call) -> Result<(), &'static str> {
     let mut headers = call.head.headers.iter();
-    let Some(header) = headers.find(|header| header.is(LAST_EVENT_ID)) else {
+    if !headers.any(|header| header.is(LAST_EVENT_ID)) {
         return Ok(());
-    };
+    }
     if !call.route.is_resumable {
         return Err("the route's streams cannot be resumed");
     }
@@ -225,10 +225,8 @@
         // The gateway would not know the whole text of the turn.
         return Err("a turn that can be continued cannot be resumed");
     }
-    let is_number = header.value.parse::<EventId>().is_ok();
-    is_number
-        .then_some(())
-        .ok_or("the last event id is not a number")
+    let id = call.last_event_id();
+    id.map(|_| ()).ok_or("the last event id is not a number")
 }
 
 fn refusal(call: &Call, denial: Denial) -> Refusal {
