Send heartbeats to other failure domains less often

Change: peers of the own failure domain get them every 40 to 60 ms, the others as many datagrams a second in all, at least every 400 ms; the subset of endpoints that a call is compared for shrinks faster for other domains. A gateway's record in the store states its failure domain; records without one are read as before, such peers count as near.

--- a/gateway/src/endpoints/sample.rs
+++ b/gateway/src/endpoints/sample.rs
@@ -45,10 +45,10 @@
     let (mut sampled, mut remote): (Vec<_>, Vec<_>) = usable
         .into_iter()
         .partition(|endpoint| endpoint.record.failure_domain == local_domain);
-    for group in [&mut sampled, &mut remote] {
-        let share = group.len() * FULL_VIEW_GATEWAYS / gateways;
-        group.truncate(share.max(MIN_SAMPLE));
-    }
+    let share = |count: usize| count * FULL_VIEW_GATEWAYS / gateways;
+    sampled.truncate(share(sampled.len()).max(MIN_SAMPLE));
+    // Counts from other failure domains are older, so their endpoints are compared more rarely.
+    remote.truncate(share(share(remote.len())).max(MIN_SAMPLE));
     sampled.append(&mut remote);
     sampled.extend(best_cached.and_then(|(tokens, endpoint)| (tokens > 0).then_some(endpoint)));
     sampled
--- a/gateway/src/gossip.rs
+++ b/gateway/src/gossip.rs
@@ -20,17 +20,16 @@
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
+use strum::IntoEnumIterator;
 
 /// Interval between heartbeats while counts change, short compared with the duration of a call.
-/// Longer intervals to other failure domains cost more in a burst than the bytes that they save
-/// (docs/design/heavy-load.md).
 const HEARTBEAT_INTERVAL: Duration = Duration::from_millis(40);
 
-/// Minimum interval per peer, so that large sites do not overload small VMs. A datagram takes about
-/// 10 us at each end.
-const INTERVAL_PER_PEER: Duration = Duration::from_millis(1);
+/// Minimum interval per peer of a group, so that large sites do not overload small VMs. A datagram
+/// takes about 10 us at each end.
+const INTERVAL_PER_PEER: Duration = Duration::from_millis(3);
 
-/// Interval between heartbeats while nothing changes.
+/// Interval between heartbeats while nothing changes, and the longest one while something does.
 const IDLE_HEARTBEAT_INTERVAL: Duration = Duration::from_millis(400);
 
 /// Maximum size of a datagram.
@@ -122,9 +121,23 @@
     pub(crate) processor_permille: u32,
 }
 
+/// Peers that get heartbeats at the same times.
+///
+/// A gateway sends most calls to endpoints of its own failure domain, so that the counts of its
+/// neighbors matter more than those of the others, and heartbeats to other domains are charged.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, strum::EnumIter)]
+enum PeerGroup {
+    /// Peers in the own failure domain, or in an unknown one.
+    Near,
+    /// Peers in other failure domains.
+    Far,
+}
+
 #[derive(Debug)]
 struct Peer {
     address: SocketAddr,
+    /// Its failure domain, once its record was read.
+    failure_domain: Option<String>,
     incarnation: u64,
     /// Sequence number of the newest heartbeat; 0 before the first one.
     number: u64,
@@ -154,16 +167,18 @@
 pub(crate) struct Gossip {
     peers: RefCell<HashMap<String, Peer>>,
     own_name: String,
+    own_failure_domain: String,
     /// Whether a new peer has not been sent a heartbeat yet.
     has_new_peer: Cell<bool>,
 }
 
 impl Gossip {
     /// Creates an instance without peers.
-    pub(crate) fn new(own_name: &str) -> Self {
+    pub(crate) fn new(own_name: &str, own_failure_domain: &str) -> Self {
         Self {
             peers: RefCell::default(),
             own_name: own_name.to_owned(),
+            own_failure_domain: own_failure_domain.to_owned(),
             has_new_peer: Cell::new(false),
         }
     }
@@ -175,6 +190,11 @@
             return;
         };
         self.add_peer(name, address, record.incarnation, record.processor_permille);
+        if let Some(peer) = self.peers.borrow_mut().get_mut(name)
+            && peer.incarnation == record.incarnation
+        {
+            peer.failure_domain.clone_from(&record.failure_domain);
+        }
     }
 
     fn add_peer(&self, name: &str, address: SocketAddr, incarnation: u64, processor_permille: u32) {
@@ -188,6 +208,7 @@
         }
         let peer = Peer {
             address,
+            failure_domain: None,
             incarnation,
             number: 0,
             state: GatewayState {
@@ -270,16 +291,26 @@
         }
     }
 
-    fn addresses(&self, now: Instant) -> Vec<SocketAddr> {
-        let mut peers = self.peers.borrow_mut();
-        peers.retain(|_, peer| {
+    /// Forgets the peers that have been silent for long.
+    fn forget_silent_peers(&self, now: Instant) {
+        self.peers.borrow_mut().retain(|_, peer| {
             now.saturating_duration_since(peer.last_heard_at) < FORGET_PEER_AFTER
         });
-        peers.values().map(|peer| peer.address).collect()
+    }
+
+    /// Returns the addresses of the peers of a group.
+    fn addresses(&self, group: PeerGroup) -> Vec<SocketAddr> {
+        let peers = self.peers.borrow();
+        let members = peers.values().filter(|peer| {
+            let domain = peer.failure_domain.as_ref();
+            let is_far = domain.is_some_and(|domain| *domain != self.own_failure_domain);
+            is_far == (group == PeerGroup::Far)
+        });
+        members.map(|peer| peer.address).collect()
     }
 }
 
-/// Content of the last heartbeat that was sent.
+/// Content of the last heartbeat that was sent to a group of peers.
 #[derive(Debug, Default)]
 struct LastHeartbeat {
     state: GatewayState,
@@ -288,13 +319,14 @@
 }
 
 impl LastHeartbeat {
-    /// Returns whether a heartbeat to `peers` peers is due.
+    /// Returns whether a heartbeat to a group of `peers` peers is due.
     fn is_due(&self, now: Instant, heartbeat: &Heartbeat, peers: usize) -> bool {
         let Some(sent_at) = self.sent_at else {
             return true;
         };
         let peers = u32::try_from(peers).unwrap_or(u32::MAX);
-        let interval = HEARTBEAT_INTERVAL.max(INTERVAL_PER_PEER * peers);
+        let interval =
+            (INTERVAL_PER_PEER * peers).clamp(HEARTBEAT_INTERVAL, IDLE_HEARTBEAT_INTERVAL);
         let is_same = self.state == heartbeat.state && self.calls == heartbeat.calls;
         let interval = if is_same {
             interval.max(IDLE_HEARTBEAT_INTERVAL)
@@ -313,6 +345,7 @@
             address: self.settings.peer_address.to_string(),
             incarnation: self.incarnation,
             processor_permille: self.processor_permille(),
+            failure_domain: Some(self.settings.failure_domain.clone()),
         };
         let append = Append {
             topic: Topic::Gateways,
@@ -345,14 +378,18 @@
     /// Sends heartbeats to all peers until the process ends.
     pub(crate) async fn send_heartbeats(self: Rc<Self>, socket: UdpSocket) {
         let mut number = 0;
-        let mut last_sent = LastHeartbeat::default();
+        let groups = PeerGroup::iter().map(|group| (group, LastHeartbeat::default()));
+        let mut last_sent: Vec<(PeerGroup, LastHeartbeat)> = groups.collect();
         loop {
             Timer::after(HEARTBEAT_INTERVAL).await;
             let now = Instant::now();
             self.store_paths.set_relays(self.gossip.relays(now));
             self.endpoints.borrow_mut().expire_peer_counts(now);
+            self.gossip.forget_silent_peers(now);
             if self.gossip.has_new_peer.take() {
-                last_sent = LastHeartbeat::default();
+                for (_, last_sent) in &mut last_sent {
+                    *last_sent = LastHeartbeat::default();
+                }
             }
             let mut calls = self.endpoints.borrow().reported_counts(now);
             calls.sort_unstable();
@@ -364,20 +401,23 @@
                 state: self.own_state(),
                 calls,
             };
-            let addresses = self.gossip.addresses(now);
-            if !last_sent.is_due(now, &heartbeat, addresses.len()) {
-                continue;
-            }
-            let datagram = encode(&heartbeat);
-            for address in addresses {
-                // A lost datagram needs no retry, because the next one contains all counts again.
-                let _ = socket.send_to(&datagram, address).await;
+            for (group, last_sent) in &mut last_sent {
+                let addresses = self.gossip.addresses(*group);
+                if !last_sent.is_due(now, &heartbeat, addresses.len()) {
+                    continue;
+                }
+                let datagram = encode(&heartbeat);
+                for address in addresses {
+                    // A lost datagram needs no retry, because the next one contains all counts
+                    // again.
+                    let _ = socket.send_to(&datagram, address).await;
+                }
+                *last_sent = LastHeartbeat {
+                    state: heartbeat.state,
+                    calls: heartbeat.calls.clone(),
+                    sent_at: Some(now),
+                };
             }
-            last_sent = LastHeartbeat {
-                state: heartbeat.state,
-                calls: heartbeat.calls,
-                sent_at: Some(now),
-            };
         }
     }
 
--- a/gateway/src/gossip/tests.rs
+++ b/gateway/src/gossip/tests.rs
@@ -1,8 +1,8 @@
 use super::{
-    GatewayState, HEARTBEAT_INTERVAL, Heartbeat, IDLE_HEARTBEAT_INTERVAL, INTERVAL_PER_PEER,
-    LastHeartbeat, encode,
+    GatewayState, Gossip, HEARTBEAT_INTERVAL, Heartbeat, IDLE_HEARTBEAT_INTERVAL,
+    INTERVAL_PER_PEER, LastHeartbeat, PeerGroup, encode,
 };
-use crate::record::decode;
+use crate::record::{GatewayRecord, decode};
 use googletest::prelude::*;
 use std::time::{Duration, Instant};
 
@@ -51,12 +51,16 @@
 }
 
 #[googletest::test]
-fn the_interval_grows_with_the_number_of_peers() {
+fn the_interval_grows_with_the_number_of_peers_up_to_the_idle_interval() {
     let now = Instant::now();
     let last_sent = last_sent(&heartbeat(&[(1, 1)]), now);
     let changed = heartbeat(&[(1, 2)]);
-    let interval = INTERVAL_PER_PEER * 300;
-    let due = |after| last_sent.is_due(now + after, &changed, 300);
+    let interval = INTERVAL_PER_PEER * 100;
+    let due = |after| last_sent.is_due(now + after, &changed, 100);
+    expect_that!(
+        last_sent.is_due(now + IDLE_HEARTBEAT_INTERVAL, &changed, 1_000),
+        eq(true)
+    );
     expect_that!(due(interval - Duration::from_millis(1)), eq(false));
     expect_that!(due(interval), eq(true));
 }
@@ -69,3 +73,57 @@
         eq(true)
     );
 }
+
+fn record(failure_domain: Option<&str>, port: u16) -> GatewayRecord {
+    GatewayRecord {
+        address: format!("10.0.0.1:{port}"),
+        incarnation: 7,
+        processor_permille: 500,
+        failure_domain: failure_domain.map(str::to_owned),
+    }
+}
+
+// Guards against heartbeats to other failure domains as frequent as those to neighbors, which made
+// most of the bytes between domains.
+#[googletest::test]
+fn peers_are_grouped_by_failure_domain_and_unknown_ones_are_near() {
+    let gossip = Gossip::new("edge-a-1", "a");
+    gossip.add_from_record("edge-a-2", &record(Some("a"), 2));
+    gossip.add_from_record("edge-b-1", &record(Some("b"), 3));
+    gossip.add_from_record("edge-old", &record(None, 4));
+    let mut near = gossip.addresses(PeerGroup::Near);
+    near.sort_unstable();
+    let ports: Vec<u16> = near.iter().map(|address| address.port()).collect();
+    expect_that!(ports, eq(&[2, 4]));
+    expect_that!(gossip.addresses(PeerGroup::Far).len(), eq(1));
+}
+
+// Guards against a peer that is first known by its heartbeat and stays in the wrong group.
+#[googletest::test]
+fn the_record_of_a_known_peer_adds_its_failure_domain() {
+    let gossip = Gossip::new("edge-b-1", "b");
+    let from = "10.0.0.1:9".parse().expect("an address");
+    gossip.receive(&heartbeat(&[]), from);
+    expect_that!(gossip.addresses(PeerGroup::Far), is_empty());
+    gossip.add_from_record("edge-a-1", &record(Some("a"), 9));
+    expect_that!(gossip.addresses(PeerGroup::Far), eq(&[from]));
+}
+
+#[derive(serde::Serialize)]
+struct RecordWithoutDomain {
+    address: String,
+    incarnation: u64,
+    processor_permille: u32,
+}
+
+// Guards against gateways of an earlier version that cannot be found during an update.
+#[googletest::test]
+fn a_record_without_a_failure_domain_is_readable() {
+    let record = RecordWithoutDomain {
+        address: "10.0.0.1:9".to_owned(),
+        incarnation: 7,
+        processor_permille: 500,
+    };
+    let decoded: GatewayRecord = decode(&encode(&record)).expect("a readable record");
+    expect_that!(decoded.failure_domain, none());
+}
--- a/gateway/src/node.rs
+++ b/gateway/src/node.rs
@@ -141,7 +141,7 @@
             turns_loaded: Cell::new(false),
             gateways_loaded: Cell::new(false),
             next_gateways_offset: Cell::new(0),
-            gossip: Gossip::new(&settings.name),
+            gossip: Gossip::new(&settings.name, &settings.failure_domain),
             peer_links: PeerLinks::default(),
             announcements: Cell::new(0),
             settlements_in_flight: Rc::default(),
--- a/gateway/src/record.rs
+++ b/gateway/src/record.rs
@@ -61,6 +61,9 @@
     pub(crate) incarnation: u64,
     /// Processor share available to the gateway's VM, in thousandths of a core.
     pub(crate) processor_permille: u32,
+    /// Failure domain of the gateway's VM; earlier versions do not state it.
+    #[serde(default)]
+    pub(crate) failure_domain: Option<String>,
 }
 
 impl CompletedTurn {
