--- a/gateway/src/gossip.rs
+++ b/gateway/src/gossip.rs
@@ -108,6 +108,12 @@
     }
 }
 
+/// Returns whether a datagram is a heartbeat.
+#[cfg(test)]
+pub(crate) fn is_readable_heartbeat(datagram: &[u8]) -> bool {
+    decode::<Heartbeat>(datagram).is_ok()
+}
+
 /// State that a gateway reports about itself.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub(crate) struct GatewayState {
--- a/gateway/src/lib.rs
+++ b/gateway/src/lib.rs
@@ -8,6 +8,8 @@
 mod call;
 mod commit;
 mod counters;
+#[cfg(test)]
+mod decoder_properties;
 mod dialect;
 mod endpoints;
 mod event_stream;
