Do not resume a stream whose events have no ids

Found on reading the change again: the forwarder would have asked another endpoint for the whole stream after events without ids, so that a client gets them twice; and an event read together with a repeated one was counted as forwarded but not written, so that a third endpoint would have gone on after it. Streams with such an event end with their endpoint now; what was read before a repeated event is written. The first has a test (failed before: both events of two runs arrived), the second needs three attempts, which the test site does not allow.

--- a/gateway/src/event_stream.rs
+++ b/gateway/src/event_stream.rs
@@ -61,6 +61,8 @@
     event_count: u64,
     /// Id of the last event that the client has, if it had one.
     last_event_id: Option<EventId>,
+    /// Whether an event with data had no id, so that no other endpoint can go on after it.
+    has_unnumbered_event: bool,
 }
 
 impl<'a, D: Dialect> StreamForwarder<'a, D> {
@@ -91,6 +93,7 @@
             text: text.unwrap_or_default(),
             event_count: 0,
             last_event_id: outgoing.call.last_event_id(),
+            has_unnumbered_event: false,
         }
     }
 
@@ -118,7 +121,8 @@
                 }
                 Err(broken) => self.log("stream_broken", &exchange, broken.reason()),
             }
-            if !can_resume || !matches!(forwarded, Err(StreamBreak::Endpoint(_))) {
+            let is_endpoints_fault = matches!(forwarded, Err(StreamBreak::Endpoint(_)));
+            if !can_resume || !is_endpoints_fault || self.has_unnumbered_event {
                 return None;
             }
             // The endpoint stops its run when the connection closes.
@@ -172,15 +176,17 @@
             splitter.push(&bytes.data);
             bytes_since_data += bytes.data.len();
             let mut events = Vec::new();
+            let mut has_repeated_event = false;
             while let Some(event) = splitter.next_event() {
                 let id = event_id(&event);
                 if id.is_some() && id <= resumed_after {
-                    exchange.record_failure();
-                    return Err(StreamBreak::Endpoint("the endpoint repeats events"));
+                    has_repeated_event = true;
+                    break;
                 }
                 self.last_event_id = id.or(self.last_event_id);
                 if self.count(&event) {
                     bytes_since_data = splitter.rest().len();
+                    self.has_unnumbered_event |= id.is_none();
                 }
                 events.extend_from_slice(&event);
                 if self.event_count > self.max_events {
@@ -190,11 +196,15 @@
             let framing = exchange.head.framing;
             let has_data = self.event_count > 0;
             let checked_end = bytes.is_last.then(|| splitter.check_end(framing, has_data));
-            if checked_end == Some(Ok(())) {
+            if checked_end == Some(Ok(())) && !has_repeated_event {
                 events.extend_from_slice(splitter.rest());
             }
             let written = self.reply.write_chunk(&events).await;
             written.map_err(|_| StreamBreak::Client("the client closed the connection"))?;
+            if has_repeated_event {
+                exchange.record_failure();
+                return Err(StreamBreak::Endpoint("the endpoint repeats events"));
+            }
             if let Some(reason) = self.excess(exchange, bytes_since_data) {
                 exchange.record_failure();
                 return Err(StreamBreak::Excess(reason));
