Forget queued reservations that never reach the index

Found on reading the change again: a gateway that reserved in an owner's place and then gave up before it had read the partition, or unloaded it, would have counted that reservation for ever, and denied the program's last turns once it serves them itself.

--- a/gateway/src/partition.rs
+++ b/gateway/src/partition.rs
@@ -4,11 +4,14 @@
 //! All records of a program are in one partition, so that their order decides on the program's
 //! budget. A gateway reads only the partitions that it serves.
 
+mod queued;
+
 use crate::commit::Committer;
 use crate::dialect::{Dialect, Offset, PartitionNumber, Topic};
 use crate::net::with_timeout;
 use crate::stable_hash::stable_hash;
 use crate::turns::TurnIndex;
+use queued::QueuedReservations;
 use serde::{Deserialize, Serialize};
 use std::cell::{Cell, RefCell};
 use std::time::{Duration, Instant};
@@ -44,13 +47,6 @@
     (stable_hash(program) % u64::from(PARTITION_COUNT)) as PartitionNumber
 }
 
-/// A reservation of this gateway that the index does not contain yet.
-struct QueuedReservation {
-    turn: String,
-    program: String,
-    max_tokens: u64,
-}
-
 /// State of a partition on one gateway.
 pub(crate) struct Partition<D> {
     pub(crate) number: PartitionNumber,
@@ -60,7 +56,7 @@
     pub(crate) index: RefCell<TurnIndex>,
     /// Reservations of this gateway between their submission and the time at which the index
     /// contains them; some may already be there.
-    queued_reservations: RefCell<Vec<QueuedReservation>>,
+    queued_reservations: RefCell<QueuedReservations>,
     /// Whether the partition was once read completely.
     is_loaded: Cell<bool>,
     /// Offset of the next record to apply. If the partition is loaded, all earlier records have
@@ -98,30 +94,21 @@
 
     /// Counts a reservation that has been submitted, until the index contains it.
     pub(crate) fn queue_reservation(&self, turn: &str, program: &str, max_tokens: u64) {
-        self.queued_reservations
-            .borrow_mut()
-            .push(QueuedReservation {
-                turn: turn.to_owned(),
-                program: program.to_owned(),
-                max_tokens,
-            });
+        let mut queued = self.queued_reservations.borrow_mut();
+        queued.push(Instant::now(), turn, program, max_tokens);
     }
 
     /// Forgets the queued reservations that the index contains.
     pub(crate) fn forget_applied_reservations(&self) {
         let index = self.index.borrow();
         let mut queued = self.queued_reservations.borrow_mut();
-        queued.retain(|reservation| !index.contains(&reservation.turn));
+        queued.forget(Instant::now(), |turn| index.contains(turn));
     }
 
     /// Returns the tokens that count against a program's budget, queued reservations included.
     pub(crate) fn charged_tokens(&self, program: &str) -> u64 {
         self.forget_applied_reservations();
-        let queued = self.queued_reservations.borrow();
-        let queued = queued
-            .iter()
-            .filter(|reservation| reservation.program == program);
-        let queued_tokens: u64 = queued.map(|reservation| reservation.max_tokens).sum();
+        let queued_tokens = self.queued_reservations.borrow().tokens(program);
         self.index.borrow().charged_tokens(program) + queued_tokens
     }
 
