--- a/gateway/src/lib.rs
+++ b/gateway/src/lib.rs
@@ -9,7 +9,7 @@
 mod commit;
 mod counters;
 #[cfg(test)]
-mod decoder_properties;
+mod decoder_tests;
 mod dialect;
 mod endpoints;
 mod event_stream;
