--- a/gateway/src/front.rs
+++ b/gateway/src/front.rs
@@ -66,6 +66,8 @@
             crate::event!("socket_options_failed", "error" => error.to_string());
         }
         let mut connection = Connection::new(stream);
+        let accepted_at = Instant::now();
+        let mut requests_before = 0;
         loop {
             if !self.wait_for_bytes(&mut connection).await {
                 return;
@@ -73,7 +75,11 @@
             let guard = InFlightGuard::new(&self.requests_in_flight);
             let reply = Reply::new(connection.stream(), self.is_stopping());
             match self.read_request(&mut connection).await {
-                Ok(request) => self.answer(request, &mut connection, &reply).await,
+                Ok(request) => {
+                    self.log_if_stopping(&request, accepted_at, requests_before);
+                    self.answer(request, &mut connection, &reply).await;
+                    requests_before += 1;
+                }
                 Err(ReadFailure::Closed) => return,
                 Err(ReadFailure::Refused(refusal)) => {
                     reply.close_after_answer();
@@ -89,6 +95,19 @@
         }
     }
 
+    /// Logs a request that was received after the stop signal, with the age of its connection.
+    fn log_if_stopping(&self, request: &Request, accepted_at: Instant, requests_before: u32) {
+        let Some(stopping_for) = self.stopping_for() else {
+            return;
+        };
+        let info = D::parse_call(&request.head.headers);
+        crate::event!("received_while_stopping",
+            "request" => info.request_id.unwrap_or_default(),
+            "stopping_ms" => stopping_for.as_millis(),
+            "connection_ms" => accepted_at.elapsed().as_millis(),
+            "requests_before" => requests_before);
+    }
+
     /// Waits for the first bytes of the next request; returns false on a disconnect, an idle timeout
     /// or shutdown.
     async fn wait_for_bytes(&self, connection: &mut Connection) -> bool {
--- a/gateway/src/node.rs
+++ b/gateway/src/node.rs
@@ -185,6 +185,11 @@
         self.stopping_since.get().is_some()
     }
 
+    /// Returns the time since the stop signal; `None` if there was none.
+    pub(crate) fn stopping_for(&self) -> Option<Duration> {
+        self.stopping_since.get().map(|since| since.elapsed())
+    }
+
     /// Waits until idle connections must be closed.
     pub(crate) async fn wait_for_idle_close(&self) {
         while !self.is_closing_idle.get() {
@@ -321,6 +326,7 @@
             Timer::after(STOP_CHECK_INTERVAL).await;
         }
         crate::event!("stopped", "requests" => self.requests_in_flight.get(),
+            "has_committed_all" => self.has_committed_all(),
             "took_ms" => started_at.elapsed().as_millis());
     }
 }
