Take no request that a stopping gateway cannot finish

What callers saw: after SIGTERM of most gateways of a failure domain, requests taken up to 7.4 s later were run and then ended with a closed connection (LOST), among them calls that may not be repeated.

Cause: a stopping gateway accepted connections until its process ended, and ended early only at a moment without a request in flight. While fewer than half of a domain's gateways are ready, callers are sent to all of them, so that such a moment may not come; at the end of the grace less 0.5 s the process ended and cut what it had taken last. Class: work is taken without regard to the time by which it must be finished. The same for a request that was received behind another one on its connection.

Change: the shutdown has phases. For 2.8 s requests are served as before; then the listener closes, after the connections that the kernel has accepted were taken, and what arrives on open connections is refused with 503 as not run. Requests taken before are finished, which bounds the rest of the shutdown by the longest of them.

Evidence: no_call_is_cut_while_callers_keep_connecting_to_a_stopping_gateway and a_request_behind_another_on_its_connection_is_not_begun_too_late failed on the code before (12 of 12 last calls cut; run again with the gateway's sources of the parent) and pass, 3 of 3 runs.

--- a/gateway/src/front.rs
+++ b/gateway/src/front.rs
@@ -10,6 +10,7 @@
 use crate::net::{self, with_timeout};
 use crate::node::{Gateway, InFlightGuard};
 use crate::reply::{Refusal, Reply};
+use crate::shutdown::{Phase, late_refusal};
 use futures_lite::future;
 use smol::net::{TcpListener, TcpStream};
 use std::cell::{Cell, RefCell};
@@ -49,10 +50,19 @@
 }
 
 impl<D: Dialect> Gateway<D> {
-    /// Accepts client connections; never returns.
+    /// Accepts client connections until the gateway stops taking requests.
+    ///
+    /// Connections that the kernel has accepted by then are still taken.
     pub(crate) async fn accept_clients(self: Rc<Self>, listener: TcpListener) {
         loop {
-            let stream = net::accept(&listener).await;
+            let accept = async { Some(net::accept(&listener).await) };
+            let closing = async {
+                self.shutdown.wait_for(Phase::Closing).await;
+                None
+            };
+            let Some(stream) = future::or(accept, closing).await else {
+                return;
+            };
             let gateway = self.clone();
             let task = async move { gateway.serve_connection(stream).await };
             self.executor.spawn(task).detach();
@@ -69,12 +79,22 @@
         let accepted_at = Instant::now();
         let mut requests_before = 0;
         loop {
-            if !self.wait_for_bytes(&mut connection).await {
+            if !self
+                .wait_for_bytes(&mut connection, requests_before > 0)
+                .await
+            {
                 return;
             }
             let guard = InFlightGuard::new(&self.requests_in_flight);
             let reply = Reply::new(connection.stream(), self.is_stopping());
             match self.read_request(&mut connection).await {
+                Ok(request) if self.shutdown.refuses_requests() => {
+                    self.log_if_stopping(&request, accepted_at, requests_before);
+                    reply.close_after_answer();
+                    reply.refuse(&late_refusal()).await;
+                    discard_input(&mut connection).await;
+                    return;
+                }
                 Ok(request) => {
                     self.log_if_stopping(&request, accepted_at, requests_before);
                     self.answer(request, &mut connection, &reply).await;
@@ -97,7 +117,7 @@
 
     /// Logs a request that was received after the stop signal, with the age of its connection.
     fn log_if_stopping(&self, request: &Request, accepted_at: Instant, requests_before: u32) {
-        let Some(stopping_for) = self.stopping_for() else {
+        let Some(stopping_for) = self.shutdown.elapsed() else {
             return;
         };
         let info = D::parse_call(&request.head.headers);
@@ -105,19 +125,20 @@
             "request" => info.request_id.unwrap_or_default(),
             "stopping_ms" => stopping_for.as_millis(),
             "connection_ms" => accepted_at.elapsed().as_millis(),
-            "requests_before" => requests_before);
+            "requests_before" => requests_before,
+            "refused" => self.shutdown.refuses_requests());
     }
 
     /// Waits for the first bytes of the next request; returns false on a disconnect, an idle timeout
     /// or shutdown.
-    async fn wait_for_bytes(&self, connection: &mut Connection) -> bool {
+    async fn wait_for_bytes(&self, connection: &mut Connection, has_sent_request: bool) -> bool {
         if !connection.unread().is_empty() {
             return true;
         }
         let idle_timeout = self.routes.borrow().limits().idle_timeout;
         let read = async { matches!(connection.fill().await, Ok(count) if count > 0) };
         let stopping = async {
-            self.wait_for_idle_close().await;
+            self.shutdown.wait_for_idle_close(has_sent_request).await;
             false
         };
         let read = with_timeout(idle_timeout, future::or(read, stopping)).await;
--- a/gateway/src/lib.rs
+++ b/gateway/src/lib.rs
@@ -34,6 +34,7 @@
 mod reply;
 mod reserved_turn;
 mod routes;
+mod shutdown;
 mod stable_hash;
 mod store;
 mod stream;
--- a/gateway/src/node.rs
+++ b/gateway/src/node.rs
@@ -11,6 +11,7 @@
 use crate::peers::PeerLinks;
 use crate::pool::Pool;
 use crate::routes::Routes;
+use crate::shutdown::Shutdown;
 use crate::store::{StoreLink, StorePaths};
 use async_signal::{Signal, Signals};
 use futures_lite::StreamExt;
@@ -26,16 +27,6 @@
 /// the listener.
 const LISTEN_BACKLOG: i32 = 1_024;
 
-/// Time for which a stopping gateway still accepts connections. Callers are redirected only after
-/// two failed readiness probes, which are a second apart.
-const DRAIN_NOTICE: Duration = Duration::from_millis(2_800);
-
-/// Part of the grace period reserved for the exit of the process itself.
-const GRACE_MARGIN: Duration = Duration::from_millis(500);
-
-/// Interval between checks whether a stopping gateway has finished its work.
-const STOP_CHECK_INTERVAL: Duration = Duration::from_millis(20);
-
 /// Interval between rounds of housekeeping.
 const HOUSEKEEPING_INTERVAL: Duration = Duration::from_secs(1);
 
@@ -121,9 +112,7 @@
     pub(crate) counters: Counters,
     /// Number of requests in flight.
     pub(crate) requests_in_flight: Rc<Cell<usize>>,
-    stopping_since: Cell<Option<Instant>>,
-    is_closing_idle: Cell<bool>,
-    idle_close_started: event_listener::Event,
+    pub(crate) shutdown: Shutdown,
 }
 
 impl<D: Dialect> Gateway<D> {
@@ -150,9 +139,7 @@
             store_paths: Rc::new(StorePaths::new(settings.store_address)),
             counters: Counters::default(),
             requests_in_flight: Rc::default(),
-            stopping_since: Cell::new(None),
-            is_closing_idle: Cell::new(false),
-            idle_close_started: event_listener::Event::new(),
+            shutdown: Shutdown::default(),
             settings,
         }
     }
@@ -163,7 +150,7 @@
     }
 
     /// Returns whether the store has acknowledged all records of this gateway.
-    fn has_committed_all(&self) -> bool {
+    pub(crate) fn has_committed_all(&self) -> bool {
         let mut partitions = self.partitions.iter();
         self.settlements_in_flight.get() == 0
             && partitions.all(|partition| partition.committer.is_idle())
@@ -182,23 +169,7 @@
 
     /// Returns whether the process is shutting down.
     pub(crate) fn is_stopping(&self) -> bool {
-        self.stopping_since.get().is_some()
-    }
-
-    /// Returns the time since the stop signal; `None` if there was none.
-    pub(crate) fn stopping_for(&self) -> Option<Duration> {
-        self.stopping_since.get().map(|since| since.elapsed())
-    }
-
-    /// Waits until idle connections must be closed.
-    pub(crate) async fn wait_for_idle_close(&self) {
-        while !self.is_closing_idle.get() {
-            let listener = self.idle_close_started.listen();
-            if self.is_closing_idle.get() {
-                return;
-            }
-            listener.await;
-        }
+        self.shutdown.has_begun()
     }
 
     /// Returns whether this gateway should receive requests.
@@ -309,26 +280,6 @@
             }
         }
     }
-
-    /// Fails readiness, waits for requests in flight to finish and returns.
-    async fn stop(&self) {
-        let started_at = Instant::now();
-        self.stopping_since.set(Some(started_at));
-        crate::event!("stopping", "requests" => self.requests_in_flight.get());
-        Timer::after(DRAIN_NOTICE).await;
-        self.is_closing_idle.set(true);
-        self.idle_close_started.notify(usize::MAX);
-        let limit = self.settings.stop_grace.saturating_sub(GRACE_MARGIN);
-        while started_at.elapsed() < limit {
-            if self.requests_in_flight.get() == 0 && self.has_committed_all() {
-                break;
-            }
-            Timer::after(STOP_CHECK_INTERVAL).await;
-        }
-        crate::event!("stopped", "requests" => self.requests_in_flight.get(),
-            "has_committed_all" => self.has_committed_all(),
-            "took_ms" => started_at.elapsed().as_millis());
-    }
 }
 
 /// Runs a gateway until it receives a stop signal.
--- /dev/null
+++ b/gateway/src/shutdown.rs
@@ -0,0 +1,127 @@
+//! Shutdown of a gateway in phases, so that each request it takes gets an answer.
+
+use crate::dialect::Dialect;
+use crate::node::Gateway;
+use crate::reply::Refusal;
+use smol::Timer;
+use std::cell::Cell;
+use std::time::{Duration, Instant};
+
+/// Time for which a stopping gateway still takes requests. Callers are redirected only after two
+/// failed readiness probes, which are a second apart.
+const DRAIN_NOTICE: Duration = Duration::from_millis(2_800);
+
+/// Time for which a connection that was accepted last may still send its first request, which is
+/// refused. Closing it unread would leave its caller in doubt.
+const FIRST_REQUEST_WAIT: Duration = Duration::from_millis(200);
+
+/// Part of the grace period reserved for the exit of the process itself.
+const GRACE_MARGIN: Duration = Duration::from_millis(500);
+
+/// Interval between checks whether a stopping gateway has finished its work.
+const CHECK_INTERVAL: Duration = Duration::from_millis(20);
+
+/// Phases of a gateway's life, in order.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, strum::Display)]
+#[strum(serialize_all = "kebab-case")]
+pub(crate) enum Phase {
+    /// Requests are served.
+    Serving,
+    /// Requests are still served, but callers are told to go elsewhere.
+    Draining,
+    /// No connections are accepted, and requests that arrive are refused. Those that were taken
+    /// before are finished.
+    Closing,
+}
+
+/// Progress of the shutdown.
+#[derive(Debug)]
+pub(crate) struct Shutdown {
+    /// Only ever advances.
+    phase: Cell<Phase>,
+    started_at: Cell<Option<Instant>>,
+    advanced: event_listener::Event,
+}
+
+impl Default for Shutdown {
+    fn default() -> Self {
+        Self {
+            phase: Cell::new(Phase::Serving),
+            started_at: Cell::new(None),
+            advanced: event_listener::Event::new(),
+        }
+    }
+}
+
+impl Shutdown {
+    /// Returns whether the stop signal was received.
+    pub(crate) fn has_begun(&self) -> bool {
+        self.phase.get() > Phase::Serving
+    }
+
+    /// Returns whether requests that arrive now are refused.
+    pub(crate) fn refuses_requests(&self) -> bool {
+        self.phase.get() >= Phase::Closing
+    }
+
+    /// Returns the time since the stop signal; `None` if there was none.
+    pub(crate) fn elapsed(&self) -> Option<Duration> {
+        self.started_at.get().map(|at| at.elapsed())
+    }
+
+    /// Waits until a phase has been reached.
+    pub(crate) async fn wait_for(&self, phase: Phase) {
+        while self.phase.get() < phase {
+            let listener = self.advanced.listen();
+            if self.phase.get() >= phase {
+                return;
+            }
+            listener.await;
+        }
+    }
+
+    /// Waits until a connection on which a request is awaited must be closed.
+    pub(crate) async fn wait_for_idle_close(&self, has_sent_request: bool) {
+        self.wait_for(Phase::Closing).await;
+        if !has_sent_request {
+            Timer::after(FIRST_REQUEST_WAIT).await;
+        }
+    }
+
+    fn advance(&self, phase: Phase) {
+        if !self.has_begun() {
+            self.started_at.set(Some(Instant::now()));
+        }
+        self.phase.set(phase);
+        self.advanced.notify(usize::MAX);
+        crate::event!("shutdown_phase", "phase" => phase.to_string());
+    }
+}
+
+/// Returns the refusal of a request that arrives too late. Another gateway can serve it at once.
+pub(crate) const fn late_refusal() -> Refusal {
+    Refusal::retry_later(Duration::ZERO, "the gateway is stopping")
+}
+
+impl<D: Dialect> Gateway<D> {
+    /// Fails readiness, finishes the requests taken by the end of the notice and returns.
+    pub(crate) async fn stop(&self) {
+        let started_at = Instant::now();
+        crate::event!("stopping", "requests" => self.requests_in_flight.get());
+        self.shutdown.advance(Phase::Draining);
+        Timer::after(DRAIN_NOTICE).await;
+        self.shutdown.advance(Phase::Closing);
+        Timer::after(FIRST_REQUEST_WAIT).await;
+        let limit = self.settings.stop_grace.saturating_sub(GRACE_MARGIN);
+        while started_at.elapsed() < limit && !self.has_finished_all() {
+            Timer::after(CHECK_INTERVAL).await;
+        }
+        crate::event!("stopped", "requests" => self.requests_in_flight.get(),
+            "has_committed_all" => self.has_committed_all(),
+            "took_ms" => started_at.elapsed().as_millis());
+    }
+
+    fn has_finished_all(&self) -> bool {
+        self.requests_in_flight.get() == 0 && self.has_committed_all()
+    }
+}
