Answer what is unfinished at the end of a gateway's grace

What callers saw: a call that was still running when the grace of a stopping gateway was over ended with a closed connection and no answer.

Cause: the process ended while requests were in flight, and nothing told their callers.

Change: half a second before the end of the grace the shutdown enters a last phase, in which each unfinished request is answered: 504 if it may have run, 503 if it has not, and a stream that has begun is broken off as before. Up to 0.2 s of the margin are for writing these answers.

--- a/gateway/src/call.rs
+++ b/gateway/src/call.rs
@@ -4,12 +4,14 @@
 use crate::endpoints::InstanceId;
 use crate::forward::{EndpointAnswer, Execution, MAX_ENDPOINTS_TRIED, OutgoingRequest};
 use crate::http::{Framing, RequestHead};
-use crate::net::with_timeout;
 use crate::node::Gateway;
 use crate::reply::{Refusal, Reply, ReplyState};
 use crate::routes::{Route, RouteKind};
+use crate::shutdown::{Phase, late_refusal};
 use crate::stream::{EventId, LAST_EVENT_ID};
+use futures_lite::future;
 use smallvec::SmallVec;
+use smol::Timer;
 use std::cell::{Cell, RefCell};
 use std::rc::Rc;
 use std::time::{Duration, Instant};
@@ -50,6 +52,16 @@
     pub(crate) framing: Cell<Option<Framing>>,
 }
 
+/// Reason why a request is ended before its answer; its name is that of the event.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, strum::Display)]
+#[strum(serialize_all = "snake_case")]
+enum Unfinished {
+    /// Its deadline has passed.
+    TimedOut,
+    /// The grace period of the gateway's shutdown has passed.
+    GatewayStopped,
+}
+
 impl Call {
     /// Returns the time until the deadline; zero if it has passed.
     pub(crate) fn time_left(&self) -> Duration {
@@ -114,9 +126,18 @@
                     self.serve_plain(call, reply).await;
                 }
             }
+            None
+        };
+        let timeout = async {
+            Timer::after(call.time_left()).await;
+            Some(Unfinished::TimedOut)
         };
-        if with_timeout(call.time_left(), work).await.is_none() {
-            self.answer_timeout(call, reply).await;
+        let end = async {
+            self.shutdown.wait_for(Phase::Ending).await;
+            Some(Unfinished::GatewayStopped)
+        };
+        if let Some(reason) = future::or(work, future::or(timeout, end)).await {
+            self.answer_unfinished(call, reply, reason).await;
         }
         let duration = call.received_at.elapsed();
         self.counters
@@ -124,18 +145,26 @@
         call.log_answer(reply);
     }
 
-    /// Refuses a request whose deadline has passed, or aborts its answer if that has begun.
-    async fn answer_timeout(&self, call: &Call, reply: &Reply) {
-        crate::event!("timed_out", "request" => call.id(),
-            "execution" => call.execution.get().to_string());
+    /// Refuses a request that is not finished in time, or aborts its answer if that has begun.
+    async fn answer_unfinished(&self, call: &Call, reply: &Reply, reason: Unfinished) {
+        let execution = call.execution.get();
+        crate::event!(&reason.to_string(), "request" => call.id(),
+            "execution" => execution.to_string());
         if reply.state() != ReplyState::Pending {
             reply.abort();
             return;
         }
-        let refusal = match call.execution.get() {
-            Execution::NotRun => Refusal::new(503, "no time left"),
-            Execution::MayHaveRun => Refusal::new(504, "no answer in time"),
+        let refusal = match (reason, execution) {
+            (Unfinished::TimedOut, Execution::NotRun) => Refusal::new(503, "no time left"),
+            (Unfinished::TimedOut, Execution::MayHaveRun) => Refusal::new(504, "no answer in time"),
+            (Unfinished::GatewayStopped, Execution::NotRun) => late_refusal(),
+            (Unfinished::GatewayStopped, Execution::MayHaveRun) => {
+                Refusal::new(504, "the gateway stopped before the answer")
+            }
         };
+        if reason == Unfinished::GatewayStopped {
+            reply.close_after_answer();
+        }
         reply.refuse(&refusal).await;
     }
 
--- a/gateway/src/shutdown.rs
+++ b/gateway/src/shutdown.rs
@@ -15,9 +15,13 @@
 /// refused. Closing it unread would leave its caller in doubt.
 const FIRST_REQUEST_WAIT: Duration = Duration::from_millis(200);
 
-/// Part of the grace period reserved for the exit of the process itself.
+/// Part of the grace period that remains when unfinished requests are answered.
 const GRACE_MARGIN: Duration = Duration::from_millis(500);
 
+/// Maximum time to write the answers of unfinished requests. The rest of the margin is for the exit
+/// of the process itself.
+const LAST_ANSWERS_TIMEOUT: Duration = Duration::from_millis(200);
+
 /// Interval between checks whether a stopping gateway has finished its work.
 const CHECK_INTERVAL: Duration = Duration::from_millis(20);
 
@@ -32,6 +36,8 @@
     /// No connections are accepted, and requests that arrive are refused. Those that were taken
     /// before are finished.
     Closing,
+    /// Requests that are still unfinished are answered as failed.
+    Ending,
 }
 
 /// Progress of the shutdown.
@@ -104,7 +110,8 @@
 }
 
 impl<D: Dialect> Gateway<D> {
-    /// Fails readiness, finishes the requests taken by the end of the notice and returns.
+    /// Fails readiness, finishes the requests taken by the end of the notice and returns. Those that
+    /// last longer than the grace period are answered as failed.
     pub(crate) async fn stop(&self) {
         let started_at = Instant::now();
         crate::event!("stopping", "requests" => self.requests_in_flight.get());
@@ -116,7 +123,14 @@
         while started_at.elapsed() < limit && !self.has_finished_all() {
             Timer::after(CHECK_INTERVAL).await;
         }
-        crate::event!("stopped", "requests" => self.requests_in_flight.get(),
+        let unfinished = self.requests_in_flight.get();
+        self.shutdown.advance(Phase::Ending);
+        let limit = limit + LAST_ANSWERS_TIMEOUT;
+        while started_at.elapsed() < limit && self.requests_in_flight.get() > 0 {
+            Timer::after(CHECK_INTERVAL).await;
+        }
+        crate::event!("stopped", "unfinished" => unfinished,
+            "requests" => self.requests_in_flight.get(),
             "has_committed_all" => self.has_committed_all(),
             "took_ms" => started_at.elapsed().as_millis());
     }
