Refuse requests that a stopping gateway has received in part

What callers saw: a client whose request was not complete when a gateway stopped listening kept the process up to the end of its grace, or for 10 s of its body, and its connection was then closed without an answer. Such a request would have been refused in any case.

Change: 0.2 s after the listener closes, as for connections without a request, what has been received in part is refused as not run.

Evidence: an_incomplete_request_is_refused_and_does_not_delay_the_shutdown failed on the code before (no answer, the process ended 7.7 s after SIGTERM) and passes; the other tests of the shutdown pass, one run.

--- a/gateway/src/front.rs
+++ b/gateway/src/front.rs
@@ -87,7 +87,11 @@
             }
             let guard = InFlightGuard::new(&self.requests_in_flight);
             let reply = Reply::new(connection.stream(), self.is_stopping());
-            match self.read_request(&mut connection).await {
+            let too_late = async {
+                self.shutdown.wait_for_receive_end().await;
+                Err(ReadFailure::Refused(late_refusal()))
+            };
+            match future::or(self.read_request(&mut connection), too_late).await {
                 Ok(request) if self.shutdown.refuses_requests() => {
                     self.log_if_stopping(&request, accepted_at, requests_before);
                     reply.close_after_answer();
--- a/gateway/src/shutdown.rs
+++ b/gateway/src/shutdown.rs
@@ -11,9 +11,10 @@
 /// failed readiness probes, which are a second apart.
 const DRAIN_NOTICE: Duration = Duration::from_millis(2_800);
 
-/// Time for which a connection that was accepted last may still send its first request, which is
-/// refused. Closing it unread would leave its caller in doubt.
-const FIRST_REQUEST_WAIT: Duration = Duration::from_millis(200);
+/// Time for which a connection that was accepted last may still send its first request, and for
+/// which the rest of a request is still received. Both are refused, which leaves their callers in no
+/// doubt.
+const REQUEST_WAIT: Duration = Duration::from_millis(200);
 
 /// Part of the grace period that remains when unfinished requests are answered.
 const GRACE_MARGIN: Duration = Duration::from_millis(500);
@@ -88,12 +89,19 @@
 
     /// Waits until a connection on which a request is awaited must be closed.
     pub(crate) async fn wait_for_idle_close(&self, has_sent_request: bool) {
-        self.wait_for(Phase::Closing).await;
-        if !has_sent_request {
-            Timer::after(FIRST_REQUEST_WAIT).await;
+        if has_sent_request {
+            self.wait_for(Phase::Closing).await;
+        } else {
+            self.wait_for_receive_end().await;
         }
     }
 
+    /// Waits until a request of which only a part has been received must be refused.
+    pub(crate) async fn wait_for_receive_end(&self) {
+        self.wait_for(Phase::Closing).await;
+        Timer::after(REQUEST_WAIT).await;
+    }
+
     fn advance(&self, phase: Phase) {
         if !self.has_begun() {
             self.started_at.set(Some(Instant::now()));
@@ -118,7 +126,7 @@
         self.shutdown.advance(Phase::Draining);
         Timer::after(DRAIN_NOTICE).await;
         self.shutdown.advance(Phase::Closing);
-        Timer::after(FIRST_REQUEST_WAIT).await;
+        Timer::after(REQUEST_WAIT).await;
         let limit = self.settings.stop_grace.saturating_sub(GRACE_MARGIN);
         while started_at.elapsed() < limit && !self.has_finished_all() {
             Timer::after(CHECK_INTERVAL).await;
