Settle the turns that a stopping gateway breaks off

What callers saw: a stream that was broken off at the end of a stopping gateway's grace kept all the tokens that its turn had reserved, so that later turns of its program were answered 402 although the budget covered them. Found in the review of the shutdown.

Cause: the last phase of the shutdown ended as soon as no request was in flight. Breaking a stream off starts its settlement, and the process ended before the store had acknowledged it, unless its first attempt succeeded within one check interval of 20 ms.

Change: the last phase also waits for records, within the same 0.2 s.

Evidence: tokens_of_a_stream_that_outlasts_the_grace_period_are_settled, in which the store refuses calls until 50 ms after the stream has broken, failed on the code before (402 in place of 200; 'stopped' with has_committed_all false) and passes. With a store that only takes 100 ms per call the settlement arrived on the old code as well: it had been sent.

--- a/gateway/src/shutdown.rs
+++ b/gateway/src/shutdown.rs
@@ -19,9 +19,9 @@
 /// Part of the grace period that remains when unfinished requests are answered.
 const GRACE_MARGIN: Duration = Duration::from_millis(500);
 
-/// Maximum time to write the answers of unfinished requests. The rest of the margin is for the exit
-/// of the process itself.
-const LAST_ANSWERS_TIMEOUT: Duration = Duration::from_millis(200);
+/// Maximum time to write the answers of unfinished requests and to settle their turns. The rest of
+/// the margin is for the exit of the process itself.
+const ENDING_TIMEOUT: Duration = Duration::from_millis(200);
 
 /// Interval between checks whether a stopping gateway has finished its work.
 const CHECK_INTERVAL: Duration = Duration::from_millis(20);
@@ -133,8 +133,8 @@
         }
         let unfinished = self.requests_in_flight.get();
         self.shutdown.advance(Phase::Ending);
-        let limit = limit + LAST_ANSWERS_TIMEOUT;
-        while started_at.elapsed() < limit && self.requests_in_flight.get() > 0 {
+        let limit = limit + ENDING_TIMEOUT;
+        while started_at.elapsed() < limit && !self.has_finished_all() {
             Timer::after(CHECK_INTERVAL).await;
         }
         crate::event!("stopped", "unfinished" => unfinished,
