Stop within a grace period that is shorter than the notice

What callers saw: with a grace of less than 3 s the process was ended by force while it still took requests; with one of up to some 3.5 s it ended by itself, and the requests that were unfinished got no answer. No deployment has such a grace; found in the review.

Cause: the notice was a fixed 2.8 s, whatever the time by which all must be finished.

Change: the times of the phases are derived from the grace. Notice and margin are bounded by a part of it; nothing changes for 8 s.

Evidence: a_gateway_stops_within_a_short_grace_period failed on the code before (grace 1 s: 3.0 s and no answer; 3.2 s: no answer) and passes; the other tests of the shutdown pass, two runs.

--- a/gateway/src/shutdown.rs
+++ b/gateway/src/shutdown.rs
@@ -16,12 +16,15 @@
 /// doubt.
 const REQUEST_WAIT: Duration = Duration::from_millis(200);
 
-/// Part of the grace period that remains when unfinished requests are answered.
+/// Maximum part of the grace period that remains when unfinished requests are answered.
 const GRACE_MARGIN: Duration = Duration::from_millis(500);
 
-/// Maximum time to write the answers of unfinished requests and to settle their turns. The rest of
-/// the margin is for the exit of the process itself.
-const ENDING_TIMEOUT: Duration = Duration::from_millis(200);
+/// Fraction of the margin for writing the answers of unfinished requests and settling their turns.
+/// The rest is for the exit of the process itself.
+const ENDING_SHARE: f64 = 0.4;
+
+/// Number of parts of a short grace period, one of which is the margin.
+const SHORT_GRACE_PARTS: u32 = 4;
 
 /// Interval between checks whether a stopping gateway has finished its work.
 const CHECK_INTERVAL: Duration = Duration::from_millis(20);
@@ -41,6 +44,30 @@
     Ending,
 }
 
+/// Times of a shutdown, since the stop signal. They are in order and within the grace period.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+struct Schedule {
+    /// Start of [`Phase::Closing`].
+    closing: Duration,
+    /// Latest start of [`Phase::Ending`].
+    ending: Duration,
+    /// Latest exit of the process.
+    exit: Duration,
+}
+
+impl Schedule {
+    /// Creates the schedule of a shutdown that ends within the grace period, however short that is.
+    fn new(grace: Duration) -> Self {
+        let margin = GRACE_MARGIN.min(grace / SHORT_GRACE_PARTS);
+        let ending = grace - margin;
+        Self {
+            closing: DRAIN_NOTICE.min(ending / 2),
+            ending,
+            exit: ending + margin.mul_f64(ENDING_SHARE),
+        }
+    }
+}
+
 /// Progress of the shutdown.
 #[derive(Debug)]
 pub(crate) struct Shutdown {
@@ -122,27 +149,31 @@
     /// last longer than the grace period are answered as failed.
     pub(crate) async fn stop(&self) {
         let started_at = Instant::now();
+        let schedule = Schedule::new(self.settings.stop_grace);
         crate::event!("stopping", "requests" => self.requests_in_flight.get());
         self.shutdown.advance(Phase::Draining);
-        Timer::after(DRAIN_NOTICE).await;
+        Timer::at(started_at + schedule.closing).await;
         self.shutdown.advance(Phase::Closing);
-        Timer::after(REQUEST_WAIT).await;
-        let limit = self.settings.stop_grace.saturating_sub(GRACE_MARGIN);
-        while started_at.elapsed() < limit && !self.has_finished_all() {
-            Timer::after(CHECK_INTERVAL).await;
-        }
+        let time_left = schedule.ending.saturating_sub(started_at.elapsed());
+        Timer::after(REQUEST_WAIT.min(time_left)).await;
+        self.wait_until_finished(started_at, schedule.ending).await;
         let unfinished = self.requests_in_flight.get();
         self.shutdown.advance(Phase::Ending);
-        let limit = limit + ENDING_TIMEOUT;
-        while started_at.elapsed() < limit && !self.has_finished_all() {
-            Timer::after(CHECK_INTERVAL).await;
-        }
+        self.wait_until_finished(started_at, schedule.exit).await;
         crate::event!("stopped", "unfinished" => unfinished,
             "requests" => self.requests_in_flight.get(),
             "has_committed_all" => self.has_committed_all(),
             "took_ms" => started_at.elapsed().as_millis());
     }
 
+    /// Waits until no request is in flight and all records are acknowledged, but no longer than
+    /// until `limit` after `started_at`.
+    async fn wait_until_finished(&self, started_at: Instant, limit: Duration) {
+        while started_at.elapsed() < limit && !self.has_finished_all() {
+            Timer::after(CHECK_INTERVAL).await;
+        }
+    }
+
     fn has_finished_all(&self) -> bool {
         self.requests_in_flight.get() == 0 && self.has_committed_all()
     }
