Stop accepting connections early in a shutdown

After SIGTERM an entry went on accepting connections and requests until it happened to be idle. Callers that send one call after the other, as happens when most entries leave in turn, kept it busy until shutdown_limit_s; then it exited with code 1 and cut the calls it had taken last.

Now the HTTP server shuts down once the notice of 1.5 s is over: the listener closes, connections end after their current response, and the wait for idleness can end. An idle node waits up to 1 s for connections that have not sent their request yet, and serves the request if it comes.

The same cause was looked for in owners that are reached over links and in sidecars: both refuse new work as not run at once.

--- a/src/daemon.rs
+++ b/src/daemon.rs
@@ -24,7 +24,7 @@
 use std::time::{Duration, Instant};
 use trillium::{Conn, Handler, Status};
 use trillium_router::Router;
-use trillium_server_common::ServerHandle;
+use trillium_server_common::{ServerHandle, Swansong};
 
 pub(crate) use signals::wait_for_signal;
 
@@ -34,10 +34,13 @@
 /// Interval at which a shutdown checks whether the node is idle.
 const DRAIN_POLL_INTERVAL: Duration = Duration::from_millis(20);
 
-/// Shortest time for which a leaving node keeps answering, so that its peers learn that it leaves
-/// before it stops.
+/// Time for which a leaving node still accepts connections, so that its peers and callers learn that
+/// it leaves before it stops.
 const LEAVE_NOTICE: Duration = Duration::from_millis(1_500);
 
+/// Longest wait for open HTTP connections once the node is idle.
+const CLOSE_TIMEOUT: Duration = Duration::from_secs(1);
+
 /// The node that a daemon runs.
 #[derive(Clone)]
 pub(crate) enum Node {
@@ -141,32 +144,40 @@
         drop(self.http_server.shut_down());
     }
 
-    /// Shuts down gracefully: accepts no new work, hands over partitions, and waits for running calls.
+    /// Shuts down gracefully: hands over partitions, accepts no more connections after
+    /// [`LEAVE_NOTICE`], and waits for running calls.
     ///
     /// Returns `false` if the time limit expired with work still running.
     pub async fn shut_down(self) -> bool {
         log::info!(target: "daemon", "daemon: shutting down");
-        self.node.leave();
         let deadline = Instant::now() + self.shutdown_limit;
-        let notice_end = Instant::now() + LEAVE_NOTICE;
-        while (!self.node.is_idle() || Instant::now() < notice_end) && Instant::now() < deadline {
-            Timer::after(DRAIN_POLL_INTERVAL).await;
-        }
+        self.node.leave();
+        Timer::after(LEAVE_NOTICE.min(self.shutdown_limit)).await;
+        // Connections end after their current response. Callers that keep sending would otherwise
+        // keep the node busy until the deadline.
+        let http_server = self.http_server.swansong();
+        let http_closed = http_server.shut_down();
+        self.node.drain(&http_server, deadline).await;
         let is_idle = self.node.is_idle();
-        let stopping = self.http_server.shut_down();
-        let stopped = async {
-            stopping.await;
-        };
-        // Limits the wait for the HTTP server to 1 s.
-        let timeout = async {
-            Timer::after(DRAIN_POLL_INTERVAL * 50).await;
-        };
-        futures_lite::FutureExt::or(stopped, timeout).await;
+        if !is_idle {
+            with_timeout(CLOSE_TIMEOUT, http_closed).await;
+        }
         log::info!(target: "daemon", "daemon: stopped, {}", if is_idle { "all work finished" } else { "running work aborted" });
         is_idle
     }
 }
 
+/// Waits for a future, but not longer than `timeout`.
+async fn with_timeout(timeout: Duration, future: impl Future) {
+    let finished = async {
+        future.await;
+    };
+    let expired = async {
+        Timer::after(timeout).await;
+    };
+    futures_lite::FutureExt::or(finished, expired).await;
+}
+
 impl Node {
     fn leave(&self) {
         match self {
@@ -182,6 +193,25 @@
         }
     }
 
+    /// Waits until the node is idle and its HTTP connections are closed, or until the deadline.
+    ///
+    /// A connection that has sent no request yet does not close; it holds up an idle node for at most
+    /// [`CLOSE_TIMEOUT`].
+    async fn drain(&self, http_server: &Swansong, deadline: Instant) {
+        let mut idle_since = None;
+        while Instant::now() < deadline {
+            if self.is_idle() {
+                let since = *idle_since.get_or_insert_with(Instant::now);
+                if http_server.state().is_complete() || since.elapsed() >= CLOSE_TIMEOUT {
+                    return;
+                }
+            } else {
+                idle_since = None;
+            }
+            Timer::after(DRAIN_POLL_INTERVAL).await;
+        }
+    }
+
     /// Returns why the node does not accept callers, or `None` if it does.
     fn unreadiness(&self) -> Option<Unreadiness> {
         match self {
--- a/tests/system/shutdown.rs
+++ b/tests/system/shutdown.rs
@@ -1,11 +1,16 @@
-//! A graceful shutdown completes all open streams.
+//! A graceful shutdown completes all open streams, and ends although callers go on sending.
 
-use crate::support::{CALL_TIMEOUT, bank_client, create_program, small_cluster, with_cluster};
+use crate::support::{
+    CALL_TIMEOUT, Cluster, bank_client, create_program, small_cluster, with_cluster,
+};
 use galenapick::protocol::caller::CallRequest;
-use galenapick::{ClusterOptions, Message, RetryDeadline, Role, RunningNode, StreamEvent};
+use galenapick::{
+    Client, ClusterOptions, Deployment, Message, RetryDeadline, Role, RunningNode, StreamEvent,
+};
 use googletest::prelude::*;
 use smol::Timer;
-use std::time::Duration;
+use std::cell::Cell;
+use std::time::{Duration, Instant};
 
 /// Number of streams that are open when the shutdown signal arrives.
 const OPEN_STREAMS: usize = 40;
@@ -13,6 +18,12 @@
 /// Time between the start of the streams and the shutdown signal.
 const SHUTDOWN_DELAY: Duration = Duration::from_millis(500);
 
+/// Number of callers that send one call after the other during a shutdown.
+const BUSY_CALLERS: usize = 8;
+
+/// Time limit of a shutdown under load; the calls are much shorter.
+const BUSY_SHUTDOWN_LIMIT: Duration = Duration::from_secs(8);
+
 fn slow_cluster() -> ClusterOptions {
     ClusterOptions {
         engines: 2,
@@ -81,3 +92,89 @@
 fn a_sidecar_that_shuts_down_completes_its_streams() {
     check_shutdown("matcher-llm-1");
 }
+
+fn cluster_with_limit(shutdown_limit: Duration, time_scale: f64) -> ClusterOptions {
+    ClusterOptions {
+        time_scale,
+        extra_settings: format!(
+            "[limits]\nshutdown_limit_s = {}\n",
+            shutdown_limit.as_secs()
+        ),
+        ..slow_cluster()
+    }
+}
+
+/// Returns a client that connects to the entries themselves, in this order.
+fn direct_client(cluster: &Cluster, entries: &[&str]) -> Client {
+    let addresses = entries.iter().map(|name| {
+        let node = cluster.node(name).and_then(|node| node.running.as_ref());
+        node.expect("the entry is running").http.to_string()
+    });
+    Client::new(addresses, Deployment::SaaMubadala.tokens()[0])
+}
+
+fn tell_about(text: &str, max_tokens: u32) -> CallRequest {
+    let message = Message::new(Role::User, text);
+    CallRequest::model("matcher-llm", vec![message], max_tokens)
+}
+
+/// Sends one call after the other in a program of its own until `is_over`. Returns their number.
+async fn call_until(client: &Client, number: usize, is_over: &Cell<bool>) -> usize {
+    let program = create_program(client, &format!("busy{number}")).await;
+    let mut calls = 0;
+    while !is_over.get() {
+        let request = tell_about(&format!("gate {calls}"), 60).key(format!("c{calls}"));
+        let deadline = RetryDeadline::after(CALL_TIMEOUT);
+        let outcome = client.call_with_retry(program, &request, deadline).await;
+        expect_that!(outcome.result, ok(anything()), "call {calls}");
+        calls += 1;
+    }
+    calls
+}
+
+/// Shuts down a node while callers of `entries` go on sending, and checks that it finishes its work.
+fn check_busy_shutdown(victim: &str, entries: &[&str]) {
+    with_cluster(
+        cluster_with_limit(BUSY_SHUTDOWN_LIMIT, 1.0),
+        async |cluster| {
+            let client = direct_client(cluster, entries);
+            let is_over = Cell::new(false);
+            let callers: Vec<Client> = (0..BUSY_CALLERS).map(|_| client.starting_at(0)).collect();
+            let calls = callers
+                .iter()
+                .enumerate()
+                .map(|(number, client)| call_until(client, number, &is_over));
+            let node = cluster.take_node(victim).expect("the node is running");
+            let shut_down = async {
+                Timer::after(SHUTDOWN_DELAY).await;
+                let requested_at = Instant::now();
+                let is_clean_exit = node.shut_down().await;
+                is_over.set(true);
+                (is_clean_exit, requested_at.elapsed())
+            };
+            let calls = futures_util::future::join_all(calls);
+            let (calls, (is_clean_exit, time)) = smol::future::zip(calls, shut_down).await;
+            println!("{victim} is down after {time:.1?}, calls {calls:?}");
+            expect_that!(is_clean_exit, eq(true), "{victim} ends with exit code 0");
+            expect_that!(time, lt(BUSY_SHUTDOWN_LIMIT));
+        },
+    );
+}
+
+// Guards against a leaving entry that takes requests until its time limit and cuts the last ones.
+#[gtest]
+fn an_entry_that_leaves_is_down_before_its_limit_under_load() {
+    check_busy_shutdown("entry-1", &["entry-1", "entry-2"]);
+}
+
+// Guards against requests over links that keep a leaving owner busy until its time limit.
+#[gtest]
+fn an_owner_that_leaves_is_down_before_its_limit_under_load() {
+    check_busy_shutdown("entry-2", &["entry-1"]);
+}
+
+// Guards against calls that keep a leaving sidecar busy until its time limit.
+#[gtest]
+fn a_sidecar_that_leaves_is_down_before_its_limit_under_load() {
+    check_busy_shutdown("matcher-llm-1", &["entry-1"]);
+}
