Close kept connections with the answers of a leaving entry

A caller that reuses its connection got no sign that the entry leaves: answers during the notice of a shutdown kept the connection open, and a request that was sent just when the server closed it was lost without an answer, which a caller without a key must not send again.

An entry that leaves now answers with "connection: close", so that connections in use end with an answer before the server closes the idle ones. Streams are left out: with the header their body would not be sent in chunks, and their end could not be told from a break.

Test an_entry_that_leaves_closes_kept_connections_with_its_answers: failed without the change to src/entry/http.rs (no such header), passes with it.

--- a/src/entry/http.rs
+++ b/src/entry/http.rs
@@ -68,6 +68,7 @@
     let entry = entry.clone();
     move |conn: Conn| {
         let entry = entry.clone();
+        let leaving_entry = entry.clone();
         let operations = entry.operations().clone();
         async move {
             let admitted = match admit(&entry, &conn) {
@@ -77,14 +78,22 @@
                     caller,
                     open,
                 },
-                Err(refusal) => return apply_response(conn, Err(refusal)),
+                Err(refusal) => {
+                    return close_if_leaving(apply_response(conn, Err(refusal)), &leaving_entry);
+                }
             };
             let environment = admitted.caller.environment.clone();
             let (conn, response) = work(admitted).await;
             if let Err(refusal) = &response {
                 operations.record_refusal(&environment, refusal.code);
             }
-            apply_response(conn, response)
+            let is_stream = matches!(response, Ok(HttpResponse::Stream(_)));
+            let conn = apply_response(conn, response);
+            match is_stream {
+                // Without the header the body is sent in chunks, which show where it ends.
+                true => conn,
+                false => close_if_leaving(conn, &leaving_entry),
+            }
         }
     }
 }
@@ -384,6 +393,14 @@
     }
 }
 
+/// Asks the caller not to reuse its connection if the entry is leaving.
+fn close_if_leaving<L: Log>(conn: Conn, entry: &Entry<L>) -> Conn {
+    match entry.is_leaving() {
+        true => conn.with_response_header("connection", "close"),
+        false => conn,
+    }
+}
+
 /// Sends a refusal with its HTTP status and, if set, a `retry-after` header.
 fn refuse(conn: Conn, refusal: &Refusal) -> Conn {
     let body = serde_json::to_vec(refusal).unwrap_or_default();
--- a/tests/system/shutdown.rs
+++ b/tests/system/shutdown.rs
@@ -3,12 +3,14 @@
 use crate::support::{
     CALL_TIMEOUT, Cluster, bank_client, create_program, small_cluster, with_cluster,
 };
+use futures_lite::{AsyncReadExt, AsyncWriteExt};
 use galenapick::protocol::caller::CallRequest;
 use galenapick::{
     Client, ClusterOptions, Deployment, Message, RetryDeadline, Role, RunningNode, StreamEvent,
 };
 use googletest::prelude::*;
 use smol::Timer;
+use smol::net::TcpStream;
 use std::cell::Cell;
 use std::time::{Duration, Instant};
 
@@ -167,6 +169,41 @@
     check_busy_shutdown("entry-1", &["entry-1", "entry-2"]);
 }
 
+// Guards against callers that reuse a connection until the leaving entry cuts it.
+#[gtest]
+fn an_entry_that_leaves_closes_kept_connections_with_its_answers() {
+    with_cluster(small_cluster(2), async |cluster| {
+        let node = cluster.take_node("entry-1").expect("the node is running");
+        let mut conn = TcpStream::connect(node.http).await.expect("a connection");
+        let before = exchange_raw(&mut conn).await;
+        expect_that!(before, not(contains_substring("connection: close")));
+        let shut_down = node.shut_down();
+        let exchange = async {
+            Timer::after(SHUTDOWN_DELAY).await;
+            exchange_raw(&mut conn).await
+        };
+        let (answer, is_clean_exit) = smol::future::zip(exchange, shut_down).await;
+        expect_that!(answer, contains_substring("connection: close"));
+        expect_that!(is_clean_exit, eq(true));
+    });
+}
+
+/// Looks up an unknown program over an open connection. Returns the head of the answer in lower case.
+async fn exchange_raw(conn: &mut TcpStream) -> String {
+    let token = Deployment::SaaMubadala.tokens()[0];
+    let request = format!(
+        "GET /v1/programs/{:032x}/history HTTP/1.1\r\nhost: entry\r\n\
+         authorization: Bearer {token}\r\n\r\n",
+        0
+    );
+    conn.write_all(request.as_bytes()).await.expect("sent");
+    let mut answer = vec![0; 4_096];
+    let length = conn.read(&mut answer).await.expect("an answer");
+    let answer = String::from_utf8_lossy(&answer[..length]).to_lowercase();
+    expect_that!(answer, starts_with("http/1.1 404"));
+    answer
+}
+
 // Guards against requests over links that keep a leaving owner busy until its time limit.
 #[gtest]
 fn an_owner_that_leaves_is_down_before_its_limit_under_load() {
