Answer requests that outlast a shutdown

A call that was still running at the end of shutdown_limit_s was cut: its connection closed without an answer. An entry routes calls of up to 60 s, as long as the limit's default, so a call taken during the notice may outlast it.

At the limit an entry now ends all open requests with the refusal shutting_down, ran "unknown" and a retry delay, before the HTTP server closes; streams get it as their last event. The caller sends the call again with its key to another entry. Requests over links need no refusal: peers send them again when the link closes.

--- a/src/daemon.rs
+++ b/src/daemon.rs
@@ -160,6 +160,7 @@
         self.node.drain(&http_server, deadline).await;
         let is_idle = self.node.is_idle();
         if !is_idle {
+            self.node.abort_requests();
             with_timeout(CLOSE_TIMEOUT, http_closed).await;
         }
         log::info!(target: "daemon", "daemon: stopped, {}", if is_idle { "all work finished" } else { "running work aborted" });
@@ -186,6 +187,14 @@
         }
     }
 
+    /// Answers callers whose requests have not finished. Peers send theirs again when their links
+    /// close.
+    fn abort_requests(&self) {
+        if let Self::Entry(entry) = self {
+            entry.abort_requests();
+        }
+    }
+
     fn is_idle(&self) -> bool {
         match self {
             Self::Entry(entry) => entry.open_calls() == 0 && entry.owned_partitions() == 0,
--- a/src/entry/http/stream.rs
+++ b/src/entry/http/stream.rs
@@ -7,6 +7,7 @@
 use crate::protocol::log::Log;
 use crate::protocol::refusal::Refusal;
 use async_channel::Sender;
+use futures_lite::FutureExt;
 use serde::Serialize;
 use trillium::Body;
 
@@ -24,8 +25,9 @@
     guard: G,
     from: u32,
 ) -> Result<Body, Refusal> {
-    let first = route.next().await;
-    let first = match first {
+    let aborted = route.aborted();
+    let aborted = async { Step::Reply(Box::new(aborted.await)) };
+    let first = match route.next().or(aborted).await {
         Step::Reply(reply) => match *reply {
             Reply::Refused(refusal) => return Err(refusal),
             reply => Step::Reply(Box::new(reply)),
@@ -40,8 +42,16 @@
             run: None,
             next_index: from,
         };
-        // A caller that has disconnected can read the answer again by the call's id.
-        let _ = writer.write_answer(first, &mut route, &guard).await;
+        let aborted = route.aborted();
+        let aborted = async { Some(aborted.await) };
+        let written = async {
+            // A caller that has disconnected can read the answer again by the call's id.
+            let _ = writer.write_answer(first, &mut route, &guard).await;
+            None
+        };
+        if let Some(refusal) = written.or(aborted).await {
+            let _ = writer.write_end(refusal).await;
+        }
         drop(guard);
     });
     Ok(body)
--- a/src/entry/mod.rs
+++ b/src/entry/mod.rs
@@ -28,7 +28,9 @@
 use crate::transport::link::{Context, LinkTiming, RequestHandler, Responder, Traffic};
 use crate::transport::pool::LinkPool;
 use crate::transport::spawn::Spawner;
+use async_channel::{Receiver, Sender};
 use owner::Programs;
+use std::convert::Infallible;
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::{Duration, Instant};
@@ -99,6 +101,7 @@
     }
 }
 
+/// Invariant: the channel `abort` is closed once the callers' open requests are to be refused.
 struct Inner<L> {
     config: EntryConfig,
     spawner: Spawner,
@@ -113,6 +116,7 @@
     programs: Programs,
     open_requests: AtomicUsize,
     leaving: AtomicBool,
+    abort: (Sender<Infallible>, Receiver<Infallible>),
     operator_services: operator::OperatorServices<L>,
 }
 
@@ -160,6 +164,7 @@
             programs: Programs::default(),
             open_requests: AtomicUsize::new(0),
             leaving: AtomicBool::new(false),
+            abort: async_channel::bounded(1),
             operator_services: operator::OperatorServices::new(&config, &log),
             config,
         }));
@@ -182,6 +187,11 @@
         self.0.leaving.store(true, Ordering::Relaxed);
     }
 
+    /// Ends all open callers' requests with a refusal, because the node stops before they finish.
+    pub(crate) fn abort_requests(&self) {
+        self.0.abort.0.close();
+    }
+
     /// Returns the number of open callers' requests plus that of the queued and running calls in
     /// own partitions.
     pub(crate) fn open_calls(&self) -> usize {
--- a/src/entry/route.rs
+++ b/src/entry/route.rs
@@ -10,6 +10,7 @@
 use crate::transport::link::{Exchange, Inbound};
 use crate::transport::replay::{FollowEvent, Follower};
 use crate::transport::spawn::Spawner;
+use futures_lite::FutureExt;
 use smol::Timer;
 use std::time::{Duration, Instant};
 
@@ -22,6 +23,9 @@
 /// Retry delay sent to the caller if no owner was found, in milliseconds.
 const OWNER_RETRY_MS: u64 = 1_000;
 
+/// Retry delay sent to the caller if the node stops, in milliseconds.
+const SHUTDOWN_RETRY_MS: u64 = 100;
+
 /// Next item of a routed answer.
 pub(crate) enum Step {
     /// An intermediate event, such as tokens.
@@ -136,12 +140,27 @@
         }
     }
 
-    /// Waits for the final reply and discards all events before it.
+    /// Waits for the final reply and discards all events before it. The reply is a refusal if the
+    /// entry aborts its requests.
     pub(crate) async fn reply(&mut self) -> Reply {
-        loop {
-            if let Step::Reply(reply) = self.next().await {
-                return *reply;
+        let aborted = self.aborted();
+        let reply = async {
+            loop {
+                if let Step::Reply(reply) = self.next().await {
+                    return *reply;
+                }
             }
+        };
+        reply.or(aborted).await
+    }
+
+    /// Returns a future that ends with a refusal once the entry aborts its requests.
+    pub(crate) fn aborted(&self) -> impl Future<Output = Reply> + Send + use<L> {
+        let abort = self.entry.0.abort.1.clone();
+        async move {
+            // The channel carries no messages; it is closed.
+            let _ = abort.recv().await;
+            Reply::Refused(refuse_shutting_down())
         }
     }
 
@@ -188,6 +207,14 @@
     refusal.code == RefusalCode::NoOwner && refusal.ran == Ran::No
 }
 
+/// Refusal of a request that did not finish before the node stopped.
+///
+/// A retry with the same key at another entry returns the answer.
+fn refuse_shutting_down() -> Refusal {
+    let message = "The node stopped before the request finished.";
+    Refusal::unknown(RefusalCode::ShuttingDown, message).retry_after_ms(SHUTDOWN_RETRY_MS)
+}
+
 fn no_owner_reply() -> Reply {
     let refusal = Refusal::not_run(RefusalCode::NoOwner, "No node answers for the program.");
     Reply::Refused(refusal.retry_after_ms(OWNER_RETRY_MS))
--- a/tests/system/shutdown.rs
+++ b/tests/system/shutdown.rs
@@ -6,7 +6,8 @@
 use futures_lite::{AsyncReadExt, AsyncWriteExt};
 use galenapick::protocol::caller::CallRequest;
 use galenapick::{
-    Client, ClusterOptions, Deployment, Message, RetryDeadline, Role, RunningNode, StreamEvent,
+    CallError, Client, ClusterOptions, Deployment, Message, Ran, RefusalCode, RetryDeadline, Role,
+    RunningNode, StreamEvent,
 };
 use googletest::prelude::*;
 use smol::Timer;
@@ -215,3 +216,42 @@
 fn a_sidecar_that_leaves_is_down_before_its_limit_under_load() {
     check_busy_shutdown("matcher-llm-1", &["entry-1"]);
 }
+
+// Guards against connections that are cut without an answer at the end of a shutdown.
+#[gtest]
+fn a_call_that_outlasts_a_shutdown_is_refused_with_an_answer() {
+    with_cluster(
+        cluster_with_limit(Duration::from_secs(2), 4.0),
+        async |cluster| {
+            let client = direct_client(cluster, &["entry-1"]);
+            let whole = create_program(&client, "whole").await;
+            let streamed = create_program(&client, "streamed").await;
+            let request = tell_about("the gate", 400).key("c");
+            let mut stream = client.stream(streamed, &request).await.expect("the stream");
+            let last_event = async {
+                let mut last_event = None;
+                while let Some(event) = stream.next().await {
+                    last_event = Some(event);
+                }
+                last_event
+            };
+            let node = cluster.take_node("entry-1").expect("the node is running");
+            let shut_down = async {
+                Timer::after(SHUTDOWN_DELAY).await;
+                node.shut_down().await
+            };
+            let calls = smol::future::zip(client.call(whole, &request), last_event);
+            let ((answer, last_event), is_clean_exit) = smol::future::zip(calls, shut_down).await;
+            expect_that!(is_clean_exit, eq(false));
+            for result in [answer.map(drop), last_event.expect("an event").map(drop)] {
+                let Err(CallError::Refused(refusal)) = result else {
+                    add_failure!("not refused: {result:?}");
+                    continue;
+                };
+                expect_that!(refusal.code, eq(RefusalCode::ShuttingDown));
+                expect_that!(refusal.ran, eq(Ran::Unknown));
+                expect_that!(refusal.retry_after_ms, some(anything()));
+            }
+        },
+    );
+}
