Send calls without a key again if no connection opened

A caller without a key gave up at "connection refused", as at any broken connection, although nothing had been sent: an entry that has stopped was reported as an unknown outcome instead of being passed over.

The client tells the two apart: CallError::Unreachable did not run and is retried at the next entry, with or without a key. Only an attempt to connect is refused by the operating system, so a request that was sent never counts as unreachable; a broken connection is still not retried without a key.

Test sends_a_call_without_a_key_to_the_next_entry_if_no_connection_opens: failed with the old client (1 request, Broken "Connection refused"), passes with the change.

--- a/src/client/error.rs
+++ b/src/client/error.rs
@@ -2,6 +2,7 @@
 
 use crate::protocol::refusal::{Ran, Refusal};
 use std::fmt;
+use std::io::ErrorKind;
 use trillium_client::Conn;
 
 /// The reason why a request returned no answer.
@@ -9,6 +10,8 @@
 pub enum CallError {
     /// The system refused the request.
     Refused(Refusal),
+    /// The entry refused the connection; nothing was sent.
+    Unreachable(String),
     /// The connection broke or timed out; a call may have run. A retry with the same key is safe.
     Broken(String),
     /// The response does not conform to the interface.
@@ -20,6 +23,7 @@
     pub fn ran(&self) -> Ran {
         match self {
             Self::Refused(refusal) => refusal.ran,
+            Self::Unreachable(_) => Ran::No,
             Self::Broken(_) | Self::Unreadable(_) => Ran::Unknown,
         }
     }
@@ -27,12 +31,29 @@
     pub(super) fn broken(error: impl fmt::Display) -> Self {
         Self::Broken(error.to_string())
     }
+
+    /// Converts the error of an exchange that has received no response. Only an attempt to connect
+    /// is refused by the operating system.
+    pub(super) fn unanswered(error: trillium_client::Error) -> Self {
+        match &error {
+            trillium_client::Error::Io(io) if io.kind() == ErrorKind::ConnectionRefused => {
+                Self::Unreachable(error.to_string())
+            }
+            _ => Self::broken(error),
+        }
+    }
+
+    /// Returns whether another entry may answer instead.
+    pub(super) fn is_connection_lost(&self) -> bool {
+        matches!(self, Self::Unreachable(_) | Self::Broken(_))
+    }
 }
 
 impl fmt::Display for CallError {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         match self {
             Self::Refused(refusal) => write!(f, "refused: {refusal}"),
+            Self::Unreachable(reason) => write!(f, "not connected: {reason}"),
             Self::Broken(reason) => write!(f, "connection lost: {reason}"),
             Self::Unreadable(reason) => write!(f, "invalid response: {reason}"),
         }
--- a/src/client/mod.rs
+++ b/src/client/mod.rs
@@ -282,7 +282,7 @@
     /// Sends a request and returns the body of a successful response.
     async fn exchange(&self, conn: Conn, timeout: Duration) -> Result<String, CallError> {
         let exchange = async {
-            let mut conn = conn.await.map_err(CallError::broken)?;
+            let mut conn = conn.await.map_err(CallError::unanswered)?;
             let body = conn.response_body().with_max_len(MAX_RESPONSE_BYTES);
             let text = body.read_string().await.map_err(CallError::broken)?;
             error::check_status(&conn, &text)?;
@@ -300,7 +300,7 @@
     ) -> Result<AnswerStream, CallError> {
         let conn = self.build_with(&self.unpooled, method, path, body);
         let opened = async {
-            let mut conn = conn.await.map_err(CallError::broken)?;
+            let mut conn = conn.await.map_err(CallError::unanswered)?;
             if error::is_success(&conn) {
                 return AnswerStream::new(conn, self.timeouts);
             }
@@ -322,7 +322,7 @@
             Err(CallError::Broken(format!("no response within {timeout:?}")))
         };
         let result = exchange.or(expired).await;
-        if let Err(CallError::Broken(_)) = result {
+        if result.as_ref().is_err_and(CallError::is_connection_lost) {
             self.switch_entry();
         }
         result
--- a/src/client/retry.rs
+++ b/src/client/retry.rs
@@ -9,7 +9,7 @@
 use std::future::Future;
 use std::time::{Duration, Instant};
 
-/// Back-off before the first retry after a broken connection; doubles with each retry.
+/// Back-off before the first retry after a lost connection; doubles with each retry.
 const INITIAL_BACKOFF: Duration = Duration::from_millis(50);
 
 /// Longest back-off between two attempts.
@@ -280,7 +280,7 @@
                 wait.filter(|_| may_retry)
             }
             Err(CallError::Broken(_)) if !self.is_idempotent => None,
-            Err(CallError::Broken(_)) => {
+            Err(CallError::Unreachable(_) | CallError::Broken(_)) => {
                 let wait = self.wait;
                 self.wait = (wait * 2).min(MAX_BACKOFF);
                 Some(wait)
--- a/src/client/tests.rs
+++ b/src/client/tests.rs
@@ -235,3 +235,22 @@
     expect_that!(outcome.requests_sent, eq(1));
     expect_that!(outcome.result, err(matches_pattern!(CallError::Broken(_))));
 }
+
+// Guards against giving up a call that was never sent, because its entry had stopped.
+#[gtest]
+fn sends_a_call_without_a_key_to_the_next_entry_if_no_connection_opens() {
+    let text =
+        serde_json::to_string(&crate::protocol::caller::CallAnswer::from(answer("a"))).unwrap();
+    let outcome = with_answers(vec![response("200 OK", &text)], async |client| {
+        let closed = "127.0.0.1:1".to_owned();
+        let client = Client {
+            entries: [closed, client.entries[0].clone()].into(),
+            ..client
+        };
+        let call = CallRequest::tool("bank-core", "transfer", serde_json::json!({}));
+        let deadline = RetryDeadline::after(Duration::from_secs(20));
+        client.call_with_retry(1, &call, deadline).await
+    });
+    expect_that!(outcome.requests_sent, eq(2));
+    expect_that!(outcome.result.map(|answer| answer.content), ok(eq("a")));
+}
