Apply the service timeout of an environment

timeout_ms of a service in an environment document was checked but never used: an attempt at a service was limited only by the call's 60 s and the sidecar's service_timeout_ms, 30 s by default. A request that hung at one server held a repeatable call for 30 s before another server was tried, and its budget reserved as much time.

Each attempt is now limited by the service's timeout and the rest of the call, whichever is less; the cost reserved for it follows.

Test a_hanging_service_request_ends_with_the_timeout_of_the_environment (timeout 1 s): without the change the repeatable call took 30.4 s and the action 30.0 s, so both bounds of 10 s failed; all three tests of the file pass in 4.0 s with it.

--- a/src/entry/owner/action.rs
+++ b/src/entry/owner/action.rs
@@ -94,7 +94,8 @@
             operation,
             body,
         };
-        let invoke = self.invoke_request(owned, job, call, limit)?;
+        let attempt_limit = self.attempt_limit(owned, service, limit);
+        let invoke = self.invoke_request(owned, job, call, attempt_limit)?;
         let dispatch = tool_dispatch(owned, job, service, limit);
         let choice = self.choose(&dispatch)?;
         let mut guard = self.record_dispatch(&dispatch, &choice, 0);
@@ -104,7 +105,7 @@
             guard.outcome = CallOutcome::Failed;
             crate::entry::dispatch::refuse_unreachable(&error)
         })?;
-        let cost = self.tool_cost(owned, limit);
+        let cost = self.tool_cost(owned, attempt_limit);
         self.reserve(owned, cost).await?;
         Ok(PreparedAction {
             service: service.clone(),
--- a/src/entry/owner/tool.rs
+++ b/src/entry/owner/tool.rs
@@ -39,10 +39,11 @@
         call: ToolCall<'_>,
         limit: Duration,
     ) -> Result<CallOutput, Refusal> {
-        let cost = self.tool_cost(owned, limit);
+        let attempt_limit = self.attempt_limit(owned, call.service, limit);
+        let cost = self.tool_cost(owned, attempt_limit);
         self.reserve(owned, cost).await?;
         let mut reservation = Reservation::new(self, owned, cost);
-        let invoke = self.invoke_request(owned, job, call, limit)?;
+        let invoke = self.invoke_request(owned, job, call, attempt_limit)?;
         let mut dispatch = tool_dispatch(owned, job, call.service, limit);
         let mut attempts = 0;
         loop {
@@ -78,6 +79,23 @@
         }
     }
 
+    /// Returns the time limit of one attempt at a service: its timeout in the environment, capped by
+    /// the limit of the whole call.
+    pub(super) fn attempt_limit(
+        &self,
+        owned: &OwnedProgram<L>,
+        service: &str,
+        limit: Duration,
+    ) -> Duration {
+        let served = self.0.environments.get(&owned.live.environment);
+        let rules = served
+            .as_ref()
+            .and_then(|s| s.document.services.get(service));
+        rules.map_or(limit, |rules| {
+            limit.min(Duration::from_millis(rules.timeout_ms))
+        })
+    }
+
     /// Returns the cost that a tool call reserves: one call and its time limit.
     ///
     /// The time is capped at the remaining budget, with a minimum of 1 ms.
--- a/tests/path.rs
+++ b/tests/path.rs
@@ -2,11 +2,11 @@
 
 mod fixture;
 
-use fixture::{Deployment, wait_until};
+use fixture::{Deployment, ServiceRules, wait_until};
 use galenapick::protocol::caller::{CallRequest, ProgramRequest};
 use galenapick::protocol::link::Durability;
-use galenapick::standin::{LogControl, Outage, expected_answer};
-use galenapick::{Message, Role};
+use galenapick::standin::{LogControl, Outage, ServiceControl, expected_answer};
+use galenapick::{Message, Ran, RetryDeadline, Role};
 use googletest::prelude::*;
 use smol::Timer;
 use std::time::{Duration, Instant};
@@ -126,3 +126,44 @@
         };
     }
 }
+
+// Guards against a service's timeout in the environment being ignored, so that a request that hangs
+// holds its call for the sidecar's 30 s.
+#[gtest]
+fn a_hanging_service_request_ends_with_the_timeout_of_the_environment() {
+    let rules = ServiceRules {
+        timeout: Duration::from_secs(1),
+    };
+    smol::block_on(async {
+        let deployment = Deployment::start_with(1, 1, rules).await;
+        let client = &deployment.client;
+        let created = client.create(&ProgramRequest::default()).await;
+        let program = created.unwrap().program;
+
+        deployment.service.control(hang_next_request()).await;
+        let started_at = Instant::now();
+        let mut balance = CallRequest::tool("bank-core", "balance", serde_json::json!({}));
+        balance.repeatable = true;
+        let deadline = RetryDeadline::after(fixture::STEP_TIMEOUT * 2);
+        let outcome = client
+            .call_with_retry(program, &balance.key("c1"), deadline)
+            .await;
+        expect_that!(outcome.result, ok(anything()));
+        expect_that!(started_at.elapsed(), lt(Duration::from_secs(10)));
+
+        deployment.service.control(hang_next_request()).await;
+        let started_at = Instant::now();
+        let transfer = CallRequest::tool("bank-core", "transfer", serde_json::json!({"hours": 2}));
+        let error = client.call(program, &transfer.key("c2")).await.unwrap_err();
+        expect_that!(error.ran(), eq(Ran::Unknown));
+        expect_that!(started_at.elapsed(), lt(Duration::from_secs(10)));
+        deployment.stop();
+    });
+}
+
+fn hang_next_request() -> ServiceControl {
+    ServiceControl {
+        hang_before: Some(1),
+        ..ServiceControl::default()
+    }
+}
