Announce the close of connections on which a stopping gateway still answers

What callers saw: a request that was received before SIGTERM and answered after it left its connection open, and the gateway then closed it, at once if it had stopped listening. A caller that sent its next request there lost a try. Found in the review of the shutdown.

Change: at the stop signal, answers that have not begun are made to close their connections, unless another request was received behind them, which is still answered.

--- a/gateway/src/front.rs
+++ b/gateway/src/front.rs
@@ -9,7 +9,7 @@
 use crate::limits::BufferShare;
 use crate::net::{self, with_timeout};
 use crate::node::{Gateway, InFlightGuard};
-use crate::reply::{Refusal, Reply};
+use crate::reply::{Refusal, Reply, ReplyState};
 use crate::shutdown::{Phase, late_refusal};
 use futures_lite::future;
 use smol::net::{TcpListener, TcpStream};
@@ -212,7 +212,7 @@
             route,
         };
         let disconnect = async {
-            wait_for_close(connection).await;
+            self.wait_for_disconnect(connection, reply).await;
             crate::event!("client_gone", "request" => call.id(),
                 "execution" => call.execution.get().to_string(),
                 "after_ms" => call.received_at.elapsed().as_millis());
@@ -220,6 +220,27 @@
         };
         future::or(self.serve(&call, reply), disconnect).await;
     }
+
+    /// Returns once the client has closed its connection. At the stop signal, an answer that has not
+    /// begun is made to close the connection, unless the client has sent another request behind this
+    /// one.
+    async fn wait_for_disconnect(&self, connection: &mut Connection, reply: &Reply) {
+        let disconnect = async {
+            wait_for_close(connection).await;
+            true
+        };
+        let stopping = async {
+            self.shutdown.wait_for(Phase::Draining).await;
+            false
+        };
+        if future::or(disconnect, stopping).await {
+            return;
+        }
+        if reply.state() == ReplyState::Pending && connection.unread().is_empty() {
+            reply.close_after_answer();
+        }
+        wait_for_close(connection).await;
+    }
 }
 
 async fn read_head(
