--- a/gateway/src/front.rs
+++ b/gateway/src/front.rs
@@ -89,6 +89,9 @@
             let reply = Reply::new(connection.stream(), self.is_stopping());
             let too_late = async {
                 self.shutdown.wait_for_receive_end().await;
+                crate::event!("incomplete_while_stopping",
+                    "connection_ms" => accepted_at.elapsed().as_millis(),
+                    "requests_before" => requests_before);
                 Err(ReadFailure::Refused(late_refusal()))
             };
             match future::or(self.read_request(&mut connection), too_late).await {
