--- a/src/daemon.rs
+++ b/src/daemon.rs
@@ -145,7 +145,7 @@
     }
 
     /// Shuts down gracefully: hands over partitions, accepts no more connections after
-    /// [`LEAVE_NOTICE`], and waits for running calls.
+    /// a short notice, and waits for running calls.
     ///
     /// Returns `false` if the time limit expired with work still running.
     pub async fn shut_down(self) -> bool {
