Quarantine requests that crash the endpoints that run them

Cause: attempts were judged one by one.

Change: gateways note the lifetimes of endpoints whose connection ended under a request, by its method, host, target and client account, and by these and the body as the client sent it. A complete, signed, framed answer clears them. Three lifetimes of a request, or four of a target, quarantine it for 10 minutes: 503 with the rest as Retry-After before its history is read, no further send of a call that was sent already (502), then trials. The state is a set that merges in any order. It is shared by datagrams of a kind of their own and kept in the gateways topic under `quarantine:`.

--- a/gateway/src/call.rs
+++ b/gateway/src/call.rs
@@ -1,5 +1,6 @@
 //! State of a client's request, and its processing until the answer.
 
+use crate::crashes::Fingerprints;
 use crate::dialect::{CallInfo, Dialect};
 use crate::endpoints::InstanceId;
 use crate::forward::{EndpointAnswer, Execution, MAX_ENDPOINTS_TRIED, OutgoingRequest};
@@ -31,6 +32,10 @@
     pub(crate) info: CallInfo,
     pub(crate) body: Vec<u8>,
     pub(crate) route: Rc<Route>,
+    /// Identify the request over its attempts.
+    pub(crate) fingerprints: Fingerprints,
+    /// Whether it is sent once, although it crashed endpoints, to see whether it still does.
+    pub(crate) is_trial: Cell<bool>,
     pub(crate) received_at: Instant,
     /// Deadline set by the client's timeout or the route's timeout, whichever is earlier.
     pub(crate) deadline: Instant,
@@ -108,6 +113,9 @@
     /// Serves a request until its deadline, then counts and logs the outcome.
     pub(crate) async fn serve(self: &Rc<Self>, call: &Call, reply: &Reply) {
         let work = async {
+            if let Some(refusal) = self.quarantine_refusal(call) {
+                return reply.refuse(&refusal).await;
+            }
             match call.route.kind {
                 RouteKind::Streaming => self.serve_stream(call, reply).await,
                 RouteKind::Idempotent | RouteKind::AtMostOnce => {
--- a/gateway/src/counters.rs
+++ b/gateway/src/counters.rs
@@ -35,6 +35,7 @@
     answers: RefCell<BTreeMap<(String, u16), u64>>,
     times: RefCell<BTreeMap<String, Histogram>>,
     endpoints_leaving: Cell<u64>,
+    quarantine_refusals: Cell<u64>,
 }
 
 impl Counters {
@@ -58,6 +59,12 @@
         self.endpoints_leaving.set(self.endpoints_leaving.get() + 1);
     }
 
+    /// Counts a request that was refused, or not sent again, because it is quarantined.
+    pub(crate) fn record_quarantine_refusal(&self) {
+        self.quarantine_refusals
+            .set(self.quarantine_refusals.get() + 1);
+    }
+
     /// Renders all counters and the given gauges in the Prometheus text format.
     pub(crate) fn render(&self, gauges: &[(&str, u64)]) -> String {
         let mut text = String::new();
@@ -85,6 +92,13 @@
         }
         let endpoints_leaving = self.endpoints_leaving.get();
         write_metric(&mut text, "endpoints_leaving_total", "", endpoints_leaving);
+        let quarantine_refusals = self.quarantine_refusals.get();
+        write_metric(
+            &mut text,
+            "quarantine_refusals_total",
+            "",
+            quarantine_refusals,
+        );
         for (name, value) in gauges {
             write_metric(&mut text, name, "", *value);
         }
--- /dev/null
+++ b/gateway/src/crashes/tests.rs
@@ -0,0 +1,348 @@
+use super::{
+    ANSWERED_RECENTLY, Admission, CrashReport, Crashes, Fingerprint, Fingerprints, MAX_ANSWERED,
+    MAX_LIFETIMES, MAX_REQUESTS, QUARANTINE, REFRESH_INTERVAL, REPORT_INTERVAL, REPORTS_PER_CHANGE,
+    SUSPICION, TARGET_CRASHES, TRIAL_TIMEOUT, fingerprints, lifetime,
+};
+use crate::crash_reports::{CRASH_REPORTS_TAG, MAX_REPORTS};
+use crate::gossip::is_readable_heartbeat;
+use crate::http::{RequestHead, parse_request};
+use crate::record::{decode, encode};
+use googletest::prelude::*;
+use proptest::prelude::*;
+use std::time::{Duration, Instant};
+
+const FATAL: Fingerprint = Fingerprint::Request(7);
+
+const TARGET: Fingerprint = Fingerprint::Target(7);
+
+const COPY: Fingerprints = [TARGET, FATAL];
+
+const OTHER: Fingerprints = [Fingerprint::Target(8), Fingerprint::Request(8)];
+
+fn crash(crashes: &mut Crashes, now: Instant, lifetimes: impl IntoIterator<Item = u64>) {
+    for lifetime in lifetimes {
+        crashes.record_crash(now, FATAL, lifetime);
+    }
+}
+
+fn quarantined(now: Instant) -> Crashes {
+    let mut crashes = Crashes::default();
+    crash(&mut crashes, now, 1..=3);
+    crashes
+}
+
+fn report(age_ms: u64, lifetimes: &[(u64, bool)]) -> CrashReport {
+    CrashReport {
+        fingerprint: FATAL,
+        age_ms,
+        lifetimes: lifetimes.to_vec(),
+    }
+}
+
+fn head(start: &str, headers: &str) -> RequestHead {
+    let text = format!("{start} HTTP/1.1\r\nHost: Site.Example:80\r\n{headers}\r\n");
+    let parsed = parse_request(text.as_bytes()).expect("a valid head");
+    parsed.expect("a complete head").0
+}
+
+#[googletest::test]
+fn a_request_is_quarantined_after_the_third_lifetime() {
+    let now = Instant::now();
+    let mut crashes = Crashes::default();
+    // The second copy on the same lifetime does not count.
+    crash(&mut crashes, now, [1, 1, 2, 2]);
+    expect_that!(crashes.admit(now, &COPY), eq(Admission::Open));
+    crash(&mut crashes, now, [3]);
+    expect_that!(
+        crashes.admit(now, &COPY),
+        eq(Admission::Refused(QUARANTINE))
+    );
+    expect_that!(crashes.admit(now, &OTHER), eq(Admission::Open));
+    expect_that!(crashes.quarantined_count(), eq(1));
+}
+
+#[googletest::test]
+fn an_answer_clears_the_lifetimes_before_it_and_excuses_crashes_for_a_while() {
+    let now = Instant::now();
+    let mut crashes = Crashes::default();
+    crash(&mut crashes, now, 1..=2);
+    expect_that!(
+        crashes.record_answer(now, FATAL).map(|s| s.lifetimes),
+        some(eq(2))
+    );
+    crash(&mut crashes, now, 3..=9);
+    expect_that!(crashes.admit(now, &COPY), eq(Admission::Open));
+    let later = now + ANSWERED_RECENTLY;
+    crash(&mut crashes, later, 10..=11);
+    expect_that!(crashes.admit(later, &COPY), eq(Admission::Open));
+    crash(&mut crashes, later, [12]);
+    expect_that!(crashes.is_quarantined(FATAL), eq(true));
+}
+
+#[googletest::test]
+fn one_trial_runs_at_a_time_after_the_quarantine() {
+    let now = Instant::now();
+    let mut crashes = quarantined(now);
+    let end = now + QUARANTINE;
+    let almost = end.checked_sub(Duration::from_millis(1)).expect("a time");
+    expect_that!(
+        crashes.admit(almost, &COPY),
+        eq(Admission::Refused(Duration::from_millis(1)))
+    );
+    expect_that!(crashes.admit(end, &COPY), eq(Admission::Trial));
+    expect_that!(
+        crashes.admit(end, &COPY),
+        eq(Admission::Refused(TRIAL_TIMEOUT))
+    );
+    let next = end + TRIAL_TIMEOUT;
+    expect_that!(crashes.admit(next, &COPY), eq(Admission::Trial));
+    crash(&mut crashes, next, [4]);
+    expect_that!(
+        crashes.admit(next, &COPY),
+        eq(Admission::Refused(QUARANTINE * 2))
+    );
+}
+
+#[googletest::test]
+fn a_trial_that_is_answered_ends_the_quarantine_everywhere() {
+    let now = Instant::now();
+    let (mut crashes, mut other) = (quarantined(now), quarantined(now));
+    let end = now + QUARANTINE;
+    expect_that!(crashes.admit(end, &COPY), eq(Admission::Trial));
+    crashes.record_answer(end, FATAL);
+    expect_that!(crashes.admit(end, &COPY), eq(Admission::Open));
+    for report in crashes.due_reports(end, 9) {
+        other.merge(end, &report);
+    }
+    expect_that!(other.admit(end, &COPY), eq(Admission::Open));
+}
+
+#[googletest::test]
+fn a_trial_at_a_full_list_of_lifetimes_renews_the_quarantine() {
+    let now = Instant::now();
+    let mut crashes = Crashes::default();
+    crash(&mut crashes, now, 1..=MAX_LIFETIMES as u64);
+    let left = crashes.quarantine_left(now, &COPY).expect("a quarantine");
+    let end = now + left;
+    expect_that!(crashes.admit(end, &COPY), eq(Admission::Trial));
+    expect_that!(crashes.record_crash(end, FATAL, 99).is_some(), eq(true));
+    expect_that!(crashes.admit(end, &COPY), eq(Admission::Refused(left)));
+}
+
+#[googletest::test]
+fn a_peer_that_answered_the_request_recently_clears_what_others_report() {
+    let now = Instant::now();
+    let (mut crashes, mut peer) = (Crashes::default(), Crashes::default());
+    crash(&mut crashes, now, 1..=2);
+    peer.record_answer(now, FATAL);
+    for report in crashes.due_reports(now, 9) {
+        peer.merge(now, &report);
+    }
+    for report in peer.due_reports(now, 9) {
+        crashes.merge(now, &report);
+    }
+    crash(&mut crashes, now, [3]);
+    expect_that!(crashes.admit(now, &COPY), eq(Admission::Open));
+}
+
+proptest! {
+    // Guards against a state that depends on the order in which reports arrive.
+    #[test]
+    fn reports_merge_in_any_order(
+        lifetimes in prop::collection::vec((0_u64..6, any::<bool>(), 0_u64..1_000), 1..12),
+        seed in any::<u64>(),
+    ) {
+        let now = Instant::now();
+        let mut shuffled = lifetimes.clone();
+        fastrand::Rng::with_seed(seed).shuffle(&mut shuffled);
+        let states = [lifetimes, shuffled].map(|order| {
+            let mut crashes = Crashes::default();
+            for (lifetime, is_cleared, age_ms) in order {
+                let report = report(age_ms, &[(lifetime, is_cleared)]);
+                crashes.merge(now, &report);
+                crashes.merge(now, &report);
+            }
+            let mut state = crashes.report(now, FATAL).expect("a state");
+            state.lifetimes.sort_unstable();
+            (state, crashes.quarantine_left(now, &COPY))
+        });
+        prop_assert_eq!(&states[0], &states[1]);
+    }
+}
+
+#[googletest::test]
+fn changes_are_reported_a_few_times_and_quarantined_requests_go_on() {
+    let now = Instant::now();
+    let mut crashes = Crashes::default();
+    crash(&mut crashes, now, [1]);
+    let mut at = now;
+    for _ in 0..REPORTS_PER_CHANGE {
+        expect_that!(crashes.due_reports(at, 9).len(), eq(1));
+        expect_that!(crashes.due_reports(at, 9).len(), eq(0));
+        at += REPORT_INTERVAL;
+    }
+    expect_that!(crashes.has_reports(), eq(false));
+    crash(&mut crashes, at, 2..=3);
+    for _ in 0..REPORTS_PER_CHANGE {
+        expect_that!(crashes.due_reports(at, 9).len(), eq(1));
+        at += REPORT_INTERVAL;
+    }
+    expect_that!(crashes.due_reports(at, 9).len(), eq(0));
+    expect_that!(crashes.due_reports(at + REFRESH_INTERVAL, 9).len(), eq(1));
+    crashes.report_all();
+    expect_that!(crashes.due_reports(at, 9).len(), eq(1));
+}
+
+#[googletest::test]
+fn requests_are_forgotten_in_time() {
+    let now = Instant::now();
+    let mut crashes = quarantined(now);
+    crashes.record_crash(now, OTHER[1], 1);
+    expect_that!(crashes.forget_expired(now + SUSPICION), is_empty());
+    expect_that!(crashes.entries.len(), eq(1));
+    let end = now + QUARANTINE + SUSPICION;
+    expect_that!(crashes.forget_expired(end), elements_are![eq(&FATAL)]);
+    expect_that!(crashes.entries.len(), eq(0));
+}
+
+// Guards against an old record that renews a quarantine after a restart.
+#[googletest::test]
+fn an_expired_report_is_ignored() {
+    let long = QUARANTINE + SUSPICION;
+    let now = Instant::now() + long * 2;
+    let mut crashes = Crashes::default();
+    let lifetimes = [(1, false), (2, false), (3, false)];
+    let expired = report(long.as_millis() as u64, &lifetimes);
+    expect_that!(crashes.merge(now, &expired), none());
+    expect_that!(crashes.is_quarantined(FATAL), eq(false));
+    let recent = report(1_000, &lifetimes);
+    crashes.merge(now, &recent);
+    let left = crashes.quarantine_left(now, &COPY).expect("a quarantine");
+    expect_that!(left, eq(QUARANTINE - Duration::from_secs(1)));
+}
+
+#[googletest::test]
+fn the_tables_are_bounded_and_quarantined_requests_stay() {
+    let now = Instant::now();
+    let mut crashes = quarantined(now);
+    let requests = 100..100 + 2 * MAX_REQUESTS as u64;
+    for (number, request) in requests.enumerate() {
+        let at = now + Duration::from_millis(number as u64);
+        crashes.record_crash(at, Fingerprint::Request(request), 1);
+    }
+    expect_that!(crashes.entries.len(), eq(MAX_REQUESTS));
+    expect_that!(crashes.is_quarantined(FATAL), eq(true));
+    crash(&mut crashes, now, 0..2 * MAX_LIFETIMES as u64);
+    expect_that!(crashes.entries[&FATAL].lifetimes.len(), eq(MAX_LIFETIMES));
+    for request in 0..2 * MAX_ANSWERED as u64 {
+        crashes.record_answer(now, Fingerprint::Request(request));
+    }
+    expect_that!(crashes.answered.queue.len(), eq(MAX_ANSWERED));
+    expect_that!(crashes.answered.last_answers.len(), eq(MAX_ANSWERED));
+}
+
+// Guards against a popular request that is forgotten because others were answered once.
+#[googletest::test]
+fn a_request_that_is_answered_again_and_again_stays_answered() {
+    let now = Instant::now();
+    let mut crashes = Crashes::default();
+    for request in 100..100 + 2 * MAX_ANSWERED as u64 {
+        let at = now + Duration::from_millis(request);
+        crashes.record_answer(at, Fingerprint::Request(request));
+        crashes.record_answer(at, FATAL);
+        expect_that!(crashes.answered.contains(at, FATAL), eq(true));
+    }
+    expect_that!(crashes.answered.queue.len(), le(MAX_ANSWERED));
+}
+
+#[googletest::test]
+fn a_fingerprint_is_that_of_the_client_account_the_target_and_the_body() {
+    let ids = "Request-Name: a\r\nProgram-Name: p\r\nEarlier-Turn: t\r\n";
+    let other_ids = "Request-Name: b\r\nProgram-Name: q\r\n";
+    let copy = fingerprints(&head("POST /turns/x", ids), b"body");
+    let [target, request] = copy;
+    expect_that!(
+        fingerprints(&head("POST /turns/x", other_ids), b"body"),
+        eq(copy)
+    );
+    let other_body = fingerprints(&head("POST /turns/x", ids), b"other");
+    expect_that!(other_body[0], eq(target));
+    expect_that!(other_body[1], not(eq(request)));
+    for other in [
+        fingerprints(&head("POST /turns/y", ids), b"body"),
+        fingerprints(&head("PUT /turns/x", ids), b"body"),
+        fingerprints(&head("POST /turns/x", "Authorization: a\r\n"), b"body"),
+    ] {
+        expect_that!(other[0], not(eq(target)));
+        expect_that!(other[1], not(eq(request)));
+    }
+}
+
+#[googletest::test]
+fn a_fingerprint_is_read_as_it_is_written() {
+    for fingerprint in COPY {
+        let text = fingerprint.to_string();
+        expect_that!(text.parse::<Fingerprint>(), ok(eq(&fingerprint)));
+    }
+    expect_that!("7".parse::<Fingerprint>().is_err(), eq(true));
+}
+
+// Guards against a request that is new in each program because its body holds the history.
+#[googletest::test]
+fn a_target_is_quarantined_if_requests_with_other_bodies_crash_and_none_is_answered() {
+    let now = Instant::now();
+    let mut crashes = Crashes::default();
+    for number in 1..TARGET_CRASHES as u64 {
+        crashes.record_crash(now, TARGET, number);
+    }
+    expect_that!(crashes.admit(now, &COPY), eq(Admission::Open));
+    crashes.record_crash(now, TARGET, TARGET_CRASHES as u64);
+    let with_other_body = [TARGET, OTHER[1]];
+    expect_that!(
+        crashes.admit(now, &with_other_body),
+        eq(Admission::Refused(QUARANTINE))
+    );
+    crashes.record_answer(now, TARGET);
+    expect_that!(crashes.admit(now, &with_other_body), eq(Admission::Open));
+}
+
+#[googletest::test]
+fn lifetimes_differ_by_id_and_by_start() {
+    let first = lifetime("i-a", Some(1));
+    expect_that!(lifetime("i-a", Some(1)), eq(first));
+    expect_that!(lifetime("i-a", Some(2)), not(eq(first)));
+    expect_that!(lifetime("i-b", Some(1)), not(eq(first)));
+}
+
+// Guards against reports that do not fit into one datagram, or that a heartbeat is taken for.
+#[googletest::test]
+fn a_full_list_of_reports_fits_into_a_datagram() {
+    let now = Instant::now();
+    let mut crashes = Crashes::default();
+    for number in 0..(MAX_REPORTS * MAX_LIFETIMES) as u64 {
+        let request = Fingerprint::Request(u64::MAX - number % MAX_REPORTS as u64);
+        crashes.record_crash(now, request, u64::MAX - number);
+    }
+    let reports = crashes.due_reports(now, MAX_REPORTS);
+    expect_that!(reports.len(), eq(MAX_REPORTS));
+    let datagram = encode(&reports);
+    expect_that!(datagram.len(), le(4 * 1024));
+    expect_that!(decode::<Vec<CrashReport>>(&datagram), ok(eq(&reports)));
+    expect_that!(is_readable_heartbeat(&[CRASH_REPORTS_TAG]), eq(false));
+}
+
+proptest! {
+    // Guards against arithmetic that a peer's figures can break.
+    #[test]
+    fn any_report_can_be_merged(
+        age_ms in any::<u64>(),
+        lifetimes in prop::collection::vec((any::<u64>(), any::<bool>()), 0..20),
+    ) {
+        let now = Instant::now();
+        let mut crashes = Crashes::default();
+        crashes.merge(now, &report(age_ms, &lifetimes));
+        crashes.admit(now, &COPY);
+        crashes.due_reports(now, 9);
+        prop_assert!(crashes.forget_expired(now).is_empty());
+    }
+}
--- a/gateway/src/decoder_tests.rs
+++ b/gateway/src/decoder_tests.rs
@@ -1,10 +1,11 @@
 //! Properties of all decoders that read what others send: arbitrary bytes break nothing, and how the
 //! bytes are split into reads changes nothing.
 
+use crate::crashes::CrashReport;
 use crate::gossip::is_readable_heartbeat;
 use crate::http::{BodyDecoder, BodyError, Framing, parse_request, parse_response};
 use crate::ledger::{OwnerReply, OwnerRequest};
-use crate::record::{GatewayRecord, TurnRecord, decode};
+use crate::record::{GatewayRecord, QuarantineRecord, TurnRecord, decode};
 use crate::stream::{EventSplitter, append_data, event_id};
 use proptest::prelude::*;
 
@@ -125,6 +126,8 @@
             is_readable_heartbeat(bytes);
             let _ = decode::<TurnRecord>(bytes);
             let _ = decode::<GatewayRecord>(bytes);
+            let _ = decode::<QuarantineRecord>(bytes);
+            let _ = decode::<Vec<CrashReport>>(bytes);
             let _ = decode::<OwnerRequest>(bytes);
             let _ = decode::<OwnerReply>(bytes);
         }
--- a/gateway/src/endpoints.rs
+++ b/gateway/src/endpoints.rs
@@ -110,8 +110,10 @@
     Answered,
     /// The endpoint refused the call for lack of capacity.
     Refused,
-    /// The connection failed, or the answer was invalid, incomplete or missing.
+    /// The endpoint could not be reached, or the answer was invalid or missing.
     Failed,
+    /// The connection ended after the request was sent and before the answer was complete.
+    Disconnected,
     /// The call ended for a reason unrelated to the endpoint's health.
     Abandoned,
 }
@@ -381,7 +383,7 @@
                     .or_insert(duration_ms);
                 *service_average += (duration_ms - *service_average) * AVERAGE_WEIGHT;
             }
-            CallOutcome::Failed => {
+            CallOutcome::Failed | CallOutcome::Disconnected => {
                 let doublings = endpoint.consecutive_failures.min(MAX_BACKOFF_DOUBLINGS);
                 let backoff = (INITIAL_BACKOFF * 2_u32.pow(doublings)).min(MAX_BACKOFF);
                 endpoint.consecutive_failures += 1;
--- a/gateway/src/event_stream.rs
+++ b/gateway/src/event_stream.rs
@@ -211,7 +211,7 @@
             }
             if let Some(checked_end) = checked_end {
                 return checked_end.map_err(|reason| {
-                    exchange.record_failure();
+                    exchange.record_wrong_end();
                     StreamBreak::Endpoint(reason)
                 });
             }
--- a/gateway/src/follow.rs
+++ b/gateway/src/follow.rs
@@ -1,5 +1,6 @@
 //! Readers of the store's topics: turns, gateways, configuration and endpoints.
 
+use crate::crash_reports::quarantine_fingerprint;
 use crate::dialect::{
     Dialect, KeyValue, NewestPage, Offset, PartId, PartitionNumber, ReadOutcome, StoreRecord, Topic,
 };
@@ -232,6 +233,10 @@
             let Some(value) = &record.value else {
                 continue;
             };
+            if let Some(fingerprint) = quarantine_fingerprint(&record.key) {
+                self.apply_quarantine(fingerprint, value);
+                continue;
+            }
             match decode(value) {
                 Ok(gateway) => self.gossip.add_from_record(&record.key, &gateway),
                 Err(error) => crate::event!("record_unreadable",
--- a/gateway/src/forward.rs
+++ b/gateway/src/forward.rs
@@ -1,6 +1,8 @@
 //! Forwards a request to endpoints and determines whether the request may have run.
 
+mod failure;
 mod leaving;
+mod quarantine;
 #[cfg(test)]
 mod tests;
 
@@ -9,17 +11,20 @@
 use crate::endpoints::{CallOutcome, EndpointRecord, EndpointRequirements, InstanceId};
 use crate::http::{
     BodyDecoder, BodyError, Connection, Framing, Header, ResponseHead, connection_tokens,
-    is_hop_header,
+    is_hop_header, is_reset,
 };
 use crate::limits::{BufferShare, MAX_ANSWER_BYTES};
 use crate::net::{connect, io_with_timeout, with_timeout};
 use crate::node::Gateway;
-use crate::reply::Refusal;
 use crate::routes::RouteKind;
 use crate::stream::{EventId, LAST_EVENT_ID};
+use failure::FailureCause;
+pub(crate) use failure::{Execution, Failure};
 use futures_lite::future;
 use leaving::ObservedAnswer;
+use quarantine::Attempt;
 use std::cell::Cell;
+use std::io::ErrorKind;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
@@ -32,63 +37,10 @@
 /// Number of answers to other requests after which a connection counts as broken.
 const MAX_STRAY_ANSWERS: u32 = 3;
 
-/// Mean `Retry-After` delay when no endpoint takes a request, for instance because all are full; a
-/// fraction of the usual call duration.
-const RETRY_AFTER: Duration = Duration::from_millis(150);
-
 /// Time without an answer after which an idempotent request is sent to another endpoint; several
 /// times the usual call duration.
 const RETRY_TIMEOUT: Duration = Duration::from_millis(450);
 
-/// Whether a request may have been executed.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, strum::Display)]
-#[strum(serialize_all = "kebab-case")]
-pub(crate) enum Execution {
-    /// No endpoint has executed it, and none will.
-    NotRun,
-    /// An endpoint may have executed it, or may still do so.
-    MayHaveRun,
-}
-
-/// A failed attempt to get an answer from an endpoint, with the reason given to the client.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub(crate) struct Failure {
-    pub(crate) execution: Execution,
-    pub(crate) reason: &'static str,
-    /// Whether no endpoint of the service takes calls, so that an early retry would fail as well.
-    lacks_endpoint: bool,
-}
-
-impl Failure {
-    const fn not_run(reason: &'static str) -> Self {
-        Self {
-            execution: Execution::NotRun,
-            reason,
-            lacks_endpoint: false,
-        }
-    }
-
-    const fn may_have_run(reason: &'static str) -> Self {
-        Self {
-            execution: Execution::MayHaveRun,
-            reason,
-            lacks_endpoint: false,
-        }
-    }
-
-    /// Returns the reply to send to the client.
-    pub(crate) fn refusal(&self, call: &Call) -> Refusal {
-        match self.execution {
-            Execution::NotRun if self.lacks_endpoint => call.refuse_during_outage(self.reason),
-            Execution::NotRun => {
-                let delay = RETRY_AFTER.mul_f64(0.5 + fastrand::f64());
-                Refusal::retry_later(delay, self.reason)
-            }
-            Execution::MayHaveRun => Refusal::new(502, self.reason),
-        }
-    }
-}
-
 /// Classification of an answer by its head.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum AnswerClass {
@@ -123,6 +75,7 @@
     endpoint: InstanceId,
     started_at: Instant,
     outcome: Cell<CallOutcome>,
+    attempt: Attempt,
 }
 
 impl<D: Dialect> Drop for CallGuard<D> {
@@ -131,6 +84,9 @@
         let duration = now.duration_since(self.started_at);
         let mut endpoints = self.gateway.endpoints.borrow_mut();
         endpoints.finish_call(now, &self.endpoint, duration, self.outcome.get());
+        drop(endpoints);
+        self.gateway
+            .judge_attempt(&self.endpoint, &self.attempt, self.outcome.get());
     }
 }
 
@@ -164,12 +120,18 @@
         let read = self.connection.read_body(&mut self.decoder, out).await;
         self.body_bytes += (out.len() - before) as u64;
         read.map_err(|error| {
-            self.record_failure();
-            Failure::may_have_run(match error {
-                BodyError::Malformed => "the endpoint's answer is malformed",
-                BodyError::Truncated => "the endpoint broke off its answer",
-                BodyError::ConnectionFailed => "the connection broke during the answer",
-            })
+            let failure = match error {
+                BodyError::Malformed => Failure::may_have_run("the endpoint's answer is malformed"),
+                BodyError::Truncated => Failure::disconnected("the endpoint broke off its answer"),
+                BodyError::ConnectionReset => {
+                    Failure::disconnected("the connection broke during the answer")
+                }
+                BodyError::ConnectionFailed => {
+                    Failure::may_have_run("the connection broke during the answer")
+                }
+            };
+            self.guard.outcome.set(failure.outcome());
+            failure
         })?;
         Ok(self.decoder.is_done())
     }
@@ -179,6 +141,15 @@
         self.guard.outcome.set(CallOutcome::Failed);
     }
 
+    /// Records that the body ended in the wrong place. Without a length or chunks, its end is that of
+    /// the connection.
+    pub(crate) fn record_wrong_end(&self) {
+        self.guard.outcome.set(match self.head.framing {
+            Framing::UntilClose => CallOutcome::Disconnected,
+            _ => CallOutcome::Failed,
+        });
+    }
+
     /// Reads the whole body.
     ///
     /// An answer is not passed on before its end is known: a broken one can then still be replaced by
@@ -254,6 +225,13 @@
         while call.send_count.get() < call.route.max_attempts.max(1)
             && call.tried.borrow().len() < MAX_ENDPOINTS_TRIED
         {
+            if let Some(quarantined) = self.check_quarantine(call) {
+                // An earlier attempt of the call may have run.
+                if last.execution == Execution::NotRun {
+                    return Err(quarantined);
+                }
+                break;
+            }
             let Some(endpoint) = self.choose(outgoing, &call.tried.borrow()) else {
                 break;
             };
@@ -289,7 +267,11 @@
             execution: Execution::NotRun,
             reason: "no endpoint of the service takes calls",
             // Before the list of endpoints has been read, an early retry may succeed.
-            lacks_endpoint: self.endpoints_loaded.get(),
+            cause: if self.endpoints_loaded.get() {
+                FailureCause::NoEndpoint
+            } else {
+                FailureCause::Other
+            },
         }
     }
 
@@ -324,6 +306,7 @@
             endpoint: endpoint.id.clone(),
             started_at: Instant::now(),
             outcome: Cell::new(CallOutcome::Abandoned),
+            attempt: Attempt::new(call, endpoint),
         };
         let mut connection = match self.pool.take(Instant::now(), &endpoint.id) {
             Some(connection) => connection,
@@ -357,7 +340,8 @@
         } else {
             exchange.await
         };
-        let (head, info) = answered.inspect_err(|_| guard.outcome.set(CallOutcome::Failed))?;
+        let (head, info) = answered.inspect_err(|failure| guard.outcome.set(failure.outcome()))?;
+        guard.attempt.observe_head(&head, &info);
         call.answered_at.set(Some(Instant::now()));
         call.framing.set(Some(head.framing));
         let mut exchange = Exchange {
@@ -486,10 +470,15 @@
 ) -> Result<(ResponseHead, AnswerInfo), Failure> {
     for _ in 0..MAX_STRAY_ANSWERS {
         let head = connection.read_response().await.map_err(|error| {
-            Failure::may_have_run(match error.kind() {
-                std::io::ErrorKind::InvalidData => "the endpoint sent no answer in the protocol",
-                std::io::ErrorKind::FileTooLarge => "the endpoint sent too many interim answers",
-                std::io::ErrorKind::UnexpectedEof => "the endpoint closed the connection",
+            let failure = match error.kind() {
+                ErrorKind::UnexpectedEof => Failure::disconnected,
+                kind if is_reset(kind) => Failure::disconnected,
+                _ => Failure::may_have_run,
+            };
+            failure(match error.kind() {
+                ErrorKind::InvalidData => "the endpoint sent no answer in the protocol",
+                ErrorKind::FileTooLarge => "the endpoint sent too many interim answers",
+                ErrorKind::UnexpectedEof => "the endpoint closed the connection",
                 _ => "the connection to the endpoint broke",
             })
         })?;
--- /dev/null
+++ b/gateway/src/forward/failure.rs
@@ -0,0 +1,89 @@
+//! Failed attempts to get an answer from an endpoint, and the replies to their clients.
+
+use crate::call::Call;
+use crate::endpoints::CallOutcome;
+use crate::reply::Refusal;
+use std::time::Duration;
+
+/// Mean `Retry-After` delay when no endpoint takes a request, for instance because all are full; a
+/// fraction of the usual call duration.
+const RETRY_AFTER: Duration = Duration::from_millis(150);
+
+/// Whether a request may have been executed.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, strum::Display)]
+#[strum(serialize_all = "kebab-case")]
+pub(crate) enum Execution {
+    /// No endpoint has executed it, and none will.
+    NotRun,
+    /// An endpoint may have executed it, or may still do so.
+    MayHaveRun,
+}
+
+/// A failed attempt to get an answer from an endpoint, with the reason given to the client.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) struct Failure {
+    pub(crate) execution: Execution,
+    pub(crate) reason: &'static str,
+    pub(super) cause: FailureCause,
+}
+
+/// Cause of a failed attempt, as far as it decides what follows.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum FailureCause {
+    Other,
+    /// No endpoint of the service takes calls, so that an early retry would fail as well.
+    NoEndpoint,
+    /// The connection ended after the request was sent.
+    Disconnected,
+    /// The request is quarantined for this long.
+    Quarantined(Duration),
+}
+
+impl Failure {
+    pub(super) const fn not_run(reason: &'static str) -> Self {
+        Self {
+            execution: Execution::NotRun,
+            reason,
+            cause: FailureCause::Other,
+        }
+    }
+
+    pub(super) const fn may_have_run(reason: &'static str) -> Self {
+        Self {
+            execution: Execution::MayHaveRun,
+            reason,
+            cause: FailureCause::Other,
+        }
+    }
+
+    pub(super) const fn disconnected(reason: &'static str) -> Self {
+        Self {
+            execution: Execution::MayHaveRun,
+            reason,
+            cause: FailureCause::Disconnected,
+        }
+    }
+
+    /// Returns what the failure of a request that was sent says of the endpoint.
+    pub(super) fn outcome(&self) -> CallOutcome {
+        match self.cause {
+            FailureCause::Disconnected => CallOutcome::Disconnected,
+            _ => CallOutcome::Failed,
+        }
+    }
+
+    /// Returns the reply to send to the client.
+    pub(crate) fn refusal(&self, call: &Call) -> Refusal {
+        match (self.execution, self.cause) {
+            (Execution::NotRun, FailureCause::NoEndpoint) => call.refuse_during_outage(self.reason),
+            (Execution::NotRun, FailureCause::Quarantined(left)) => {
+                Refusal::retry_later(left, self.reason)
+            }
+            (Execution::NotRun, _) => {
+                let delay = RETRY_AFTER.mul_f64(0.5 + fastrand::f64());
+                Refusal::retry_later(delay, self.reason)
+            }
+            (Execution::MayHaveRun, _) => Refusal::new(502, self.reason),
+        }
+    }
+}
--- /dev/null
+++ b/gateway/src/forward/quarantine.rs
@@ -0,0 +1,124 @@
+//! Keeps requests from endpoints that they would crash.
+
+use super::{Execution, Failure, FailureCause};
+use crate::call::Call;
+use crate::crashes::{Admission, Fingerprints, Lifetime, Suspicion, lifetime};
+use crate::dialect::{AnswerInfo, Dialect};
+use crate::endpoints::{CallOutcome, EndpointRecord};
+use crate::http::{Framing, ResponseHead};
+use crate::node::Gateway;
+use crate::reply::Refusal;
+use std::cell::Cell;
+use std::time::{Duration, Instant};
+
+/// Reason given to clients.
+const REASON: &str = "the request crashed the endpoints that ran it";
+
+/// Minimum `Retry-After` delay, which applies while a trial runs.
+const MIN_RETRY_AFTER: Duration = Duration::from_secs(1);
+
+/// What an attempt says of its request once it has ended.
+pub(super) struct Attempt {
+    request_id: String,
+    fingerprints: Fingerprints,
+    lifetime: Lifetime,
+    /// Whether a complete answer proves that the endpoint sent all of it.
+    is_proof: Cell<bool>,
+}
+
+impl Attempt {
+    pub(super) fn new(call: &Call, endpoint: &EndpointRecord) -> Self {
+        Self {
+            request_id: call.id().to_owned(),
+            fingerprints: call.fingerprints,
+            lifetime: lifetime(&endpoint.id, endpoint.started_unix_ms),
+            is_proof: Cell::new(false),
+        }
+    }
+
+    /// The body of an answer without length or chunks seems complete wherever its endpoint crashes.
+    pub(super) fn observe_head(&self, head: &ResponseHead, info: &AnswerInfo) {
+        let is_framed = head.framing != Framing::UntilClose;
+        self.is_proof.set(info.is_signed && is_framed);
+    }
+}
+
+impl<D: Dialect> Gateway<D> {
+    /// Returns the refusal of a quarantined request that has just arrived.
+    pub(crate) fn quarantine_refusal(&self, call: &Call) -> Option<Refusal> {
+        let admission = self
+            .crashes
+            .borrow_mut()
+            .admit(Instant::now(), &call.fingerprints);
+        let left = match admission {
+            Admission::Open => return None,
+            Admission::Trial => {
+                call.is_trial.set(true);
+                let [target, fingerprint] = call.fingerprints.map(|print| print.to_string());
+                crate::event!("quarantine_trial", "request" => call.id(),
+                    "fingerprint" => fingerprint, "target" => target);
+                return None;
+            }
+            Admission::Refused(left) => left,
+        };
+        self.log_quarantine_refusal(call, left);
+        Some(Refusal::retry_later(left.max(MIN_RETRY_AFTER), REASON))
+    }
+
+    /// Returns the failure of a call that must not be sent, or not again, because its request has
+    /// been quarantined meanwhile.
+    pub(super) fn check_quarantine(&self, call: &Call) -> Option<Failure> {
+        let crashes = self.crashes.borrow();
+        let left = crashes.quarantine_left(Instant::now(), &call.fingerprints)?;
+        if call.is_trial.get() && call.send_count.get() == 0 {
+            return None;
+        }
+        self.log_quarantine_refusal(call, left);
+        Some(Failure {
+            execution: Execution::NotRun,
+            reason: REASON,
+            cause: FailureCause::Quarantined(left.max(MIN_RETRY_AFTER)),
+        })
+    }
+
+    fn log_quarantine_refusal(&self, call: &Call, left: Duration) {
+        self.counters.record_quarantine_refusal();
+        let [target, fingerprint] = call.fingerprints.map(|print| print.to_string());
+        crate::event!("quarantine_refused", "request" => call.id(),
+            "fingerprint" => fingerprint, "target" => target, "route" => call.route.name.as_str(),
+            "sent" => call.send_count.get(), "left_ms" => left.as_millis());
+    }
+
+    /// Records what the outcome of an attempt says of its request.
+    pub(super) fn judge_attempt(&self, endpoint: &str, attempt: &Attempt, outcome: CallOutcome) {
+        for fingerprint in attempt.fingerprints {
+            let now = Instant::now();
+            let mut crashes = self.crashes.borrow_mut();
+            let (event, suspicion) = match outcome {
+                CallOutcome::Disconnected => {
+                    let suspicion = crashes.record_crash(now, fingerprint, attempt.lifetime);
+                    ("crash_suspected", suspicion)
+                }
+                CallOutcome::Answered if attempt.is_proof.get() => {
+                    ("crash_cleared", crashes.record_answer(now, fingerprint))
+                }
+                _ => return,
+            };
+            drop(crashes);
+            let Some(suspicion) = suspicion else {
+                continue;
+            };
+            let Suspicion {
+                lifetimes,
+                is_quarantined,
+            } = suspicion;
+            crate::event!(event, "request" => attempt.request_id.as_str(),
+                "fingerprint" => fingerprint.to_string(), "endpoint" => endpoint,
+                "lifetimes" => lifetimes, "quarantined" => is_quarantined);
+            self.crash_sync.notify_changed();
+            if is_quarantined {
+                self.crash_sync.enqueue(fingerprint);
+            }
+        }
+    }
+}
--- a/gateway/src/front.rs
+++ b/gateway/src/front.rs
@@ -1,6 +1,7 @@
 //! Accepts client connections and reads requests from them.
 
 use crate::call::Call;
+use crate::crashes::fingerprints;
 use crate::dialect::Dialect;
 use crate::forward::Execution;
 use crate::http::{
@@ -154,6 +155,8 @@
             .min(route.timeout);
         let call = Call {
             deadline: request.started_at + client_timeout,
+            fingerprints: fingerprints(&request.head, &request.body),
+            is_trial: Cell::new(false),
             received_at: request.started_at,
             head: request.head,
             body: request.body,
@@ -228,7 +231,9 @@
                 return Err(ReadFailure::Refused(refusal));
             }
             Ok(()) => {}
-            Err(BodyError::Truncated | BodyError::ConnectionFailed) => {
+            Err(
+                BodyError::Truncated | BodyError::ConnectionReset | BodyError::ConnectionFailed,
+            ) => {
                 return Err(ReadFailure::Closed);
             }
             Err(BodyError::Malformed) => {
--- a/gateway/src/gossip.rs
+++ b/gateway/src/gossip.rs
@@ -6,6 +6,7 @@
 #[cfg(test)]
 mod tests;
 
+use crate::crash_reports::CRASH_REPORTS_TAG;
 use crate::dialect::{Append, AppendOutcome, Dialect, Topic};
 use crate::endpoints::InstanceTag;
 use crate::node::Gateway;
@@ -23,14 +24,14 @@
 use strum::IntoEnumIterator;
 
 /// Interval between heartbeats while counts change, short compared with the duration of a call.
-const HEARTBEAT_INTERVAL: Duration = Duration::from_millis(40);
+pub(crate) const HEARTBEAT_INTERVAL: Duration = Duration::from_millis(40);
 
 /// Minimum interval per peer of a group, so that large sites do not overload small VMs. A datagram
 /// takes about 10 us at each end.
-const INTERVAL_PER_PEER: Duration = Duration::from_millis(3);
+pub(crate) const INTERVAL_PER_PEER: Duration = Duration::from_millis(3);
 
 /// Interval between heartbeats while nothing changes, and the longest one while something does.
-const IDLE_HEARTBEAT_INTERVAL: Duration = Duration::from_millis(400);
+pub(crate) const IDLE_HEARTBEAT_INTERVAL: Duration = Duration::from_millis(400);
 
 /// Maximum size of a datagram.
 const MAX_DATAGRAM_BYTES: usize = 16 * 1024;
@@ -304,6 +305,12 @@
         });
     }
 
+    /// Returns the addresses of all peers.
+    pub(crate) fn all_addresses(&self) -> Vec<SocketAddr> {
+        let peers = self.peers.borrow();
+        peers.values().map(|peer| peer.address).collect()
+    }
+
     /// Returns the addresses of the peers of a group.
     fn addresses(&self, group: PeerGroup) -> Vec<SocketAddr> {
         let peers = self.peers.borrow();
@@ -396,6 +403,7 @@
                 for (_, last_sent) in &mut last_sent {
                     *last_sent = LastHeartbeat::default();
                 }
+                self.report_all_crashes();
             }
             let mut calls = self.endpoints.borrow().reported_counts(now);
             calls.sort_unstable();
@@ -427,8 +435,8 @@
         }
     }
 
-    /// Receives the peers' heartbeats until the process ends.
-    pub(crate) async fn receive_heartbeats(self: Rc<Self>, socket: UdpSocket) {
+    /// Receives the peers' datagrams until the process ends.
+    pub(crate) async fn receive_datagrams(self: Rc<Self>, socket: UdpSocket) {
         let mut buffer = vec![0; MAX_DATAGRAM_BYTES];
         loop {
             let (length, from) = match socket.recv_from(&mut buffer).await {
@@ -439,7 +447,12 @@
                     continue;
                 }
             };
-            let heartbeat: Heartbeat = match decode(&buffer[..length]) {
+            let datagram = &buffer[..length];
+            if let Some((&CRASH_REPORTS_TAG, reports)) = datagram.split_first() {
+                self.receive_crash_reports(reports, from);
+                continue;
+            }
+            let heartbeat: Heartbeat = match decode(datagram) {
                 Ok(heartbeat) => heartbeat,
                 Err(error) => {
                     crate::event!("datagram_unreadable", "error" => error);
--- a/gateway/src/http/body.rs
+++ b/gateway/src/http/body.rs
@@ -16,7 +16,9 @@
     Malformed,
     /// The connection ended before the body was complete.
     Truncated,
-    /// The connection failed before the body was complete.
+    /// The connection was reset before the body was complete.
+    ConnectionReset,
+    /// The connection failed in another way before the body was complete.
     ConnectionFailed,
 }
 
--- a/gateway/src/http/connection.rs
+++ b/gateway/src/http/connection.rs
@@ -11,6 +11,15 @@
 /// Size of one read, in bytes; enough for a head with a typical body.
 const READ_BYTES: usize = 8 * 1024;
 
+/// Returns whether an error says that the remote host reset the connection, rather than that it is
+/// unreachable.
+pub(crate) fn is_reset(kind: io::ErrorKind) -> bool {
+    matches!(
+        kind,
+        io::ErrorKind::ConnectionReset | io::ErrorKind::BrokenPipe
+    )
+}
+
 /// A connection with a buffer of received bytes.
 #[derive(Debug)]
 pub(crate) struct Connection {
@@ -144,6 +153,7 @@
             match self.fill().await {
                 Ok(0) => return decoder.end(),
                 Ok(_) => {}
+                Err(error) if is_reset(error.kind()) => return Err(BodyError::ConnectionReset),
                 Err(_) => return Err(BodyError::ConnectionFailed),
             }
         }
--- a/gateway/src/http/mod.rs
+++ b/gateway/src/http/mod.rs
@@ -8,7 +8,7 @@
 mod tests;
 
 pub(crate) use body::{BodyDecoder, BodyError};
-pub(crate) use connection::Connection;
+pub(crate) use connection::{Connection, is_reset};
 pub use head::Header;
 pub(crate) use head::{Framing, HeadError, RequestHead, parse_request};
 pub(crate) use response::{ResponseHead, parse_response};
--- a/gateway/src/lib.rs
+++ b/gateway/src/lib.rs
@@ -8,6 +8,8 @@
 mod call;
 mod commit;
 mod counters;
+mod crash_reports;
+mod crashes;
 #[cfg(test)]
 mod decoder_tests;
 mod dialect;
--- a/gateway/src/node.rs
+++ b/gateway/src/node.rs
@@ -1,6 +1,8 @@
 //! The gateway process: state shared by its tasks, start and shutdown.
 
 use crate::counters::Counters;
+use crate::crash_reports::CrashSync;
+use crate::crashes::Crashes;
 use crate::dialect::{Dialect, Offset};
 use crate::endpoints::Endpoints;
 use crate::events;
@@ -119,6 +121,9 @@
     pub(crate) pool: Pool,
     pub(crate) store_paths: Rc<StorePaths>,
     pub(crate) counters: Counters,
+    /// Requests under which endpoints crashed.
+    pub(crate) crashes: RefCell<Crashes>,
+    pub(crate) crash_sync: CrashSync,
     /// Number of requests in flight.
     pub(crate) requests_in_flight: Rc<Cell<usize>>,
     stopping_since: Cell<Option<Instant>>,
@@ -149,6 +154,8 @@
             buffers: BufferGauge::new(settings.memory_bytes),
             store_paths: Rc::new(StorePaths::new(settings.store_address)),
             counters: Counters::default(),
+            crashes: RefCell::default(),
+            crash_sync: CrashSync::default(),
             requests_in_flight: Rc::default(),
             stopping_since: Cell::new(None),
             is_closing_idle: Cell::new(false),
@@ -220,6 +227,10 @@
                 "configuration_version",
                 self.routes.borrow().version().unwrap_or_default(),
             ),
+            (
+                "requests_quarantined",
+                self.crashes.borrow().quarantined_count() as u64,
+            ),
             ("store_lost", u64::from(health.is_lost(Instant::now()))),
             ("store_direct", u64::from(self.store_paths.is_direct())),
         ])
@@ -284,6 +295,7 @@
                 announced_at = Some(now);
             }
             self.delete_expired_turns(now);
+            self.forget_expired_crashes(now);
             // Ownership may change without a load on this gateway.
             self.update_turns_loaded();
             Timer::after(HOUSEKEEPING_INTERVAL).await;
@@ -359,7 +371,9 @@
     spawn(Box::pin(gateway.clone().follow_configuration()));
     spawn(Box::pin(gateway.clone().follow_endpoints()));
     spawn(Box::pin(gateway.clone().send_heartbeats(gossip.clone())));
-    spawn(Box::pin(gateway.clone().receive_heartbeats(gossip)));
+    spawn(Box::pin(gateway.clone().send_crash_reports(gossip.clone())));
+    spawn(Box::pin(gateway.clone().receive_datagrams(gossip)));
+    spawn(Box::pin(gateway.clone().store_quarantines()));
     spawn(Box::pin(gateway.clone().accept_peers(peers)));
     spawn(Box::pin(gateway.clone().follow_gateways()));
     spawn(Box::pin(gateway.clone().probe_store()));
--- a/gateway/src/record.rs
+++ b/gateway/src/record.rs
@@ -1,5 +1,6 @@
 //! Record formats of the turns topic and the gateways topic.
 
+use crate::crashes::Lifetime;
 use crate::dialect::PartId;
 use serde::{Deserialize, Serialize};
 use smallvec::SmallVec;
@@ -66,6 +67,15 @@
     pub(crate) failure_domain: Option<String>,
 }
 
+/// A quarantined request. The record's key names its fingerprint.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub(crate) struct QuarantineRecord {
+    /// Time of the last crash by the clock of the writer.
+    pub(crate) last_crash_unix_ms: u64,
+    /// Lifetimes of endpoints that ended under the request, and whether each is cleared.
+    pub(crate) lifetimes: Vec<(Lifetime, bool)>,
+}
+
 impl CompletedTurn {
     /// Time after its end during which the turn can be continued.
     pub(crate) fn retention(&self) -> Duration {
