Quarantine requests whose bodies begin alike in place of a target

Cause: a target of which four requests crashed endpoints, none answered, was quarantined for 10 minutes.

Change: copies that differ in what clients append are recognised by the first 512 bytes of their body, and these are quarantined for one minute, a whole request for two, both doubled by each further crash; then a trial that is answered ends it everywhere.

--- a/gateway/src/crashes.rs
+++ b/gateway/src/crashes.rs
@@ -1,6 +1,6 @@
 //! Requests that crash the endpoints that run them.
 //!
-//! For each request and for each target, the table holds the lifetimes of endpoints that ended while
+//! For each request and for each beginning of a body, the table holds the lifetimes of endpoints that ended while
 //! they had it. A complete answer proves the request harmless and clears them. A request with enough
 //! lifetimes that are not cleared is quarantined: it reaches no endpoint until the quarantine is over,
 //! and then one at a time.
@@ -25,12 +25,18 @@
 /// Number of lifetimes that end under copies of a request before they are quarantined.
 const REQUEST_CRASHES: usize = 3;
 
-/// Number of lifetimes that end under requests with one target, none of which is answered, before the
-/// target is quarantined. It concerns requests with other bodies too, so it takes one crash more.
-const TARGET_CRASHES: usize = 4;
+/// Number of lifetimes that end under requests whose bodies begin alike, none of which is answered,
+/// before these are quarantined. They may be different requests, so it takes one crash more.
+const PREFIX_CRASHES: usize = 4;
 
-/// Duration of the first quarantine; each further crash doubles it.
-const QUARANTINE: Duration = Duration::from_secs(600);
+/// Number of bytes in which bodies begin alike.
+const PREFIX_BYTES: usize = 512;
+
+/// Duration of the first quarantine of a request; each further crash doubles it.
+const QUARANTINE: Duration = Duration::from_secs(120);
+
+/// Duration of the first quarantine of requests that only begin alike.
+const PREFIX_QUARANTINE: Duration = Duration::from_secs(60);
 
 /// Maximum number of lifetimes that are kept for a request.
 const MAX_LIFETIMES: usize = 8;
@@ -64,13 +70,14 @@
 /// between copies of a request and are not part of it.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize)]
 pub(crate) enum Fingerprint {
-    /// The client account, method, host and target.
+    /// The client account, method, host, target, and the first [`PREFIX_BYTES`] of the body as the
+    /// client sent it.
     ///
-    /// Clients that keep the history themselves send it in the body, so that copies of a request in
-    /// several programs have the target in common only.
-    #[serde(rename = "t")]
-    Target(u64),
-    /// The same and the body as the client sent it.
+    /// Clients that keep the history themselves send it in the body, so that what crashes endpoints
+    /// comes again at the beginning of longer bodies.
+    #[serde(rename = "p")]
+    Prefix(u64),
+    /// The same with the whole body.
     #[serde(rename = "r")]
     Request(u64),
 }
@@ -79,16 +86,24 @@
     /// Number of lifetimes after which the requests are quarantined.
     fn quarantine_crashes(self) -> usize {
         match self {
-            Self::Target(_) => TARGET_CRASHES,
+            Self::Prefix(_) => PREFIX_CRASHES,
             Self::Request(_) => REQUEST_CRASHES,
         }
     }
+
+    /// Duration of the first quarantine.
+    fn quarantine(self) -> Duration {
+        match self {
+            Self::Prefix(_) => PREFIX_QUARANTINE,
+            Self::Request(_) => QUARANTINE,
+        }
+    }
 }
 
 impl fmt::Display for Fingerprint {
     fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
         match self {
-            Self::Target(hash) => write!(formatter, "target-{hash:016x}"),
+            Self::Prefix(hash) => write!(formatter, "prefix-{hash:016x}"),
             Self::Request(hash) => write!(formatter, "request-{hash:016x}"),
         }
     }
@@ -99,8 +114,8 @@
 
     fn from_str(text: &str) -> Result<Self, ParseIntError> {
         let parse = |digits| u64::from_str_radix(digits, 16);
-        match text.strip_prefix("target-") {
-            Some(digits) => parse(digits).map(Self::Target),
+        match text.strip_prefix("prefix-") {
+            Some(digits) => parse(digits).map(Self::Prefix),
             None => {
                 let digits = text.strip_prefix("request-").unwrap_or_default();
                 parse(digits).map(Self::Request)
@@ -122,7 +137,7 @@
     let credential = credential.map(|header| header.value.as_str());
     let target = stable_hash((&head.method, &head.host, &head.target, credential));
     [
-        Fingerprint::Target(target),
+        Fingerprint::Prefix(stable_hash((target, &body[..body.len().min(PREFIX_BYTES)]))),
         Fingerprint::Request(stable_hash((target, body))),
     ]
 }
@@ -167,6 +182,8 @@
 struct Entry {
     /// Number of lifetimes that are not cleared from which on the requests are quarantined.
     quarantine_crashes: usize,
+    /// Duration of the first quarantine.
+    first_quarantine: Duration,
     /// At most [`MAX_LIFETIMES`], each with whether it is cleared.
     lifetimes: SmallVec<[(Lifetime, bool); 4]>,
     last_crash_at: Instant,
@@ -181,6 +198,7 @@
     fn new(fingerprint: Fingerprint, last_crash_at: Instant) -> Self {
         Self {
             quarantine_crashes: fingerprint.quarantine_crashes(),
+            first_quarantine: fingerprint.quarantine(),
             lifetimes: SmallVec::new(),
             last_crash_at,
             trial_until: None,
@@ -202,7 +220,7 @@
     fn quarantined_until(&self) -> Option<Instant> {
         let suspicion = self.suspicion();
         let doublings = suspicion.lifetimes.saturating_sub(self.quarantine_crashes) as u32;
-        let end = self.last_crash_at + QUARANTINE * 2_u32.pow(doublings);
+        let end = self.last_crash_at + self.first_quarantine * 2_u32.pow(doublings);
         suspicion.is_quarantined.then_some(end)
     }
 
--- a/gateway/src/crashes/tests.rs
+++ b/gateway/src/crashes/tests.rs
@@ -1,7 +1,8 @@
 use super::{
     ANSWERED_RECENTLY, Admission, CrashReport, Crashes, Fingerprint, Fingerprints, MAX_ANSWERED,
-    MAX_LIFETIMES, MAX_REQUESTS, QUARANTINE, REFRESH_INTERVAL, REPORT_INTERVAL, REPORTS_PER_CHANGE,
-    SUSPICION, TARGET_CRASHES, TRIAL_TIMEOUT, fingerprints, lifetime,
+    MAX_LIFETIMES, MAX_REQUESTS, PREFIX_BYTES, PREFIX_CRASHES, PREFIX_QUARANTINE, QUARANTINE,
+    REFRESH_INTERVAL, REPORT_INTERVAL, REPORTS_PER_CHANGE, SUSPICION, TRIAL_TIMEOUT, fingerprints,
+    lifetime,
 };
 use crate::crash_reports::{CRASH_REPORTS_TAG, MAX_REPORTS};
 use crate::gossip::is_readable_heartbeat;
@@ -13,11 +14,11 @@
 
 const FATAL: Fingerprint = Fingerprint::Request(7);
 
-const TARGET: Fingerprint = Fingerprint::Target(7);
+const PREFIX: Fingerprint = Fingerprint::Prefix(7);
 
-const COPY: Fingerprints = [TARGET, FATAL];
+const COPY: Fingerprints = [PREFIX, FATAL];
 
-const OTHER: Fingerprints = [Fingerprint::Target(8), Fingerprint::Request(8)];
+const OTHER: Fingerprints = [Fingerprint::Prefix(8), Fingerprint::Request(8)];
 
 fn crash(crashes: &mut Crashes, now: Instant, lifetimes: impl IntoIterator<Item = u64>) {
     for lifetime in lifetimes {
@@ -256,24 +257,29 @@
 }
 
 #[googletest::test]
-fn a_fingerprint_is_that_of_the_client_account_the_target_and_the_body() {
+fn a_fingerprint_is_that_of_the_client_account_the_target_and_the_body_or_its_beginning() {
     let ids = "Request-Name: a\r\nProgram-Name: p\r\nEarlier-Turn: t\r\n";
     let other_ids = "Request-Name: b\r\nProgram-Name: q\r\n";
     let copy = fingerprints(&head("POST /turns/x", ids), b"body");
-    let [target, request] = copy;
+    let [prefix, request] = copy;
     expect_that!(
         fingerprints(&head("POST /turns/x", other_ids), b"body"),
         eq(copy)
     );
     let other_body = fingerprints(&head("POST /turns/x", ids), b"other");
-    expect_that!(other_body[0], eq(target));
+    expect_that!(other_body[0], not(eq(prefix)));
     expect_that!(other_body[1], not(eq(request)));
+    let long = [b'x'; PREFIX_BYTES + 1];
+    let [prefix_of_long, long_request] = fingerprints(&head("POST /turns/x", ids), &long);
+    let shorter = fingerprints(&head("POST /turns/x", ids), &long[1..]);
+    expect_that!(shorter[0], eq(prefix_of_long));
+    expect_that!(shorter[1], not(eq(long_request)));
     for other in [
         fingerprints(&head("POST /turns/y", ids), b"body"),
         fingerprints(&head("PUT /turns/x", ids), b"body"),
         fingerprints(&head("POST /turns/x", "Authorization: a\r\n"), b"body"),
     ] {
-        expect_that!(other[0], not(eq(target)));
+        expect_that!(other[0], not(eq(prefix)));
         expect_that!(other[1], not(eq(request)));
     }
 }
@@ -289,20 +295,20 @@
 
 // Guards against a request that is new in each program because its body holds the history.
 #[googletest::test]
-fn a_target_is_quarantined_if_requests_with_other_bodies_crash_and_none_is_answered() {
+fn bodies_that_begin_alike_are_quarantined_if_none_is_answered() {
     let now = Instant::now();
     let mut crashes = Crashes::default();
-    for number in 1..TARGET_CRASHES as u64 {
-        crashes.record_crash(now, TARGET, number);
+    for number in 1..PREFIX_CRASHES as u64 {
+        crashes.record_crash(now, PREFIX, number);
     }
     expect_that!(crashes.admit(now, &COPY), eq(Admission::Open));
-    crashes.record_crash(now, TARGET, TARGET_CRASHES as u64);
-    let with_other_body = [TARGET, OTHER[1]];
+    crashes.record_crash(now, PREFIX, PREFIX_CRASHES as u64);
+    let with_other_body = [PREFIX, OTHER[1]];
     expect_that!(
         crashes.admit(now, &with_other_body),
-        eq(Admission::Refused(QUARANTINE))
+        eq(Admission::Refused(PREFIX_QUARANTINE))
     );
-    crashes.record_answer(now, TARGET);
+    crashes.record_answer(now, PREFIX);
     expect_that!(crashes.admit(now, &with_other_body), eq(Admission::Open));
 }
 
--- a/gateway/src/forward/quarantine.rs
+++ b/gateway/src/forward/quarantine.rs
@@ -54,9 +54,9 @@
             Admission::Open => return None,
             Admission::Trial => {
                 call.is_trial.set(true);
-                let [target, fingerprint] = call.fingerprints.map(|print| print.to_string());
+                let [prefix, fingerprint] = call.fingerprints.map(|print| print.to_string());
                 crate::event!("quarantine_trial", "request" => call.id(),
-                    "fingerprint" => fingerprint, "target" => target);
+                    "fingerprint" => fingerprint, "prefix" => prefix);
                 return None;
             }
             Admission::Refused(left) => left,
@@ -83,9 +83,9 @@
 
     fn log_quarantine_refusal(&self, call: &Call, left: Duration) {
         self.counters.record_quarantine_refusal();
-        let [target, fingerprint] = call.fingerprints.map(|print| print.to_string());
+        let [prefix, fingerprint] = call.fingerprints.map(|print| print.to_string());
         crate::event!("quarantine_refused", "request" => call.id(),
-            "fingerprint" => fingerprint, "target" => target, "route" => call.route.name.as_str(),
+            "fingerprint" => fingerprint, "prefix" => prefix, "route" => call.route.name.as_str(),
             "sent" => call.send_count.get(), "left_ms" => left.as_millis());
     }
 
