--- a/gateway/src/call.rs
+++ b/gateway/src/call.rs
@@ -6,6 +6,7 @@
 use crate::http::{Framing, RequestHead};
 use crate::net::with_timeout;
 use crate::node::Gateway;
+use crate::outage::retry_delay;
 use crate::reply::{Refusal, Reply, ReplyState};
 use crate::routes::{Route, RouteKind};
 use crate::stream::{EventId, LAST_EVENT_ID};
@@ -17,14 +18,6 @@
 /// `Retry-After` delay while the gateway has no configuration yet.
 const STARTUP_RETRY_AFTER: Duration = Duration::from_millis(300);
 
-/// Fraction of the client's remaining time after which it should retry a request that cannot be
-/// served during an outage. Outages last seconds, and clients wait no longer than a third of their
-/// time.
-const OUTAGE_RETRY_SHARE: f64 = 0.33;
-
-/// Fraction of that retry delay over which clients' retries are spread.
-const OUTAGE_RETRY_SPREAD: f64 = 0.25;
-
 /// A client's request with its route and progress.
 pub(crate) struct Call {
     pub(crate) head: RequestHead,
@@ -58,9 +51,7 @@
 
     /// Returns the refusal of a request that has not run and cannot be served soon.
     pub(crate) fn refuse_during_outage(&self, reason: &'static str) -> Refusal {
-        let spread_factor = 1.0 - OUTAGE_RETRY_SPREAD * fastrand::f64();
-        let retry_after = self.time_left().mul_f64(OUTAGE_RETRY_SHARE * spread_factor);
-        Refusal::retry_later(retry_after, reason)
+        Refusal::retry_later(retry_delay(self.time_left(), fastrand::f64()), reason)
     }
 
     /// Logs the outcome with its timings.
--- a/gateway/src/ledger.rs
+++ b/gateway/src/ledger.rs
@@ -7,6 +7,7 @@
 use crate::dialect::{Dialect, PartId, PartitionNumber};
 use crate::net::with_timeout;
 use crate::node::Gateway;
+use crate::outage::max_wait;
 use crate::partition::{Partition, partition_of};
 use crate::peers::PendingReply;
 use crate::record::{CompletedTurn, TurnRecord, encode};
@@ -17,10 +18,6 @@
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
-/// Fraction of the client's remaining time for which a turn waits for the store to recover before
-/// it is refused. Most of the time remains for the run itself.
-const STORE_WAIT_SHARE: f64 = 0.25;
-
 /// Maximum wait for the records that must be read before a turn can start.
 const LOOKUP_TIMEOUT: Duration = Duration::from_millis(900);
 
@@ -53,13 +50,6 @@
     pub(crate) is_retry: bool,
 }
 
-impl NewTurn {
-    /// Maximum wait for the store to recover.
-    fn store_wait(&self) -> Duration {
-        Duration::from_millis(self.time_left_ms).mul_f64(STORE_WAIT_SHARE)
-    }
-}
-
 /// A request to the owner of a partition.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub(crate) enum OwnerRequest {
@@ -265,7 +255,8 @@
         new_turn: &NewTurn,
     ) -> Result<StartedTurn, StartError> {
         let partition = self.program_partition(&new_turn.program);
-        self.check_store(partition, new_turn.store_wait()).await?;
+        let time_left = Duration::from_millis(new_turn.time_left_ms);
+        self.check_store(partition, max_wait(time_left)).await?;
         within_lookup_timeout(partition.wait_until_loaded()).await?;
         if !new_turn.is_retry && partition.index.borrow().contains(&new_turn.turn) {
             return Err(Denial::DuplicateTurn.into());
--- a/gateway/src/ledger_call.rs
+++ b/gateway/src/ledger_call.rs
@@ -52,6 +52,7 @@
         let Some(owner) = self.remote_owner(partition_of(&new_turn.program)).await else {
             return self.reserve_locally(new_turn).await;
         };
+        let sent_at = Instant::now();
         let pending = self.send_request(owner, &OwnerRequest::Reserve(new_turn.clone()));
         match self.wait_for_reply(owner, &pending).await {
             Some(OwnerReply::Reserved {
@@ -76,8 +77,10 @@
             Some(OwnerReply::Denied(denial)) => return Err(denial.into()),
             reply => self.log_owner_bypass(owner, "reserve", &new_turn.turn, reply),
         }
+        let waited_ms = sent_at.elapsed().as_millis() as u64;
         let retry = NewTurn {
             is_retry: true,
+            time_left_ms: new_turn.time_left_ms.saturating_sub(waited_ms),
             ..new_turn.clone()
         };
         self.reserve_locally(&retry).await
--- a/gateway/src/lib.rs
+++ b/gateway/src/lib.rs
@@ -24,6 +24,7 @@
 mod limits;
 mod net;
 mod node;
+mod outage;
 mod owners;
 mod partition;
 mod peers;
