Test the last action of a sidecar that shuts down

Looked for the cause of requests given up at the end of a shutdown in sidecars: a sidecar counts as idle once its last action has a result, but the reply is still on its way to the link then. If the process ended in between, the owner could not tell whether the action ran.

--- a/tests/system/shutdown.rs
+++ b/tests/system/shutdown.rs
@@ -5,6 +5,7 @@
 };
 use futures_lite::{AsyncReadExt, AsyncWriteExt};
 use galenapick::protocol::caller::CallRequest;
+use galenapick::standin::ServiceControl;
 use galenapick::{
     CallError, Client, ClusterOptions, Deployment, Message, Ran, RefusalCode, RetryDeadline, Role,
     RunningNode, StreamEvent,
@@ -24,6 +25,9 @@
 /// Number of callers that send one call after the other during a shutdown.
 const BUSY_CALLERS: usize = 8;
 
+/// Work of an action that outlasts the notice of a shutdown.
+const ACTION_WORK: Duration = Duration::from_millis(2_500);
+
 /// Time limit of a shutdown under load; the calls are much shorter.
 const BUSY_SHUTDOWN_LIMIT: Duration = Duration::from_secs(8);
 
@@ -217,6 +221,36 @@
     check_busy_shutdown("matcher-llm-1", &["entry-1"]);
 }
 
+// Guards against a sidecar that stops between the result of its last action and its reply, which would
+// leave the outcome unknown.
+#[gtest]
+fn a_sidecar_that_leaves_replies_to_its_last_action() {
+    with_cluster(small_cluster(1), async |cluster| {
+        let slow = ServiceControl {
+            work_ms: Some(ACTION_WORK.as_millis() as u64),
+            ..ServiceControl::default()
+        };
+        for service in cluster.platform.services() {
+            service.control(slow.clone()).await;
+        }
+        let client = bank_client(cluster);
+        let program = create_program(&client, "actions").await;
+        let body = serde_json::json!({"action": "last", "hours": 1});
+        let transfer = CallRequest::tool("bank-core", "transfer", body).key("t");
+        let node = cluster
+            .take_node("bank-core-1")
+            .expect("the node is running");
+        let shut_down = async {
+            Timer::after(SHUTDOWN_DELAY).await;
+            node.shut_down().await
+        };
+        let call = client.call(program, &transfer);
+        let (answer, is_clean_exit) = smol::future::zip(call, shut_down).await;
+        expect_that!(answer, ok(anything()));
+        expect_that!(is_clean_exit, eq(true));
+    });
+}
+
 // Guards against connections that are cut without an answer at the end of a shutdown.
 #[gtest]
 fn a_call_that_outlasts_a_shutdown_is_refused_with_an_answer() {
