Count unanswered service calls as failures of their endpoint

A repeatable call whose service did not answer, or broke the connection, was retried elsewhere but counted as answered for the endpoint: its sidecar had replied. The circuit breaker never opened, and a server that hangs went on getting its share of the calls, each of which waited for the whole timeout.

Only a reply of the service counts as answered now; everything else that the call is retried for counts as a failure.

--- a/src/entry/owner/tool.rs
+++ b/src/entry/owner/tool.rs
@@ -50,10 +50,11 @@
             let choice = self.choose(&dispatch)?;
             let mut guard = self.record_dispatch(&dispatch, &choice, attempts);
             let invoked = self.invoke_at(&choice.endpoint, invoke.clone()).await;
-            guard.outcome = CallOutcome::Answered;
+            guard.outcome = CallOutcome::Failed;
             let refusal = match invoked {
                 Ok(action) => match action.state {
                     ActionState::Finished(ActionResult::Done(reply)) => {
+                        guard.outcome = CallOutcome::Answered;
                         reservation.spent = tool_spent(action.ran_ms);
                         return Ok(tool_output(
                             context,
@@ -67,10 +68,7 @@
                     ) => Refusal::not_run(RefusalCode::EndpointFailed, reason),
                     _ => Refusal::not_run(RefusalCode::EndpointFailed, "The call was lost."),
                 },
-                Err(error) => {
-                    guard.outcome = CallOutcome::Failed;
-                    refuse_unreachable(&error)
-                }
+                Err(error) => refuse_unreachable(&error),
             };
             drop(guard);
             attempts += 1;
--- a/tests/path.rs
+++ b/tests/path.rs
@@ -140,7 +140,7 @@
         let created = client.create(&ProgramRequest::default()).await;
         let program = created.unwrap().program;
 
-        deployment.service.control(hang_next_request()).await;
+        deployment.service.control(hang_requests(1)).await;
         let started_at = Instant::now();
         let mut balance = CallRequest::tool("bank-core", "balance", serde_json::json!({}));
         balance.repeatable = true;
@@ -151,7 +151,7 @@
         expect_that!(outcome.result, ok(anything()));
         expect_that!(started_at.elapsed(), lt(Duration::from_secs(10)));
 
-        deployment.service.control(hang_next_request()).await;
+        deployment.service.control(hang_requests(1)).await;
         let started_at = Instant::now();
         let transfer = CallRequest::tool("bank-core", "transfer", serde_json::json!({"hours": 2}));
         let error = client.call(program, &transfer.key("c2")).await.unwrap_err();
@@ -161,9 +161,36 @@
     });
 }
 
-fn hang_next_request() -> ServiceControl {
+// Guards against a service that does not answer in time counting as healthy, so that it goes on
+// getting its share of the calls.
+#[gtest]
+fn a_service_that_does_not_answer_in_time_gets_no_more_calls() {
+    const CALLS: u64 = 12;
+    let rules = ServiceRules {
+        timeout: Duration::from_millis(100),
+    };
+    smol::block_on(async {
+        let deployment = Deployment::start_with(1, 1, rules).await;
+        let client = &deployment.client;
+        let created = client.create(&ProgramRequest::default()).await;
+        let program = created.unwrap().program;
+        deployment.service.control(hang_requests(100)).await;
+        for number in 0..CALLS {
+            let mut balance = CallRequest::tool("bank-core", "balance", serde_json::json!({}));
+            balance.repeatable = true;
+            let key = format!("c{number}");
+            let refused = client.call(program, &balance.key(key)).await;
+            expect_that!(refused, err(anything()));
+        }
+        let requests = deployment.service.counts().requests;
+        expect_that!(requests, all!(ge(3), lt(CALLS / 2)));
+        deployment.stop();
+    });
+}
+
+fn hang_requests(count: u32) -> ServiceControl {
     ServiceControl {
-        hang_before: Some(1),
+        hang_before: Some(count),
         ..ServiceControl::default()
     }
 }
