Limit what an answer may cost the HTTP clients in src/

An endpoint or a service of the platform that sent without end took the node's memory and thread.

src/limits.rs names what an exchange may cost. A connection counts the bytes of each part of an answer, so that it holds for whatever the library reads: 64 KiB for heads and for trailers, 4 MiB for a body with its framing, the size that was asked for and one record for a read of the log, 256 MiB for an exported cache only. A body is read in turns of 64 KiB. The HTTP client moves from adapter/ to a module of its own, which other clients can use.

A record of the log must stay readable, so the setting max_body_bytes is now at most 8 MiB (it could be 1 GiB; 4 MiB by default). tests/layers.rs gets the two new lowest modules, limits and http, and who may import them; nothing that was forbidden is allowed.

Head lines, one header and chunk size lines were borne before.

--- a/src/adapter/engine.rs
+++ b/src/adapter/engine.rs
@@ -1,8 +1,9 @@
 //! HTTP client for model engines.
 
-use crate::adapter::http::{HttpClient, HttpRequest, HttpResponse};
 use crate::adapter::sse::DataLines;
+use crate::http::{HttpClient, HttpRequest, HttpResponse};
 use crate::ids::{CallId, Epoch, ProgramId, format_id, parse_id};
+use crate::limits::{MAX_ANSWER_BYTES, MAX_CACHE_BYTES};
 use crate::protocol::engine::{
     CacheEvent, Engine, EngineError, EngineEvent, EngineLoad, EngineOrder, EngineStream,
     EngineUsage, GenerateRequest,
@@ -20,6 +21,8 @@
 #[derive(Clone, Debug)]
 pub struct HttpEngine {
     http: HttpClient,
+    /// For exported caches, which are larger than other answers.
+    cache_http: HttpClient,
 }
 
 impl HttpEngine {
@@ -30,6 +33,7 @@
     pub fn new(base: &str, timeout: Duration) -> Self {
         Self {
             http: HttpClient::new(base, timeout),
+            cache_http: HttpClient::with_max_answer_bytes(base, timeout, MAX_CACHE_BYTES),
         }
     }
 
@@ -39,17 +43,17 @@
         if body.status == 200 {
             return Ok(HttpEngineStream::new(DataLines::new(body)));
         }
-        let response = body.read_whole().await.map_err(unreachable)?;
+        let response = body
+            .read_whole(MAX_ANSWER_BYTES)
+            .await
+            .map_err(unreachable)?;
         Err(response_error(&response))
     }
 
     /// Sends a request and returns the body of a successful response.
     async fn send(&self, request: HttpRequest) -> Result<Vec<u8>, EngineError> {
         let response = self.http.send(request).await.map_err(unreachable)?;
-        match response.status {
-            200..=299 => Ok(response.body),
-            _ => Err(response_error(&response)),
-        }
+        successful_body(response)
     }
 
     /// Sends a request and decodes the JSON response.
@@ -103,7 +107,9 @@
 
     async fn export(&self, program: ProgramId) -> Result<Vec<u8>, EngineError> {
         let target = format!("{}/export", cache_path(program));
-        self.send(HttpRequest::new(Method::Get, target)).await
+        let request = HttpRequest::new(Method::Get, target).with_max_answer_bytes(MAX_CACHE_BYTES);
+        let response = self.cache_http.send(request).await.map_err(unreachable)?;
+        successful_body(response)
     }
 
     async fn import(&self, program: ProgramId, cache: Vec<u8>) -> Result<(), EngineError> {
@@ -330,6 +336,14 @@
     serde_json::to_vec(body).map_err(|error| EngineError::Refused(error.to_string()))
 }
 
+/// Returns the body of a successful response.
+fn successful_body(response: HttpResponse) -> Result<Vec<u8>, EngineError> {
+    match response.status {
+        200..=299 => Ok(response.body),
+        _ => Err(response_error(&response)),
+    }
+}
+
 /// Converts an unsuccessful response into an error.
 fn response_error(response: &HttpResponse) -> EngineError {
     let parsed: ErrorResponse = serde_json::from_slice(&response.body).unwrap_or_default();
--- a/src/adapter/log.rs
+++ b/src/adapter/log.rs
@@ -1,7 +1,8 @@
 //! HTTP client for the log service.
 
-use crate::adapter::http::{HttpClient, HttpRequest, HttpResponse, retry_after};
+use crate::http::{HttpClient, HttpRequest, HttpResponse, retry_after};
 use crate::ids::Offset;
+use crate::limits::{MAX_LOG_ANSWER_BYTES, MAX_LOG_RECORD_BYTES};
 use crate::protocol::log::{Log, LogError, LogPage, LogRecord, ReadLimit};
 use serde::Deserialize;
 use serde_bytes::ByteBuf;
@@ -23,7 +24,7 @@
     /// `timeout` limits an append. For a read it is added to the time for which the read waits.
     pub fn new(base: &str, timeout: Duration) -> Self {
         Self {
-            http: HttpClient::new(base, timeout),
+            http: HttpClient::with_max_answer_bytes(base, timeout, MAX_LOG_ANSWER_BYTES),
         }
     }
 }
@@ -53,7 +54,8 @@
             limit.max_bytes,
             limit.wait.as_millis()
         );
-        let request = HttpRequest::new(Method::Get, target);
+        let request = HttpRequest::new(Method::Get, target)
+            .with_max_answer_bytes(limit.max_bytes as u64 + MAX_LOG_RECORD_BYTES);
         let response = self
             .http
             .send_with_extra_time(request, limit.wait)
--- a/src/adapter/mod.rs
+++ b/src/adapter/mod.rs
@@ -1,7 +1,6 @@
 //! HTTP clients that implement the interfaces of the [`protocol`](crate::protocol) module.
 
 mod engine;
-pub(crate) mod http;
 mod log;
 mod service;
 mod sse;
--- a/src/adapter/service.rs
+++ b/src/adapter/service.rs
@@ -1,7 +1,8 @@
 //! HTTP client for services.
 
-use crate::adapter::http::{self, HttpError, HttpResponse};
+use crate::http::{self, HttpError, HttpResponse};
 use crate::ids::format_id;
+use crate::limits::MAX_ANSWER_BYTES;
 use crate::protocol::service::{Service, ServiceError, ServiceReply, ServiceRequest};
 use smol::net::TcpStream;
 use std::collections::HashMap;
@@ -34,7 +35,7 @@
         let address = base.trim_start_matches("http://").trim_end_matches('/');
         Self {
             address: address.to_owned(),
-            client: http::build_client(open_connections.clone()),
+            client: http::build_client(open_connections.clone(), MAX_ANSWER_BYTES),
             open_connections,
             timeout,
         }
@@ -76,7 +77,7 @@
         let body = (request.body.into_bytes(), "application/json");
         let conn = http::add_body(conn, Some(body));
         http::with_timeout(remaining(deadline), async {
-            http::open(conn).await?.read_whole().await
+            http::open(conn).await?.read_whole(MAX_ANSWER_BYTES).await
         })
         .await
     }
--- a/src/adapter/sse.rs
+++ b/src/adapter/sse.rs
@@ -1,6 +1,6 @@
 //! Reader for the data lines of server-sent events.
 
-use crate::adapter::http::{HttpBody, HttpError};
+use crate::http::{HttpBody, HttpError};
 
 /// Longest line of an event stream.
 const MAX_LINE_BYTES: usize = 4 << 20;
--- a/src/adapter/vms.rs
+++ b/src/adapter/vms.rs
@@ -1,6 +1,6 @@
 //! HTTP client for the platform's list of VMs.
 
-use crate::adapter::http::{HttpClient, HttpRequest};
+use crate::http::{HttpClient, HttpRequest};
 use crate::protocol::vms::{Vm, VmList};
 use std::time::Duration;
 use trillium_client::Method;
--- a/src/adapter/weights.rs
+++ b/src/adapter/weights.rs
@@ -1,6 +1,6 @@
 //! HTTP client for the weight store.
 
-use crate::adapter::http::{HttpClient, HttpRequest, retry_after};
+use crate::http::{HttpClient, HttpRequest, retry_after};
 use crate::ids::ModelId;
 use crate::protocol::weights::{WeightGrant, WeightStore};
 use serde::Deserialize;
--- a/src/cli/operate/client.rs
+++ b/src/cli/operate/client.rs
@@ -1,6 +1,7 @@
 //! Client of the operator HTTP interface.
 
-use crate::adapter::http::{build_client, open, with_timeout};
+use crate::http::{build_client, open, with_timeout};
+use crate::limits::MAX_ENTRY_ANSWER_BYTES;
 use anyhow::{Context, anyhow};
 use serde::Serialize;
 use serde::de::DeserializeOwned;
@@ -31,7 +32,10 @@
     pub(super) fn new(entry: &str, token: &str) -> Self {
         let address = entry.trim_start_matches("http://").trim_end_matches('/');
         Self {
-            client: build_client(ClientConfig::new().with_nodelay(true)),
+            client: build_client(
+                ClientConfig::new().with_nodelay(true),
+                MAX_ENTRY_ANSWER_BYTES,
+            ),
             base: format!("http://{address}/operator/v1"),
             authorization: format!("Bearer {token}"),
         }
@@ -58,7 +62,7 @@
     fn send(&self, conn: Conn) -> anyhow::Result<Answer> {
         let conn = conn.with_request_header("authorization", self.authorization.clone());
         let answer = smol::block_on(with_timeout(ANSWER_TIMEOUT, async {
-            open(conn).await?.read_whole().await
+            open(conn).await?.read_whole(MAX_ENTRY_ANSWER_BYTES).await
         }));
         let answer = answer.map_err(|e| anyhow!("{}: {e}", self.base))?;
         Ok(Answer {
--- a/src/adapter/http.rs
+++ b/src/http.rs
@@ -1,15 +1,19 @@
 //! HTTP/1.1 client that sends each request once, on a new connection.
 
-use futures_lite::{AsyncReadExt, FutureExt};
+pub(crate) mod connector;
+mod framing;
+#[cfg(test)]
+mod tests;
+
+use crate::http::connector::LimitedConnector;
+use crate::limits::{BYTES_PER_TURN, MAX_ANSWER_BYTES};
+use futures_lite::{AsyncReadExt, FutureExt, future};
 use smol::Timer;
 use std::future::Future;
 use std::time::Duration;
 use trillium_client::{Client, Conn, Method, ResponseBody};
 use trillium_smol::ClientConfig;
 
-/// Largest response body that is read whole.
-const MAX_RESPONSE_BYTES: usize = 256 << 20;
-
 /// Request bodies up to this size are sent without asking the server first.
 const MAX_DIRECT_BODY_BYTES: usize = 1 << 30;
 
@@ -51,6 +55,8 @@
     pub(crate) target: String,
     /// The body and its media type; `None` for no body.
     pub(crate) body: Option<(Vec<u8>, &'static str)>,
+    /// Maximum size of the body of the response.
+    pub(crate) max_answer_bytes: u64,
 }
 
 impl HttpRequest {
@@ -60,9 +66,16 @@
             method,
             target: target.into(),
             body: None,
+            max_answer_bytes: MAX_ANSWER_BYTES,
         }
     }
 
+    /// Sets the maximum size of the body of the response.
+    pub(crate) fn with_max_answer_bytes(mut self, max_answer_bytes: u64) -> Self {
+        self.max_answer_bytes = max_answer_bytes;
+        self
+    }
+
     /// Sets a JSON body.
     pub(crate) fn json(mut self, body: Vec<u8>) -> Self {
         self.body = Some((body, "application/json"));
@@ -99,9 +112,18 @@
 impl HttpClient {
     /// Creates a client for `base`, such as `http://127.0.0.1:80`. `timeout` limits a whole response.
     pub(crate) fn new(base: &str, timeout: Duration) -> Self {
+        Self::with_max_answer_bytes(base, timeout, MAX_ANSWER_BYTES)
+    }
+
+    /// Creates a client with a limit on the size of all answers.
+    pub(crate) fn with_max_answer_bytes(
+        base: &str,
+        timeout: Duration,
+        max_answer_bytes: u64,
+    ) -> Self {
         let connector = ClientConfig::new().with_nodelay(true);
         Self {
-            client: build_client(connector),
+            client: build_client(connector, max_answer_bytes),
             base_url: base.trim_end_matches('/').to_owned(),
             timeout,
         }
@@ -132,8 +154,12 @@
         request: HttpRequest,
         limit: Duration,
     ) -> Result<HttpResponse, HttpError> {
+        let max_bytes = request.max_answer_bytes;
         let conn = self.build(request);
-        with_timeout(limit, async { open(conn).await?.read_whole().await }).await
+        with_timeout(limit, async {
+            open(conn).await?.read_whole(max_bytes).await
+        })
+        .await
     }
 
     /// Builds the connection object of a request.
@@ -143,9 +169,12 @@
     }
 }
 
-/// Creates a client that does not reuse connections.
-pub(crate) fn build_client(connector: impl trillium_client::Connector) -> Client {
-    Client::new(connector)
+/// Creates a client that does not reuse connections. `max_answer_bytes` limits each answer.
+pub(crate) fn build_client(
+    connector: impl trillium_client::Connector,
+    max_answer_bytes: u64,
+) -> Client {
+    Client::new(LimitedConnector::new(connector, max_answer_bytes))
         .without_keepalive()
         .with_max_buffered_request_body(MAX_DIRECT_BODY_BYTES)
 }
@@ -173,6 +202,7 @@
         status,
         body,
         read_buf,
+        bytes_in_turn: 0,
     })
 }
 
@@ -201,6 +231,8 @@
     body: ResponseBody<'static>,
     /// Buffer for each read.
     read_buf: Box<[u8]>,
+    /// Number of bytes read since other tasks had their turn.
+    bytes_in_turn: usize,
 }
 
 impl HttpBody {
@@ -208,20 +240,25 @@
     ///
     /// The method is cancel-safe: dropping the future loses no bytes.
     pub(crate) async fn read_some(&mut self, buf: &mut Vec<u8>) -> Result<usize, HttpError> {
+        if self.bytes_in_turn >= BYTES_PER_TURN {
+            self.bytes_in_turn = 0;
+            future::yield_now().await;
+        }
         let count = self
             .body
             .read(&mut self.read_buf)
             .await
             .map_err(|error| http_error(&error))?;
         buf.extend_from_slice(&self.read_buf[..count]);
+        self.bytes_in_turn += count;
         Ok(count)
     }
 
-    /// Reads the rest of the body and returns the complete response.
-    pub(crate) async fn read_whole(mut self) -> Result<HttpResponse, HttpError> {
+    /// Reads the rest of the body, up to `max_bytes`, and returns the complete response.
+    pub(crate) async fn read_whole(mut self, max_bytes: u64) -> Result<HttpResponse, HttpError> {
         let mut body = Vec::new();
         while self.read_some(&mut body).await? > 0 {
-            if body.len() > MAX_RESPONSE_BYTES {
+            if body.len() as u64 > max_bytes {
                 return Err(HttpError::Failed("the answer is too long".to_owned()));
             }
         }
--- a/src/settings/read.rs
+++ b/src/settings/read.rs
@@ -8,6 +8,7 @@
 use super::{SettingErrors, Settings};
 use crate::ids::NodeId;
 use crate::ini::{Document, Fault, FaultKind, Faults, KnownSections, Reader, parse_hash};
+use crate::limits::MAX_REQUEST_BYTES;
 use crate::protocol::vms::NodeRole;
 use std::collections::BTreeMap;
 use std::net::{IpAddr, Ipv4Addr, SocketAddr};
@@ -238,7 +239,11 @@
     let default = LimitSettings::default();
     let mut reader = Reader::new(document, "limits");
     let limits = LimitSettings {
-        max_body_bytes: reader.number("max_body_bytes", 1_024..=1 << 30, default.max_body_bytes),
+        max_body_bytes: reader.number(
+            "max_body_bytes",
+            1_024..=MAX_REQUEST_BYTES as usize,
+            default.max_body_bytes,
+        ),
         open_calls: reader.number("open_calls", 1..=1_000_000, default.open_calls),
         queued_calls: reader.number("queued_calls", 1..=1_000_000, default.queued_calls),
         shutdown_limit_s: reader.number("shutdown_limit_s", 1..=86_400, default.shutdown_limit_s),
--- a/src/standin/remote.rs
+++ b/src/standin/remote.rs
@@ -1,6 +1,6 @@
 //! A client for stand-ins that run in other processes.
 
-use crate::adapter::http::{HttpClient, HttpRequest, HttpResponse};
+use crate::http::{HttpClient, HttpRequest, HttpResponse};
 use anyhow::{Context, ensure};
 use serde::Serialize;
 use serde::de::DeserializeOwned;
--- a/tests/layers.rs
+++ b/tests/layers.rs
@@ -12,14 +12,16 @@
 const LAYERS: &[(&str, &[&str])] = &[
     ("ids", &[]),
     ("ini", &[]),
-    ("transport", &[]),
+    ("limits", &[]),
+    ("http", &["limits"]),
+    ("transport", &["limits"]),
     ("protocol", &["ids", "transport"]),
     ("environment", &["ids", "ini", "protocol"]),
     ("state", &["ids", "protocol", "environment"]),
     ("coordination", &["ids", "protocol", "state"]),
-    ("adapter", &["ids", "protocol"]),
-    ("standin", &["ids", "protocol", "adapter"]),
-    ("settings", &["ids", "ini", "protocol"]),
+    ("adapter", &["ids", "limits", "http", "protocol"]),
+    ("standin", &["ids", "http", "protocol", "adapter"]),
+    ("settings", &["ids", "ini", "limits", "protocol"]),
     ("client", &["ids", "protocol"]),
     ("operations", SHARED_IMPORTS),
     ("configuration", SHARED_IMPORTS),
@@ -41,6 +43,7 @@
 /// The modules that roles may import.
 const ROLE_IMPORTS: &[&str] = &[
     "ids",
+    "limits",
     "transport",
     "protocol",
     "environment",
