Cut off an engine's stream without end

A stream of one endless event, of comments, or of small events was read as long as the engine sent: 3.1 to 7.0 s for floods of 3 s, during which no other task of the thread ran (as many seconds late). Bytes without a line end were searched again from their start with each read, up to 4 MiB, so that a chunked, announced or unframed body in place of events took 4.4 to 10.6 s.

The bytes between two events with data are limited to 64 KiB, lines without data included; the answer's limit of 4 MiB holds for the stream as a whole.

--- a/src/adapter/sse.rs
+++ b/src/adapter/sse.rs
@@ -1,9 +1,7 @@
 //! Reader for the data lines of server-sent events.
 
 use crate::http::{HttpBody, HttpError};
-
-/// Longest line of an event stream.
-const MAX_LINE_BYTES: usize = 4 << 20;
+use crate::limits::MAX_EVENT_BYTES;
 
 /// Reads the `data:` lines of an event stream. Comments, event names and ids are skipped.
 #[derive(Debug)]
@@ -13,6 +11,8 @@
     buf: Vec<u8>,
     /// Start of the unread part of `buf`.
     start: usize,
+    /// Bytes of the lines that were skipped since the last data line.
+    skipped_bytes: usize,
 }
 
 impl DataLines {
@@ -22,6 +22,7 @@
             body,
             buf: Vec::new(),
             start: 0,
+            skipped_bytes: 0,
         }
     }
 
@@ -30,12 +31,14 @@
     pub(crate) async fn next(&mut self) -> Result<Option<String>, HttpError> {
         loop {
             while let Some(line) = self.take_line() {
+                self.skipped_bytes += line.len() + 1;
                 if let Some(data) = parse_data(&line)? {
+                    self.skipped_bytes = 0;
                     return Ok(Some(data));
                 }
             }
-            if self.buf.len() > MAX_LINE_BYTES {
-                return Err(HttpError::Failed("a line is too long".to_owned()));
+            if self.skipped_bytes + self.buf.len() > MAX_EVENT_BYTES {
+                return Err(HttpError::Failed("an event is too long".to_owned()));
             }
             if self.body.read_some(&mut self.buf).await? == 0 {
                 return Ok(None);
--- a/src/limits.rs
+++ b/src/limits.rs
@@ -27,6 +27,9 @@
 /// Maximum size of an answer of the log.
 pub(crate) const MAX_LOG_ANSWER_BYTES: u64 = 20 << 20;
 
+/// Maximum number of bytes of a stream that carry no event. An engine's events are not larger either.
+pub(crate) const MAX_EVENT_BYTES: usize = 64 << 10;
+
 /// Number of bytes that a task reads from a connection before other tasks and timers get their turn.
 pub(crate) const BYTES_PER_TURN: usize = 64 << 10;
 
--- a/tests/floods.rs
+++ b/tests/floods.rs
@@ -2,12 +2,12 @@
 //! error, and holds little memory until then.
 
 use futures_lite::FutureExt;
-use galenapick::protocol::engine::Engine;
+use galenapick::protocol::engine::{Engine, EngineStream, GenerateRequest};
 use galenapick::protocol::log::{Log, ReadLimit};
 use galenapick::protocol::service::{Service, ServiceRequest};
 use galenapick::protocol::vms::VmList;
 use galenapick::protocol::weights::WeightStore;
-use galenapick::{HttpEngine, HttpLog, HttpService, HttpVmList, HttpWeightStore};
+use galenapick::{HttpEngine, HttpLog, HttpService, HttpVmList, HttpWeightStore, Message, Role};
 use googletest::prelude::*;
 use smol::Timer;
 use std::cell::Cell;
@@ -38,6 +38,7 @@
 
 const OK: &str = "HTTP/1.1 200 OK\r\n";
 const CHUNKED: &str = "HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n";
+const STREAM: &str = "HTTP/1.1 200 OK\r\ncontent-type: text/event-stream\r\n\r\n";
 
 /// Bytes that are sent once, followed by bytes that are sent without end.
 #[derive(Clone)]
@@ -75,6 +76,17 @@
         ]
     }
 
+    /// Event streams without end.
+    fn streams(event: &str, empty_event: &str) -> Vec<Self> {
+        vec![
+            Self::new("one event", format!("{STREAM}data: "), "x"),
+            Self::new("event names", format!("{STREAM}event: "), "x"),
+            Self::new("comments", STREAM, ": comment\n\n"),
+            Self::new("small events", STREAM, event),
+            Self::new("events without a token", STREAM, empty_event),
+        ]
+    }
+
     /// Accepts connections and sends on each until the client closes it. Returns the server's
     /// address.
     fn serve(&self) -> String {
@@ -155,6 +167,24 @@
     expect_that!(longest_delay.get(), lt(DELAY_LIMIT), "{client}, {name}");
 }
 
+fn generation() -> GenerateRequest {
+    GenerateRequest {
+        call: 1,
+        program: 2,
+        model: "helper-models".to_owned(),
+        messages: vec![Message::new(Role::User, "otter")],
+        max_tokens: 8,
+    }
+}
+
+async fn read_stream(engine: HttpEngine) -> Option<()> {
+    let mut stream = engine.generate(generation()).await.ok()?;
+    while let Some(event) = stream.next().await {
+        event.ok()?;
+    }
+    Some(())
+}
+
 // Guards against an endpoint or a platform service that sends without end taking the memory of the node
 // and its thread.
 #[gtest]
@@ -164,6 +194,7 @@
         let url = format!("http://{}", flood.serve());
         let engine = HttpEngine::new(&url, TIMEOUT);
         check("engine load", &flood, async { engine.load().await.ok() });
+        check("engine stream", &flood, read_stream(engine.clone()));
         let service = HttpService::new(&url, TIMEOUT);
         let request = ServiceRequest {
             operation: "charge".to_owned(),
@@ -185,3 +216,15 @@
         check("weights", &flood, weights.request(&"m".to_owned(), 1));
     }
 }
+
+// Guards against an engine whose stream has no end.
+#[gtest]
+fn engine_streams_without_end_are_cut_off() {
+    let _guard = exclusive();
+    let token = "data: {\"choices\":[{\"delta\":{\"content\":\"a\"}}]}\n\n";
+    let empty = "data: {\"choices\":[],\"token_count\":0}\n\n";
+    for flood in Flood::streams(token, empty) {
+        let engine = HttpEngine::new(&format!("http://{}", flood.serve()), TIMEOUT);
+        check("engine stream", &flood, read_stream(engine));
+    }
+}
