Limit what an answer may cost the client library

A caller whose entry, or whatever answers in its place, sends without end: the client read interim answers, comments and events without tokens as long as they came (3.0 to 3.4 s for floods of 3 s, with every other task of the thread as late), searched trailers for 12 to 20 s, and held bodies and events of 64 MB, 97 to 174 MB at the peak of the process.

The client uses the connections with limits of src/http. An answer of a call may have 8 MiB, as a whole or as an event of a stream, a history 32 MiB as a message between nodes, other answers 4 MiB. Lines of a stream that carry no event have 64 KiB. A stream has as many events as the most tokens of its call in each of 16 runs. The caller gets `Broken`, as for any connection that broke, and a call with a key is retried at the next entry.

--- a/src/client/error.rs
+++ b/src/client/error.rs
@@ -1,8 +1,8 @@
 //! Errors of the client.
 
+use crate::http::HttpResponse;
 use crate::protocol::refusal::{Ran, Refusal};
 use std::fmt;
-use trillium_client::Conn;
 
 /// The reason why a request returned no answer.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -41,27 +41,22 @@
 
 impl std::error::Error for CallError {}
 
-/// Tells whether the status of a response is 2xx.
-pub(super) fn is_success(conn: &Conn) -> bool {
-    conn.status().is_some_and(|status| status.is_success())
-}
-
-/// Returns an error unless the status of a response is 2xx.
-pub(super) fn check_status(conn: &Conn, body: &str) -> Result<(), CallError> {
-    match is_success(conn) {
-        true => Ok(()),
-        false => Err(parse_refusal(conn, body)),
-    }
+/// Tells whether a status is 2xx.
+pub(super) fn is_success(status: u16) -> bool {
+    (200..300).contains(&status)
 }
 
 /// Converts the body of an unsuccessful response into an error.
-pub(super) fn parse_refusal(conn: &Conn, body: &str) -> CallError {
-    match serde_json::from_str(body) {
+pub(super) fn parse_refusal(response: &HttpResponse) -> CallError {
+    match serde_json::from_slice(&response.body) {
         Ok(refusal) => CallError::Refused(refusal),
         Err(_) => CallError::Unreadable(format!(
-            "status {:?} with body {:?}",
-            conn.status(),
-            body.chars().take(200).collect::<String>()
+            "status {} with body {:?}",
+            response.status,
+            String::from_utf8_lossy(&response.body)
+                .chars()
+                .take(200)
+                .collect::<String>()
         )),
     }
 }
--- a/src/client/mod.rs
+++ b/src/client/mod.rs
@@ -18,7 +18,10 @@
 pub use retry::{RetryDeadline, RetryOutcome};
 pub use stream::{AnswerStream, StreamEvent};
 
+use crate::http::connector::LimitedConnector;
+use crate::http::{self, HttpResponse};
 use crate::ids::{CallId, ProgramId, format_id};
+use crate::limits::{MAX_ANSWER_BYTES, MAX_CALL_ANSWER_BYTES, MAX_ENTRY_ANSWER_BYTES};
 use crate::protocol::caller::{
     CallAnswer, CallRequest, HistoryAnswer, ProgramAnswer, ProgramRequest, ReceiptRequest,
     TurnAnswer,
@@ -37,9 +40,6 @@
 /// Request bodies up to this size are sent without asking the server first (`Expect: 100-continue`).
 const MAX_DIRECT_BODY_BYTES: usize = 16 << 20;
 
-/// Largest response body that is read.
-const MAX_RESPONSE_BYTES: u64 = 64 << 20;
-
 /// Time after which an idle pooled connection is closed.
 const IDLE_TIMEOUT: Duration = Duration::from_secs(5);
 
@@ -105,7 +105,8 @@
     /// Creates a client for a list of entries, each `IP:port`. It uses the first until that fails.
     pub fn new(entries: impl IntoIterator<Item = String>, token: &str) -> Self {
         let config = ClientConfig::default().with_nodelay(true);
-        let mut pooled = trillium_client::Client::new(config);
+        let connector = LimitedConnector::new(config, MAX_ENTRY_ANSWER_BYTES);
+        let mut pooled = trillium_client::Client::new(connector);
         pooled.set_max_buffered_request_body(MAX_DIRECT_BODY_BYTES);
         pooled.set_h1_idle_timeout(Some(IDLE_TIMEOUT));
         Self {
@@ -137,7 +138,8 @@
     /// Creates a program.
     pub async fn create(&self, request: &ProgramRequest) -> Result<ProgramAnswer, CallError> {
         let conn = self.build(Method::Post, "/v1/programs", Some(to_json(request)?));
-        self.fetch(conn, self.timeouts.reply).await
+        self.fetch(conn, self.timeouts.reply, MAX_ANSWER_BYTES)
+            .await
     }
 
     /// Runs a call and waits for its whole answer.
@@ -149,7 +151,9 @@
         let unstreamed = request.clone().streamed(false);
         let path = format!("/v1/programs/{}/calls", format_id(program));
         let conn = self.build(Method::Post, &path, Some(to_json(&unstreamed)?));
-        let answer: CallAnswer = self.fetch(conn, self.timeouts.answer).await?;
+        let answer: CallAnswer = self
+            .fetch(conn, self.timeouts.answer, MAX_CALL_ANSWER_BYTES)
+            .await?;
         Ok(answer.into())
     }
 
@@ -161,8 +165,10 @@
     ) -> Result<AnswerStream, CallError> {
         let streamed = request.clone().streamed(true);
         let path = format!("/v1/programs/{}/calls", format_id(program));
-        self.open(Method::Post, &path, Some(to_json(&streamed)?))
-            .await
+        let stream = self
+            .open(Method::Post, &path, Some(to_json(&streamed)?))
+            .await?;
+        Ok(stream.limited_by(request))
     }
 
     /// Reads the answer of an earlier call as a stream that starts at token `from`.
@@ -182,7 +188,9 @@
         let (program, call) = (format_id(program), format_id(call));
         let path = format!("/v1/programs/{program}/calls/{call}");
         let conn = self.build(Method::Get, &path, None);
-        let answer: CallAnswer = self.fetch(conn, self.timeouts.answer).await?;
+        let answer: CallAnswer = self
+            .fetch(conn, self.timeouts.answer, MAX_CALL_ANSWER_BYTES)
+            .await?;
         Ok(answer.into())
     }
 
@@ -190,7 +198,9 @@
     pub async fn history(&self, program: ProgramId) -> Result<Vec<TurnAnswer>, CallError> {
         let path = format!("/v1/programs/{}/history", format_id(program));
         let conn = self.build(Method::Get, &path, None);
-        let history: HistoryAnswer = self.fetch(conn, self.timeouts.reply).await?;
+        let history: HistoryAnswer = self
+            .fetch(conn, self.timeouts.reply, MAX_ENTRY_ANSWER_BYTES)
+            .await?;
         Ok(history.turns)
     }
 
@@ -202,7 +212,8 @@
             receipt: receipt.to_owned(),
         };
         let conn = self.build(Method::Post, &path, Some(to_json(&body)?));
-        self.exchange(conn, self.timeouts.reply).await?;
+        self.exchange(conn, self.timeouts.reply, MAX_ANSWER_BYTES)
+            .await?;
         Ok(())
     }
 
@@ -219,7 +230,8 @@
     async fn post_program_action(&self, program: ProgramId, action: &str) -> Result<(), CallError> {
         let path = format!("/v1/programs/{}/{action}", format_id(program));
         let conn = self.build(Method::Post, &path, None);
-        self.exchange(conn, self.timeouts.reply).await?;
+        self.exchange(conn, self.timeouts.reply, MAX_ANSWER_BYTES)
+            .await?;
         Ok(())
     }
 
@@ -274,19 +286,27 @@
         &self,
         conn: Conn,
         timeout: Duration,
+        max_bytes: u64,
     ) -> Result<T, CallError> {
-        let body = self.exchange(conn, timeout).await?;
+        let body = self.exchange(conn, timeout, max_bytes).await?;
         serde_json::from_str(&body).map_err(|error| CallError::Unreadable(error.to_string()))
     }
 
     /// Sends a request and returns the body of a successful response.
-    async fn exchange(&self, conn: Conn, timeout: Duration) -> Result<String, CallError> {
+    async fn exchange(
+        &self,
+        conn: Conn,
+        timeout: Duration,
+        max_bytes: u64,
+    ) -> Result<String, CallError> {
         let exchange = async {
-            let mut conn = conn.await.map_err(CallError::broken)?;
-            let body = conn.response_body().with_max_len(MAX_RESPONSE_BYTES);
-            let text = body.read_string().await.map_err(CallError::broken)?;
-            error::check_status(&conn, &text)?;
-            Ok(text)
+            let body = http::open(conn).await.map_err(CallError::broken)?;
+            let response = body.read_whole(max_bytes).await;
+            let response = response.map_err(CallError::broken)?;
+            match error::is_success(response.status) {
+                true => read_text(response),
+                false => Err(error::parse_refusal(&response)),
+            }
         };
         self.with_timeout(exchange, timeout).await
     }
@@ -300,13 +320,12 @@
     ) -> Result<AnswerStream, CallError> {
         let conn = self.build_with(&self.unpooled, method, path, body);
         let opened = async {
-            let mut conn = conn.await.map_err(CallError::broken)?;
-            if error::is_success(&conn) {
-                return AnswerStream::new(conn, self.timeouts);
+            let body = http::open(conn).await.map_err(CallError::broken)?;
+            if error::is_success(body.status) {
+                return Ok(AnswerStream::new(body, self.timeouts));
             }
-            let body = conn.response_body().with_max_len(MAX_RESPONSE_BYTES);
-            let text = body.read_string().await.map_err(CallError::broken)?;
-            Err(error::parse_refusal(&conn, &text))
+            let response = body.read_whole(MAX_ANSWER_BYTES).await;
+            Err(error::parse_refusal(&response.map_err(CallError::broken)?))
         };
         self.with_timeout(opened, self.timeouts.silence).await
     }
@@ -329,6 +348,10 @@
     }
 }
 
+fn read_text(response: HttpResponse) -> Result<String, CallError> {
+    String::from_utf8(response.body).map_err(|error| CallError::Unreadable(error.to_string()))
+}
+
 fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
     mutex.lock().unwrap_or_else(PoisonError::into_inner)
 }
--- a/src/client/retry.rs
+++ b/src/client/retry.rs
@@ -172,7 +172,10 @@
     async fn stream_or_resume(&mut self) -> Result<Answer, CallError> {
         let from = self.collector.next_index();
         let mut stream = match self.call {
-            Some(call) => self.client.resume(self.program, call, from).await?,
+            Some(call) => {
+                let resumed = self.client.resume(self.program, call, from).await?;
+                resumed.limited_by(self.request)
+            }
             None => {
                 self.collector.restart();
                 self.client.stream(self.program, self.request).await?
--- a/src/client/sse.rs
+++ b/src/client/sse.rs
@@ -1,15 +1,10 @@
 //! Parser of server-sent events.
 
-use futures_lite::{AsyncRead, AsyncReadExt};
+use crate::http::{HttpBody, HttpError};
+use crate::limits::{MAX_CALL_ANSWER_BYTES, MAX_EVENT_BYTES};
 use std::collections::VecDeque;
 use std::io;
 
-/// Size of the read buffer.
-const READ_BYTES: usize = 16 << 10;
-
-/// Largest size of a line and the data of its event together.
-const MAX_EVENT_BYTES: usize = 64 << 20;
-
 /// A server-sent event.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub(super) struct SseEvent {
@@ -25,6 +20,8 @@
     line: Vec<u8>,
     event: SseEvent,
     ready: VecDeque<SseEvent>,
+    /// Bytes of the lines without data since the last event.
+    ignored_bytes: usize,
 }
 
 impl SseParser {
@@ -32,7 +29,8 @@
     pub(super) fn feed(&mut self, bytes: &[u8]) -> io::Result<()> {
         for part in bytes.split_inclusive(|&byte| byte == b'\n') {
             self.line.extend_from_slice(part);
-            if self.line.len() + self.event.data.len() > MAX_EVENT_BYTES {
+            let event_bytes = self.line.len() + self.event.data.len();
+            if event_bytes as u64 > MAX_CALL_ANSWER_BYTES || self.ignored_bytes > MAX_EVENT_BYTES {
                 return Err(io::Error::new(io::ErrorKind::InvalidData, "event too long"));
             }
             if part.ends_with(b"\n") {
@@ -53,6 +51,7 @@
             .map_err(|error| io::Error::new(io::ErrorKind::InvalidData, error))?
             .trim_end_matches(['\n', '\r']);
         if line.is_empty() {
+            self.ignored_bytes += 1;
             self.finish_event();
             return Ok(());
         }
@@ -61,7 +60,7 @@
         match field {
             "event" => self.event.name = value.to_owned(),
             "data" => self.add_data(value),
-            _ => {}
+            _ => self.ignored_bytes += line.len() + 1,
         }
         Ok(())
     }
@@ -76,6 +75,7 @@
     fn finish_event(&mut self) {
         let event = std::mem::take(&mut self.event);
         if event != SseEvent::default() {
+            self.ignored_bytes = 0;
             self.ready.push_back(event);
         }
     }
@@ -83,32 +83,33 @@
 
 /// Reads events from a response body.
 #[derive(Debug)]
-pub(super) struct SseReader<R> {
-    body: R,
+pub(super) struct SseReader {
+    body: HttpBody,
     parser: SseParser,
     buf: Vec<u8>,
 }
 
-impl<R: AsyncRead + Unpin> SseReader<R> {
-    pub(super) fn new(body: R) -> Self {
+impl SseReader {
+    pub(super) fn new(body: HttpBody) -> Self {
         Self {
             body,
             parser: SseParser::default(),
-            buf: vec![0; READ_BYTES],
+            buf: Vec::new(),
         }
     }
 
     /// Waits for the next event; `None` at the end of the body.
-    pub(super) async fn next(&mut self) -> io::Result<Option<SseEvent>> {
+    pub(super) async fn next(&mut self) -> Result<Option<SseEvent>, HttpError> {
         loop {
             if let Some(event) = self.parser.next() {
                 return Ok(Some(event));
             }
-            let len = self.body.read(&mut self.buf).await?;
-            if len == 0 {
+            self.buf.clear();
+            if self.body.read_some(&mut self.buf).await? == 0 {
                 return Ok(None);
             }
-            self.parser.feed(&self.buf[..len])?;
+            let parsed = self.parser.feed(&self.buf);
+            parsed.map_err(|error| HttpError::Failed(error.to_string()))?;
         }
     }
 }
--- a/src/client/stream.rs
+++ b/src/client/stream.rs
@@ -2,13 +2,14 @@
 
 use super::sse::{SseEvent, SseReader};
 use super::{CallError, Timeouts};
+use crate::http::HttpBody;
 use crate::ids::CallId;
-use crate::protocol::caller::{AcceptedEvent, CallAnswer, TokensEvent};
+use crate::limits::{MAX_EXTRA_EVENTS, MAX_STREAMED_RUNS};
+use crate::protocol::caller::{AcceptedEvent, CallAnswer, CallRequest, TokensEvent};
 use crate::protocol::link::{Answer, Tokens};
 use futures_lite::FutureExt;
 use serde::de::DeserializeOwned;
 use smol::Timer;
-use trillium_client::{Conn, ResponseBody};
 
 /// An event of a streamed answer.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -26,22 +27,29 @@
 /// The streamed answer of a call. Dropping it closes its connection.
 #[derive(Debug)]
 pub struct AnswerStream {
-    reader: SseReader<ResponseBody<'static>>,
+    reader: SseReader,
     timeouts: Timeouts,
+    /// Number of events that may still be received; `None` if the call does not limit its tokens.
+    remaining_events: Option<u64>,
     is_finished: bool,
 }
 
 impl AnswerStream {
-    pub(super) fn new(mut conn: Conn, timeouts: Timeouts) -> Result<Self, CallError> {
-        let body = conn
-            .take_response_body()
-            .ok_or_else(|| CallError::Unreadable("no body".to_owned()))?
-            .with_max_len(super::MAX_RESPONSE_BYTES);
-        Ok(Self {
+    pub(super) fn new(body: HttpBody, timeouts: Timeouts) -> Self {
+        Self {
             reader: SseReader::new(body),
             timeouts,
+            remaining_events: None,
             is_finished: false,
-        })
+        }
+    }
+
+    /// Limits the events by the most tokens of the call.
+    pub(super) fn limited_by(mut self, request: &CallRequest) -> Self {
+        self.remaining_events = request.max_tokens.map(|max_tokens| {
+            (u64::from(max_tokens) + MAX_EXTRA_EVENTS).saturating_mul(MAX_STREAMED_RUNS)
+        });
+        self
     }
 
     /// Waits for the next event; `None` after [`StreamEvent::Done`] or an error.
@@ -68,12 +76,24 @@
             Err(CallError::Broken(format!("no event within {silence:?}")))
         };
         match event.or(expired).await? {
-            Some(event) => parse(&event),
+            Some(event) => {
+                self.count_event()?;
+                parse(&event)
+            }
             None => Err(CallError::Broken(
                 "the stream ended before its last event".to_owned(),
             )),
         }
     }
+
+    fn count_event(&mut self) -> Result<(), CallError> {
+        if let Some(remaining) = &mut self.remaining_events {
+            *remaining = remaining.checked_sub(1).ok_or_else(|| {
+                CallError::Broken("more events than the call has tokens".to_owned())
+            })?;
+        }
+        Ok(())
+    }
 }
 
 fn parse(event: &SseEvent) -> Result<StreamEvent, CallError> {
--- a/src/limits.rs
+++ b/src/limits.rs
@@ -35,3 +35,14 @@
 
 /// Maximum size of an answer of an entry to a caller or an operator.
 pub(crate) const MAX_ENTRY_ANSWER_BYTES: u64 = 32 << 20;
+
+/// Maximum size of the answer of one call, as a whole or as the last event of a stream. The text of an
+/// endpoint's answer is escaped in it.
+pub(crate) const MAX_CALL_ANSWER_BYTES: u64 = 2 * MAX_ANSWER_BYTES + MAX_ANSWER_HEAD_BYTES;
+
+/// Number of events beyond the most tokens of a generation that are still read, for events without
+/// tokens such as a closing one.
+pub(crate) const MAX_EXTRA_EVENTS: u64 = 8;
+
+/// Maximum number of runs of one call whose tokens an entry sends to a caller.
+pub(crate) const MAX_STREAMED_RUNS: u64 = 16;
