Stop a generation whose engine sends more than the call allows

An engine that sent more tokens than the call's most tokens was believed: the sidecar kept and passed on 89,233 tokens of a call that allowed 8, until the 4 MiB of a stream, and resumed the stream four times (2.2 s until the caller's refusal). Events without tokens counted as progress and were read as long (1.7 s).

A stream may now carry as many events as the call has tokens, and 8 more for events without tokens; a token beyond that position ends it too. The generation is not resumed but cancelled at the engine and refused as failed at its endpoint, with a warning in the log, so that the owner may run the call elsewhere.

--- a/src/sidecar/generation.rs
+++ b/src/sidecar/generation.rs
@@ -3,6 +3,7 @@
 use crate::coordination::admission::Cost;
 use crate::coordination::cache::CacheReleases;
 use crate::ids::{CallId, ProgramId};
+use crate::limits::MAX_EXTRA_EVENTS;
 use crate::protocol::engine::{
     Engine, EngineError, EngineEvent, EngineStream, EngineUsage, GenerateRequest,
 };
@@ -58,6 +59,8 @@
     Stopped,
     Engine(EngineError),
     Stalled,
+    /// The engine sent more tokens or events than the call allows.
+    TooLong,
 }
 
 impl GenerationError {
@@ -65,6 +68,7 @@
         match self {
             Self::Stopped => Refusal::not_run(RefusalCode::Ended, "The call was cancelled."),
             Self::Stalled => refuse_failed("The engine stopped sending."),
+            Self::TooLong => refuse_failed("The engine sent more than the call allows."),
             Self::Engine(e) => refuse_failed(&e.to_string()),
         }
     }
@@ -204,14 +208,26 @@
         slot: &mut AdmissionSlot<'_>,
     ) -> Result<EngineUsage, GenerationError> {
         let call = request.call;
+        let max_tokens = request.max_tokens;
         let started = Instant::now();
         let mut opened = engine.generate(request.clone()).await;
         for _ in 0..REOPENS_MAX {
             let error = match opened {
-                Ok(stream) => match self.read_stream(stream, generation, slot, started).await {
-                    Ok(usage) => return Ok(usage),
-                    Err(failure) => failure,
-                },
+                Ok(stream) => {
+                    let allowance = StreamAllowance::new(max_tokens);
+                    let read = self.read_stream(stream, allowance, generation, slot, started);
+                    match read.await {
+                        Err(GenerationError::TooLong) => {
+                            log::warn!(
+                                target: "sidecar",
+                                "sidecar: engine sent more than {max_tokens} tokens for a call; stopping it"
+                            );
+                            return Err(GenerationError::TooLong);
+                        }
+                        Err(failure) => failure,
+                        usage => return usage,
+                    }
+                }
                 Err(EngineError::Refused(reason)) => {
                     return Err(GenerationError::Engine(EngineError::Refused(reason)));
                 }
@@ -236,6 +252,7 @@
     async fn read_stream(
         &self,
         mut stream: E::Stream,
+        mut allowance: StreamAllowance,
         generation: &Generation,
         slot: &mut AdmissionSlot<'_>,
         started: Instant,
@@ -266,6 +283,7 @@
                     tokens,
                     text,
                 } => {
+                    allowance.take(index.saturating_add(tokens))?;
                     self.record_token_timing(&mut last, tokens, slot, started);
                     let chunk = Tokens {
                         index,
@@ -302,6 +320,32 @@
     }
 }
 
+/// What an engine may still send on one stream.
+struct StreamAllowance {
+    events: u64,
+    /// Largest position after a token.
+    max_end: u64,
+}
+
+impl StreamAllowance {
+    fn new(max_tokens: u32) -> Self {
+        let events = u64::from(max_tokens) + MAX_EXTRA_EVENTS;
+        Self {
+            events,
+            max_end: events,
+        }
+    }
+
+    /// Takes one event whose last token ends at `end`.
+    fn take(&mut self, end: u32) -> Result<(), GenerationError> {
+        if self.events == 0 || u64::from(end) > self.max_end {
+            return Err(GenerationError::TooLong);
+        }
+        self.events -= 1;
+        Ok(())
+    }
+}
+
 /// Marks a program's cache as in use by a call, until dropped.
 struct InUseGuard<'a> {
     releases: &'a Mutex<CacheReleases>,
