Break a link whose other end ignores the flow control

A node holds the events of a stream that its reader has not read yet.

An event beyond the window breaks the link, like a message out of sequence.

--- a/src/transport/link.rs
+++ b/src/transport/link.rs
@@ -6,6 +6,8 @@
 
 mod connection;
 mod exchange;
+#[cfg(test)]
+mod tests;
 mod traffic;
 
 pub(crate) use connection::{Context, accept, dial};
--- a/src/transport/link/connection.rs
+++ b/src/transport/link/connection.rs
@@ -2,7 +2,7 @@
 
 use super::{
     Frame, FrameOf, Inbound, Link, LinkTiming, MAX_FRAME_BYTES, Protocol, RequestHandler,
-    Responder, Shared, Traffic,
+    Responder, Shared, Traffic, WINDOW_EVENTS,
 };
 use crate::transport::handshake::{HandshakeError, Identity, Remote, Side, perform_handshake};
 use crate::transport::spawn::Spawner;
@@ -343,8 +343,11 @@
     if local.sequence != sequence {
         return Err(CloseReason::Malformed("message out of sequence"));
     }
-    local.sequence += 1;
     let is_last = matches!(message, Inbound::Reply(_));
+    if !is_last && local.tx.len() >= WINDOW_EVENTS as usize {
+        return Err(CloseReason::Malformed("more events than granted"));
+    }
+    local.sequence += 1;
     let _ = local.tx.try_send(message);
     if is_last {
         streams.remove(&stream);
--- a/src/transport/link/exchange.rs
+++ b/src/transport/link/exchange.rs
@@ -76,8 +76,8 @@
 
 /// Sends the response to one request.
 pub(crate) struct Responder<P: Protocol> {
-    shared: Arc<Shared<P>>,
-    stream: u64,
+    pub(super) shared: Arc<Shared<P>>,
+    pub(super) stream: u64,
     sequence: u32,
     credit: u32,
     credit_rx: Receiver<u32>,
