Limit what a node reads before a link's handshake is complete

An acceptor read the first message of any connection up to the size of a frame, 32 MiB, before the other end had proved to belong to the deployment: a sender without the secret could send 33,488,896 bytes of it, all held.

The connection of a link reads 256 KiB at most until the handshake is complete, of which the handshake takes some 1 KiB and the rest is for frames that are read ahead.

--- a/src/limits.rs
+++ b/src/limits.rs
@@ -46,3 +46,7 @@
 
 /// Maximum number of runs of one call whose tokens an entry sends to a caller.
 pub(crate) const MAX_STREAMED_RUNS: u64 = 16;
+
+/// Maximum number of bytes that are read until the other end of a link has proved that it belongs to
+/// the deployment. The messages of the handshake have some 1 KiB; the rest is for what is read ahead.
+pub(crate) const MAX_HANDSHAKE_BYTES: u64 = 256 << 10;
--- a/src/transport/handshake.rs
+++ b/src/transport/handshake.rs
@@ -1,6 +1,7 @@
 //! The link handshake: both ends exchange their identities and prove that they know the
 //! deployment's secret.
 
+use crate::limits::LimitedStream;
 use async_tungstenite::WebSocketStream;
 use async_tungstenite::tungstenite::Message;
 use futures_lite::StreamExt;
@@ -103,7 +104,7 @@
     }
 }
 
-type Socket = WebSocketStream<TcpStream>;
+type Socket = WebSocketStream<LimitedStream<TcpStream>>;
 
 /// Performs the handshake and returns the identity of the other end.
 pub(crate) async fn perform_handshake(
--- a/src/transport/link/connection.rs
+++ b/src/transport/link/connection.rs
@@ -4,6 +4,7 @@
     Frame, FrameOf, Inbound, Link, LinkTiming, MAX_FRAME_BYTES, Protocol, RequestHandler,
     Responder, Shared, Traffic, WINDOW_EVENTS,
 };
+use crate::limits::{LimitedStream, MAX_HANDSHAKE_BYTES};
 use crate::transport::handshake::{HandshakeError, Identity, Remote, Side, perform_handshake};
 use crate::transport::spawn::Spawner;
 use async_channel::Receiver;
@@ -24,6 +25,9 @@
 /// Pause after a failed accept, so that a lack of file descriptors does not cause a busy loop.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
 
+/// The connection of a link, with a limit until the handshake is complete.
+type LinkStream = LimitedStream<TcpStream>;
+
 /// Everything a link needs besides its socket.
 #[derive(Clone)]
 pub(crate) struct Context<H> {
@@ -48,6 +52,7 @@
         let tcp = TcpStream::connect(address).await;
         let tcp = tcp.map_err(|e| HandshakeError::Io(e.to_string()))?;
         set_nodelay(&tcp);
+        let tcp = LimitedStream::new(tcp, MAX_HANDSHAKE_BYTES);
         let url = format!("ws://{address}/link");
         let upgraded =
             async_tungstenite::client_async_with_config(url, tcp, Some(websocket_config())).await;
@@ -88,6 +93,7 @@
     context: &Context<H>,
 ) -> Result<(), HandshakeError> {
     set_nodelay(&tcp);
+    let tcp = LimitedStream::new(tcp, MAX_HANDSHAKE_BYTES);
     let accept_link = async {
         let upgraded =
             async_tungstenite::accept_async_with_config(tcp, Some(websocket_config())).await;
@@ -123,7 +129,7 @@
 }
 
 fn spawn_link<P: Protocol, H: RequestHandler<P>>(
-    socket: WebSocketStream<TcpStream>,
+    mut socket: WebSocketStream<LinkStream>,
     remote: Remote,
     context: &Context<H>,
 ) -> Link<P> {
@@ -136,6 +142,7 @@
         remote_streams: Mutex::default(),
         last_received: Mutex::new(Instant::now()),
     }));
+    socket.get_mut().set_limit(u64::MAX);
     let (sender, receiver) = socket.split();
     let timing = context.timing;
     let writer_link = link.clone();
@@ -157,7 +164,7 @@
 }
 
 async fn write<P: Protocol>(
-    mut socket: WebSocketSender<TcpStream>,
+    mut socket: WebSocketSender<LinkStream>,
     queue: Receiver<Vec<u8>>,
     link: &Link<P>,
     timing: LinkTiming,
@@ -221,7 +228,7 @@
 }
 
 async fn read<P: Protocol, H: RequestHandler<P>>(
-    mut socket: WebSocketReceiver<TcpStream>,
+    mut socket: WebSocketReceiver<LinkStream>,
     link: &Link<P>,
     context: &Context<H>,
 ) -> CloseReason {
--- a/src/transport/link/tests.rs
+++ b/src/transport/link/tests.rs
@@ -7,10 +7,17 @@
 use googletest::prelude::*;
 use smol::Timer;
 use smol::net::TcpListener;
-use std::net::SocketAddr;
+use std::io::{Read, Write};
+use std::net::{SocketAddr, TcpStream};
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
+/// Length of the first message of an end that floods.
+const MESSAGE_BYTES: u32 = 32 << 20;
+
+/// Most bytes of it that may be accepted; the sockets' buffers take most of them.
+const ACCEPTED_LIMIT_BYTES: usize = 12 << 20;
+
 /// Time within which a flood must be cut off.
 const CUT_LIMIT: Duration = Duration::from_secs(2);
 
@@ -95,3 +102,36 @@
         expect_that!(events, le(WINDOW_EVENTS));
     });
 }
+
+/// Upgrades a connection and sends the start of a large message until the other end closes it. Returns
+/// the number of bytes sent.
+fn send_large_message(address: SocketAddr) -> usize {
+    let mut stream = TcpStream::connect(address).unwrap();
+    stream.set_write_timeout(Some(CUT_LIMIT)).unwrap();
+    let upgrade = "GET /link HTTP/1.1\r\nHost: x\r\nConnection: Upgrade\r\nUpgrade: websocket\r\n\
+                   Sec-WebSocket-Version: 13\r\n\
+                   Sec-WebSocket-Key: dGhlIHNhbXBsZSBub25jZQ==\r\n\r\n";
+    stream.write_all(upgrade.as_bytes()).unwrap();
+    let _ = stream.read(&mut [0; 4096]).unwrap();
+    // A masked binary message with a length of 64 bits.
+    let mut header = vec![0x82, 0xff];
+    header.extend_from_slice(&u64::from(MESSAGE_BYTES).to_be_bytes());
+    header.extend_from_slice(&[0; 4]);
+    stream.write_all(&header).unwrap();
+    let block = [0; 64 << 10];
+    let mut sent_bytes = 0;
+    while sent_bytes + block.len() < MESSAGE_BYTES as usize && stream.write_all(&block).is_ok() {
+        sent_bytes += block.len();
+    }
+    sent_bytes
+}
+
+// Guards against an end that has proved nothing yet filling the memory of a node.
+#[gtest]
+fn a_handshake_with_a_large_message_is_rejected() {
+    let runtime = Runtime::start("link", 2).unwrap();
+    let address = smol::block_on(start_acceptor(&runtime));
+    let sent_bytes = send_large_message(address);
+    println!("{sent_bytes} bytes");
+    expect_that!(sent_bytes, lt(ACCEPTED_LIMIT_BYTES));
+}
