Show that the client library resumes a stream without a gap wherever it breaks

It does, no code is changed: an entry's answer of three parts is broken off after each of its bytes, once and twice in a row, and each time the whole answer is received, no token is missing or repeated, and the text is the final one.

--- a/src/client/tests.rs
+++ b/src/client/tests.rs
@@ -1,7 +1,9 @@
 //! Tests of the event parser, the collector and the retries.
 
 use super::sse::SseParser;
-use super::{CallError, Client, Collector, RetryDeadline, StreamEvent, StreamFault, Timeouts};
+use super::{
+    CallError, Client, Collector, RetryDeadline, RetryOutcome, StreamEvent, StreamFault, Timeouts,
+};
 use crate::protocol::caller::{CallRequest, ProgramRequest};
 use crate::protocol::engine::EngineUsage;
 use crate::protocol::link::{Answer, Durability, Tokens};
@@ -235,3 +237,85 @@
     expect_that!(outcome.requests_sent, eq(1));
     expect_that!(outcome.result, err(matches_pattern!(CallError::Broken(_))));
 }
+
+/// Length of the token parts of the streamed answer, which a resume may split.
+const PART_TOKENS: usize = 3;
+
+/// Returns the answer of an entry for a stream from a token on, with one letter a token.
+fn streamed_answer(content: &str, from: usize) -> String {
+    let mut body =
+        "event: accepted\ndata: {\"call\":\"00000000000000000000000000000001\"}\n\n".to_owned();
+    for index in (from..content.len()).step_by(PART_TOKENS) {
+        let text = &content[index..content.len().min(index + PART_TOKENS)];
+        let count = text.len();
+        body.push_str(&format!(
+            "event: tokens\ndata: {{\"index\":{index},\"count\":{count},\"text\":\"{text}\"}}\n\n"
+        ));
+    }
+    let done = serde_json::to_string(&crate::protocol::caller::CallAnswer::from(answer(content)));
+    body.push_str(&format!("event: done\ndata: {}\n\n", done.unwrap()));
+    body
+}
+
+/// Returns the token from which a request resumes a stream; 0 for the first request.
+fn resumed_from(head: &str) -> usize {
+    let from = head
+        .split_once("from=")
+        .and_then(|(_, rest)| rest.split(['&', ' ']).next());
+    from.map_or(0, |from| from.parse().unwrap())
+}
+
+/// Answers requests for a stream, and breaks off each answer but the last after `length` bytes.
+async fn serve_broken(listener: TcpListener, content: &'static str, length: usize, breaks: usize) {
+    for attempt in 0.. {
+        let (mut conn, _) = listener.accept().await.unwrap();
+        let mut buf = [0; 8192];
+        let count = conn.read(&mut buf).await.unwrap();
+        let from = resumed_from(&String::from_utf8_lossy(&buf[..count]));
+        let mut text = events(&streamed_answer(content, from));
+        if attempt < breaks {
+            text.truncate(length);
+        }
+        conn.write_all(text.as_bytes()).await.unwrap();
+        conn.flush().await.unwrap();
+    }
+}
+
+/// Streams an answer that breaks off, and returns the whole outcome.
+async fn stream_broken(
+    content: &'static str,
+    length: usize,
+    breaks: usize,
+) -> RetryOutcome<Answer> {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let client = Client::new([listener.local_addr().unwrap().to_string()], "t");
+    let server = smol::spawn(serve_broken(listener, content, length, breaks));
+    let call = CallRequest::model("m", vec![], 8).key("k");
+    let deadline = RetryDeadline::after(Duration::from_secs(20));
+    let outcome = client.stream_with_retry(1, &call, deadline).await;
+    server.cancel().await;
+    outcome
+}
+
+// Guards against a resumed stream with a token that is missing or received twice, wherever it broke off.
+#[gtest]
+fn a_stream_that_breaks_off_anywhere_is_resumed_without_a_gap() {
+    const CONTENT: &str = "abcdefgh";
+    const AT_ONCE: usize = 64;
+    let whole_bytes = events(&streamed_answer(CONTENT, 0)).len();
+    let cases: Vec<_> = (0..whole_bytes)
+        .flat_map(|length| [(length, 1), (length, 2)])
+        .collect();
+    for cases in cases.chunks(AT_ONCE) {
+        let streams = cases
+            .iter()
+            .map(|&(length, breaks)| smol::spawn(stream_broken(CONTENT, length, breaks)));
+        let outcomes = smol::block_on(futures_util::future::join_all(streams));
+        for ((length, breaks), outcome) in cases.iter().zip(outcomes) {
+            let case = format!("{length} bytes, {breaks} breaks");
+            expect_that!(outcome.fault, none(), "{case}");
+            let content = outcome.result.map(|answer| answer.content);
+            expect_that!(content, ok(eq(CONTENT)), "{case}");
+        }
+    }
+}
