Move the events of a partition's driver into a module of their own

The events, the wait for the next one and the time limit of log calls are now in event.rs; no code is changed.

--- a/src/coordination/partition.rs
+++ b/src/coordination/partition.rs
@@ -5,6 +5,7 @@
 mod config;
 mod core;
 mod driver;
+mod event;
 mod reader;
 mod snapshots;
 #[cfg(test)]
--- a/src/coordination/partition/driver.rs
+++ b/src/coordination/partition/driver.rs
@@ -3,6 +3,7 @@
 use super::Shared;
 use super::clock::LogClock;
 use super::core::Core;
+use super::event::{Event, next_event, with_timeout};
 use super::reader::{self, BatchEntries, Start};
 use super::snapshots::SnapshotWriter;
 use crate::coordination::commit::{CommitEffect, GroupCommit, decode, encode};
@@ -13,8 +14,7 @@
 use crate::state::history::HistoryError;
 use crate::state::partition::{Owner, PartitionState};
 use async_channel::{Receiver, Sender};
-use futures_lite::future;
-use smol::{Task, Timer};
+use smol::Task;
 use std::collections::BTreeSet;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
@@ -26,22 +26,6 @@
 /// still store the claim.
 const UNANSWERED_CLAIM_WINDOW: Duration = Duration::from_secs(60);
 
-/// Event that wakes the driver.
-enum Event {
-    /// The last handle was dropped.
-    Closed,
-    /// A handle changed something, or a timer expired.
-    Wake,
-    /// An append got its result.
-    Appended(Result<Offset, LogError>),
-    /// The read with this number got its result.
-    PageRead(u64, Result<LogPage, LogError>),
-    /// The search with this number for the place to start got its result.
-    StartFound(u64, Result<Start, LogError>),
-    /// The batches whose turn bodies a snapshot relocates were read, or could not be.
-    BatchesRead(BTreeSet<Offset>, Result<BatchEntries, HistoryError>),
-}
-
 /// The append in flight.
 struct AppendInFlight {
     record: Vec<u8>,
@@ -477,30 +461,3 @@
         }
     }
 }
-
-async fn next_event(wake_rx: &Receiver<()>, events: &Receiver<Event>, wake_at: Instant) -> Event {
-    let wake_rx = async {
-        match wake_rx.recv().await {
-            Ok(()) => Event::Wake,
-            Err(_) => Event::Closed,
-        }
-    };
-    let event = async { events.recv().await.unwrap_or(Event::Closed) };
-    let tick = async {
-        Timer::at(wake_at).await;
-        Event::Wake
-    };
-    future::or(event, future::or(wake_rx, tick)).await
-}
-
-/// Fails a log call that gets no answer within `limit`.
-async fn with_timeout<T>(
-    limit: Duration,
-    call: impl Future<Output = Result<T, LogError>>,
-) -> Result<T, LogError> {
-    let timeout = async {
-        Timer::after(limit).await;
-        Err(LogError::Unavailable("no answer in time".to_owned()))
-    };
-    future::or(call, timeout).await
-}
