--- a/src/client/error.rs
+++ b/src/client/error.rs
@@ -1,9 +1,8 @@
 //! Errors of the client.
 
+use crate::http::{HttpError, HttpResponse};
 use crate::protocol::refusal::{Ran, Refusal};
 use std::fmt;
-use std::io::ErrorKind;
-use trillium_client::Conn;
 
 /// The reason why a request returned no answer.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -32,14 +31,11 @@
         Self::Broken(error.to_string())
     }
 
-    /// Converts the error of an exchange that has received no response. Only an attempt to connect
-    /// is refused by the operating system.
-    pub(super) fn unanswered(error: trillium_client::Error) -> Self {
-        match &error {
-            trillium_client::Error::Io(io) if io.kind() == ErrorKind::ConnectionRefused => {
-                Self::Unreachable(error.to_string())
-            }
-            _ => Self::broken(error),
+    /// Converts the error of an exchange that has received no response.
+    pub(super) fn unanswered(error: HttpError) -> Self {
+        match error {
+            HttpError::Refused(reason) => Self::Unreachable(reason),
+            error => Self::broken(error),
         }
     }
 
@@ -62,27 +58,22 @@
 
 impl std::error::Error for CallError {}
 
-/// Tells whether the status of a response is 2xx.
-pub(super) fn is_success(conn: &Conn) -> bool {
-    conn.status().is_some_and(|status| status.is_success())
-}
-
-/// Returns an error unless the status of a response is 2xx.
-pub(super) fn check_status(conn: &Conn, body: &str) -> Result<(), CallError> {
-    match is_success(conn) {
-        true => Ok(()),
-        false => Err(parse_refusal(conn, body)),
-    }
+/// Tells whether a status is 2xx.
+pub(super) fn is_success(status: u16) -> bool {
+    (200..300).contains(&status)
 }
 
 /// Converts the body of an unsuccessful response into an error.
-pub(super) fn parse_refusal(conn: &Conn, body: &str) -> CallError {
-    match serde_json::from_str(body) {
+pub(super) fn parse_refusal(response: &HttpResponse) -> CallError {
+    match serde_json::from_slice(&response.body) {
         Ok(refusal) => CallError::Refused(refusal),
         Err(_) => CallError::Unreadable(format!(
-            "status {:?} with body {:?}",
-            conn.status(),
-            body.chars().take(200).collect::<String>()
+            "status {} with body {:?}",
+            response.status,
+            String::from_utf8_lossy(&response.body)
+                .chars()
+                .take(200)
+                .collect::<String>()
         )),
     }
 }
