--- a/gateway/src/call.rs
+++ b/gateway/src/call.rs
@@ -42,6 +42,8 @@
     pub(crate) tried: RefCell<SmallVec<[InstanceId; MAX_ENDPOINTS_TRIED]>>,
     /// Endpoint to which it was last sent.
     pub(crate) endpoint: RefCell<Option<InstanceId>>,
+    /// Size of the body last sent, which holds the history of a turn before its input.
+    pub(crate) sent_bytes: Cell<usize>,
     /// Start of the last attempt to send it.
     pub(crate) sent_at: Cell<Option<Instant>>,
     /// When the head of the answer arrived.
@@ -82,6 +84,8 @@
             "endpoint" => self.endpoint.borrow().as_deref().unwrap_or_default(),
             "status" => reply.status(), "reply" => reply.state().to_string(),
             "framing" => self.framing.get().map_or_else(String::new, |framing| framing.to_string()),
+            "previous" => self.info.previous_turn.as_deref().unwrap_or_default(),
+            "body_bytes" => self.body.len(), "sent_bytes" => self.sent_bytes.get(),
             "sent_ms" => since(self.sent_at.get()), "first_ms" => since(self.answered_at.get()),
             "took_ms" => self.received_at.elapsed().as_millis());
     }
--- a/gateway/src/forward.rs
+++ b/gateway/src/forward.rs
@@ -327,6 +327,7 @@
         call.send_count.set(call.send_count.get() + 1);
         call.endpoint.replace(Some(endpoint.id.clone()));
         call.sent_at.set(Some(Instant::now()));
+        call.sent_bytes.set(outgoing.body.len());
         self.record_prompt(&endpoint.id, &call.info.prompt_parts);
         let is_written = Cell::new(false);
         let observe = |answer: &ObservedAnswer<'_>| self.observe_answer(call, endpoint, answer);
--- a/gateway/src/front.rs
+++ b/gateway/src/front.rs
@@ -211,6 +211,7 @@
             send_count: Cell::new(0),
             tried: RefCell::default(),
             endpoint: RefCell::default(),
+            sent_bytes: Cell::new(0),
             sent_at: Cell::new(None),
             answered_at: Cell::new(None),
             framing: Cell::new(None),
