--- a/gateway/src/crashes.rs
+++ b/gateway/src/crashes.rs
@@ -1,25 +1,24 @@
 //! Requests that crash the endpoints that run them.
 //!
-//! For each request and for each beginning of a body, the table holds the lifetimes of endpoints that ended while
-//! they had it. A complete answer proves the request harmless and clears them. A request with enough
-//! lifetimes that are not cleared is quarantined: it reaches no endpoint until the quarantine is over,
-//! and then one at a time.
+//! For each request, and for requests whose bodies begin alike, the table holds the lifetimes of
+//! endpoints that ended while they had it. A complete answer proves the request harmless and clears
+//! them. A request with enough lifetimes that are not cleared is quarantined: it reaches no endpoint
+//! until the quarantine is over, and then one at a time.
 //!
 //! The state of a request is a set of lifetimes, each cleared or not. Gateways merge theirs by union,
 //! and a cleared lifetime stays cleared, so the order in which reports arrive does not matter.
 
+mod fingerprint;
 #[cfg(test)]
 mod tests;
 
-use crate::http::RequestHead;
+pub(crate) use fingerprint::{Fingerprint, Fingerprints, fingerprints};
+
 use crate::stable_hash::stable_hash;
 use serde::{Deserialize, Serialize};
 use smallvec::SmallVec;
 use std::cmp::Reverse;
 use std::collections::{HashMap, VecDeque};
-use std::fmt;
-use std::num::ParseIntError;
-use std::str::FromStr;
 use std::time::{Duration, Instant};
 
 /// Number of lifetimes that end under copies of a request before they are quarantined.
@@ -29,9 +28,6 @@
 /// before these are quarantined. They may be different requests, so it takes one crash more.
 const PREFIX_CRASHES: usize = 4;
 
-/// Number of bytes in which bodies begin alike.
-const PREFIX_BYTES: usize = 512;
-
 /// Duration of the first quarantine of a request; each further crash doubles it.
 const QUARANTINE: Duration = Duration::from_secs(120);
 
@@ -66,22 +62,6 @@
 /// Interval at which quarantined requests are reported again, for peers that were unreachable.
 const REFRESH_INTERVAL: Duration = Duration::from_secs(2);
 
-/// Hash of what identifies requests over their attempts. Ids, programs and preceding turns differ
-/// between copies of a request and are not part of it.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize)]
-pub(crate) enum Fingerprint {
-    /// The client account, method, host, target, and the first [`PREFIX_BYTES`] of the body as the
-    /// client sent it.
-    ///
-    /// Clients that keep the history themselves send it in the body, so that what crashes endpoints
-    /// comes again at the beginning of longer bodies.
-    #[serde(rename = "p")]
-    Prefix(u64),
-    /// The same with the whole body.
-    #[serde(rename = "r")]
-    Request(u64),
-}
-
 impl Fingerprint {
     /// Number of lifetimes after which the requests are quarantined.
     fn quarantine_crashes(self) -> usize {
@@ -100,48 +80,9 @@
     }
 }
 
-impl fmt::Display for Fingerprint {
-    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
-        match self {
-            Self::Prefix(hash) => write!(formatter, "prefix-{hash:016x}"),
-            Self::Request(hash) => write!(formatter, "request-{hash:016x}"),
-        }
-    }
-}
-
-impl FromStr for Fingerprint {
-    type Err = ParseIntError;
-
-    fn from_str(text: &str) -> Result<Self, ParseIntError> {
-        let parse = |digits| u64::from_str_radix(digits, 16);
-        match text.strip_prefix("prefix-") {
-            Some(digits) => parse(digits).map(Self::Prefix),
-            None => {
-                let digits = text.strip_prefix("request-").unwrap_or_default();
-                parse(digits).map(Self::Request)
-            }
-        }
-    }
-}
-
-/// Fingerprints of one request.
-pub(crate) type Fingerprints = [Fingerprint; 2];
-
 /// Hash of an endpoint's id and start time.
 pub(crate) type Lifetime = u64;
 
-/// Returns the fingerprints of a request as the client sent it.
-pub(crate) fn fingerprints(head: &RequestHead, body: &[u8]) -> Fingerprints {
-    let mut headers = head.headers.iter();
-    let credential = headers.find(|header| header.is("authorization"));
-    let credential = credential.map(|header| header.value.as_str());
-    let target = stable_hash((&head.method, &head.host, &head.target, credential));
-    [
-        Fingerprint::Prefix(stable_hash((target, &body[..body.len().min(PREFIX_BYTES)]))),
-        Fingerprint::Request(stable_hash((target, body))),
-    ]
-}
-
 /// Returns the tag of a lifetime of an endpoint.
 pub(crate) fn lifetime(instance: &str, started_unix_ms: Option<u64>) -> Lifetime {
     stable_hash((instance, started_unix_ms))
--- a/gateway/src/front.rs
+++ b/gateway/src/front.rs
@@ -42,6 +42,13 @@
     _buffer: BufferShare,
 }
 
+/// Use of a client connection so far.
+struct ConnectionUsage {
+    accepted_at: Instant,
+    /// Number of requests that were answered on it.
+    requests: u32,
+}
+
 /// Reason why no request could be read.
 enum ReadFailure {
     /// The client closed the connection or sent an incomplete request.
@@ -77,37 +84,15 @@
             crate::event!("socket_options_failed", "error" => error.to_string());
         }
         let mut connection = Connection::new(stream);
-        let accepted_at = Instant::now();
-        let mut requests_before = 0;
-        loop {
-            if !self
-                .wait_for_bytes(&mut connection, requests_before > 0)
-                .await
-            {
-                return;
-            }
+        let mut usage = ConnectionUsage {
+            accepted_at: Instant::now(),
+            requests: 0,
+        };
+        while self.wait_for_bytes(&mut connection, &usage).await {
             let guard = InFlightGuard::new(&self.requests_in_flight);
             let reply = Reply::new(connection.stream(), self.is_stopping());
-            let too_late = async {
-                self.shutdown.wait_for_receive_end().await;
-                crate::event!("incomplete_while_stopping",
-                    "connection_ms" => accepted_at.elapsed().as_millis(),
-                    "requests_before" => requests_before);
-                Err(ReadFailure::Refused(late_refusal()))
-            };
-            match future::or(self.read_request(&mut connection), too_late).await {
-                Ok(request) if self.shutdown.refuses_requests() => {
-                    self.log_if_stopping(&request, accepted_at, requests_before);
-                    reply.close_after_answer();
-                    reply.refuse(&late_refusal()).await;
-                    discard_input(&mut connection).await;
-                    return;
-                }
-                Ok(request) => {
-                    self.log_if_stopping(&request, accepted_at, requests_before);
-                    self.answer(request, &mut connection, &reply).await;
-                    requests_before += 1;
-                }
+            match self.take_request(&mut connection, &usage).await {
+                Ok(request) => self.answer(request, &mut connection, &reply).await,
                 Err(ReadFailure::Closed) => return,
                 Err(ReadFailure::Refused(refusal)) => {
                     reply.close_after_answer();
@@ -120,11 +105,33 @@
             if !reply.keeps_connection() {
                 return;
             }
+            usage.requests += 1;
+        }
+    }
+
+    /// Reads a request, and refuses it if it arrives too late in a shutdown.
+    async fn take_request(
+        &self,
+        connection: &mut Connection,
+        usage: &ConnectionUsage,
+    ) -> Result<Request, ReadFailure> {
+        let too_late = async {
+            self.shutdown.wait_for_receive_end().await;
+            crate::event!("incomplete_while_stopping",
+                "connection_ms" => usage.accepted_at.elapsed().as_millis(),
+                "requests_before" => usage.requests);
+            Err(ReadFailure::Refused(late_refusal()))
+        };
+        let request = future::or(self.read_request(connection), too_late).await?;
+        self.log_if_stopping(&request, usage);
+        if self.shutdown.refuses_requests() {
+            return Err(ReadFailure::Refused(late_refusal()));
         }
+        Ok(request)
     }
 
-    /// Logs a request that was received after the stop signal, with the age of its connection.
-    fn log_if_stopping(&self, request: &Request, accepted_at: Instant, requests_before: u32) {
+    /// Logs a request that was received after the stop signal.
+    fn log_if_stopping(&self, request: &Request, usage: &ConnectionUsage) {
         let Some(stopping_for) = self.shutdown.elapsed() else {
             return;
         };
@@ -132,21 +139,21 @@
         crate::event!("received_while_stopping",
             "request" => info.request_id.unwrap_or_default(),
             "stopping_ms" => stopping_for.as_millis(),
-            "connection_ms" => accepted_at.elapsed().as_millis(),
-            "requests_before" => requests_before,
+            "connection_ms" => usage.accepted_at.elapsed().as_millis(),
+            "requests_before" => usage.requests,
             "refused" => self.shutdown.refuses_requests());
     }
 
     /// Waits for the first bytes of the next request; returns false on a disconnect, an idle timeout
     /// or shutdown.
-    async fn wait_for_bytes(&self, connection: &mut Connection, has_sent_request: bool) -> bool {
+    async fn wait_for_bytes(&self, connection: &mut Connection, usage: &ConnectionUsage) -> bool {
         if !connection.unread().is_empty() {
             return true;
         }
         let idle_timeout = self.routes.borrow().limits().idle_timeout;
         let read = async { matches!(connection.fill().await, Ok(count) if count > 0) };
         let stopping = async {
-            self.shutdown.wait_for_idle_close(has_sent_request).await;
+            self.shutdown.wait_for_idle_close(usage.requests > 0).await;
             false
         };
         let read = with_timeout(idle_timeout, future::or(read, stopping)).await;
