Send a slow repeatable service call a second time

Callers saw: a repeatable tool call that met a server which hangs waited the whole timeout_ms of its environment (20 s), was sent again, could meet the next hang, and ended at the program's deadline. `hedge_at` existed and was called only by tests.

Cause: the entry sent one copy of a service call and waited for it. Nothing compared the time that it took with what its operation usually takes.

Change: an entry keeps the average run time of each operation of a service. A repeatable call that has run for three times as long, at least 0.5 s, is sent a second time while the first copy goes on: to an endpoint without a copy, or anew to the same one. Copies are paid for from the retry budgets, count as attempts, and none is sent past the deadline. Copies without an answer when a later one is answered count as failures at their breakers. Calls that may not be repeated take another path and are never copied.

What remains of 20 s and more are actions that may not be repeated; they wait their timeout_ms as before.

The gateways give an idempotent call up after 450 ms already, and the client library resumes a call by its key, so neither has this cause.

--- a/src/coordination/choice/mod.rs
+++ b/src/coordination/choice/mod.rs
@@ -112,6 +112,16 @@
     Service(&'a str),
 }
 
+impl<'a> Target<'a> {
+    /// Returns the name of the model, adapter or service.
+    pub fn name(&self) -> &'a str {
+        match self {
+            Self::Model { model, .. } => model,
+            Self::Service(service) => service,
+        }
+    }
+}
+
 /// Requirements of a call on its endpoint, and estimates used to compare endpoints.
 #[derive(Clone, Copy, Debug)]
 pub struct EndpointRequirements<'a> {
@@ -352,11 +362,7 @@
         requirements: &EndpointRequirements<'_>,
         rng: &mut Rng,
     ) -> Vec<Candidate> {
-        let name = match requirements.target {
-            Target::Model { model, .. } => model,
-            Target::Service(service) => service,
-        };
-        let Some(group) = self.groups.get(name) else {
+        let Some(group) = self.groups.get(requirements.target.name()) else {
             return Vec::new();
         };
         let averages = self.group_averages(now, group);
--- a/src/coordination/hedge.rs
+++ b/src/coordination/hedge.rs
@@ -1,5 +1,7 @@
 //! Hedging: sending a second copy of a repeatable call that has not started.
 
+use crate::coordination::average::MovingAverage;
+use std::collections::HashMap;
 use std::time::{Duration, Instant};
 
 /// A call that has been sent.
@@ -62,3 +64,46 @@
     let delay = call.expected_wait.mul_f64(cfg.wait_factor);
     Some(call.sent_at + delay.max(cfg.min_delay))
 }
+
+/// Run time of a service call that is expected before the first answer.
+const DEFAULT_RUN: Duration = Duration::from_secs(1);
+
+/// Maximum number of averages.
+const MAX_AVERAGES: usize = 16_384;
+
+/// How long the calls of each operation of a service usually run.
+///
+/// ```
+/// use galenapick::RunTimes;
+/// use std::time::Duration;
+///
+/// let mut run_times = RunTimes::default();
+/// run_times.record("bank-core", "lookup", Duration::from_millis(20));
+/// assert_eq!(run_times.expected("bank-core", "lookup"), Duration::from_millis(20));
+/// assert_eq!(run_times.expected("bank-core", "report"), Duration::from_secs(1));
+/// ```
+#[derive(Debug, Default)]
+pub struct RunTimes {
+    /// Average seconds by service and operation.
+    averages_s: HashMap<(String, String), MovingAverage>,
+}
+
+impl RunTimes {
+    /// Adds the time that an answered call took. A full table is cleared first so that it cannot grow
+    /// without limit.
+    pub fn record(&mut self, service: &str, operation: &str, run_time: Duration) {
+        let key = (service.to_owned(), operation.to_owned());
+        if self.averages_s.len() >= MAX_AVERAGES && !self.averages_s.contains_key(&key) {
+            self.averages_s.clear();
+        }
+        let average = self.averages_s.entry(key).or_default();
+        average.add(run_time.as_secs_f64());
+    }
+
+    /// Returns the average time of an operation's calls, or a default before its first answer.
+    pub fn expected(&self, service: &str, operation: &str) -> Duration {
+        let key = (service.to_owned(), operation.to_owned());
+        let average_s = self.averages_s.get(&key).and_then(MovingAverage::get);
+        average_s.map_or(DEFAULT_RUN, Duration::from_secs_f64)
+    }
+}
--- a/src/coordination/retry.rs
+++ b/src/coordination/retry.rs
@@ -149,18 +149,37 @@
         self.spend(now, call).then_some(backoff)
     }
 
+    /// Returns whether a further copy of a slow call may be sent while the others still run.
+    ///
+    /// Only repeatable calls are copied, whatever is known of the copies that run.
+    pub fn may_copy(&mut self, now: Instant, call: &FailedCall<'_>) -> bool {
+        let is_allowed = call.repeatable && call.attempts < self.cfg.max_attempts;
+        let is_in_time = now + call.expected_run < call.deadline;
+        is_allowed && is_in_time && self.can_spend(now, call)
+    }
+
+    /// Spends the budgets for a copy, which costs as much as a retry. Returns false, and spends
+    /// nothing, if the copy may not be sent.
+    pub fn spend_copy(&mut self, now: Instant, call: &FailedCall<'_>) -> bool {
+        self.may_copy(now, call) && self.spend(now, call)
+    }
+
+    /// Returns whether both budgets cover a retry.
+    fn can_spend(&mut self, now: Instant, call: &FailedCall<'_>) -> bool {
+        let client_accounts = &mut self.client_accounts;
+        let client_account = budget_for(client_accounts, call.client_account, &self.cfg, now);
+        let endpoint = budget_for(&mut self.endpoints, call.endpoint, &self.cfg, now);
+        client_account.can_spend(now) && endpoint.can_spend(now)
+    }
+
     /// Spends a retry from both budgets, or from neither if one is exhausted.
     fn spend(&mut self, now: Instant, call: &FailedCall<'_>) -> bool {
-        let client_account = budget_for(
-            &mut self.client_accounts,
-            call.client_account,
-            &self.cfg,
-            now,
-        );
-        let endpoint = budget_for(&mut self.endpoints, call.endpoint, &self.cfg, now);
-        if !client_account.can_spend(now) || !endpoint.can_spend(now) {
+        if !self.can_spend(now, call) {
             return false;
         }
+        let client_accounts = &mut self.client_accounts;
+        let client_account = budget_for(client_accounts, call.client_account, &self.cfg, now);
+        let endpoint = budget_for(&mut self.endpoints, call.endpoint, &self.cfg, now);
         client_account.spend(now) && endpoint.spend(now)
     }
 
--- a/src/entry/mod.rs
+++ b/src/entry/mod.rs
@@ -2,6 +2,7 @@
 
 mod dispatch;
 mod environments;
+mod hedging;
 mod http;
 mod members;
 mod operator;
@@ -15,6 +16,7 @@
 
 use crate::coordination::cache::{CacheTable, CacheTableConfig};
 use crate::coordination::choice::{ChoiceConfig, Chooser};
+use crate::coordination::hedge::RunTimes;
 use crate::coordination::limits::Limits;
 use crate::coordination::membership::{Membership, MembershipConfig};
 use crate::coordination::partition::{PartitionConfig, PartitionHandle, PartitionIdentity};
@@ -112,6 +114,7 @@
     chooser: Mutex<Chooser>,
     cache: Mutex<CacheTable>,
     retries: Mutex<RetryPolicy>,
+    run_times: Mutex<RunTimes>,
     limits: Mutex<Limits>,
     programs: Programs,
     open_requests: AtomicUsize,
@@ -160,6 +163,7 @@
             chooser: Mutex::new(Chooser::new(choice_config())),
             cache: Mutex::new(CacheTable::new(CacheTableConfig::default(), now)),
             retries: Mutex::new(RetryPolicy::new(RetryConfig::default())),
+            run_times: Mutex::default(),
             limits: Mutex::default(),
             programs: Programs::default(),
             open_requests: AtomicUsize::new(0),
--- a/src/entry/owner/tool.rs
+++ b/src/entry/owner/tool.rs
@@ -1,19 +1,19 @@
 //! Repeatable tool calls.
 
-use crate::coordination::choice::{CallOutcome, Target};
+use crate::coordination::choice::Target;
 use crate::entry::Entry;
-use crate::entry::dispatch::{DispatchedCall, refuse_unreachable};
+use crate::entry::dispatch::DispatchedCall;
+use crate::entry::hedging::FinishedInvocation;
 use crate::entry::owner::branch::{BranchContext, CallJob, token_bound};
 use crate::entry::owner::budget::Reservation;
 use crate::entry::owner::model::CallOutput;
 use crate::entry::owner::program::OwnedProgram;
 use crate::ids::partition_of;
 use crate::protocol::engine::EngineUsage;
-use crate::protocol::link::{ActionState, Invoke};
+use crate::protocol::link::Invoke;
 use crate::protocol::log::Log;
 use crate::protocol::message::{Message, Role, Usage};
-use crate::protocol::record::ActionResult;
-use crate::protocol::refusal::{Refusal, RefusalCode};
+use crate::protocol::refusal::Refusal;
 use crate::protocol::service::{ServiceReply, ServiceRequest};
 use smallvec::SmallVec;
 use std::time::{Duration, Instant};
@@ -30,7 +30,7 @@
 }
 
 impl<L: Log> Entry<L> {
-    /// Calls a service, retrying at other endpoints on failure.
+    /// Calls a service, with further attempts at other endpoints if it is slow or fails.
     pub(super) async fn run_tool(
         &self,
         owned: &OwnedProgram<L>,
@@ -45,36 +45,9 @@
         let mut reservation = Reservation::new(self, owned, cost);
         let invoke = self.invoke_request(owned, job, call, attempt_limit)?;
         let mut dispatch = tool_dispatch(owned, job, call.service, limit);
-        let mut attempts = 0;
-        loop {
-            let choice = self.choose(&dispatch)?;
-            let mut guard = self.record_dispatch(&dispatch, &choice, attempts);
-            let invoked = self.invoke_at(&choice.endpoint, invoke.clone()).await;
-            guard.outcome = CallOutcome::Failed;
-            let refusal = match invoked {
-                Ok(action) => match action.state {
-                    ActionState::Finished(ActionResult::Done(reply)) => {
-                        guard.outcome = CallOutcome::Answered;
-                        reservation.spent = tool_spent(action.ran_ms);
-                        return Ok(tool_output(
-                            context,
-                            choice.endpoint,
-                            reply,
-                            reservation.spent,
-                        ));
-                    }
-                    ActionState::Finished(
-                        ActionResult::NotRun(reason) | ActionResult::Unknown(reason),
-                    ) => Refusal::not_run(RefusalCode::EndpointFailed, reason),
-                    _ => Refusal::not_run(RefusalCode::EndpointFailed, "The call was lost."),
-                },
-                Err(error) => refuse_unreachable(&error),
-            };
-            drop(guard);
-            attempts += 1;
-            self.back_off(&mut dispatch, &choice.endpoint, attempts, refusal)
-                .await?;
-        }
+        let finished = self.invoke_repeatable(&mut dispatch, &invoke).await?;
+        reservation.spent = tool_spent(finished.ran_ms);
+        Ok(tool_output(context, finished, reservation.spent))
     }
 
     /// Returns the time limit of one attempt at a service: its timeout in the environment, capped by
@@ -164,19 +137,14 @@
     Message::new(Role::Tool, reply.body.clone())
 }
 
-fn tool_output(
-    context: &BranchContext,
-    endpoint: String,
-    reply: ServiceReply,
-    spent: Usage,
-) -> CallOutput {
-    let messages = vec![tool_message(&reply)];
+fn tool_output(context: &BranchContext, finished: FinishedInvocation, spent: Usage) -> CallOutput {
+    let messages = vec![tool_message(&finished.reply)];
     CallOutput {
         branch_tokens: context.tokens + token_bound(&messages),
         messages,
         spent,
-        endpoint,
+        endpoint: finished.endpoint,
         usage: EngineUsage::default(),
-        status: Some(reply.status),
+        status: Some(finished.reply.status),
     }
 }
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -94,7 +94,7 @@
     Dispatch, DispatchError, DispatchLimits, DispatchOutcome, DispatchTable, SettleOutcome,
 };
 pub use coordination::fence::{FenceDecision, OrderFence};
-pub use coordination::hedge::{HedgeCandidate, HedgeConfig, hedge_at};
+pub use coordination::hedge::{HedgeCandidate, HedgeConfig, RunTimes, hedge_at};
 pub use coordination::limits::{Limit, Limits, TokenBucket};
 pub use coordination::membership::{Membership, MembershipConfig, Node, NodeState};
 pub use coordination::ownership::{ClaimView, Claimant};
--- a/tests/retries.rs
+++ b/tests/retries.rs
@@ -3,7 +3,7 @@
 use fastrand::Rng;
 use galenapick::{
     Breaker, BreakerConfig, BreakerState, FailedCall, HedgeCandidate, HedgeConfig, Limit, Limits,
-    Ran, RetryConfig, RetryPolicy, Watchdog, WatchdogConfig, WatchdogVerdict, hedge_at,
+    Ran, RetryConfig, RetryPolicy, RunTimes, Watchdog, WatchdogConfig, WatchdogVerdict, hedge_at,
 };
 use googletest::prelude::*;
 use std::time::{Duration, Instant};
@@ -116,6 +116,71 @@
     }
 }
 
+#[gtest]
+fn a_call_is_slow_after_three_times_the_usual_run_time_of_its_operation() {
+    let mut run_times = RunTimes::default();
+    for _ in 0..50 {
+        run_times.record("bank-core", "report", 2 * SECOND);
+        run_times.record("bank-core", "offers", SECOND / 100);
+    }
+    let sent_at = Instant::now();
+    let slow_after = |operation: &str| {
+        let call = HedgeCandidate {
+            repeatable: true,
+            started: false,
+            hedged: false,
+            sent_at,
+            expected_wait: run_times.expected("bank-core", operation),
+        };
+        hedge_at(&call, &HedgeConfig::default()).map(|at| at - sent_at)
+    };
+    expect_that!(slow_after("report"), some(eq(6 * SECOND)));
+    expect_that!(slow_after("offers"), some(eq(SECOND / 2)));
+    expect_that!(slow_after("never answered"), some(eq(3 * SECOND)));
+}
+
+#[gtest]
+fn a_copy_is_sent_only_of_a_repeatable_call_within_its_attempts_and_its_deadline() {
+    let now = Instant::now();
+    let mut retries = RetryPolicy::new(RetryConfig::default());
+    let deadline = now + 60 * SECOND;
+    let not_repeatable = |ran| FailedCall {
+        repeatable: false,
+        ran,
+        ..failed_call("e", 1, deadline)
+    };
+    for ran in [Ran::No, Ran::Unknown, Ran::Yes] {
+        expect_that!(retries.spend_copy(now, &not_repeatable(ran)), eq(false));
+    }
+    let last_attempt = failed_call("e", 4, deadline);
+    expect_that!(retries.spend_copy(now, &last_attempt), eq(false));
+    let near_deadline = FailedCall {
+        expected_run: SECOND,
+        ..failed_call("e", 1, now + SECOND)
+    };
+    expect_that!(retries.spend_copy(now, &near_deadline), eq(false));
+    expect_that!(
+        retries.spend_copy(now, &failed_call("e", 3, deadline)),
+        eq(true)
+    );
+}
+
+#[gtest]
+fn copies_add_at_most_a_tenth_to_the_load_of_a_service_that_got_slow() {
+    let now = Instant::now();
+    let mut retries = RetryPolicy::new(RetryConfig::default());
+    let calls = 1_000;
+    let mut copies = 0;
+    for _ in 0..calls {
+        retries.record_first_attempt(now, "m", "e");
+        let call = failed_call("e", 1, now + 60 * SECOND);
+        let may_copy = retries.may_copy(now, &call);
+        expect_that!(retries.spend_copy(now, &call), eq(may_copy));
+        copies += u32::from(may_copy);
+    }
+    expect_that!(copies, all!(ge(calls / 10), le(calls / 10 + 10)));
+}
+
 #[gtest]
 fn limits_hold_for_the_client_account_and_the_environment() {
     let now = Instant::now();
