Keep the output of the system tests' nodes on request

A failed expectation, or a cluster that did not start, printed nothing of its nodes, since only a panic with the nodes alive did. GALENAPICK_TEST_LOGS=FOLDER keeps the output of every process, as it does for the platform's tests.

--- a/tests/system/support/process.rs
+++ b/tests/system/support/process.rs
@@ -15,6 +15,9 @@
 /// Interval between checks for the end of a process.
 const POLL_INTERVAL: Duration = Duration::from_millis(20);
 
+/// Environment variable with the folder in which the output of ended processes is kept.
+const LOGS_FOLDER: &str = "GALENAPICK_TEST_LOGS";
+
 /// A daemon that runs as a child process. Dropping this value kills the process.
 #[derive(Debug)]
 pub(crate) struct Process {
@@ -94,6 +97,18 @@
         Pid::from_child(&self.child)
     }
 
+    /// Writes the output to the folder that the tester asks for.
+    fn keep_output(&self) {
+        let (Some(folder), Some(name)) = (std::env::var_os(LOGS_FOLDER), self.settings.file_stem())
+        else {
+            return;
+        };
+        let path = PathBuf::from(folder).join(name).with_extension("log");
+        if let Err(error) = std::fs::write(&path, self.output()) {
+            eprintln!("{} cannot be written: {error}", path.display());
+        }
+    }
+
     /// Returns the output that the process has written so far.
     pub(crate) fn output(&self) -> String {
         let output = self.output.lock().expect("output");
@@ -106,6 +121,7 @@
         // SIGKILL also ends a stopped process.
         self.kill();
         let _ = std::fs::remove_file(&self.settings);
+        self.keep_output();
         if thread::panicking() {
             eprintln!("--- {}\n{}", self.settings.display(), tail(&self.output()));
         }
