Serve the configuration that was read before it was watched

Callers saw: an entry that stayed not ready, "no environment is known", until the next change of the configuration; in the tests "entry-1 did not become ready" within 30 s.

Cause: the task that reads the configuration stream and the one that serves what it read start together. `ConfigurationCell::watch` told of later versions only. On a busy machine the second task began after the first had put the version in force, and waited for a change that did not come.

Change: a new watch receives the version in force at once.

The new unit test failed before.

--- a/src/configuration/cell.rs
+++ b/src/configuration/cell.rs
@@ -51,11 +51,15 @@
         log::info!(target: "configuration", "configuration: version {version} is in force");
     }
 
-    /// Returns a channel that receives the newest version after each change. Dropping it ends the
-    /// watch.
+    /// Returns a channel that receives the newest version, now if there is one and after each change.
+    /// Dropping it ends the watch.
     pub(crate) fn watch(&self) -> Receiver<Offset> {
         let (tx, rx) = async_channel::bounded(1);
-        lock(&self.0).watchers.push(tx);
+        let mut state = lock(&self.0);
+        let version = state.current.version();
+        if version == 0 || tx.force_send(version).is_ok() {
+            state.watchers.push(tx);
+        }
         rx
     }
 }
--- a/src/configuration/tests.rs
+++ b/src/configuration/tests.rs
@@ -4,7 +4,7 @@
 use crate::adapter::HttpLog;
 use crate::configuration::ConfigurationCell;
 use crate::ids::{NodeId, Offset};
-use crate::protocol::configuration::ChangeAction;
+use crate::protocol::configuration::{ChangeAction, ConfigurationImage};
 use crate::protocol::link::ConfigurationOffer;
 use crate::standin::{LogConfig, LogControl, LogStandin, Outage};
 use futures_lite::future::block_on;
@@ -346,3 +346,20 @@
     expect_that!(watch.try_recv().is_err(), eq(true));
     expect_that!(cell.version(), eq(7));
 }
+
+// Guards against an entry that serves no environment because its configuration came before its watch.
+#[gtest]
+fn a_watch_that_begins_after_a_change_receives_its_version() {
+    let cell = ConfigurationCell::default();
+    let early = cell.watch();
+    expect_that!(early.try_recv().ok(), none());
+    let image = ConfigurationImage {
+        version: 4,
+        ..ConfigurationImage::default()
+    };
+    cell.adopt(&image);
+    let late = cell.watch();
+    expect_that!(early.try_recv().ok(), some(eq(4)));
+    expect_that!(late.try_recv().ok(), some(eq(4)));
+    expect_that!(late.try_recv().ok(), none());
+}
