Let a call after a refused one follow the turns that wait for the log

Callers saw: a turn answered as pending during an outage of the log was superseded and missing from the history after it, or a later call was refused with "The program's state has changed". An action that had run was answered as unknown, "The partition changed its owner", at every retry, and its turn was missing.

Cause: a refused call makes the branch read its turns again, and that read took only those that the log holds. Turns that were answered and wait in the queue were left out, so the next turn took the number of the first of them. Whichever stood second in the log was ignored. An ignored turn also stayed among the pending ones for as long as its owner lived.

Change: the branch is read from the log and then from the queue, as far as the queued turns continue it. A turn that the log ignores is no longer pending.

--- a/src/entry/owner/branch.rs
+++ b/src/entry/owner/branch.rs
@@ -69,6 +69,16 @@
         self.messages.extend_from_slice(&turn.messages);
         self.tokens = tokens;
     }
+
+    /// Appends a turn and adds the bound of its messages' tokens.
+    fn add_counted(&mut self, turn: &Turn) {
+        self.add(turn, self.tokens + token_bound(&turn.messages));
+    }
+
+    /// Returns whether a turn is the next one of the branch.
+    fn is_followed_by(&self, turn: &Turn) -> bool {
+        turn.number == self.number + 1 && turn.previous == self.hash
+    }
 }
 
 /// Returns an upper bound of the number of tokens in messages. A token has at least one byte.
@@ -228,27 +238,32 @@
         Ok(remaining)
     }
 
-    /// Reads the committed turns of a branch from the log.
+    /// Reads the turns of a branch: the committed ones from the log, then those that are queued for it.
     async fn read_context(
         &self,
         owned: &OwnedProgram<L>,
         branch: BranchId,
     ) -> Result<BranchContext, Refusal> {
         let live = &owned.live;
+        // Read first: a turn that is committed meanwhile is then in the log or among these.
+        let pending = live.pending_turns();
         let mut context = BranchContext::empty(&live.client_account, live.id, branch);
         let is_logged = owned
             .handle
             .with_state(|state| state.program(live.id).is_some());
-        if !is_logged {
-            return Ok(context);
+        if is_logged {
+            let read = owned
+                .handle
+                .history(&live.client_account, live.id, branch)
+                .await;
+            for turn in read.map_err(|e| refuse_history(&e))? {
+                context.add_counted(&turn);
+            }
         }
-        let read = owned
-            .handle
-            .history(&live.client_account, live.id, branch)
-            .await;
-        for turn in read.map_err(|e| refuse_history(&e))? {
-            let tokens = context.tokens + token_bound(&turn.messages);
-            context.add(&turn, tokens);
+        for turn in pending.iter().filter(|turn| turn.branch == branch) {
+            if context.is_followed_by(turn) {
+                context.add_counted(turn);
+            }
         }
         Ok(context)
     }
--- a/src/entry/owner/program.rs
+++ b/src/entry/owner/program.rs
@@ -232,7 +232,7 @@
         lock(&self.state).pending.push(turn);
     }
 
-    /// Removes a turn that is committed.
+    /// Removes a turn that is committed, or that the log ignores.
     pub(super) fn remove_pending(&self, call: CallId) {
         lock(&self.state).pending.retain(|turn| turn.call != call);
     }
--- a/src/entry/owner/turn.rs
+++ b/src/entry/owner/turn.rs
@@ -68,7 +68,7 @@
         self.0.spawner.spawn(async move {
             let committed = commit.await;
             match &committed {
-                Ok(_) => live.remove_pending(call),
+                Ok(_) | Err(CommitError::Ignored(_)) => live.remove_pending(call),
                 Err(CommitError::EpochEnded(entries) | CommitError::Uncertain(entries)) => {
                     entry.forward_to_owner(entries.clone());
                 }
--- a/tests/system/log_faults.rs
+++ b/tests/system/log_faults.rs
@@ -86,6 +86,34 @@
     });
 }
 
+// Guards against a turn that takes the number of an answered one which is not committed yet.
+#[gtest]
+fn turns_after_a_refused_action_follow_the_pending_ones() {
+    with_cluster(small_cluster(2), async |cluster| {
+        let client = bank_client(cluster);
+        let program = create_program(&client, "p").await;
+        call_model(&client, program, "before").await;
+        set_outage(cluster, Outage::Refuse).await;
+        call_model(&client, program, "during-1").await;
+        let refused = client.call(program, &transfer_request("a1")).await;
+        expect_that!(refused, err(anything()));
+        call_model(&client, program, "during-2").await;
+        set_outage(cluster, Outage::None).await;
+        expect_that!(committed_turns(&client, program, 3).await, eq(3));
+        call_model(&client, program, "after").await;
+        let turns = client.history(program).await.expect("the history is read");
+        let questions: Vec<&str> = turns
+            .iter()
+            .filter_map(|turn| Some(turn.messages.first()?.content.as_str()))
+            .collect();
+        let expected = ["before", "during-1", "during-2", "after"];
+        expect_that!(
+            questions,
+            eq(&expected.map(|key| format!("question {key}")))
+        );
+    });
+}
+
 /// Waits for an expected number of committed turns and returns the number found.
 async fn committed_turns(client: &Client, program: ProgramId, expected: usize) -> usize {
     let deadline = std::time::Instant::now() + DRAIN_TIMEOUT;
