Move the table of crashing requests into the library

The shape in src/ needs the same decisions as the gateways. The table (crashes.rs), its fingerprints, its tests and stable_hash move with it into src/coordination/, and are exported as galenapick::crashes and galenapick::stable_hash. What depends on the gateway's HTTP types stays: the fingerprints of a request head (forward/quarantine.rs) and the size of a datagram with reports (crash_reports.rs), each with its test.

Behaviour, hashes and the wire format are unchanged: the same values are hashed in the same order, and the serde names are the same.

--- a/gateway/src/call.rs
+++ b/gateway/src/call.rs
@@ -1,6 +1,5 @@
 //! State of a client's request, and its processing until the answer.
 
-use crate::crashes::Fingerprints;
 use crate::dialect::{CallInfo, Dialect};
 use crate::endpoints::InstanceId;
 use crate::forward::{EndpointAnswer, Execution, MAX_ENDPOINTS_TRIED, OutgoingRequest};
@@ -12,6 +11,7 @@
 use crate::shutdown::{Phase, late_refusal};
 use crate::stream::{EventId, LAST_EVENT_ID};
 use futures_lite::future;
+use galenapick::crashes::Fingerprints;
 use smallvec::SmallVec;
 use smol::Timer;
 use std::cell::{Cell, RefCell};
--- a/gateway/src/crash_reports.rs
+++ b/gateway/src/crash_reports.rs
@@ -1,12 +1,15 @@
 //! Shares the requests that crash endpoints between gateways: at once by datagrams, and in the
 //! gateways topic for the time after all of them have restarted.
 
-use crate::crashes::{CrashReport, Fingerprint};
+#[cfg(test)]
+mod tests;
+
 use crate::dialect::{Append, AppendOutcome, Dialect, KeyValue, Topic};
 use crate::gossip::{HEARTBEAT_INTERVAL, IDLE_HEARTBEAT_INTERVAL, INTERVAL_PER_PEER};
 use crate::node::Gateway;
 use crate::record::{QuarantineRecord, decode, encode};
 use event_listener::Event;
+use galenapick::crashes::{CrashReport, Fingerprint};
 use smol::Timer;
 use smol::net::UdpSocket;
 use std::collections::BTreeSet;
--- a/gateway/src/decoder_tests.rs
+++ b/gateway/src/decoder_tests.rs
@@ -1,12 +1,12 @@
 //! Properties of all decoders that read what others send: arbitrary bytes break nothing, and how the
 //! bytes are split into reads changes nothing.
 
-use crate::crashes::CrashReport;
 use crate::gossip::is_readable_heartbeat;
 use crate::http::{BodyDecoder, BodyError, Framing, parse_request, parse_response};
 use crate::ledger::{OwnerReply, OwnerRequest};
 use crate::record::{GatewayRecord, QuarantineRecord, TurnRecord, decode};
 use crate::stream::{EventSplitter, append_data, event_id};
+use galenapick::crashes::CrashReport;
 use proptest::prelude::*;
 
 /// Returns the body and the outcome of decoding `input` in reads that end at `ends`.
--- a/gateway/src/endpoints.rs
+++ b/gateway/src/endpoints.rs
@@ -15,8 +15,8 @@
 mod sample;
 
 use crate::dialect::PartId;
-use crate::stable_hash::stable_hash;
 use cost::{EndpointLoad, engine_cost_ms, service_cost_ms};
+use galenapick::stable_hash;
 use leaving::LeavingInstances;
 use memory::PromptCache;
 use sample::sample;
--- a/gateway/src/forward.rs
+++ b/gateway/src/forward.rs
@@ -23,6 +23,7 @@
 use futures_lite::future;
 use leaving::ObservedAnswer;
 use quarantine::Attempt;
+pub(crate) use quarantine::fingerprints;
 use std::cell::Cell;
 use std::io::ErrorKind;
 use std::rc::Rc;
--- a/gateway/src/forward/quarantine.rs
+++ b/gateway/src/forward/quarantine.rs
@@ -1,13 +1,16 @@
 //! Keeps requests from endpoints that they would crash.
 
+#[cfg(test)]
+mod tests;
+
 use super::{Execution, Failure, FailureCause};
 use crate::call::Call;
-use crate::crashes::{Admission, Fingerprints, Lifetime, Suspicion, lifetime};
 use crate::dialect::{AnswerInfo, Dialect};
 use crate::endpoints::{CallOutcome, EndpointRecord};
-use crate::http::{Framing, ResponseHead};
+use crate::http::{Framing, RequestHead, ResponseHead};
 use crate::node::Gateway;
 use crate::reply::Refusal;
+use galenapick::crashes::{self, Admission, Fingerprints, Lifetime, Suspicion, lifetime};
 use std::cell::Cell;
 use std::time::{Duration, Instant};
 
@@ -17,6 +20,14 @@
 /// Minimum `Retry-After` delay, which applies while a trial runs.
 const MIN_RETRY_AFTER: Duration = Duration::from_secs(1);
 
+/// Returns the fingerprints of a request as the client sent it.
+pub(crate) fn fingerprints(head: &RequestHead, body: &[u8]) -> Fingerprints {
+    let mut headers = head.headers.iter();
+    let credential = headers.find(|header| header.is("authorization"));
+    let credential = credential.map(|header| header.value.as_str());
+    crashes::fingerprints((&head.method, &head.host, &head.target, credential), body)
+}
+
 /// What an attempt says of its request once it has ended.
 pub(super) struct Attempt {
     request_id: String,
--- a/gateway/src/front.rs
+++ b/gateway/src/front.rs
@@ -1,9 +1,8 @@
 //! Accepts client connections and reads requests from them.
 
 use crate::call::Call;
-use crate::crashes::fingerprints;
 use crate::dialect::Dialect;
-use crate::forward::Execution;
+use crate::forward::{Execution, fingerprints};
 use crate::http::{
     BodyDecoder, BodyError, Connection, Framing, HeadError, RequestHead, parse_request,
 };
--- a/gateway/src/lib.rs
+++ b/gateway/src/lib.rs
@@ -9,7 +9,6 @@
 mod commit;
 mod counters;
 mod crash_reports;
-mod crashes;
 #[cfg(test)]
 mod decoder_tests;
 mod dialect;
@@ -38,7 +37,6 @@
 mod reserved_turn;
 mod routes;
 mod shutdown;
-mod stable_hash;
 mod store;
 mod stream;
 mod turn_call;
--- a/gateway/src/node.rs
+++ b/gateway/src/node.rs
@@ -2,7 +2,6 @@
 
 use crate::counters::Counters;
 use crate::crash_reports::CrashSync;
-use crate::crashes::Crashes;
 use crate::dialect::{Dialect, Offset};
 use crate::endpoints::Endpoints;
 use crate::events;
@@ -17,6 +16,7 @@
 use crate::store::{StoreLink, StorePaths};
 use async_signal::{Signal, Signals};
 use futures_lite::StreamExt;
+use galenapick::crashes::Crashes;
 use smol::net::{TcpListener, UdpSocket};
 use smol::{LocalExecutor, Timer};
 use std::cell::{Cell, RefCell};
--- a/gateway/src/owners.rs
+++ b/gateway/src/owners.rs
@@ -11,7 +11,7 @@
 use crate::dialect::{Dialect, PartitionNumber};
 use crate::node::Gateway;
 use crate::partition::PartitionSet;
-use crate::stable_hash::stable_hash;
+use galenapick::stable_hash;
 use smol::Timer;
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
--- a/gateway/src/record.rs
+++ b/gateway/src/record.rs
@@ -1,7 +1,7 @@
 //! Record formats of the turns topic and the gateways topic.
 
-use crate::crashes::Lifetime;
 use crate::dialect::PartId;
+use galenapick::crashes::Lifetime;
 use serde::{Deserialize, Serialize};
 use smallvec::SmallVec;
 use std::time::Duration;
--- a/gateway/src/crashes.rs
+++ b/src/coordination/crashes.rs
@@ -12,9 +12,9 @@
 #[cfg(test)]
 mod tests;
 
-pub(crate) use fingerprint::{Fingerprint, Fingerprints, fingerprints};
+pub use fingerprint::{Fingerprint, Fingerprints, PREFIX_BYTES, fingerprints};
 
-use crate::stable_hash::stable_hash;
+use crate::coordination::stable_hash::stable_hash;
 use serde::{Deserialize, Serialize};
 use smallvec::SmallVec;
 use std::cmp::Reverse;
@@ -35,7 +35,7 @@
 const PREFIX_QUARANTINE: Duration = Duration::from_secs(60);
 
 /// Maximum number of lifetimes that are kept for a request.
-const MAX_LIFETIMES: usize = 8;
+pub const MAX_LIFETIMES: usize = 8;
 
 /// Time after the last crash for which a request that is not quarantined is remembered.
 const SUSPICION: Duration = Duration::from_secs(600);
@@ -81,37 +81,40 @@
 }
 
 /// Hash of an endpoint's id and start time.
-pub(crate) type Lifetime = u64;
+pub type Lifetime = u64;
 
 /// Returns the tag of a lifetime of an endpoint.
-pub(crate) fn lifetime(instance: &str, started_unix_ms: Option<u64>) -> Lifetime {
+pub fn lifetime(instance: &str, started_unix_ms: Option<u64>) -> Lifetime {
     stable_hash((instance, started_unix_ms))
 }
 
 /// What one gateway tells others about a request.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub(crate) struct CrashReport {
+pub struct CrashReport {
+    /// The request.
     #[serde(rename = "f")]
-    pub(crate) fingerprint: Fingerprint,
+    pub fingerprint: Fingerprint,
     /// Time since the last crash, in milliseconds.
     #[serde(rename = "a")]
-    pub(crate) age_ms: u64,
+    pub age_ms: u64,
     /// Lifetimes that ended under the request, and whether each is cleared.
     #[serde(rename = "l")]
-    pub(crate) lifetimes: Vec<(Lifetime, bool)>,
+    pub lifetimes: Vec<(Lifetime, bool)>,
 }
 
 /// State of a request after a change.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub(crate) struct Suspicion {
+pub struct Suspicion {
     /// Number of lifetimes that are not cleared.
-    pub(crate) lifetimes: usize,
-    pub(crate) is_quarantined: bool,
+    pub lifetimes: usize,
+    /// Whether these are enough for a quarantine.
+    pub is_quarantined: bool,
 }
 
 /// Whether a request may be served.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub(crate) enum Admission {
+pub enum Admission {
+    /// It is not quarantined.
     Open,
     /// It may be sent to one endpoint, to see whether it still crashes.
     Trial,
@@ -259,7 +262,7 @@
 
 /// The requests under which endpoints crashed.
 #[derive(Debug, Default)]
-pub(crate) struct Crashes {
+pub struct Crashes {
     /// At most [`MAX_REQUESTS`].
     entries: HashMap<Fingerprint, Entry>,
     answered: AnsweredRequests,
@@ -268,7 +271,7 @@
 impl Crashes {
     /// Records that a lifetime of an endpoint ended while it had a request. Returns the request's
     /// state unless nothing changed.
-    pub(crate) fn record_crash(
+    pub fn record_crash(
         &mut self,
         now: Instant,
         fingerprint: Fingerprint,
@@ -288,11 +291,7 @@
     }
 
     /// Records a complete answer to a request. Returns the state that it cleared, if any.
-    pub(crate) fn record_answer(
-        &mut self,
-        now: Instant,
-        fingerprint: Fingerprint,
-    ) -> Option<Suspicion> {
+    pub fn record_answer(&mut self, now: Instant, fingerprint: Fingerprint) -> Option<Suspicion> {
         self.answered.insert(now, fingerprint);
         let entry = self.entries.get_mut(&fingerprint)?;
         let cleared = entry.suspicion();
@@ -305,7 +304,7 @@
     }
 
     /// Decides whether a request that arrives may be served, and starts a trial if one is due.
-    pub(crate) fn admit(&mut self, now: Instant, fingerprints: &Fingerprints) -> Admission {
+    pub fn admit(&mut self, now: Instant, fingerprints: &Fingerprints) -> Admission {
         let Some(left) = self.quarantine_left(now, fingerprints) else {
             return Admission::Open;
         };
@@ -322,11 +321,7 @@
 
     /// Returns the time for which a request must not be sent: the rest of its quarantine or of the
     /// trial that follows it. Zero allows a trial; `None` if it is not quarantined.
-    pub(crate) fn quarantine_left(
-        &self,
-        now: Instant,
-        fingerprints: &Fingerprints,
-    ) -> Option<Duration> {
+    pub fn quarantine_left(&self, now: Instant, fingerprints: &Fingerprints) -> Option<Duration> {
         let entries = fingerprints
             .iter()
             .filter_map(|fingerprint| self.entries.get(fingerprint));
@@ -338,7 +333,7 @@
     /// changed.
     ///
     /// Lifetimes of a request that was answered here recently are cleared, and that is reported.
-    pub(crate) fn merge(&mut self, now: Instant, report: &CrashReport) -> Option<Suspicion> {
+    pub fn merge(&mut self, now: Instant, report: &CrashReport) -> Option<Suspicion> {
         let age = Duration::from_millis(report.age_ms);
         let last_crash_at = now.checked_sub(age).unwrap_or(now);
         let is_answered = self.answered.contains(now, report.fingerprint);
@@ -366,7 +361,7 @@
 
     /// Returns the reports that are due, at most `limit`, and marks them as sent. Requests under
     /// which most endpoints crashed come first.
-    pub(crate) fn due_reports(&mut self, now: Instant, limit: usize) -> Vec<CrashReport> {
+    pub fn due_reports(&mut self, now: Instant, limit: usize) -> Vec<CrashReport> {
         let entries = self.entries.iter_mut();
         let due = entries.filter(|(_, entry)| entry.is_report_due(now));
         let mut due: Vec<_> = due.collect();
@@ -382,26 +377,26 @@
     }
 
     /// Returns whether any report is or becomes due without a further change.
-    pub(crate) fn has_reports(&self) -> bool {
+    pub fn has_reports(&self) -> bool {
         let mut entries = self.entries.values();
         entries.any(|entry| entry.reports_left > 0 || entry.suspicion().is_quarantined)
     }
 
     /// Makes all entries due, for a peer that knows none of them.
-    pub(crate) fn report_all(&mut self) {
+    pub fn report_all(&mut self) {
         for entry in self.entries.values_mut() {
             entry.mark_changed();
         }
     }
 
     /// Returns the state of one request as a report; `None` if it is not known.
-    pub(crate) fn report(&self, now: Instant, fingerprint: Fingerprint) -> Option<CrashReport> {
+    pub fn report(&self, now: Instant, fingerprint: Fingerprint) -> Option<CrashReport> {
         let entry = self.entries.get(&fingerprint)?;
         Some(report(now, fingerprint, entry))
     }
 
     /// Forgets expired requests and returns those that were quarantined.
-    pub(crate) fn forget_expired(&mut self, now: Instant) -> Vec<Fingerprint> {
+    pub fn forget_expired(&mut self, now: Instant) -> Vec<Fingerprint> {
         let expired = self
             .entries
             .extract_if(|_, entry| entry.expires_at() <= now);
@@ -410,13 +405,13 @@
     }
 
     /// Returns whether a request is quarantined or on trial.
-    pub(crate) fn is_quarantined(&self, fingerprint: Fingerprint) -> bool {
+    pub fn is_quarantined(&self, fingerprint: Fingerprint) -> bool {
         let entry = self.entries.get(&fingerprint);
         entry.is_some_and(|entry| entry.suspicion().is_quarantined)
     }
 
     /// Returns the number of quarantined requests.
-    pub(crate) fn quarantined_count(&self) -> usize {
+    pub fn quarantined_count(&self) -> usize {
         let entries = self.entries.values();
         entries
             .filter(|entry| entry.suspicion().is_quarantined)
--- a/gateway/src/crashes/fingerprint.rs
+++ b/src/coordination/crashes/fingerprint.rs
@@ -1,21 +1,21 @@
 //! Identification of requests over their attempts.
 
-use crate::http::RequestHead;
-use crate::stable_hash::stable_hash;
+use crate::coordination::stable_hash::stable_hash;
 use serde::{Deserialize, Serialize};
 use std::fmt;
+use std::hash::Hash;
 use std::num::ParseIntError;
 use std::str::FromStr;
 
 /// Number of bytes in which bodies begin alike.
-pub(super) const PREFIX_BYTES: usize = 512;
+pub const PREFIX_BYTES: usize = 512;
 
 /// Hash of what identifies requests over their attempts. Ids, programs and preceding turns differ
 /// between copies of a request and are not part of it.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize)]
-pub(crate) enum Fingerprint {
-    /// The client account, method, host, target, and the first [`PREFIX_BYTES`] of the body as the
-    /// client sent it.
+pub enum Fingerprint {
+    /// The client account, the target, and the first [`PREFIX_BYTES`] of the body as the client
+    /// sent it.
     ///
     /// Clients that keep the history themselves send it in the body, so that what crashes endpoints
     /// comes again at the beginning of longer bodies.
@@ -51,14 +51,12 @@
 }
 
 /// Fingerprints of one request.
-pub(crate) type Fingerprints = [Fingerprint; 2];
+pub type Fingerprints = [Fingerprint; 2];
 
-/// Returns the fingerprints of a request as the client sent it.
-pub(crate) fn fingerprints(head: &RequestHead, body: &[u8]) -> Fingerprints {
-    let mut headers = head.headers.iter();
-    let credential = headers.find(|header| header.is("authorization"));
-    let credential = credential.map(|header| header.value.as_str());
-    let target = stable_hash((&head.method, &head.host, &head.target, credential));
+/// Returns the fingerprints of a request with this target, which includes the client account, and
+/// the body as the client sent it.
+pub fn fingerprints(target: impl Hash, body: &[u8]) -> Fingerprints {
+    let target = stable_hash(target);
     [
         Fingerprint::Prefix(stable_hash((target, &body[..body.len().min(PREFIX_BYTES)]))),
         Fingerprint::Request(stable_hash((target, body))),
--- a/gateway/src/crashes/tests.rs
+++ b/src/coordination/crashes/tests.rs
@@ -4,10 +4,6 @@
     MAX_LIFETIMES, MAX_REQUESTS, PREFIX_CRASHES, PREFIX_QUARANTINE, QUARANTINE, REFRESH_INTERVAL,
     REPORT_INTERVAL, REPORTS_PER_CHANGE, SUSPICION, TRIAL_TIMEOUT, fingerprints, lifetime,
 };
-use crate::crash_reports::{CRASH_REPORTS_TAG, MAX_REPORTS};
-use crate::gossip::is_readable_heartbeat;
-use crate::http::{RequestHead, parse_request};
-use crate::record::{decode, encode};
 use googletest::prelude::*;
 use proptest::prelude::*;
 use std::time::{Duration, Instant};
@@ -40,12 +36,6 @@
     }
 }
 
-fn head(start: &str, headers: &str) -> RequestHead {
-    let text = format!("{start} HTTP/1.1\r\nHost: Site.Example:80\r\n{headers}\r\n");
-    let parsed = parse_request(text.as_bytes()).expect("a valid head");
-    parsed.expect("a complete head").0
-}
-
 #[googletest::test]
 fn a_request_is_quarantined_after_the_third_lifetime() {
     let now = Instant::now();
@@ -257,27 +247,26 @@
 }
 
 #[googletest::test]
-fn a_fingerprint_is_that_of_the_client_account_the_target_and_the_body_or_its_beginning() {
-    let ids = "Request-Name: a\r\nProgram-Name: p\r\nEarlier-Turn: t\r\n";
-    let other_ids = "Request-Name: b\r\nProgram-Name: q\r\n";
-    let copy = fingerprints(&head("POST /turns/x", ids), b"body");
+fn a_fingerprint_is_that_of_the_target_and_the_body_or_its_beginning() {
+    let copy = fingerprints(("POST", "/turns/x", Some("a")), b"body");
     let [prefix, request] = copy;
     expect_that!(
-        fingerprints(&head("POST /turns/x", other_ids), b"body"),
+        fingerprints(("POST", "/turns/x", Some("a")), b"body"),
         eq(copy)
     );
-    let other_body = fingerprints(&head("POST /turns/x", ids), b"other");
+    let other_body = fingerprints(("POST", "/turns/x", Some("a")), b"other");
     expect_that!(other_body[0], not(eq(prefix)));
     expect_that!(other_body[1], not(eq(request)));
     let long = [b'x'; PREFIX_BYTES + 1];
-    let [prefix_of_long, long_request] = fingerprints(&head("POST /turns/x", ids), &long);
-    let shorter = fingerprints(&head("POST /turns/x", ids), &long[1..]);
+    let [prefix_of_long, long_request] = fingerprints("/turns/x", &long);
+    let shorter = fingerprints("/turns/x", &long[1..]);
     expect_that!(shorter[0], eq(prefix_of_long));
     expect_that!(shorter[1], not(eq(long_request)));
     for other in [
-        fingerprints(&head("POST /turns/y", ids), b"body"),
-        fingerprints(&head("PUT /turns/x", ids), b"body"),
-        fingerprints(&head("POST /turns/x", "Authorization: a\r\n"), b"body"),
+        fingerprints(("POST", "/turns/y", Some("a")), b"body"),
+        fingerprints(("PUT", "/turns/x", Some("a")), b"body"),
+        fingerprints(("POST", "/turns/x", Some("b")), b"body"),
+        fingerprints(("POST", "/turns/x", None::<&str>), b"body"),
     ] {
         expect_that!(other[0], not(eq(prefix)));
         expect_that!(other[1], not(eq(request)));
@@ -320,23 +309,6 @@
     expect_that!(lifetime("i-b", Some(1)), not(eq(first)));
 }
 
-// Guards against reports that do not fit into one datagram, or that a heartbeat is taken for.
-#[googletest::test]
-fn a_full_list_of_reports_fits_into_a_datagram() {
-    let now = Instant::now();
-    let mut crashes = Crashes::default();
-    for number in 0..(MAX_REPORTS * MAX_LIFETIMES) as u64 {
-        let request = Fingerprint::Request(u64::MAX - number % MAX_REPORTS as u64);
-        crashes.record_crash(now, request, u64::MAX - number);
-    }
-    let reports = crashes.due_reports(now, MAX_REPORTS);
-    expect_that!(reports.len(), eq(MAX_REPORTS));
-    let datagram = encode(&reports);
-    expect_that!(datagram.len(), le(4 * 1024));
-    expect_that!(decode::<Vec<CrashReport>>(&datagram), ok(eq(&reports)));
-    expect_that!(is_readable_heartbeat(&[CRASH_REPORTS_TAG]), eq(false));
-}
-
 proptest! {
     // Guards against arithmetic that a peer's figures can break.
     #[test]
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -90,6 +90,7 @@
 pub use coordination::commit::{
     BacklogFull, CommitEffect, CommitLimits, Committed, GroupCommit, Ticket,
 };
+pub use coordination::crashes;
 pub use coordination::dispatch::{
     Dispatch, DispatchError, DispatchLimits, DispatchOutcome, DispatchTable, SettleOutcome,
 };
@@ -107,6 +108,7 @@
 };
 pub use coordination::rendezvous::rendezvous;
 pub use coordination::retry::{FailedCall, RetryBudget, RetryConfig, RetryPolicy};
+pub use coordination::stable_hash::stable_hash;
 pub use coordination::watchdog::{Watchdog, WatchdogConfig, WatchdogVerdict};
 pub use daemon::{Daemon, run_daemon};
 pub use demo::{DemoOptions, DemoReport, run_demo};
