Quarantine calls that crash the endpoints that run them

What callers saw: a call that crashes each engine that runs it was sent to the next engine, and by its sidecar to the restarted engine again, up to 20 times for one call. As a new call it began anew. When all engines had been crashed, their breakers were open and every call was refused with no_endpoint.

Cause: retries are bounded for each call (coordination/retry.rs), and nothing connects the calls that have the same input.

Change: the owner keeps the table of crashing requests that the gateways have, by fingerprints of environment, client account, what is called and the call's own input. The sidecar judges: an engine's connection that was open and ended or was reset, after which the engine no longer knows the call or is no longer there, is a crash; a service's connection that ended without a complete answer is one. Time-outs, refusals, connections that were refused, cancelled calls and streams that can be resumed are not. A call is not sent again to an engine that crashed while it had it. Sidecars number the lifetimes of their endpoint, so that one crash counts once. Entries tell each other over their links at once, three times, and every 2 s while something is quarantined. A quarantined call is refused as endpoint_failed, not run, with the rest of the quarantine as retry time, before it is dispatched; a call that is being retried gets the same and is not sent again. A complete answer clears.

Fingerprints and reports are now in protocol/crashes.rs, as they are on the wire; what becomes of a connection is in protocol/failure.rs.

--- a/src/adapter/engine.rs
+++ b/src/adapter/engine.rs
@@ -1,13 +1,15 @@
 //! HTTP client for model engines.
 
+use crate::adapter::lost_answer;
 use crate::adapter::sse::DataLines;
-use crate::http::{HttpClient, HttpRequest, HttpResponse};
+use crate::http::{HttpClient, HttpError, HttpRequest, HttpResponse};
 use crate::ids::{CallId, Epoch, ProgramId, format_id, parse_id};
 use crate::limits::{MAX_ANSWER_BYTES, MAX_CACHE_BYTES};
 use crate::protocol::engine::{
     CacheEvent, Engine, EngineError, EngineEvent, EngineLoad, EngineOrder, EngineStream,
     EngineUsage, GenerateRequest,
 };
+use crate::protocol::failure::LostAnswer;
 use crate::protocol::message::Message;
 use serde::de::DeserializeOwned;
 use serde::{Deserialize, Serialize};
@@ -39,20 +41,20 @@
 
     /// Sends a request whose response is an event stream.
     async fn open(&self, request: HttpRequest) -> Result<HttpEngineStream, EngineError> {
-        let body = self.http.open(request).await.map_err(unreachable)?;
+        let body = self.http.open(request).await.map_err(connection_lost)?;
         if body.status == 200 {
             return Ok(HttpEngineStream::new(DataLines::new(body)));
         }
         let response = body
             .read_whole(MAX_ANSWER_BYTES)
             .await
-            .map_err(unreachable)?;
+            .map_err(connection_lost)?;
         Err(response_error(&response))
     }
 
     /// Sends a request and returns the body of a successful response.
     async fn send(&self, request: HttpRequest) -> Result<Vec<u8>, EngineError> {
-        let response = self.http.send(request).await.map_err(unreachable)?;
+        let response = self.http.send(request).await.map_err(connection_lost)?;
         successful_body(response)
     }
 
@@ -108,7 +110,11 @@
     async fn export(&self, program: ProgramId) -> Result<Vec<u8>, EngineError> {
         let target = format!("{}/export", cache_path(program));
         let request = HttpRequest::new(Method::Get, target).with_max_answer_bytes(MAX_CACHE_BYTES);
-        let response = self.cache_http.send(request).await.map_err(unreachable)?;
+        let response = self
+            .cache_http
+            .send(request)
+            .await
+            .map_err(connection_lost)?;
         successful_body(response)
     }
 
@@ -177,8 +183,8 @@
     /// Reads data lines up to the next event.
     async fn read(&mut self) -> Result<EngineEvent, EngineError> {
         loop {
-            let line = self.lines.next().await.map_err(unreachable)?;
-            let data = line.ok_or_else(|| unreachable("the stream was cut"))?;
+            let line = self.lines.next().await.map_err(connection_lost)?;
+            let data = line.ok_or_else(stream_cut)?;
             if let Some(event) = self.decode(&data)? {
                 return Ok(event);
             }
@@ -357,5 +363,16 @@
 
 /// Returns the error for an engine that gave no response or an invalid one.
 fn unreachable(reason: impl ToString) -> EngineError {
-    EngineError::Unreachable(reason.to_string())
+    EngineError::Unreachable(LostAnswer::other(reason))
+}
+
+/// Returns the error for a request that the HTTP client could not complete.
+fn connection_lost(error: HttpError) -> EngineError {
+    EngineError::Unreachable(lost_answer(&error))
+}
+
+/// Returns the error for a stream that ended without its last event. Without chunks, that is all that
+/// is seen of a connection that ended.
+fn stream_cut() -> EngineError {
+    EngineError::Unreachable(LostAnswer::ended("the stream was cut"))
 }
--- a/src/adapter/service.rs
+++ b/src/adapter/service.rs
@@ -1,8 +1,10 @@
 //! HTTP client for services.
 
+use crate::adapter::lost_answer;
 use crate::http::{self, HttpError, HttpResponse};
 use crate::ids::format_id;
 use crate::limits::MAX_ANSWER_BYTES;
+use crate::protocol::failure::LostAnswer;
 use crate::protocol::service::{Service, ServiceError, ServiceReply, ServiceRequest};
 use smol::net::TcpStream;
 use std::collections::HashMap;
@@ -94,9 +96,9 @@
         let response = self
             .send(stream, request, deadline)
             .await
-            .map_err(|error| ServiceError::Unknown(error.to_string()))?;
+            .map_err(|error| ServiceError::Unknown(lost_answer(&error)))?;
         let body = String::from_utf8(response.body)
-            .map_err(|_| ServiceError::Unknown("the answer is not text".to_owned()))?;
+            .map_err(|_| ServiceError::Unknown(LostAnswer::other("the answer is not text")))?;
         Ok(ServiceReply {
             status: response.status,
             body,
--- a/src/coordination/crashes.rs
+++ b/src/coordination/crashes.rs
@@ -12,10 +12,10 @@
 #[cfg(test)]
 mod tests;
 
-pub use fingerprint::{Fingerprint, Fingerprints, PREFIX_BYTES, fingerprints};
+pub use crate::protocol::crashes::{CrashReport, Fingerprint, Lifetime};
+pub use fingerprint::{Fingerprints, PREFIX_BYTES, fingerprints};
 
 use crate::coordination::stable_hash::stable_hash;
-use serde::{Deserialize, Serialize};
 use smallvec::SmallVec;
 use std::cmp::Reverse;
 use std::collections::{HashMap, VecDeque};
@@ -80,28 +80,11 @@
     }
 }
 
-/// Hash of an endpoint's id and start time.
-pub type Lifetime = u64;
-
 /// Returns the tag of a lifetime of an endpoint.
 pub fn lifetime(instance: &str, started_unix_ms: Option<u64>) -> Lifetime {
     stable_hash((instance, started_unix_ms))
 }
 
-/// What one gateway tells others about a request.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub struct CrashReport {
-    /// The request.
-    #[serde(rename = "f")]
-    pub fingerprint: Fingerprint,
-    /// Time since the last crash, in milliseconds.
-    #[serde(rename = "a")]
-    pub age_ms: u64,
-    /// Lifetimes that ended under the request, and whether each is cleared.
-    #[serde(rename = "l")]
-    pub lifetimes: Vec<(Lifetime, bool)>,
-}
-
 /// State of a request after a change.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Suspicion {
--- /dev/null
+++ b/src/entry/crashes.rs
@@ -0,0 +1,208 @@
+//! Keeps calls from endpoints that they would crash, and tells other entries of them.
+
+#[cfg(test)]
+mod tests;
+
+use crate::coordination::crashes::{
+    self, Admission, CrashReport, Fingerprints, Lifetime, Suspicion,
+};
+use crate::entry::{Entry, lock};
+use crate::ids::{CallId, NodeId, format_id};
+use crate::protocol::link::{Call, Request, Work};
+use crate::protocol::log::Log;
+use crate::protocol::message::Message;
+use crate::protocol::refusal::{Refusal, RefusalCode};
+use crate::protocol::vms::NodeRole;
+use futures_lite::FutureExt;
+use smol::Timer;
+use std::time::{Duration, Instant};
+
+/// Reason given to callers.
+const REASON: &str = "The call crashed the endpoints that ran it.";
+
+/// Minimum retry delay sent to callers, which applies while a trial runs.
+const MIN_RETRY_AFTER: Duration = Duration::from_secs(1);
+
+/// Maximum number of reports in a message to another entry.
+const MAX_REPORTS: usize = 32;
+
+/// Returns the fingerprints of a call: the environment, the client account, what is called and the
+/// call's own input. The history that an owner adds is not part of it.
+pub(super) fn call_fingerprints(call: &Call) -> Fingerprints {
+    let caller = (&call.caller.environment, &call.caller.client_account);
+    match &call.work {
+        Work::Model {
+            model, messages, ..
+        } => crashes::fingerprints((caller, "model", model), &input_bytes(messages)),
+        Work::Tool {
+            service,
+            operation,
+            body,
+            ..
+        } => crashes::fingerprints((caller, "service", service, operation), body.as_bytes()),
+    }
+}
+
+/// Returns the bytes of a model call's own input.
+fn input_bytes(messages: &[Message]) -> Vec<u8> {
+    let mut bytes = Vec::new();
+    for message in messages {
+        bytes.extend_from_slice(message.role.to_string().as_bytes());
+        bytes.push(0);
+        bytes.extend_from_slice(message.content.as_bytes());
+        bytes.push(0);
+    }
+    bytes
+}
+
+/// Returns what log lines say of a call: its id and its fingerprints.
+fn describe(call: CallId, fingerprints: &Fingerprints) -> String {
+    let [prefix, request] = fingerprints;
+    format!("call {} ({request}, {prefix})", format_id(call))
+}
+
+impl<L: Log> Entry<L> {
+    /// Refuses a call that is due to run but is quarantined, or lets it run as a trial.
+    pub(super) fn admit(&self, call: CallId, fingerprints: &Fingerprints) -> Result<(), Refusal> {
+        let admission = lock(&self.0.crashes).admit(Instant::now(), fingerprints);
+        match admission {
+            Admission::Open => Ok(()),
+            Admission::Trial => {
+                log::info!(
+                    target: "owner",
+                    "owner: {} runs as a trial after its quarantine",
+                    describe(call, fingerprints)
+                );
+                Ok(())
+            }
+            Admission::Refused(left) => Err(refuse_quarantined(call, fingerprints, left, 0)),
+        }
+    }
+
+    /// Refuses a call that failed `attempts` times and has been quarantined meanwhile.
+    pub(super) fn check_quarantine(
+        &self,
+        call: CallId,
+        fingerprints: &Fingerprints,
+        attempts: u32,
+    ) -> Result<(), Refusal> {
+        let left = lock(&self.0.crashes).quarantine_left(Instant::now(), fingerprints);
+        left.map_or(Ok(()), |left| {
+            Err(refuse_quarantined(call, fingerprints, left, attempts))
+        })
+    }
+
+    /// Records that an endpoint crashed while it had a call, and tells the other entries.
+    pub(super) fn record_crash(
+        &self,
+        call: CallId,
+        fingerprints: &Fingerprints,
+        endpoint: &str,
+        lifetime: Lifetime,
+    ) {
+        let now = Instant::now();
+        let mut crashes = lock(&self.0.crashes);
+        let states = fingerprints.map(|print| crashes.record_crash(now, print, lifetime));
+        drop(crashes);
+        let [prefix, request] = states.map(describe_state);
+        log::warn!(
+            target: "owner",
+            "owner: endpoint {endpoint} crashed while it had {}: {request} for the same input, \
+             {prefix} for inputs that begin alike (lifetime {lifetime:016x})",
+            describe(call, fingerprints)
+        );
+        self.share_crashes();
+    }
+
+    /// Records a complete answer, which proves a call harmless.
+    pub(super) fn record_answer(&self, call: CallId, fingerprints: &Fingerprints) {
+        let now = Instant::now();
+        let mut crashes = lock(&self.0.crashes);
+        let cleared = fingerprints.map(|print| crashes.record_answer(now, print));
+        drop(crashes);
+        let count = cleared.iter().flatten().map(|state| state.lifetimes).max();
+        let Some(count) = count else {
+            return;
+        };
+        log::info!(
+            target: "owner",
+            "owner: an answer clears {count} crashes of {}",
+            describe(call, fingerprints)
+        );
+        self.share_crashes();
+    }
+
+    /// Forgets expired calls and tells the other entries what has changed.
+    pub(super) fn share_crashes(&self) {
+        let now = Instant::now();
+        let mut crashes = lock(&self.0.crashes);
+        crashes.forget_expired(now);
+        let reports = crashes.due_reports(now, MAX_REPORTS);
+        drop(crashes);
+        if reports.is_empty() {
+            return;
+        }
+        let peers = lock(&self.0.membership).candidates(now, NodeRole::Entry);
+        for peer in peers {
+            let send = self.clone().send_crash_reports(peer, reports.clone());
+            self.0.spawner.spawn(send);
+        }
+    }
+
+    async fn send_crash_reports(self, peer: NodeId, reports: Vec<CrashReport>) {
+        let timeout = async {
+            Timer::after(self.0.config.membership.suspect_after).await;
+        };
+        let send = async {
+            // Reports are repeated, so that a lost one needs no retry here.
+            let _ = self
+                .0
+                .links
+                .ask(&peer, Request::ReportCrashes(reports))
+                .await;
+        };
+        send.or(timeout).await;
+    }
+
+    /// Merges the reports of another entry. What was answered here recently is cleared there at once.
+    pub(super) fn merge_crash_reports(&self, from: &str, reports: &[CrashReport]) {
+        for report in reports.iter().take(MAX_REPORTS) {
+            let merged = lock(&self.0.crashes).merge(Instant::now(), report);
+            let Some(state) = merged else {
+                continue;
+            };
+            log::info!(
+                target: "owner",
+                "owner: {from} reports crashes under {}, the last {} ms ago: {}",
+                report.fingerprint,
+                report.age_ms,
+                describe_state(Some(state))
+            );
+        }
+        self.share_crashes();
+    }
+}
+
+fn refuse_quarantined(
+    call: CallId,
+    fingerprints: &Fingerprints,
+    left: Duration,
+    attempts: u32,
+) -> Refusal {
+    log::warn!(
+        target: "owner",
+        "owner: refusing {} after {attempts} attempts, quarantined for another {} ms",
+        describe(call, fingerprints),
+        left.as_millis()
+    );
+    let wait = left.max(MIN_RETRY_AFTER);
+    Refusal::not_run(RefusalCode::EndpointFailed, REASON).retry_after_ms(wait.as_millis() as u64)
+}
+
+fn describe_state(state: Option<Suspicion>) -> String {
+    match state {
+        None => "not counted".to_owned(),
+        Some(state) if state.is_quarantined => format!("{} crashes, quarantined", state.lifetimes),
+        Some(state) => format!("{} crashes", state.lifetimes),
+    }
+}
--- a/src/entry/dispatch.rs
+++ b/src/entry/dispatch.rs
@@ -1,6 +1,7 @@
 //! Dispatch of calls to endpoints, with retries at other endpoints on failure.
 
 use crate::coordination::choice::{CallOutcome, CallWork, Choice, EndpointRequirements, Target};
+use crate::coordination::crashes::Fingerprints;
 use crate::coordination::retry::FailedCall;
 use crate::entry::{Entry, lock};
 use crate::ids::{CallId, EndpointId, ProgramId};
@@ -45,6 +46,8 @@
     pub(super) repeatable: bool,
     /// Endpoint at which a previous owner started the call, if known.
     pub(super) seen_at: Option<EndpointId>,
+    /// Identify the call's input over all calls that have it.
+    pub(super) fingerprints: Fingerprints,
     /// Endpoints where an attempt failed. Further attempts exclude them.
     pub(super) failed: SmallVec<[EndpointId; 4]>,
 }
@@ -116,6 +119,7 @@
             drop(guard);
             let refusal = match result {
                 Ok(generated) => {
+                    self.record_answer(dispatch.call, &dispatch.fingerprints);
                     self.record_generation(&endpoint, dispatch.program, &generated);
                     return Ok(FinishedGeneration {
                         endpoint,
@@ -130,7 +134,7 @@
         }
     }
 
-    /// Waits before the next attempt and excludes the failed endpoint.
+    /// Waits before the next attempt and excludes the failed endpoint. Records whether it crashed.
     ///
     /// Returns the refusal as an error if the call must not be retried.
     pub(super) async fn back_off(
@@ -138,11 +142,15 @@
         dispatch: &mut DispatchedCall<'_>,
         endpoint: &EndpointId,
         attempts: u32,
-        refusal: Refusal,
+        mut refusal: Refusal,
     ) -> Result<(), Refusal> {
+        if let Some(lifetime) = refusal.crashed.take() {
+            self.record_crash(dispatch.call, &dispatch.fingerprints, endpoint, lifetime);
+        }
         if !is_endpoint_fault(refusal.code) {
             return Err(refusal);
         }
+        self.check_quarantine(dispatch.call, &dispatch.fingerprints, attempts)?;
         let failed = FailedCall {
             client_account: dispatch.client_account,
             endpoint,
@@ -159,7 +167,7 @@
         };
         dispatch.failed.push(endpoint.clone());
         Timer::after(wait).await;
-        Ok(())
+        self.check_quarantine(dispatch.call, &dispatch.fingerprints, attempts)
     }
 
     /// Records a dispatched call in the load estimates. Dropping the guard records its end.
--- a/src/entry/members.rs
+++ b/src/entry/members.rs
@@ -59,6 +59,7 @@
                 entry.probe_round();
                 entry.update_ownership();
                 entry.update_endpoint_states();
+                entry.share_crashes();
                 let jitter = 0.75 + fastrand::f64() / 2.0;
                 Timer::after(entry.0.config.probe_interval.mul_f64(jitter)).await;
             }
--- a/src/entry/mod.rs
+++ b/src/entry/mod.rs
@@ -1,5 +1,6 @@
 //! The entry process: accepts callers' requests, owns partitions and dispatches calls to sidecars.
 
+mod crashes;
 mod dispatch;
 mod environments;
 mod http;
@@ -15,6 +16,7 @@
 
 use crate::coordination::cache::{CacheTable, CacheTableConfig};
 use crate::coordination::choice::{ChoiceConfig, Chooser};
+use crate::coordination::crashes::Crashes;
 use crate::coordination::limits::Limits;
 use crate::coordination::membership::{Membership, MembershipConfig};
 use crate::coordination::partition::{PartitionConfig, PartitionHandle, PartitionIdentity};
@@ -112,6 +114,8 @@
     chooser: Mutex<Chooser>,
     cache: Mutex<CacheTable>,
     retries: Mutex<RetryPolicy>,
+    /// Calls under which endpoints crashed.
+    crashes: Mutex<Crashes>,
     limits: Mutex<Limits>,
     programs: Programs,
     open_requests: AtomicUsize,
@@ -160,6 +164,7 @@
             chooser: Mutex::new(Chooser::new(choice_config())),
             cache: Mutex::new(CacheTable::new(CacheTableConfig::default(), now)),
             retries: Mutex::new(RetryPolicy::new(RetryConfig::default())),
+            crashes: Mutex::default(),
             limits: Mutex::default(),
             programs: Programs::default(),
             open_requests: AtomicUsize::new(0),
--- a/src/entry/owner/action.rs
+++ b/src/entry/owner/action.rs
@@ -3,6 +3,7 @@
 //! An action commits an intent, is dispatched once, commits its outcome, and is answered only then.
 
 use crate::coordination::choice::CallOutcome;
+use crate::coordination::crashes::Lifetime;
 use crate::coordination::partition::CommitError;
 use crate::entry::Entry;
 use crate::entry::owner::branch::{BranchContext, CallJob, token_bound};
@@ -54,6 +55,7 @@
         if is_log_down(&owned.handle) {
             return Err(refuse_log_down());
         }
+        self.admit(job.call.call, &job.fingerprints)?;
         let mut prepared = self.prepare_action(owned, job, limit).await?;
         let mut reservation = Reservation::new(self, owned, prepared.cost);
         let intent = build_intent(owned, job, &prepared);
@@ -174,6 +176,7 @@
         match invoked {
             Ok(action) => match action.state {
                 ActionState::Finished(result) => {
+                    self.judge_action(job, &prepared.endpoint, &result, action.crashed);
                     return SettledAction {
                         spent: action_usage(&result, action.ran_ms, prepared.cost),
                         result,
@@ -194,6 +197,22 @@
             .await
     }
 
+    /// Records what the result of an action says of its input.
+    fn judge_action(
+        &self,
+        job: &CallJob,
+        endpoint: &EndpointId,
+        result: &ActionResult,
+        crashed: Option<Lifetime>,
+    ) {
+        let call = job.call.call;
+        match (result, crashed) {
+            (ActionResult::Done(_), _) => self.record_answer(call, &job.fingerprints),
+            (_, Some(lifetime)) => self.record_crash(call, &job.fingerprints, endpoint, lifetime),
+            _ => {}
+        }
+    }
+
     /// Commits an action's outcome, with a turn if it ran, and returns its answer.
     async fn write_outcome(
         &self,
--- a/src/entry/owner/branch.rs
+++ b/src/entry/owner/branch.rs
@@ -1,5 +1,7 @@
 //! Per-branch job queues. The calls of one branch run sequentially.
 
+use crate::coordination::crashes::Fingerprints;
+use crate::entry::crashes::call_fingerprints;
 use crate::entry::owner::program::{
     AddOutcome, AnswerResult, AnswerStream, OwnedProgram, TrackedCall,
 };
@@ -34,6 +36,8 @@
 pub(super) struct CallJob {
     /// Request of the caller.
     pub(super) call: Call,
+    /// Identify its input over all calls that have it.
+    pub(super) fingerprints: Fingerprints,
     /// Stream that receives the answer.
     pub(super) answer: AnswerStream,
     /// Closed to stop the call.
@@ -103,6 +107,7 @@
         self.0.programs.count_call(true);
         let branch = call.branch;
         let job = CallJob {
+            fingerprints: call_fingerprints(&call),
             call,
             answer: answer.clone(),
             stopped,
--- a/src/entry/owner/tool.rs
+++ b/src/entry/owner/tool.rs
@@ -55,6 +55,7 @@
                 Ok(action) => match action.state {
                     ActionState::Finished(ActionResult::Done(reply)) => {
                         guard.outcome = CallOutcome::Answered;
+                        self.record_answer(dispatch.call, &dispatch.fingerprints);
                         reservation.spent = tool_spent(action.ran_ms);
                         return Ok(tool_output(
                             context,
@@ -65,7 +66,8 @@
                     }
                     ActionState::Finished(
                         ActionResult::NotRun(reason) | ActionResult::Unknown(reason),
-                    ) => Refusal::not_run(RefusalCode::EndpointFailed, reason),
+                    ) => Refusal::not_run(RefusalCode::EndpointFailed, reason)
+                        .crashed(action.crashed),
                     _ => Refusal::not_run(RefusalCode::EndpointFailed, "The call was lost."),
                 },
                 Err(error) => refuse_unreachable(&error),
@@ -146,6 +148,7 @@
         answer_tokens: 0,
         repeatable: true,
         seen_at: None,
+        fingerprints: job.fingerprints,
         failed: SmallVec::new(),
     }
 }
--- a/src/entry/serve.rs
+++ b/src/entry/serve.rs
@@ -11,16 +11,15 @@
 use futures_lite::FutureExt;
 
 impl<L: Log> RequestHandler<LinkProtocol> for Entry<L> {
-    async fn handle(
-        &self,
-        _from: Remote,
-        request: Request,
-        mut responder: Responder<LinkProtocol>,
-    ) {
+    async fn handle(&self, from: Remote, request: Request, mut responder: Responder<LinkProtocol>) {
         if let Request::Probe(digest) = request {
             self.apply_digest(&digest);
             return responder.reply(Reply::Probed(self.digest()));
         }
+        if let Request::ReportCrashes(reports) = request {
+            self.merge_crash_reports(&from.node, &reports);
+            return responder.reply(Reply::Done);
+        }
         if let Some(reply) = self.serve_operator_request(&request).await {
             return responder.reply(reply);
         }
--- a/src/http.rs
+++ b/src/http.rs
@@ -34,7 +34,9 @@
 pub(crate) enum HttpError {
     /// The connection was refused, so that nothing was sent.
     Refused(String),
-    /// The connection could not be opened or broke, or the response is invalid.
+    /// The connection was open, and ended or was reset before the response was complete.
+    Ended(String),
+    /// The connection could not be opened, or the response is invalid.
     Failed(String),
     /// The response did not arrive within the timeout.
     TimedOut,
@@ -43,7 +45,9 @@
 impl std::fmt::Display for HttpError {
     fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
         match self {
-            Self::Refused(reason) | Self::Failed(reason) => f.write_str(reason),
+            Self::Refused(reason) | Self::Ended(reason) | Self::Failed(reason) => {
+                f.write_str(reason)
+            }
             Self::TimedOut => f.write_str("no answer in time"),
         }
     }
@@ -228,13 +232,22 @@
         trillium_client::Error::Io(io) if io.kind() == ErrorKind::ConnectionRefused => {
             HttpError::Refused(error.to_string())
         }
-        error => http_error(error),
+        trillium_client::Error::Io(io) => io_error(io),
+        trillium_client::Error::Closed => HttpError::Ended(error.to_string()),
+        error => HttpError::Failed(error.to_string()),
     }
 }
 
-/// Converts an error of the HTTP library.
-fn http_error(error: &impl std::fmt::Display) -> HttpError {
-    HttpError::Failed(error.to_string())
+/// Converts an error of reading or writing. The HTTP library reports a body that is shorter than its
+/// head or its chunks say as an aborted connection or an unexpected end.
+fn io_error(error: &std::io::Error) -> HttpError {
+    match error.kind() {
+        ErrorKind::ConnectionReset
+        | ErrorKind::ConnectionAborted
+        | ErrorKind::BrokenPipe
+        | ErrorKind::UnexpectedEof => HttpError::Ended(error.to_string()),
+        _ => HttpError::Failed(error.to_string()),
+    }
 }
 
 /// A response whose body has not been read yet. Dropping it closes the connection.
@@ -262,7 +275,7 @@
             .body
             .read(&mut self.read_buf)
             .await
-            .map_err(|error| http_error(&error))?;
+            .map_err(|error| io_error(&error))?;
         buf.extend_from_slice(&self.read_buf[..count]);
         self.bytes_in_turn += count;
         Ok(count)
--- a/src/protocol/engine.rs
+++ b/src/protocol/engine.rs
@@ -2,6 +2,7 @@
 //! and knows no priorities.
 
 use crate::ids::{CallId, Epoch, ModelId, ProgramId};
+use crate::protocol::failure::LostAnswer;
 use crate::protocol::message::Message;
 use serde::{Deserialize, Serialize};
 use std::fmt;
@@ -96,7 +97,7 @@
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum EngineError {
     /// The connection failed or was lost.
-    Unreachable(String),
+    Unreachable(LostAnswer),
     /// The stream or cache does not exist.
     Unknown,
     /// The order's fencing token is outdated.
--- a/src/protocol/link.rs
+++ b/src/protocol/link.rs
@@ -17,6 +17,7 @@
     Offset, Partition, ProgramId,
 };
 use crate::protocol::configuration::ConfigurationImage;
+use crate::protocol::crashes::CrashReport;
 use crate::protocol::engine::{EngineOrder, GenerateRequest};
 use crate::protocol::message::{Message, Usage};
 use crate::protocol::operator::{OperatorQuery, OperatorReply};
@@ -137,6 +138,8 @@
     },
     /// Any to any: heartbeat that exchanges digests.
     Probe(Digest),
+    /// Entry to entry: merge what is known of calls that crash endpoints.
+    ReportCrashes(Vec<CrashReport>),
     /// Entry to any: adopt this configuration unless the local one is newer.
     OfferConfiguration(ConfigurationOffer),
     /// Any to entry: return the current configuration.
--- a/src/protocol/link/answer.rs
+++ b/src/protocol/link/answer.rs
@@ -2,6 +2,7 @@
 
 use super::SidecarLoad;
 use crate::ids::{BranchId, CallId, Offset};
+use crate::protocol::crashes::Lifetime;
 use crate::protocol::engine::EngineUsage;
 use crate::protocol::message::{Message, Usage};
 use crate::protocol::record::ActionResult;
@@ -78,6 +79,9 @@
     pub ran_ms: u64,
     /// Load of the sidecar when the reply was made.
     pub load: SidecarLoad,
+    /// Lifetime of the service that ended while it had the call.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub crashed: Option<Lifetime>,
 }
 
 /// State of a service call on the sidecar.
--- a/src/protocol/mod.rs
+++ b/src/protocol/mod.rs
@@ -2,8 +2,10 @@
 
 pub mod caller;
 pub mod configuration;
+pub mod crashes;
 pub mod difference;
 pub mod engine;
+pub mod failure;
 pub mod image;
 pub mod link;
 pub mod log;
--- a/src/protocol/refusal.rs
+++ b/src/protocol/refusal.rs
@@ -1,5 +1,6 @@
 //! Refusals: the reason why a call was not answered, and whether it ran.
 
+use crate::protocol::crashes::Lifetime;
 use serde::{Deserialize, Serialize};
 use std::fmt;
 
@@ -71,6 +72,9 @@
     pub retry_after_ms: Option<u64>,
     /// Explanation for people, in one sentence.
     pub message: String,
+    /// Lifetime of the endpoint that ended while it had the call. It passes between nodes only.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub crashed: Option<Lifetime>,
 }
 
 impl Refusal {
@@ -81,6 +85,7 @@
             ran: Ran::No,
             retry_after_ms: None,
             message: message.into(),
+            crashed: None,
         }
     }
 
@@ -92,6 +97,12 @@
         }
     }
 
+    /// Names the lifetime of the endpoint that ended while it had the call.
+    pub(crate) fn crashed(mut self, lifetime: Option<Lifetime>) -> Self {
+        self.crashed = lifetime;
+        self
+    }
+
     /// Sets the delay before a retry, in milliseconds.
     pub fn retry_after_ms(mut self, wait_ms: u64) -> Self {
         self.retry_after_ms = Some(wait_ms);
--- a/src/protocol/service.rs
+++ b/src/protocol/service.rs
@@ -1,5 +1,6 @@
 //! Interface to services: tool services, and plain services that run alongside the engines.
 
+use crate::protocol::failure::LostAnswer;
 use serde::{Deserialize, Serialize};
 use std::future::Future;
 
@@ -29,7 +30,7 @@
     /// No byte of the request left this process, so the call has not run.
     NotSent(String),
     /// The request may have arrived, so the call may have run.
-    Unknown(String),
+    Unknown(LostAnswer),
 }
 
 /// A service.
--- a/src/sidecar/action.rs
+++ b/src/sidecar/action.rs
@@ -1,12 +1,15 @@
 //! Service calls at a sidecar: repeatable ones, and actions that run at most once.
 
+use crate::coordination::crashes::Lifetime;
 use crate::coordination::dispatch::{Dispatch, DispatchError, DispatchOutcome, SettleOutcome};
-use crate::ids::{CallId, Epoch, Partition};
+use crate::ids::{CallId, Epoch, Partition, format_id};
 use crate::protocol::engine::Engine;
+use crate::protocol::failure::{Connection, LostAnswer};
 use crate::protocol::link::{ActionReply, ActionState, AtMostOnce, Invoke, Reply};
 use crate::protocol::record::ActionResult;
 use crate::protocol::refusal::{Refusal, RefusalCode};
 use crate::protocol::service::{Service, ServiceError, ServiceRequest};
+use crate::sidecar::lifetime::LifetimeNumber;
 use crate::sidecar::{Endpoint, Sidecar, lock};
 use futures_lite::FutureExt;
 use smol::Timer;
@@ -37,8 +40,11 @@
         let _guard = self.0.queue.count_service_call();
         let started = Instant::now();
         let limit = self.service_limit(&invoke);
-        let result = send(service, invoke.request, limit).await;
-        self.action_reply(ActionState::Finished(result), elapsed_ms(started))
+        let (result, crashed) = self.send(service, invoke.request, limit).await;
+        Reply::Action(ActionReply {
+            crashed,
+            ..self.action_state(ActionState::Finished(result), elapsed_ms(started))
+        })
     }
 
     /// Runs an action at most once in this incarnation of the sidecar.
@@ -61,7 +67,11 @@
                 }
                 DispatchOutcome::Running => {}
                 DispatchOutcome::Finished(result) => {
-                    return self.action_reply(ActionState::Finished(result), elapsed_ms(started));
+                    let ran_ms = elapsed_ms(started);
+                    return Reply::Action(ActionReply {
+                        crashed: lock(&self.0.crashed_actions).get(dispatch.call),
+                        ..self.action_state(ActionState::Finished(result), ran_ms)
+                    });
                 }
                 DispatchOutcome::Refused(reason) => return self.refuse_dispatch(reason),
             }
@@ -86,7 +96,10 @@
         self.0.spawner.spawn(async move {
             let _guard = sidecar.0.queue.count_service_call();
             let call = request.call;
-            let result = send(service, request, limit).await;
+            let (result, crashed) = sidecar.send(service, request, limit).await;
+            if let Some(lifetime) = crashed {
+                lock(&sidecar.0.crashed_actions).insert(call, lifetime);
+            }
             lock(&sidecar.0.dispatches).finish(call, result);
             sidecar.0.action_finished.notify(usize::MAX);
         });
@@ -118,11 +131,54 @@
     }
 
     fn action_reply(&self, state: ActionState, ran_ms: u64) -> Reply {
-        Reply::Action(ActionReply {
+        Reply::Action(self.action_state(state, ran_ms))
+    }
+
+    fn action_state(&self, state: ActionState, ran_ms: u64) -> ActionReply {
+        ActionReply {
             state,
             ran_ms,
             load: self.load(),
-        })
+            crashed: None,
+        }
+    }
+
+    /// Sends one request to the service on a new connection, without a retry. Returns the lifetime of
+    /// the service if it ended meanwhile.
+    async fn send(
+        &self,
+        service: S,
+        request: ServiceRequest,
+        limit: Duration,
+    ) -> (ActionResult, Option<Lifetime>) {
+        let number = self.0.lifetimes.current();
+        let call = request.call;
+        let timeout = async {
+            Timer::after(limit).await;
+            Err(ServiceError::Unknown(LostAnswer::other(
+                "no answer in time",
+            )))
+        };
+        match service.invoke(request).or(timeout).await {
+            Ok(reply) => (ActionResult::Done(reply), None),
+            Err(ServiceError::NotSent(reason)) => (ActionResult::NotRun(reason), None),
+            Err(ServiceError::Unknown(lost)) => {
+                let crashed = (lost.connection == Connection::Ended)
+                    .then(|| self.record_service_crash(call, number));
+                (ActionResult::Unknown(lost.reason), crashed)
+            }
+        }
+    }
+
+    fn record_service_crash(&self, call: CallId, number: LifetimeNumber) -> Lifetime {
+        self.0.lifetimes.end(number);
+        let lifetime = self.0.lifetimes.tag(number);
+        log::info!(
+            target: "sidecar",
+            "sidecar: service ended the connection of call {} (lifetime {number}, {lifetime:016x})",
+            format_id(call)
+        );
+        lifetime
     }
 
     fn refuse_dispatch(&self, reason: DispatchError) -> Reply {
@@ -151,19 +207,6 @@
     }
 }
 
-/// Sends one request to the service on a new connection, without a retry.
-async fn send<S: Service>(service: S, request: ServiceRequest, limit: Duration) -> ActionResult {
-    let timeout = async {
-        Timer::after(limit).await;
-        Err(ServiceError::Unknown("no answer in time".to_string()))
-    };
-    match service.invoke(request).or(timeout).await {
-        Ok(reply) => ActionResult::Done(reply),
-        Err(ServiceError::NotSent(reason)) => ActionResult::NotRun(reason),
-        Err(ServiceError::Unknown(reason)) => ActionResult::Unknown(reason),
-    }
-}
-
 fn not_run(reason: &str) -> ActionResult {
     ActionResult::NotRun(reason.to_string())
 }
--- a/src/sidecar/generation.rs
+++ b/src/sidecar/generation.rs
@@ -2,14 +2,17 @@
 
 use crate::coordination::admission::Cost;
 use crate::coordination::cache::CacheReleases;
-use crate::ids::{CallId, ProgramId};
+use crate::coordination::crashes::Lifetime;
+use crate::ids::{CallId, ProgramId, format_id};
 use crate::limits::MAX_EXTRA_EVENTS;
 use crate::protocol::engine::{
     Engine, EngineError, EngineEvent, EngineStream, EngineUsage, GenerateRequest,
 };
+use crate::protocol::failure::Connection;
 use crate::protocol::link::{Generate, Tokens};
 use crate::protocol::refusal::{Refusal, RefusalCode};
 use crate::protocol::service::Service;
+use crate::sidecar::lifetime::LifetimeNumber;
 use crate::sidecar::queue::AdmissionSlot;
 use crate::sidecar::{Endpoint, GenerationOutput, Sidecar, lock};
 use crate::transport::replay::Run;
@@ -26,6 +29,9 @@
 /// Pause before a stream is reopened or a cancellation is retried.
 const REOPEN_PAUSE: Duration = Duration::from_millis(100);
 
+/// Retry delay sent to the caller of a call under which the engine crashed, in milliseconds.
+const CRASH_RETRY_MS: u64 = 500;
+
 /// A generation that is running, or whose output is still retained.
 #[derive(Clone)]
 pub(crate) struct Generation {
@@ -58,6 +64,8 @@
 enum GenerationError {
     Stopped,
     Engine(EngineError),
+    /// The engine crashed while it had the call.
+    Crashed(Lifetime),
     Stalled,
     /// The engine sent more tokens or events than the call allows.
     TooLong,
@@ -70,6 +78,17 @@
             Self::Stalled => refuse_failed("The engine stopped sending."),
             Self::TooLong => refuse_failed("The engine sent more than the call allows."),
             Self::Engine(e) => refuse_failed(&e.to_string()),
+            Self::Crashed(lifetime) => refuse_failed("The engine crashed while it had the call.")
+                .retry_after_ms(CRASH_RETRY_MS)
+                .crashed(Some(lifetime)),
+        }
+    }
+
+    /// Returns what became of the connection; `None` unless the engine could not be reached.
+    fn connection(&self) -> Option<Connection> {
+        match self {
+            Self::Engine(EngineError::Unreachable(lost)) => Some(lost.connection),
+            _ => None,
         }
     }
 }
@@ -200,6 +219,9 @@
     }
 
     /// Streams a generation from the engine, reopening the stream if it breaks or stalls.
+    ///
+    /// An engine that no longer knows a call on whose connection it had it, or that is no longer
+    /// there, has crashed. The call is not sent to it again, because it may be the cause.
     async fn stream(
         &self,
         engine: &E,
@@ -210,10 +232,13 @@
         let call = request.call;
         let max_tokens = request.max_tokens;
         let started = Instant::now();
+        let mut lifetime = self.0.lifetimes.current();
+        let mut is_lost = false;
         let mut opened = engine.generate(request.clone()).await;
         for _ in 0..REOPENS_MAX {
             let error = match opened {
                 Ok(stream) => {
+                    is_lost = false;
                     let allowance = StreamAllowance::new(max_tokens);
                     let read = self.read_stream(stream, allowance, generation, slot, started);
                     match read.await {
@@ -233,21 +258,45 @@
                 }
                 Err(e) => GenerationError::Engine(e),
             };
+            if let Some(Connection::Ended) = error.connection() {
+                is_lost = true;
+                self.0.lifetimes.end(lifetime);
+            }
             if let GenerationError::Stalled = error {
                 log::info!(target: "sidecar", "sidecar: engine stream stalled, reopening it");
             }
             Timer::after(REOPEN_PAUSE).await;
             opened = engine.resume(call, generation.output.next_index()).await;
+            if is_lost && is_unknown_call(&opened) {
+                return Err(self.crashed(call, lifetime));
+            }
             if is_unknown_call(&opened) && generation.output.next_index() == 0 {
+                lifetime = self.0.lifetimes.current();
                 opened = engine.generate(request.clone()).await;
             }
         }
-        match opened {
-            Ok(_) => Err(GenerationError::Stalled),
-            Err(e) => Err(GenerationError::Engine(e)),
+        let error = match opened {
+            Ok(_) => return Err(GenerationError::Stalled),
+            Err(e) => GenerationError::Engine(e),
+        };
+        match error.connection() {
+            Some(Connection::Refused | Connection::Ended) if is_lost => {
+                Err(self.crashed(call, lifetime))
+            }
+            _ => Err(error),
         }
     }
 
+    fn crashed(&self, call: CallId, number: LifetimeNumber) -> GenerationError {
+        let lifetime = self.0.lifetimes.tag(number);
+        log::info!(
+            target: "sidecar",
+            "sidecar: engine crashed while it had call {} (lifetime {number}, {lifetime:016x})",
+            format_id(call)
+        );
+        GenerationError::Crashed(lifetime)
+    }
+
     /// Reads one stream until it ends, breaks or stalls.
     async fn read_stream(
         &self,
--- a/src/sidecar/mod.rs
+++ b/src/sidecar/mod.rs
@@ -2,6 +2,7 @@
 
 mod action;
 mod generation;
+mod lifetime;
 mod orders;
 mod probe;
 mod queue;
@@ -20,6 +21,7 @@
 use crate::protocol::refusal::{Refusal, RefusalCode};
 use crate::protocol::service::Service;
 use crate::sidecar::generation::Generation;
+use crate::sidecar::lifetime::{CrashedActions, EndpointLifetimes};
 use crate::sidecar::queue::AdmissionQueue;
 use crate::state::kept::PendingEntries;
 use crate::transport::spawn::Spawner;
@@ -87,6 +89,8 @@
     generations: Mutex<HashMap<CallId, Generation>>,
     dispatches: Mutex<DispatchTable>,
     action_finished: Event,
+    lifetimes: EndpointLifetimes,
+    crashed_actions: Mutex<CrashedActions>,
     fences: Mutex<HashMap<Partition, Epoch>>,
     order_fence: smol::lock::Mutex<OrderFence>,
     cache_releases: Mutex<CacheReleases>,
@@ -113,6 +117,8 @@
                 DispatchLimits::default(),
             )),
             action_finished: Event::new(),
+            lifetimes: EndpointLifetimes::new(&config.node, config.incarnation),
+            crashed_actions: Mutex::default(),
             fences: Mutex::default(),
             order_fence: smol::lock::Mutex::default(),
             cache_releases: Mutex::new(CacheReleases::new(config.releases)),
--- a/src/standin/engine/batch.rs
+++ b/src/standin/engine/batch.rs
@@ -105,6 +105,17 @@
         true
     }
 
+    /// Forgets all streams and the cache, as an engine that crashes and starts again.
+    pub(crate) fn crash(&mut self, now: Instant) {
+        self.counts.crashes += 1;
+        self.streams.clear();
+        self.waiting.clear();
+        self.running.clear();
+        self.finished.clear();
+        self.cache = PrefixCache::new(self.config.cache_tokens);
+        self.record_load(now);
+    }
+
     /// Stops sending on the currently open connections, without closing them.
     pub(crate) fn silence(&mut self) {
         for stream in self.streams.values_mut() {
--- a/src/standin/engine/config.rs
+++ b/src/standin/engine/config.rs
@@ -87,6 +87,9 @@
     pub event_loss: Option<f64>,
     /// Delay after which a load report becomes visible, in milliseconds.
     pub load_lag_ms: Option<u64>,
+    /// Text that crashes the engine when it begins to run a prompt with it. It then closes every
+    /// connection and forgets its streams and its cache. Empty for no such text.
+    pub crash_on: Option<String>,
 }
 
 /// Counters of an engine stand-in.
@@ -98,6 +101,9 @@
     pub finished: u64,
     /// Number of generations that were cancelled before they completed.
     pub cancelled: u64,
+    /// Number of crashes under a generation.
+    #[serde(default)]
+    pub crashes: u64,
     /// Number of prompt tokens of the generations that started to run.
     pub prompt_tokens: u64,
     /// Number of prompt tokens that were found in the cache.
--- a/src/standin/engine/core.rs
+++ b/src/standin/engine/core.rs
@@ -4,6 +4,7 @@
 use super::config::{EngineConfig, EngineControl};
 use super::ledger::TokenLedger;
 use super::orders::Orders;
+use crate::protocol::engine::GenerateRequest;
 use std::sync::{Mutex, MutexGuard, PoisonError};
 use std::time::{Duration, Instant};
 
@@ -27,6 +28,16 @@
     pub(crate) refuse: bool,
     /// Speed relative to full speed.
     speed: f64,
+    /// Text in prompts that crashes the engine.
+    crash_on: Option<String>,
+}
+
+impl Inner {
+    /// Returns whether a generation crashes the engine.
+    pub(crate) fn crashes_on(&self, request: &GenerateRequest) -> bool {
+        let crashes = |text: &str| request.messages.iter().any(|m| m.content.contains(text));
+        self.crash_on.as_deref().is_some_and(crashes)
+    }
 }
 
 impl Core {
@@ -38,6 +49,7 @@
             paused: false,
             refuse: false,
             speed: 1.0,
+            crash_on: None,
         };
         Self {
             config,
@@ -57,6 +69,9 @@
         if let Some(refuse) = control.refuse {
             inner.refuse = refuse;
         }
+        if let Some(text) = &control.crash_on {
+            inner.crash_on = Some(text.clone()).filter(|text| !text.is_empty());
+        }
         if control.silence == Some(true) {
             inner.batch.silence();
         }
--- a/src/standin/engine/handler.rs
+++ b/src/standin/engine/handler.rs
@@ -88,6 +88,14 @@
         if !inner.batch.serves_model(&generation.model) {
             return Response::error(404, "no_model", "The model is not loaded.");
         }
+        if inner.crashes_on(&generation) {
+            inner.batch.crash(Instant::now());
+            drop(inner);
+            if let Some(server) = self.server.get() {
+                server.close_connections();
+            }
+            return Response::Disconnect;
+        }
         let body = inner.batch.start(&generation, Instant::now());
         drop(inner);
         self.wake_stepper();
--- /dev/null
+++ b/tests/system/crashes.rs
@@ -0,0 +1,186 @@
+//! Calls that crash the endpoints that run them, and calls that only run beside them.
+
+use crate::support::{
+    CALL_TIMEOUT, Cluster, bank_client, create_program, owner_of, small_cluster, with_cluster,
+};
+use galenapick::protocol::caller::CallRequest;
+use galenapick::standin::{EngineControl, ServiceControl};
+use galenapick::{
+    CallError, ClusterOptions, Message, Ran, Refusal, RefusalCode, RetryDeadline, Role,
+};
+use googletest::prelude::*;
+use smol::Timer;
+use std::collections::BTreeSet;
+use std::time::{Duration, Instant};
+
+/// Text in the input that crashes engines.
+const CRASH_TEXT: &str = "heron";
+
+/// Maximum number of runs of a call that crashes each endpoint that runs it.
+const MAX_RUNS: u64 = 3;
+
+/// Number of programs that make the same call.
+const PROGRAMS: usize = 12;
+
+/// Number of partitions, so many that both entries own some.
+const PARTITIONS: u16 = 16;
+
+/// Time in which a quarantined call is refused.
+const REFUSAL_LIMIT: Duration = Duration::from_millis(500);
+
+fn cluster_options() -> ClusterOptions {
+    ClusterOptions {
+        engines: 4,
+        services: 4,
+        partitions: PARTITIONS,
+        ..small_cluster(2)
+    }
+}
+
+fn model_call(input: &str) -> CallRequest {
+    CallRequest::model("matcher-llm", vec![Message::new(Role::User, input)], 64)
+}
+
+async fn crash_engines_on(cluster: &Cluster, text: &str) {
+    for engine in cluster.platform.engines() {
+        let control = EngineControl {
+            crash_on: Some(text.to_owned()),
+            ..EngineControl::default()
+        };
+        engine.control(control).await;
+    }
+}
+
+fn crashes(cluster: &Cluster) -> u64 {
+    let engines = cluster.platform.engines();
+    engines.map(|engine| engine.counts().crashes).sum()
+}
+
+/// What a caller sees of one call, and the entry that owns its program.
+struct RefusedCall {
+    owner: String,
+    refusal: Refusal,
+    took: Duration,
+}
+
+/// Makes one call in a new program at one of the entries, and returns its refusal.
+async fn refused_call(cluster: &Cluster, number: usize, request: &CallRequest) -> RefusedCall {
+    let client = bank_client(cluster).starting_at(number);
+    let program = create_program(&client, &format!("p{number}")).await;
+    let started_at = Instant::now();
+    let result = client.call(program, request).await;
+    let took = started_at.elapsed();
+    let Err(CallError::Refused(refusal)) = result else {
+        panic!("not refused: {result:?}");
+    };
+    RefusedCall {
+        owner: owner_of(cluster, program, PARTITIONS).expect("an owner"),
+        refusal,
+        took,
+    }
+}
+
+/// Checks that a call is refused quickly, as not run and with a time for a retry.
+fn expect_quarantined(call: &RefusedCall) {
+    expect_that!(call.refusal.code, eq(RefusalCode::EndpointFailed));
+    expect_that!(call.refusal.ran, eq(Ran::No));
+    expect_that!(call.refusal.retry_after_ms, some(ge(1_000)));
+    expect_that!(call.took, lt(REFUSAL_LIMIT));
+}
+
+// Guards against a call that crashes engine after engine because it comes again as a new call.
+#[gtest]
+fn a_call_that_crashes_engines_is_refused_at_both_entries() {
+    with_cluster(cluster_options(), async |cluster| {
+        crash_engines_on(cluster, CRASH_TEXT).await;
+        let mut owners = BTreeSet::new();
+        for number in 0..PROGRAMS {
+            let call = refused_call(cluster, number, &model_call(CRASH_TEXT)).await;
+            println!(
+                "{}: {} in {} ms, {} crashes",
+                call.owner,
+                call.refusal,
+                call.took.as_millis(),
+                crashes(cluster)
+            );
+            if number > 0 {
+                expect_quarantined(&call);
+                owners.insert(call.owner);
+            }
+        }
+        expect_that!(owners.len(), eq(2));
+        expect_that!(crashes(cluster), all![ge(1), le(MAX_RUNS)]);
+    });
+}
+
+// Guards against a quarantine of calls that only run on engines that crash under others.
+#[gtest]
+fn calls_beside_a_call_that_crashes_engines_are_answered() {
+    with_cluster(cluster_options(), async |cluster| {
+        crash_engines_on(cluster, CRASH_TEXT).await;
+        let innocent = async |number: usize| {
+            let client = bank_client(cluster).starting_at(number);
+            let program = create_program(&client, &format!("innocent{number}")).await;
+            let deadline = RetryDeadline::after(CALL_TIMEOUT);
+            let request = model_call("otter").key("c");
+            let outcome = client.call_with_retry(program, &request, deadline).await;
+            outcome.result.map(drop)
+        };
+        let innocents = futures_util::future::join_all((0..16).map(innocent));
+        let crashing = async {
+            for number in 0..PROGRAMS {
+                refused_call(cluster, number, &model_call(CRASH_TEXT)).await;
+            }
+        };
+        let (answers, ()) = futures_util::future::join(innocents, crashing).await;
+        expect_that!(answers, each(ok(anything())));
+        expect_that!(crashes(cluster), all![ge(1), le(MAX_RUNS)]);
+    });
+}
+
+// Guards against a quarantine of a popular call because endpoints crash under it now and then.
+#[gtest]
+fn a_call_that_was_answered_is_not_refused_after_crashes() {
+    with_cluster(cluster_options(), async |cluster| {
+        for number in 0..4 {
+            let client = bank_client(cluster).starting_at(number);
+            let program = create_program(&client, &format!("popular{number}")).await;
+            let deadline = RetryDeadline::after(CALL_TIMEOUT);
+            let request = model_call("otter").key("c");
+            let answered = client.call_with_retry(program, &request, deadline).await;
+            expect_that!(answered.result, ok(anything()));
+            crash_engines_on(cluster, "otter").await;
+            refused_call(cluster, number, &model_call("otter")).await;
+            crash_engines_on(cluster, "").await;
+        }
+        expect_that!(crashes(cluster), gt(MAX_RUNS));
+    });
+}
+
+// Guards against a service call that crashes server after server because it comes again as a new call.
+#[gtest]
+fn a_call_that_crashes_services_is_refused_at_both_entries() {
+    with_cluster(cluster_options(), async |cluster| {
+        for service in cluster.platform.services() {
+            let control = ServiceControl {
+                cut_before: Some(100),
+                ..ServiceControl::default()
+            };
+            service.control(control).await;
+        }
+        let body = serde_json::json!({"hours": 2});
+        let mut request = CallRequest::tool("bank-core", "balance", body);
+        request.repeatable = true;
+        for number in 0..PROGRAMS {
+            let call = refused_call(cluster, number, &request).await;
+            if number > 0 {
+                expect_quarantined(&call);
+            }
+        }
+        Timer::after(Duration::from_millis(100)).await;
+        let services = cluster.platform.services();
+        let runs: u64 = services.map(|service| service.counts().requests).sum();
+        println!("{runs} runs");
+        expect_that!(runs, all![ge(1), le(MAX_RUNS)]);
+    });
+}
--- a/tests/system/main.rs
+++ b/tests/system/main.rs
@@ -1,6 +1,7 @@
 //! Black-box tests of the whole system: real processes behind a fault-injecting proxy.
 
 mod actions;
+mod crashes;
 mod log_faults;
 mod malformed;
 mod shutdown;
