Test what a sidecar takes for a crash

Focused tests of the judgement with the stand-ins: a call that crashes its engine is sent once and named with the lifetime that it ended; calls beside it name the same lifetime, the next crash another one; an engine that stays away has crashed. A stream that can be resumed, a silent, refusing or absent endpoint, a time-out and a cancelled call are no crashes.

--- a/src/sidecar/lifetime.rs
+++ b/src/sidecar/lifetime.rs
@@ -1,5 +1,8 @@
 //! Lifetimes of the endpoint, as far as ended connections show them.
 
+#[cfg(test)]
+mod tests;
+
 use crate::coordination::crashes::{Lifetime, lifetime};
 use crate::ids::{CallId, EndpointId, Incarnation};
 use std::collections::VecDeque;
--- a/src/sidecar/tests.rs
+++ b/src/sidecar/tests.rs
@@ -20,9 +20,9 @@
 use std::time::{Duration, Instant};
 
 /// Timeout that no step of the test reaches.
-const LIMIT: Duration = Duration::from_secs(20);
+pub(super) const LIMIT: Duration = Duration::from_secs(20);
 
-fn config() -> SidecarConfig {
+pub(super) fn config() -> SidecarConfig {
     SidecarConfig {
         node: "s1".to_string(),
         incarnation: 1,
@@ -44,7 +44,7 @@
     }
 }
 
-fn sidecar_of(engine_url: &str, spawner: Spawner) -> Sidecar<HttpEngine, HttpService> {
+pub(super) fn sidecar_of(engine_url: &str, spawner: Spawner) -> Sidecar<HttpEngine, HttpService> {
     Sidecar::start(
         config(),
         Endpoint::Engine(HttpEngine::new(engine_url, LIMIT)),
@@ -114,7 +114,7 @@
     url
 }
 
-fn generate(max_tokens: u32) -> Generate {
+pub(super) fn generate(max_tokens: u32) -> Generate {
     Generate {
         request: GenerateRequest {
             call: 1,
