Wait in the client for the whole retry time of a refusal

What callers saw: the client's jitter of 0.75 to 1.25 applied to the retry time of a refusal as well, so half of the retries came before the time that the entry asks for and were refused again; for a quarantine of two minutes up to 30 s early.

Change: jitter only adds, 1.0 to 1.5 times.

A retry time after the caller's deadline ends the retries at once, which held before and is tested now.

--- a/src/client/retry.rs
+++ b/src/client/retry.rs
@@ -266,7 +266,8 @@
         let Some(wait) = self.next_wait(result) else {
             return false;
         };
-        let jittered = wait.mul_f64(0.75 + 0.5 * fastrand::f64());
+        // A refusal asks for a minimum, so the jitter only adds.
+        let jittered = wait.mul_f64(1.0 + 0.5 * fastrand::f64());
         if Instant::now() + jittered >= self.deadline.deadline {
             return false;
         }
--- a/src/client/tests.rs
+++ b/src/client/tests.rs
@@ -13,7 +13,7 @@
 use googletest::prelude::*;
 use proptest::prelude::*;
 use smol::net::{TcpListener, TcpStream};
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 fn tokens(index: u32, count: u32, text: &str) -> Tokens {
     Tokens {
@@ -165,6 +165,46 @@
     expect_that!(outcome.result.unwrap().program, eq(42));
 }
 
+// Guards against retries before the time that a refusal asks for.
+#[gtest]
+fn waits_at_least_for_the_retry_time_of_a_refusal() {
+    const RETRY_AFTER: Duration = Duration::from_millis(60);
+    let refusal = r#"{"code": "endpoint_failed", "ran": "no", "retry_after_ms": 60,
+        "message": "The call crashed the endpoints that ran it."}"#;
+    for _ in 0..12 {
+        let answers = vec![
+            response("503 Service Unavailable", refusal),
+            response("201 Created", PROGRAM),
+        ];
+        let (outcome, took) = with_answers(answers, async |client| {
+            let started_at = Instant::now();
+            let deadline = RetryDeadline::after(Duration::from_secs(20));
+            let request = ProgramRequest::default();
+            let outcome = client.create_with_retry(&request, deadline).await;
+            (outcome, started_at.elapsed())
+        });
+        expect_that!(outcome.requests_sent, eq(2));
+        expect_that!(took, ge(RETRY_AFTER));
+    }
+}
+
+// Guards against a caller that waits in vain for a quarantine that outlasts its deadline.
+#[gtest]
+fn returns_a_refusal_whose_retry_time_is_after_the_deadline() {
+    let refusal = r#"{"code": "endpoint_failed", "ran": "no", "retry_after_ms": 120000,
+        "message": "The call crashed the endpoints that ran it."}"#;
+    let answers = vec![response("503 Service Unavailable", refusal)];
+    let started_at = Instant::now();
+    let outcome = with_answers(answers, async |client| {
+        let call = CallRequest::model("m", vec![], 1).key("k");
+        let deadline = RetryDeadline::after(Duration::from_secs(60));
+        client.call_with_retry(1, &call, deadline).await
+    });
+    expect_that!(outcome.requests_sent, eq(1));
+    expect_that!(outcome.result, err(matches_pattern!(CallError::Refused(_))));
+    expect_that!(started_at.elapsed(), lt(Duration::from_secs(5)));
+}
+
 #[gtest]
 fn returns_a_refusal_without_a_retry_time() {
     let answers = vec![response("409 Conflict", CONFLICT)];
