--- a/src/entry/hedging.rs
+++ b/src/entry/hedging.rs
@@ -146,6 +146,12 @@
         let now = Instant::now();
         self.watched_since = now;
         let entry = self.entry;
+        let attempts = self.sent.len() as u32;
+        let quarantine =
+            entry.check_quarantine(self.dispatch.call, &self.dispatch.fingerprints, attempts);
+        if quarantine.is_err() {
+            return None;
+        }
         let endpoint = self.sent.last()?.endpoint.clone();
         let mut retries = lock(&entry.0.retries);
         let slow = FailedCall {
@@ -153,7 +159,7 @@
             endpoint: &endpoint,
             repeatable: self.dispatch.repeatable,
             ran: Ran::Unknown,
-            attempts: self.sent.len() as u32,
+            attempts,
             deadline: self.dispatch.deadline,
             expected_run: self.expected_run,
         };
@@ -193,6 +199,8 @@
         for copy in self.sent.iter_mut().filter(|copy| copy.is_hedged) {
             copy.end(CallOutcome::Failed);
         }
+        let dispatch = &*self.dispatch;
+        (self.entry).record_answer(dispatch.call, &dispatch.fingerprints);
         let answered = &mut self.sent[number];
         answered.end(CallOutcome::Answered);
         let run_time = answered.sent_at.elapsed();
@@ -208,10 +216,18 @@
 
     /// Records a failed copy. If no other copy runs, waits for the back-off and returns the endpoint
     /// of the next one, or the refusal if the call must not be retried.
-    async fn fail(&mut self, number: usize, refusal: Refusal) -> Result<Option<Choice>, Refusal> {
+    async fn fail(
+        &mut self,
+        number: usize,
+        mut refusal: Refusal,
+    ) -> Result<Option<Choice>, Refusal> {
         let failed = &mut self.sent[number];
         failed.end(CallOutcome::Failed);
         let endpoint = failed.endpoint.clone();
+        if let Some(lifetime) = refusal.crashed.take() {
+            let dispatch = &*self.dispatch;
+            (self.entry).record_crash(dispatch.call, &dispatch.fingerprints, &endpoint, lifetime);
+        }
         if self.sent.iter().any(|copy| copy.guard.is_some()) {
             self.dispatch.failed.push(endpoint);
             return Ok(None);
@@ -242,5 +258,5 @@
         }
         _ => "The call was lost.".to_owned(),
     };
-    Err(Refusal::not_run(RefusalCode::EndpointFailed, reason))
+    Err(Refusal::not_run(RefusalCode::EndpointFailed, reason).crashed(action.crashed))
 }
--- a/src/entry/mod.rs
+++ b/src/entry/mod.rs
@@ -1,5 +1,6 @@
 //! The entry process: accepts callers' requests, owns partitions and dispatches calls to sidecars.
 
+mod crashes;
 mod dispatch;
 mod environments;
 mod hedging;
@@ -16,6 +17,7 @@
 
 use crate::coordination::cache::{CacheTable, CacheTableConfig};
 use crate::coordination::choice::{ChoiceConfig, Chooser};
+use crate::coordination::crashes::Crashes;
 use crate::coordination::hedge::RunTimes;
 use crate::coordination::limits::Limits;
 use crate::coordination::membership::{Membership, MembershipConfig};
@@ -114,6 +116,8 @@
     chooser: Mutex<Chooser>,
     cache: Mutex<CacheTable>,
     retries: Mutex<RetryPolicy>,
+    /// Calls under which endpoints crashed.
+    crashes: Mutex<Crashes>,
     run_times: Mutex<RunTimes>,
     limits: Mutex<Limits>,
     programs: Programs,
@@ -163,6 +167,7 @@
             chooser: Mutex::new(Chooser::new(choice_config())),
             cache: Mutex::new(CacheTable::new(CacheTableConfig::default(), now)),
             retries: Mutex::new(RetryPolicy::new(RetryConfig::default())),
+            crashes: Mutex::default(),
             run_times: Mutex::default(),
             limits: Mutex::default(),
             programs: Programs::default(),
--- a/src/entry/owner/tool.rs
+++ b/src/entry/owner/tool.rs
@@ -119,6 +119,7 @@
         answer_tokens: 0,
         repeatable: true,
         seen_at: None,
+        fingerprints: job.fingerprints,
         failed: SmallVec::new(),
     }
 }
--- a/gateway/src/crashes/fingerprint.rs
+++ b/src/protocol/crashes.rs
@@ -1,21 +1,16 @@
-//! Identification of requests over their attempts.
+//! What nodes tell each other about requests that crash endpoints.
 
-use crate::http::RequestHead;
-use crate::stable_hash::stable_hash;
 use serde::{Deserialize, Serialize};
 use std::fmt;
 use std::num::ParseIntError;
 use std::str::FromStr;
 
-/// Number of bytes in which bodies begin alike.
-pub(super) const PREFIX_BYTES: usize = 512;
-
 /// Hash of what identifies requests over their attempts. Ids, programs and preceding turns differ
 /// between copies of a request and are not part of it.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize)]
-pub(crate) enum Fingerprint {
-    /// The client account, method, host, target, and the first [`PREFIX_BYTES`] of the body as the
-    /// client sent it.
+pub enum Fingerprint {
+    /// The client account, the target, and the first [`PREFIX_BYTES`](crate::crashes::PREFIX_BYTES) of the body as the client
+    /// sent it.
     ///
     /// Clients that keep the history themselves send it in the body, so that what crashes endpoints
     /// comes again at the beginning of longer bodies.
@@ -50,17 +45,19 @@
     }
 }
 
-/// Fingerprints of one request.
-pub(crate) type Fingerprints = [Fingerprint; 2];
-
-/// Returns the fingerprints of a request as the client sent it.
-pub(crate) fn fingerprints(head: &RequestHead, body: &[u8]) -> Fingerprints {
-    let mut headers = head.headers.iter();
-    let credential = headers.find(|header| header.is("authorization"));
-    let credential = credential.map(|header| header.value.as_str());
-    let target = stable_hash((&head.method, &head.host, &head.target, credential));
-    [
-        Fingerprint::Prefix(stable_hash((target, &body[..body.len().min(PREFIX_BYTES)]))),
-        Fingerprint::Request(stable_hash((target, body))),
-    ]
+/// Hash of an endpoint's id and start time.
+pub type Lifetime = u64;
+
+/// What one node tells others about a request.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct CrashReport {
+    /// The request.
+    #[serde(rename = "f")]
+    pub fingerprint: Fingerprint,
+    /// Time since the last crash, in milliseconds.
+    #[serde(rename = "a")]
+    pub age_ms: u64,
+    /// Lifetimes that ended under the request, and whether each is cleared.
+    #[serde(rename = "l")]
+    pub lifetimes: Vec<(Lifetime, bool)>,
 }
