Store quarantines that reports of several gateways cause

What callers saw: after all gateways had lost power, a request that was quarantined before reached endpoints again and crashed three more.

Cause: a quarantine was written only by a gateway that recorded a crash of its own once three were known to it. Where gateways see crashes at the same time, each records its own as the first or second, and all reach three by merging the reports of the others, which wrote nothing.

Change: the gateway that owns the first partition has the record of a quarantine written when a report from a peer changes it; it deletes expired ones already. So it is one writer, and one that joins writes what its peers tell it.

Conclusion: a merge of states can cross the same threshold as a change of one's own, and needs the same consequences.

--- a/gateway/src/crash_reports.rs
+++ b/gateway/src/crash_reports.rs
@@ -120,27 +120,35 @@
         }
     }
 
-    /// Merges the reports in a datagram, without its tag.
+    /// Merges the reports in a datagram, without its tag. The gateway that owns the first partition
+    /// has quarantines stored that only the reports of several gateways together cause.
     pub(crate) fn receive_crash_reports(&self, datagram: &[u8], from: SocketAddr) {
         match decode::<Vec<CrashReport>>(datagram) {
             Ok(reports) => {
                 for report in reports.iter().take(MAX_REPORTS) {
-                    self.merge_crash_report(report, &from.to_string());
+                    let is_quarantined = self.merge_crash_report(report, &from.to_string());
+                    // Gateways that saw crashes at the same time all learn of the last one so.
+                    if is_quarantined && self.owns(0) {
+                        self.crash_sync.enqueue(report.fingerprint);
+                    }
                 }
             }
             Err(error) => crate::event!("datagram_unreadable", "error" => error),
         }
     }
 
-    fn merge_crash_report(&self, report: &CrashReport, from: &str) {
+    /// Merges a report and returns whether that changed the state of a request that is quarantined
+    /// then.
+    fn merge_crash_report(&self, report: &CrashReport, from: &str) -> bool {
         let merged = self.crashes.borrow_mut().merge(Instant::now(), report);
         let Some(suspicion) = merged else {
-            return;
+            return false;
         };
         crate::event!("crash_report_merged", "from" => from,
             "fingerprint" => report.fingerprint.to_string(), "age_ms" => report.age_ms,
             "lifetimes" => suspicion.lifetimes, "quarantined" => suspicion.is_quarantined);
         self.crash_sync.notify_changed();
+        suspicion.is_quarantined
     }
 
     /// Merges the record of a quarantined request, or has it deleted if it has expired.
