Take no failure of an endpoint as proof that a request is harmless

What callers saw: of copies of a request that crashes endpoints, one was answered with a signed 500; for the next 10 s no crash was counted, and the request crashed endpoint after endpoint (12 in the new test, one for each copy).

Cause: each complete, signed answer cleared the crashes and counted as an answer within the last 10 s, whatever its status. An endpoint that is short of memory or time answers 500 or 504 before it reaches what crashes the others.

Change: answers from 500 on neither clear nor excuse anything.

Evidence: the new test failed before, with 13 runs in place of 4; it passes now, and so do the other system tests of crashes.

Conclusion: a request whose answers are all failures is no longer cleared while endpoints crash beside it; it is refused with 503 in place of them until its quarantine is over.

--- a/gateway/src/forward/quarantine.rs
+++ b/gateway/src/forward/quarantine.rs
@@ -36,10 +36,13 @@
         }
     }
 
-    /// The body of an answer without length or chunks seems complete wherever its endpoint crashes.
+    /// The body of an answer without length or chunks seems complete wherever its endpoint crashes,
+    /// and an endpoint that failed a request may have done so before it reached what crashes others.
     pub(super) fn observe_head(&self, head: &ResponseHead, info: &AnswerInfo) {
         let is_framed = head.framing != Framing::UntilClose;
-        self.is_proof.set(info.is_signed && is_framed);
+        let has_failed = head.status >= 500;
+        self.is_proof
+            .set(info.is_signed && is_framed && !has_failed);
     }
 }
 
