Count no announced end of an endpoint as a crash

What callers saw: calls or streams with one target and body that were still running when three draining endpoints ended, with no answer between, were refused with 503 for two minutes. A rolling restart of endpoints does this to streams that last longer than the drain, among them such as never end and so never clear anything.

Cause: each connection that ended before its answer did was blamed on the request, also where the endpoint had said in the list or in an answer that it would end.

Change: an attempt whose endpoint is draining or leaving by then is not blamed; endpoint_left is logged in place of crash_suspected. Such endpoints get no new requests, so a request that crashes endpoints can hide at most those runs that had begun before. An endpoint that is only removed from the list still counts, since a crash looks the same to a gateway that was frozen meanwhile.

Conclusion: an end that was announced says nothing of what ran there.

--- a/gateway/src/endpoints.rs
+++ b/gateway/src/endpoints.rs
@@ -235,6 +235,12 @@
         self.endpoints.get(id).is_some_and(Endpoint::takes_calls)
     }
 
+    /// Returns whether an endpoint is known and has announced that it is leaving.
+    pub(crate) fn is_leaving(&self, id: &str) -> bool {
+        let endpoint = self.endpoints.get(id);
+        endpoint.is_some_and(|endpoint| !endpoint.takes_calls())
+    }
+
     /// Returns whether any endpoint of a service takes new calls.
     pub fn has_endpoint(&self, service: &str) -> bool {
         let mut endpoints = self.endpoints.values();
--- a/gateway/src/forward/quarantine.rs
+++ b/gateway/src/forward/quarantine.rs
@@ -93,7 +93,15 @@
     }
 
     /// Records what the outcome of an attempt says of its request.
+    ///
+    /// The end of an endpoint that has announced it is no crash, whatever still ran there.
     pub(super) fn judge_attempt(&self, endpoint: &str, attempt: &Attempt, outcome: CallOutcome) {
+        let is_leaving = self.endpoints.borrow().is_leaving(endpoint);
+        if outcome == CallOutcome::Disconnected && is_leaving {
+            crate::event!("endpoint_left", "request" => attempt.request_id.as_str(),
+                "endpoint" => endpoint);
+            return;
+        }
         for fingerprint in attempt.fingerprints {
             let now = Instant::now();
             let mut crashes = self.crashes.borrow_mut();
