--- a/gateway/src/forward/quarantine.rs
+++ b/gateway/src/forward/quarantine.rs
@@ -47,10 +47,13 @@
         }
     }
 
-    /// The body of an answer without length or chunks seems complete wherever its endpoint crashes.
+    /// The body of an answer without length or chunks seems complete wherever its endpoint crashes,
+    /// and an endpoint that failed a request may have done so before it reached what crashes others.
     pub(super) fn observe_head(&self, head: &ResponseHead, info: &AnswerInfo) {
         let is_framed = head.framing != Framing::UntilClose;
-        self.is_proof.set(info.is_signed && is_framed);
+        let has_failed = head.status >= 500;
+        self.is_proof
+            .set(info.is_signed && is_framed && !has_failed);
     }
 }
 
@@ -101,7 +104,15 @@
     }
 
     /// Records what the outcome of an attempt says of its request.
+    ///
+    /// The end of an endpoint that has announced it is no crash, whatever still ran there.
     pub(super) fn judge_attempt(&self, endpoint: &str, attempt: &Attempt, outcome: CallOutcome) {
+        let is_leaving = self.endpoints.borrow().is_leaving(endpoint);
+        if outcome == CallOutcome::Disconnected && is_leaving {
+            crate::event!("endpoint_left", "request" => attempt.request_id.as_str(),
+                "endpoint" => endpoint);
+            return;
+        }
         for fingerprint in attempt.fingerprints {
             let now = Instant::now();
             let mut crashes = self.crashes.borrow_mut();
