Shut a daemon down gracefully at SIGHUP

What callers saw: all requests and streams of an entry or sidecar were cut when it got SIGHUP, with which the gateways and many other programs read their settings again, and which a closing terminal or a supervisor sends.

Cause: galenapickd handled SIGTERM and SIGINT only, and the default action of SIGHUP kills a process.

Change: SIGHUP shuts down like SIGTERM, as there is nothing to reload. A further SIGHUP does not abort a shutdown, since some supervisors send it right after SIGTERM. The handlers are installed once, so no signal falls between two installations.

Conclusion: each signal that ends a process by default must be one that the process handles, or its work is cut.

--- a/src/daemon.rs
+++ b/src/daemon.rs
@@ -16,6 +16,7 @@
 use crate::transport::spawn::Runtime;
 use anyhow::Context;
 use build::NodeBuilder;
+use signals::StopSignals;
 use smol::Timer;
 use smol::net::TcpListener;
 use std::net::SocketAddr;
@@ -26,8 +27,6 @@
 use trillium_router::Router;
 use trillium_server_common::{ServerHandle, Swansong};
 
-pub(crate) use signals::wait_for_signal;
-
 /// Length of the accept queue of a listener.
 const LISTEN_BACKLOG: i32 = 4_096;
 
@@ -291,7 +290,7 @@
         })
 }
 
-/// Runs a daemon until SIGTERM or SIGINT; a second signal aborts the shutdown.
+/// Runs a daemon until SIGTERM, SIGINT or SIGHUP; a second SIGTERM or SIGINT aborts the shutdown.
 ///
 /// Returns `false` if running work was aborted.
 pub(crate) async fn run(settings: Settings) -> anyhow::Result<bool> {
@@ -301,10 +300,11 @@
         daemon.http_address(),
         daemon.link_address()
     );
-    wait_for_signal().await?;
+    let mut signals = StopSignals::new()?;
+    signals.wait().await;
     let graceful = daemon.shut_down();
     let forced = async {
-        let _ = wait_for_signal().await;
+        signals.wait_for_abort().await;
         false
     };
     Ok(futures_lite::FutureExt::or(graceful, forced).await)
--- a/src/daemon/args.rs
+++ b/src/daemon/args.rs
@@ -11,7 +11,7 @@
 const HELP: &str = "\
 Usage: galenapickd --settings FILE [--check]
 
-Runs an entry or a sidecar until SIGTERM or SIGINT.
+Runs an entry or a sidecar until SIGTERM, SIGINT or SIGHUP.
 
   --settings FILE  settings in INI
   --check          check the settings and exit
--- a/tests/system/shutdown.rs
+++ b/tests/system/shutdown.rs
@@ -11,6 +11,7 @@
     RunningNode, StreamEvent,
 };
 use googletest::prelude::*;
+use rustix::process::Signal;
 use smol::Timer;
 use smol::net::TcpStream;
 use std::cell::Cell;
@@ -251,6 +252,22 @@
     });
 }
 
+// Guards against SIGHUP, with which other programs read their settings again, killing a node at once.
+#[gtest]
+fn a_hang_up_signal_shuts_a_node_down_gracefully() {
+    for victim in ["entry-1", "matcher-llm-1"] {
+        with_cluster(small_cluster(2), async |cluster| {
+            let mut node = cluster.take_node(victim).expect("the node is running");
+            node.signal(Signal::HUP);
+            Timer::after(SHUTDOWN_DELAY).await;
+            node.signal(Signal::HUP);
+            let status = smol::unblock(move || node.wait()).await;
+            let is_clean_exit = status.is_some_and(|status| status.success());
+            expect_that!(is_clean_exit, eq(true), "{victim}: {status:?}");
+        });
+    }
+}
+
 // Guards against connections that are cut without an answer at the end of a shutdown.
 #[gtest]
 fn a_call_that_outlasts_a_shutdown_is_refused_with_an_answer() {
