Let a restarted entry learn of calls that crash endpoints

What callers saw: an entry that was restarted knew nothing of quarantined calls until the others repeated their reports, up to 2 s and a dial's back-off later, and let such a call run again.

Change: an entry asks another one of which it hears in a new incarnation for what it knows, over its own link.

--- a/src/entry/crashes.rs
+++ b/src/entry/crashes.rs
@@ -8,11 +8,12 @@
 };
 use crate::entry::{Entry, lock};
 use crate::ids::{CallId, NodeId, format_id};
-use crate::protocol::link::{Call, Request, Work};
+use crate::protocol::link::{Call, Reply, Request, Work};
 use crate::protocol::log::Log;
 use crate::protocol::message::Message;
 use crate::protocol::refusal::{Refusal, RefusalCode};
 use crate::protocol::vms::NodeRole;
+use crate::transport::handshake::Remote;
 use futures_lite::FutureExt;
 use smol::Timer;
 use std::time::{Duration, Instant};
@@ -149,19 +150,48 @@
         }
     }
 
+    /// Asks an entry that has just been heard of for what it knows, so that a restart forgets nothing.
+    pub(super) fn fetch_crash_reports(&self, peer: NodeId) {
+        let entry = self.clone();
+        self.0.spawner.spawn(async move {
+            let reply = entry.ask_about_crashes(&peer, Request::FetchCrashReports);
+            if let Some(Reply::CrashReports(reports)) = reply.await {
+                entry.merge_crash_reports(&peer, &reports);
+            }
+        });
+    }
+
     async fn send_crash_reports(self, peer: NodeId, reports: Vec<CrashReport>) {
+        // Reports are repeated, so that a lost one needs no retry here.
+        let _ = self
+            .ask_about_crashes(&peer, Request::ReportCrashes(reports))
+            .await;
+    }
+
+    async fn ask_about_crashes(&self, peer: &NodeId, request: Request) -> Option<Reply> {
         let timeout = async {
             Timer::after(self.0.config.membership.suspect_after).await;
+            None
         };
-        let send = async {
-            // Reports are repeated, so that a lost one needs no retry here.
-            let _ = self
-                .0
-                .links
-                .ask(&peer, Request::ReportCrashes(reports))
-                .await;
-        };
-        send.or(timeout).await;
+        let ask = async { self.0.links.ask(peer, request).await.ok() };
+        ask.or(timeout).await
+    }
+
+    /// Serves a request of another entry about crashes; `None` for other requests.
+    pub(super) fn serve_crash_request(&self, from: &Remote, request: &Request) -> Option<Reply> {
+        match request {
+            Request::ReportCrashes(reports) => {
+                self.merge_crash_reports(&from.node, reports);
+                Some(Reply::Done)
+            }
+            Request::FetchCrashReports => {
+                let mut crashes = lock(&self.0.crashes);
+                crashes.report_all();
+                let reports = crashes.due_reports(Instant::now(), MAX_REPORTS);
+                Some(Reply::CrashReports(reports))
+            }
+            _ => None,
+        }
     }
 
     /// Merges the reports of another entry. What was answered here recently is cleared there at once.
--- a/src/entry/members.rs
+++ b/src/entry/members.rs
@@ -144,7 +144,16 @@
         let configurator = &self.0.operator_services.configurator;
         configurator.record_peer_version(&digest.node, digest.configuration);
         self.update_endpoint(digest);
-        lock(&self.0.membership).apply_digest(Instant::now(), digest);
+        let mut membership = lock(&self.0.membership);
+        let known = membership.node(&digest.node);
+        let is_new_entry = known.is_some_and(|node| {
+            node.role == NodeRole::Entry && node.incarnation != digest.incarnation
+        });
+        membership.apply_digest(Instant::now(), digest);
+        drop(membership);
+        if is_new_entry {
+            self.fetch_crash_reports(digest.node.clone());
+        }
     }
 
     /// Updates the chooser from a sidecar's digest. Ignores digests without a load.
--- a/src/entry/serve.rs
+++ b/src/entry/serve.rs
@@ -16,9 +16,8 @@
             self.apply_digest(&digest);
             return responder.reply(Reply::Probed(self.digest()));
         }
-        if let Request::ReportCrashes(reports) = request {
-            self.merge_crash_reports(&from.node, &reports);
-            return responder.reply(Reply::Done);
+        if let Some(reply) = self.serve_crash_request(&from, &request) {
+            return responder.reply(reply);
         }
         if let Some(reply) = self.serve_operator_request(&request).await {
             return responder.reply(reply);
--- a/src/protocol/link.rs
+++ b/src/protocol/link.rs
@@ -140,6 +140,8 @@
     Probe(Digest),
     /// Entry to entry: merge what is known of calls that crash endpoints.
     ReportCrashes(Vec<CrashReport>),
+    /// Entry to entry: return what is known of calls that crash endpoints.
+    FetchCrashReports,
     /// Entry to any: adopt this configuration unless the local one is newer.
     OfferConfiguration(ConfigurationOffer),
     /// Any to entry: return the current configuration.
@@ -354,6 +356,8 @@
         /// The version.
         version: Offset,
     },
+    /// What is known of calls that crash endpoints.
+    CrashReports(Vec<CrashReport>),
     /// The requested configuration.
     Configuration(ConfigurationOffer),
     /// The answer to an operator's query.
--- a/tests/system/crashes.rs
+++ b/tests/system/crashes.rs
@@ -22,6 +22,15 @@
 /// Number of programs that make the same call.
 const PROGRAMS: usize = 12;
 
+/// Entry that is killed and started again.
+const RESTARTED: &str = "entry-1";
+
+/// Maximum number of programs until the restarted entry has had its calls.
+const MAX_PROGRAMS: usize = 400;
+
+/// Pause between these programs.
+const POLL_INTERVAL: Duration = Duration::from_millis(25);
+
 /// Number of partitions, so many that both entries own some.
 const PARTITIONS: u16 = 16;
 
@@ -113,6 +122,33 @@
     });
 }
 
+// Guards against a restarted entry that lets each call crash engines anew.
+#[gtest]
+fn a_restarted_entry_learns_of_calls_that_crash_engines() {
+    with_cluster(cluster_options(), async |cluster| {
+        crash_engines_on(cluster, CRASH_TEXT).await;
+        refused_call(cluster, 0, &model_call(CRASH_TEXT)).await;
+        let crashes_before = crashes(cluster);
+        cluster.kill_node(RESTARTED);
+        cluster
+            .start_node(RESTARTED)
+            .await
+            .expect("the entry restarts");
+        let mut calls_at_restarted = 0;
+        for number in 1..MAX_PROGRAMS {
+            let call = refused_call(cluster, number, &model_call(CRASH_TEXT)).await;
+            calls_at_restarted += usize::from(call.owner == RESTARTED);
+            if calls_at_restarted >= PROGRAMS {
+                break;
+            }
+            Timer::after(POLL_INTERVAL).await;
+        }
+        expect_that!(calls_at_restarted, eq(PROGRAMS));
+        expect_that!(crashes_before, all![ge(1), le(MAX_RUNS)]);
+        expect_that!(crashes(cluster), eq(crashes_before));
+    });
+}
+
 // Guards against a quarantine of calls that only run on engines that crash under others.
 #[gtest]
 fn calls_beside_a_call_that_crashes_engines_are_answered() {
