Name the program in the lines about crashing calls

The lines named the call's id, which a caller whose call was refused does not have. They name the program as well, and the fingerprints lead from there to the crashes at all entries; the system test goes this way for each of its 11 refused programs and finds the three crashes. A second system test plays actions: three of 12 programs get unknown_outcome, the others are refused as not run, three runs over both entries.

--- a/src/entry/crashes.rs
+++ b/src/entry/crashes.rs
@@ -7,7 +7,7 @@
     self, Admission, CrashReport, Fingerprints, Lifetime, Suspicion,
 };
 use crate::entry::{Entry, lock};
-use crate::ids::{CallId, NodeId, format_id};
+use crate::ids::{CallId, NodeId, ProgramId, format_id};
 use crate::protocol::link::{Call, Reply, Request, Work};
 use crate::protocol::log::Log;
 use crate::protocol::message::Message;
@@ -16,6 +16,7 @@
 use crate::transport::handshake::Remote;
 use futures_lite::FutureExt;
 use smol::Timer;
+use std::fmt;
 use std::time::{Duration, Instant};
 
 /// Reason given to callers.
@@ -27,9 +28,36 @@
 /// Maximum number of reports in a message to another entry.
 const MAX_REPORTS: usize = 32;
 
+/// A call with what identifies its input over all calls that have it.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct FingerprintedCall {
+    program: ProgramId,
+    call: CallId,
+    fingerprints: Fingerprints,
+}
+
+impl FingerprintedCall {
+    /// Computes the fingerprints of a call.
+    pub(super) fn new(call: &Call) -> Self {
+        Self {
+            program: call.program,
+            call: call.call,
+            fingerprints: call_fingerprints(call),
+        }
+    }
+}
+
+impl fmt::Display for FingerprintedCall {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let [prefix, request] = self.fingerprints;
+        let (call, program) = (format_id(self.call), format_id(self.program));
+        write!(f, "call {call} of program {program} ({request}, {prefix})")
+    }
+}
+
 /// Returns the fingerprints of a call: the environment, the client account, what is called and the
 /// call's own input. The history that an owner adds is not part of it.
-pub(super) fn call_fingerprints(call: &Call) -> Fingerprints {
+fn call_fingerprints(call: &Call) -> Fingerprints {
     let caller = (&call.caller.environment, &call.caller.client_account);
     match &call.work {
         Work::Model {
@@ -56,70 +84,64 @@
     bytes
 }
 
-/// Returns what log lines say of a call: its id and its fingerprints.
-fn describe(call: CallId, fingerprints: &Fingerprints) -> String {
-    let [prefix, request] = fingerprints;
-    format!("call {} ({request}, {prefix})", format_id(call))
-}
-
 impl<L: Log> Entry<L> {
     /// Refuses a call that is due to run but is quarantined, or lets it run as a trial.
-    pub(super) fn admit(&self, call: CallId, fingerprints: &Fingerprints) -> Result<(), Refusal> {
-        let admission = lock(&self.0.crashes).admit(Instant::now(), fingerprints);
+    pub(super) fn admit(&self, call: &FingerprintedCall) -> Result<(), Refusal> {
+        let admission = lock(&self.0.crashes).admit(Instant::now(), &call.fingerprints);
         match admission {
             Admission::Open => Ok(()),
             Admission::Trial => {
                 log::info!(
                     target: "owner",
                     "owner: {} runs as a trial after its quarantine",
-                    describe(call, fingerprints)
+                    call
                 );
                 Ok(())
             }
-            Admission::Refused(left) => Err(refuse_quarantined(call, fingerprints, left, 0)),
+            Admission::Refused(left) => Err(refuse_quarantined(call, left, 0)),
         }
     }
 
     /// Refuses a call that failed `attempts` times and has been quarantined meanwhile.
     pub(super) fn check_quarantine(
         &self,
-        call: CallId,
-        fingerprints: &Fingerprints,
+        call: &FingerprintedCall,
         attempts: u32,
     ) -> Result<(), Refusal> {
-        let left = lock(&self.0.crashes).quarantine_left(Instant::now(), fingerprints);
-        left.map_or(Ok(()), |left| {
-            Err(refuse_quarantined(call, fingerprints, left, attempts))
-        })
+        let left = lock(&self.0.crashes).quarantine_left(Instant::now(), &call.fingerprints);
+        left.map_or(Ok(()), |left| Err(refuse_quarantined(call, left, attempts)))
     }
 
     /// Records that an endpoint crashed while it had a call, and tells the other entries.
     pub(super) fn record_crash(
         &self,
-        call: CallId,
-        fingerprints: &Fingerprints,
+        call: &FingerprintedCall,
         endpoint: &str,
         lifetime: Lifetime,
     ) {
         let now = Instant::now();
         let mut crashes = lock(&self.0.crashes);
-        let states = fingerprints.map(|print| crashes.record_crash(now, print, lifetime));
+        let states = call
+            .fingerprints
+            .map(|print| crashes.record_crash(now, print, lifetime));
         drop(crashes);
         let [prefix, request] = states.map(describe_state);
         log::warn!(
             target: "owner",
-            "owner: endpoint {endpoint} crashed while it had {}: {request} for the same input, \
-             {prefix} for inputs that begin alike (lifetime {lifetime:016x})",
-            describe(call, fingerprints)
+            "owner: endpoint {endpoint} crashed while it had {}; same input: {request}; inputs that \
+             begin alike: {prefix} (lifetime {lifetime:016x})",
+            call
         );
         self.share_crashes();
     }
 
     /// Records a complete answer, which proves a call harmless.
-    pub(super) fn record_answer(&self, call: CallId, fingerprints: &Fingerprints) {
+    pub(super) fn record_answer(&self, call: &FingerprintedCall) {
         let now = Instant::now();
         let mut crashes = lock(&self.0.crashes);
-        let cleared = fingerprints.map(|print| crashes.record_answer(now, print));
+        let cleared = call
+            .fingerprints
+            .map(|print| crashes.record_answer(now, print));
         drop(crashes);
         let count = cleared.iter().flatten().map(|state| state.lifetimes).max();
         let Some(count) = count else {
@@ -128,7 +150,7 @@
         log::info!(
             target: "owner",
             "owner: an answer clears {count} crashes of {}",
-            describe(call, fingerprints)
+            call
         );
         self.share_crashes();
     }
@@ -213,16 +235,11 @@
     }
 }
 
-fn refuse_quarantined(
-    call: CallId,
-    fingerprints: &Fingerprints,
-    left: Duration,
-    attempts: u32,
-) -> Refusal {
+fn refuse_quarantined(call: &FingerprintedCall, left: Duration, attempts: u32) -> Refusal {
     log::warn!(
         target: "owner",
         "owner: refusing {} after {attempts} attempts, quarantined for another {} ms",
-        describe(call, fingerprints),
+        call,
         left.as_millis()
     );
     let wait = left.max(MIN_RETRY_AFTER);
--- a/src/entry/dispatch.rs
+++ b/src/entry/dispatch.rs
@@ -1,8 +1,8 @@
 //! Dispatch of calls to endpoints, with retries at other endpoints on failure.
 
 use crate::coordination::choice::{CallOutcome, CallWork, Choice, EndpointRequirements, Target};
-use crate::coordination::crashes::Fingerprints;
 use crate::coordination::retry::FailedCall;
+use crate::entry::crashes::FingerprintedCall;
 use crate::entry::{Entry, lock};
 use crate::ids::{CallId, EndpointId, ProgramId};
 use crate::protocol::link::{
@@ -46,8 +46,8 @@
     pub(super) repeatable: bool,
     /// Endpoint at which a previous owner started the call, if known.
     pub(super) seen_at: Option<EndpointId>,
-    /// Identify the call's input over all calls that have it.
-    pub(super) fingerprints: Fingerprints,
+    /// The call with its fingerprints.
+    pub(super) fingerprinted: FingerprintedCall,
     /// Endpoints where an attempt failed. Further attempts exclude them.
     pub(super) failed: SmallVec<[EndpointId; 4]>,
 }
@@ -119,7 +119,7 @@
             drop(guard);
             let refusal = match result {
                 Ok(generated) => {
-                    self.record_answer(dispatch.call, &dispatch.fingerprints);
+                    self.record_answer(&dispatch.fingerprinted);
                     self.record_generation(&endpoint, dispatch.program, &generated);
                     return Ok(FinishedGeneration {
                         endpoint,
@@ -145,12 +145,12 @@
         mut refusal: Refusal,
     ) -> Result<(), Refusal> {
         if let Some(lifetime) = refusal.crashed.take() {
-            self.record_crash(dispatch.call, &dispatch.fingerprints, endpoint, lifetime);
+            self.record_crash(&dispatch.fingerprinted, endpoint, lifetime);
         }
         if !is_endpoint_fault(refusal.code) {
             return Err(refusal);
         }
-        self.check_quarantine(dispatch.call, &dispatch.fingerprints, attempts)?;
+        self.check_quarantine(&dispatch.fingerprinted, attempts)?;
         let failed = FailedCall {
             client_account: dispatch.client_account,
             endpoint,
@@ -167,7 +167,7 @@
         };
         dispatch.failed.push(endpoint.clone());
         Timer::after(wait).await;
-        self.check_quarantine(dispatch.call, &dispatch.fingerprints, attempts)
+        self.check_quarantine(&dispatch.fingerprinted, attempts)
     }
 
     /// Records a dispatched call in the load estimates. Dropping the guard records its end.
--- a/src/entry/owner/action.rs
+++ b/src/entry/owner/action.rs
@@ -55,7 +55,7 @@
         if is_log_down(&owned.handle) {
             return Err(refuse_log_down());
         }
-        self.admit(job.call.call, &job.fingerprints)?;
+        self.admit(&job.fingerprinted)?;
         let mut prepared = self.prepare_action(owned, job, limit).await?;
         let mut reservation = Reservation::new(self, owned, prepared.cost);
         let intent = build_intent(owned, job, &prepared);
@@ -205,10 +205,10 @@
         result: &ActionResult,
         crashed: Option<Lifetime>,
     ) {
-        let call = job.call.call;
+        let call = &job.fingerprinted;
         match (result, crashed) {
-            (ActionResult::Done(_), _) => self.record_answer(call, &job.fingerprints),
-            (_, Some(lifetime)) => self.record_crash(call, &job.fingerprints, endpoint, lifetime),
+            (ActionResult::Done(_), _) => self.record_answer(call),
+            (_, Some(lifetime)) => self.record_crash(call, endpoint, lifetime),
             _ => {}
         }
     }
--- a/src/entry/owner/branch.rs
+++ b/src/entry/owner/branch.rs
@@ -1,7 +1,6 @@
 //! Per-branch job queues. The calls of one branch run sequentially.
 
-use crate::coordination::crashes::Fingerprints;
-use crate::entry::crashes::call_fingerprints;
+use crate::entry::crashes::FingerprintedCall;
 use crate::entry::owner::program::{
     AddOutcome, AnswerResult, AnswerStream, OwnedProgram, TrackedCall,
 };
@@ -36,8 +35,8 @@
 pub(super) struct CallJob {
     /// Request of the caller.
     pub(super) call: Call,
-    /// Identify its input over all calls that have it.
-    pub(super) fingerprints: Fingerprints,
+    /// The call with its fingerprints.
+    pub(super) fingerprinted: FingerprintedCall,
     /// Stream that receives the answer.
     pub(super) answer: AnswerStream,
     /// Closed to stop the call.
@@ -107,7 +106,7 @@
         self.0.programs.count_call(true);
         let branch = call.branch;
         let job = CallJob {
-            fingerprints: call_fingerprints(&call),
+            fingerprinted: FingerprintedCall::new(&call),
             call,
             answer: answer.clone(),
             stopped,
--- a/src/entry/owner/model.rs
+++ b/src/entry/owner/model.rs
@@ -54,7 +54,7 @@
         limit: Duration,
     ) -> Result<CallOutput, Refusal> {
         self.check_backlog(owned)?;
-        self.admit(job.call.call, &job.fingerprints)?;
+        self.admit(&job.fingerprinted)?;
         match &job.call.work {
             Work::Model {
                 model,
@@ -133,7 +133,7 @@
             answer_tokens: call.max_tokens,
             repeatable: true,
             seen_at: job.call.seen_at.clone(),
-            fingerprints: job.fingerprints,
+            fingerprinted: job.fingerprinted,
             failed: SmallVec::new(),
         };
         let finished = self.generate(&mut dispatch, generate, &job.answer).await?;
--- a/src/entry/owner/tool.rs
+++ b/src/entry/owner/tool.rs
@@ -55,7 +55,7 @@
                 Ok(action) => match action.state {
                     ActionState::Finished(ActionResult::Done(reply)) => {
                         guard.outcome = CallOutcome::Answered;
-                        self.record_answer(dispatch.call, &dispatch.fingerprints);
+                        self.record_answer(&dispatch.fingerprinted);
                         reservation.spent = tool_spent(action.ran_ms);
                         return Ok(tool_output(
                             context,
@@ -148,7 +148,7 @@
         answer_tokens: 0,
         repeatable: true,
         seen_at: None,
-        fingerprints: job.fingerprints,
+        fingerprinted: job.fingerprinted,
         failed: SmallVec::new(),
     }
 }
--- a/tests/system/crashes.rs
+++ b/tests/system/crashes.rs
@@ -3,7 +3,9 @@
 use crate::support::{
     CALL_TIMEOUT, Cluster, bank_client, create_program, owner_of, small_cluster, with_cluster,
 };
+use galenapick::ids::{ProgramId, format_id};
 use galenapick::protocol::caller::CallRequest;
+use galenapick::protocol::vms::NodeRole;
 use galenapick::standin::{EngineControl, ServiceControl};
 use galenapick::{
     CallError, ClusterOptions, Message, Ran, Refusal, RefusalCode, RetryDeadline, Role,
@@ -67,6 +69,7 @@
 
 /// What a caller sees of one call, and the entry that owns its program.
 struct RefusedCall {
+    program: ProgramId,
     owner: String,
     refusal: Refusal,
     took: Duration,
@@ -83,12 +86,32 @@
         panic!("not refused: {result:?}");
     };
     RefusedCall {
+        program,
         owner: owner_of(cluster, program, PARTITIONS).expect("an owner"),
         refusal,
         took,
     }
 }
 
+/// Returns the lines about crashes in the logs of all entries.
+fn crash_lines(cluster: &Cluster) -> Vec<String> {
+    let entries = cluster.names_with_role(NodeRole::Entry);
+    let nodes = entries.iter().filter_map(|name| cluster.node(name));
+    let outputs = nodes.filter_map(|node| Some(node.running.as_ref()?.output()));
+    let outputs: String = outputs.collect();
+    let lines = outputs.lines().filter(|line| line.contains("request-"));
+    lines.map(str::to_owned).collect()
+}
+
+/// Returns the fingerprint in the line that says why a program's call was refused.
+fn refused_fingerprint(lines: &[String], program: ProgramId) -> Option<&str> {
+    let program = format!("program {}", format_id(program));
+    let mut lines = lines.iter();
+    let line = lines.find(|line| line.contains("refusing call") && line.contains(&program))?;
+    let start = line.find("request-")?;
+    line[start..].split(',').next()
+}
+
 /// Checks that a call is refused quickly, as not run and with a time for a retry.
 fn expect_quarantined(call: &RefusedCall) {
     expect_that!(call.refusal.code, eq(RefusalCode::EndpointFailed));
@@ -103,6 +126,7 @@
     with_cluster(cluster_options(), async |cluster| {
         crash_engines_on(cluster, CRASH_TEXT).await;
         let mut owners = BTreeSet::new();
+        let mut programs = Vec::new();
         for number in 0..PROGRAMS {
             let call = refused_call(cluster, number, &model_call(CRASH_TEXT)).await;
             println!(
@@ -115,8 +139,18 @@
             if number > 0 {
                 expect_quarantined(&call);
                 owners.insert(call.owner);
+                programs.push(call.program);
             }
         }
+        let lines = crash_lines(cluster);
+        for program in programs {
+            let fingerprint = refused_fingerprint(&lines, program);
+            expect_that!(fingerprint, some(starts_with("request-")));
+            let crashes = lines.iter().filter(|line| {
+                line.contains("crashed while") && fingerprint.is_some_and(|f| line.contains(f))
+            });
+            expect_that!(crashes.count() as u64, eq(MAX_RUNS));
+        }
         expect_that!(owners.len(), eq(2));
         expect_that!(crashes(cluster), all![ge(1), le(MAX_RUNS)]);
     });
@@ -193,17 +227,27 @@
     });
 }
 
+/// Makes all servers close the connection of each request before it takes effect.
+async fn cut_services(cluster: &Cluster) {
+    for service in cluster.platform.services() {
+        let control = ServiceControl {
+            cut_before: Some(100),
+            ..ServiceControl::default()
+        };
+        service.control(control).await;
+    }
+}
+
+fn service_runs(cluster: &Cluster) -> u64 {
+    let services = cluster.platform.services();
+    services.map(|service| service.counts().requests).sum()
+}
+
 // Guards against a service call that crashes server after server because it comes again as a new call.
 #[gtest]
 fn a_call_that_crashes_services_is_refused_at_both_entries() {
     with_cluster(cluster_options(), async |cluster| {
-        for service in cluster.platform.services() {
-            let control = ServiceControl {
-                cut_before: Some(100),
-                ..ServiceControl::default()
-            };
-            service.control(control).await;
-        }
+        cut_services(cluster).await;
         let body = serde_json::json!({"hours": 2});
         let mut request = CallRequest::tool("bank-core", "balance", body);
         request.repeatable = true;
@@ -213,10 +257,25 @@
                 expect_quarantined(&call);
             }
         }
-        Timer::after(Duration::from_millis(100)).await;
-        let services = cluster.platform.services();
-        let runs: u64 = services.map(|service| service.counts().requests).sum();
-        println!("{runs} runs");
-        expect_that!(runs, all![ge(1), le(MAX_RUNS)]);
+        expect_that!(service_runs(cluster), all![ge(1), le(MAX_RUNS)]);
+    });
+}
+
+// Guards against the same with actions, each of which is sent once.
+#[gtest]
+fn an_action_that_crashes_services_is_refused_at_both_entries() {
+    with_cluster(cluster_options(), async |cluster| {
+        cut_services(cluster).await;
+        let body = serde_json::json!({"action": "a1", "hours": 2});
+        let request = CallRequest::tool("bank-core", "transfer", body);
+        for number in 0..PROGRAMS {
+            let call = refused_call(cluster, number, &request).await;
+            if number < MAX_RUNS as usize {
+                expect_that!(call.refusal.code, eq(RefusalCode::UnknownOutcome));
+            } else {
+                expect_quarantined(&call);
+            }
+        }
+        expect_that!(service_runs(cluster), eq(MAX_RUNS));
     });
 }
