--- a/src/entry/hedging.rs
+++ b/src/entry/hedging.rs
@@ -146,12 +146,12 @@
         let now = Instant::now();
         self.watched_since = now;
         let entry = self.entry;
-        let attempts = self.sent.len() as u32;
-        let quarantine =
-            entry.check_quarantine(self.dispatch.call, &self.dispatch.fingerprints, attempts);
-        if quarantine.is_err() {
+        let fingerprints = &self.dispatch.fingerprinted.fingerprints;
+        let quarantine_left = lock(&entry.0.crashes).quarantine_left(now, fingerprints);
+        if quarantine_left.is_some() {
             return None;
         }
+        let attempts = self.sent.len() as u32;
         let endpoint = self.sent.last()?.endpoint.clone();
         let mut retries = lock(&entry.0.retries);
         let slow = FailedCall {
@@ -199,8 +199,7 @@
         for copy in self.sent.iter_mut().filter(|copy| copy.is_hedged) {
             copy.end(CallOutcome::Failed);
         }
-        let dispatch = &*self.dispatch;
-        (self.entry).record_answer(dispatch.call, &dispatch.fingerprints);
+        self.entry.record_answer(&self.dispatch.fingerprinted);
         let answered = &mut self.sent[number];
         answered.end(CallOutcome::Answered);
         let run_time = answered.sent_at.elapsed();
@@ -225,8 +224,8 @@
         failed.end(CallOutcome::Failed);
         let endpoint = failed.endpoint.clone();
         if let Some(lifetime) = refusal.crashed.take() {
-            let dispatch = &*self.dispatch;
-            (self.entry).record_crash(dispatch.call, &dispatch.fingerprints, &endpoint, lifetime);
+            let call = &self.dispatch.fingerprinted;
+            self.entry.record_crash(call, &endpoint, lifetime);
         }
         if self.sent.iter().any(|copy| copy.guard.is_some()) {
             self.dispatch.failed.push(endpoint);
