Watch a partition's events before it can be claimed

Callers would see: a partition whose owner refuses every call as not being its owner, until the ownership changes again.

Cause: an entry began to watch the membership, which decides what it claims, before it subscribed to its partitions' events. A start that is interrupted in between misses the start of its epochs, so it neither recovers their pending entries nor opens the partitions; recorded events were missed the same way.

Change: all subscriptions come before the membership is watched.

Evidence: found by reading, after an entry that missed its configuration in the same way.

--- a/src/entry/mod.rs
+++ b/src/entry/mod.rs
@@ -172,10 +172,11 @@
             operator_services: operator::OperatorServices::new(&config, &log),
             config,
         }));
-        entry.watch_membership();
+        // No partition is claimed before the membership is watched, so no event is missed.
         entry.watch_partitions();
         entry.watch_programs();
         entry.watch_configuration();
+        entry.watch_membership();
         entry
     }
 
--- a/src/entry/operator/events.rs
+++ b/src/entry/operator/events.rs
@@ -1,7 +1,7 @@
 //! Recording of events: takeovers, failed nodes, unknown actions and configuration changes.
 
 use crate::coordination::membership::NodeState;
-use crate::coordination::partition::{PartitionEvent, PartitionHandle};
+use crate::coordination::partition::PartitionEvent;
 use crate::entry::{Entry, lock};
 use crate::ids::{NodeId, Partition, format_id};
 use crate::protocol::configuration::AcceptedChange;
@@ -9,6 +9,7 @@
 use crate::protocol::operations::EventKind;
 use crate::protocol::record::{ActionResult, Outcome, Record};
 use crate::state::partition::Applied;
+use async_channel::Receiver;
 use smol::Timer;
 use std::collections::BTreeMap;
 use std::time::{Duration, Instant};
@@ -23,16 +24,14 @@
         self.operations()
             .record_event(EventKind::Started { subject });
         for (handle, partition) in self.0.partitions.iter().zip(0..) {
-            let watch = self.clone().watch_partition(handle.clone(), partition);
+            let watch = self.clone().watch_partition(handle.subscribe(), partition);
             self.0.spawner.spawn(watch);
         }
         self.0.spawner.spawn(self.clone().watch_nodes());
         self.0.spawner.spawn(self.clone().watch_changes());
     }
 
-    async fn watch_partition(self, handle: PartitionHandle<L>, partition: Partition) {
-        let events = handle.subscribe();
-        drop(handle);
+    async fn watch_partition(self, events: Receiver<PartitionEvent>, partition: Partition) {
         let mut owner: Option<NodeId> = None;
         while let Ok(event) = events.recv().await {
             match event {
