Keep a fault proxy accepting after a failed accept

Callers of the tests and the demo saw: a node that no other one reaches any more, until the cluster ends.

Cause: the proxy's task ended at the first accept that failed, for example for want of file descriptors, and closed its listener.

Change: it logs the failure and accepts again after 50 ms, as the stand-ins do.

--- a/src/proxy/mod.rs
+++ b/src/proxy/mod.rs
@@ -18,6 +18,9 @@
 /// Size of the read buffer.
 const READ_BYTES: usize = 16 << 10;
 
+/// Pause after a failed accept, so that a lack of file descriptors does not cause a busy loop.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
+
 /// Direction of the data through the proxy.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum FlowDirection {
@@ -196,11 +199,15 @@
 }
 
 async fn accept_all(listener: TcpListener, state: Arc<Mutex<ProxyState>>) {
-    while let Ok((stream, _)) = listener.accept().await {
-        if lock(&state).refuse {
-            continue;
+    loop {
+        match listener.accept().await {
+            Ok(_) if lock(&state).refuse => {}
+            Ok((stream, _)) => smol::spawn(forward(stream, Arc::clone(&state))).detach(),
+            Err(error) => {
+                log::warn!(target: "proxy", "proxy: failed to accept a connection: {error}; retrying after a pause");
+                Timer::after(ACCEPT_PAUSE).await;
+            }
         }
-        smol::spawn(forward(stream, Arc::clone(&state))).detach();
     }
 }
 
