Try requests soon that share their crashes with others

What callers saw: a request that crashes nothing was refused for 2 minutes (503 with Retry-After) because it had been on each of the three endpoints that another request crashed.

Cause: each request on an endpoint that crashes gets that lifetime, also a call that goes on at the next endpoint, which crashes as well. In all four failures with logs the refused request had exactly the three lifetimes of the crashing one, was quarantined like it, and its next attempts were refused until the test gave up after 20 s. The prefix fingerprint, trials and the list of endpoints had no part in it.

Change: if most lifetimes of a quarantined request may be due to others that have at least as many, its quarantine lasts 2 s and a trial decides. An answer clears it; a crash gives it more lifetimes than the others, so that it alone is quarantined for long. Requests that share lifetimes are tried one after the other, and one at a time over all gateways: a gateway claims a trial by a report and holds the request until claims of others would have arrived. So far each gateway tried on its own. Reports and records gain optional fields (prefix, trial), which the earlier version ignores; a datagram has at most 24 reports instead of 32, so that it stays below 4 KB.

Conclusion: a request that ran beside another one is served again seconds later; where requests share crashes, a crashing one may reach a fourth endpoint in its trial.

--- a/gateway/src/call.rs
+++ b/gateway/src/call.rs
@@ -120,10 +120,13 @@
     /// Serves a request until its deadline, then counts and logs the outcome.
     pub(crate) async fn serve(self: &Rc<Self>, call: &Call, reply: &Reply) {
         let work = async {
-            if let Some(refusal) = self.quarantine_refusal(call) {
-                reply.refuse(&refusal).await;
-                return None;
-            }
+            let _trial = match self.pass_quarantine(call).await {
+                Ok(trial) => trial,
+                Err(refusal) => {
+                    reply.refuse(&refusal).await;
+                    return None;
+                }
+            };
             match call.route.kind {
                 RouteKind::Streaming => self.serve_stream(call, reply).await,
                 RouteKind::Idempotent | RouteKind::AtMostOnce => {
--- a/gateway/src/crash_reports.rs
+++ b/gateway/src/crash_reports.rs
@@ -9,7 +9,8 @@
 use crate::node::Gateway;
 use crate::record::{QuarantineRecord, decode, encode};
 use event_listener::Event;
-use galenapick::crashes::{CrashReport, Fingerprint};
+use galenapick::crashes::{Claimant, CrashReport, Fingerprint};
+use galenapick::stable_hash;
 use smol::Timer;
 use smol::net::UdpSocket;
 use std::collections::BTreeSet;
@@ -21,7 +22,10 @@
 pub(crate) const CRASH_REPORTS_TAG: u8 = b'C';
 
 /// Maximum number of reports in a datagram; together they take at most 4 KB.
-pub(crate) const MAX_REPORTS: usize = 32;
+pub(crate) const MAX_REPORTS: usize = 24;
+
+/// Maximum number of reports that are read from a datagram; an earlier version sends more.
+const MAX_REPORTS_READ: usize = 32;
 
 /// Prefix of the keys of quarantined requests in the gateways topic. Names of VMs contain no colon.
 const KEY_PREFIX: &str = "quarantine:";
@@ -29,6 +33,9 @@
 /// Maximum number of quarantined requests that wait to be written to the store.
 const MAX_WAITING: usize = 256;
 
+/// Time that two datagrams between gateways take, with some delay in busy processes.
+const MAX_REPORT_TRANSIT: Duration = Duration::from_millis(100);
+
 /// Timeout of a write to the store.
 const WRITE_TIMEOUT: Duration = Duration::from_millis(800);
 
@@ -114,20 +121,33 @@
                 }
             }
             if self.crashes.borrow().has_reports() {
-                let peers = u32::try_from(addresses.len()).unwrap_or(u32::MAX);
-                let interval = INTERVAL_PER_PEER.saturating_mul(peers);
-                Timer::after(interval.clamp(HEARTBEAT_INTERVAL, IDLE_HEARTBEAT_INTERVAL)).await;
+                Timer::after(report_delay(addresses.len())).await;
             } else {
                 changed.await;
             }
         }
     }
 
+    /// Returns the name under which this gateway claims trials.
+    pub(crate) fn claimant(&self) -> Claimant {
+        stable_hash(&self.settings.name)
+    }
+
+    /// Returns the time in which peers that claim a trial at the same time report it here: each
+    /// report waits for the previous one, and a claim may come just before that of this gateway
+    /// arrives.
+    pub(crate) fn claim_time(&self) -> Duration {
+        match self.gossip.all_addresses().len() {
+            0 => Duration::ZERO,
+            peers => report_delay(peers) * 2 + MAX_REPORT_TRANSIT,
+        }
+    }
+
     /// Merges the reports in a datagram, without its tag.
     pub(crate) fn receive_crash_reports(&self, datagram: &[u8], from: SocketAddr) {
         match decode::<Vec<CrashReport>>(datagram) {
             Ok(reports) => {
-                for report in reports.iter().take(MAX_REPORTS) {
+                for report in reports.iter().take(MAX_REPORTS_READ) {
                     self.merge_crash_report(report, &from.to_string());
                 }
             }
@@ -162,6 +182,8 @@
             fingerprint,
             age_ms,
             lifetimes: record.lifetimes,
+            prefix: record.prefix,
+            trial: None,
         };
         self.merge_crash_report(&report, "store");
         if !self.crashes.borrow().is_quarantined(fingerprint) {
@@ -220,12 +242,20 @@
             encode(&QuarantineRecord {
                 last_crash_unix_ms: crate::events::unix_ms().saturating_sub(report.age_ms),
                 lifetimes: report.lifetimes,
+                prefix: report.prefix,
             })
         });
         (quarantine_key(fingerprint), value)
     }
 }
 
+/// Returns the time between two datagrams to this number of peers.
+fn report_delay(peers: usize) -> Duration {
+    let peers = u32::try_from(peers).unwrap_or(u32::MAX);
+    let delay = INTERVAL_PER_PEER.saturating_mul(peers);
+    delay.clamp(HEARTBEAT_INTERVAL, IDLE_HEARTBEAT_INTERVAL)
+}
+
 fn quarantine_key(fingerprint: Fingerprint) -> String {
     format!("{KEY_PREFIX}{fingerprint}")
 }
--- a/gateway/src/crash_reports/tests.rs
+++ b/gateway/src/crash_reports/tests.rs
@@ -1,9 +1,12 @@
 use super::{CRASH_REPORTS_TAG, MAX_REPORTS};
 use crate::gossip::is_readable_heartbeat;
 use crate::record::{decode, encode};
-use galenapick::crashes::{CrashReport, Crashes, Fingerprint, MAX_LIFETIMES};
+use galenapick::crashes::{
+    Admission, CrashReport, Crashes, Fingerprint, Lifetime, MAX_LIFETIMES, TrialReport,
+};
 use googletest::prelude::*;
-use std::time::Instant;
+use serde::{Deserialize, Serialize};
+use std::time::{Duration, Instant};
 
 // Guards against reports that do not fit into one datagram, or that a heartbeat is taken for.
 #[googletest::test]
@@ -13,11 +16,59 @@
     for number in 0..(MAX_REPORTS * MAX_LIFETIMES) as u64 {
         let request = Fingerprint::Request(u64::MAX - number % MAX_REPORTS as u64);
         crashes.record_crash(now, request, u64::MAX - number);
+        crashes.record_prefix(&[Fingerprint::Prefix(u64::MAX), request]);
     }
-    let reports = crashes.due_reports(now, MAX_REPORTS);
+    let later = now + Duration::from_secs(24 * 3_600);
+    for number in 0..MAX_REPORTS as u64 {
+        let request = [
+            Fingerprint::Prefix(0),
+            Fingerprint::Request(u64::MAX - number),
+        ];
+        expect_that!(
+            crashes.admit(later, &request, u64::MAX),
+            eq(Admission::Trial)
+        );
+    }
+    let reports = crashes.due_reports(later, MAX_REPORTS);
     expect_that!(reports.len(), eq(MAX_REPORTS));
     let datagram = encode(&reports);
     expect_that!(datagram.len(), le(4 * 1024));
     expect_that!(decode::<Vec<CrashReport>>(&datagram), ok(eq(&reports)));
     expect_that!(is_readable_heartbeat(&[CRASH_REPORTS_TAG]), eq(false));
 }
+
+/// A report as the earlier version writes and reads it.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+struct EarlierReport {
+    f: Fingerprint,
+    a: u64,
+    l: Vec<(Lifetime, bool)>,
+}
+
+// Guards against datagrams that gateways of different versions cannot read.
+#[googletest::test]
+fn reports_of_the_earlier_version_are_read_and_it_reads_ours() {
+    let earlier = EarlierReport {
+        f: Fingerprint::Request(7),
+        a: 5,
+        l: vec![(1, false), (2, true)],
+    };
+    let read = CrashReport {
+        fingerprint: earlier.f,
+        age_ms: earlier.a,
+        lifetimes: earlier.l.clone(),
+        prefix: None,
+        trial: None,
+    };
+    expect_that!(decode::<CrashReport>(&encode(&earlier)), ok(eq(&read)));
+    let ours = CrashReport {
+        prefix: Some(7),
+        trial: Some(TrialReport {
+            number: 1,
+            claimant: 2,
+            left_ms: 3,
+        }),
+        ..read
+    };
+    expect_that!(decode::<EarlierReport>(&encode(&ours)), ok(eq(&earlier)));
+}
--- a/gateway/src/forward/quarantine.rs
+++ b/gateway/src/forward/quarantine.rs
@@ -10,7 +10,8 @@
 use crate::http::{Framing, RequestHead, ResponseHead};
 use crate::node::Gateway;
 use crate::reply::Refusal;
-use galenapick::crashes::{self, Admission, Fingerprints, Lifetime, Suspicion, lifetime};
+use galenapick::crashes::{self, Admission, Claimant, Fingerprints, Lifetime, Suspicion, lifetime};
+use smol::Timer;
 use std::cell::Cell;
 use std::time::{Duration, Instant};
 
@@ -54,26 +55,71 @@
     }
 }
 
+/// Ends a trial once it is dropped, unless its request may have run. One that has run without an
+/// outcome may still crash its endpoint, so its trial goes on until the timeout.
+pub(crate) struct TrialGuard<'a, D: Dialect> {
+    gateway: &'a Gateway<D>,
+    call: &'a Call,
+}
+
+impl<D: Dialect> Drop for TrialGuard<'_, D> {
+    fn drop(&mut self) {
+        if self.call.execution.get() == Execution::MayHaveRun {
+            return;
+        }
+        let claimant = self.gateway.claimant();
+        let fingerprints = &self.call.fingerprints;
+        let mut crashes = self.gateway.crashes.borrow_mut();
+        crashes.cancel_trial(Instant::now(), fingerprints, claimant);
+        self.gateway.crash_sync.notify_changed();
+    }
+}
+
 impl<D: Dialect> Gateway<D> {
-    /// Returns the refusal of a quarantined request that has just arrived.
-    pub(crate) fn quarantine_refusal(&self, call: &Call) -> Option<Refusal> {
+    /// Admits a request that has just arrived, or returns the refusal of a quarantined one. A request
+    /// that may be tried waits until peers have reported their claims to the same trial.
+    ///
+    /// The guard is kept for as long as the call is served.
+    pub(crate) async fn pass_quarantine<'a>(
+        &'a self,
+        call: &'a Call,
+    ) -> Result<Option<TrialGuard<'a, D>>, Refusal> {
+        let now = Instant::now();
+        let claimant = self.claimant();
         let admission = self
             .crashes
             .borrow_mut()
-            .admit(Instant::now(), &call.fingerprints);
+            .admit(now, &call.fingerprints, claimant);
         let left = match admission {
-            Admission::Open => return None,
+            Admission::Open => return Ok(None),
+            Admission::Refused(left) => left,
             Admission::Trial => {
-                call.is_trial.set(true);
-                let [prefix, fingerprint] = call.fingerprints.map(|print| print.to_string());
-                crate::event!("quarantine_trial", "request" => call.id(),
-                    "fingerprint" => fingerprint, "prefix" => prefix);
-                return None;
+                let guard = TrialGuard {
+                    gateway: self,
+                    call,
+                };
+                self.crash_sync.notify_changed();
+                Timer::after(self.claim_time()).await;
+                match self.confirm_trial(call, claimant) {
+                    Admission::Refused(left) => left,
+                    Admission::Open | Admission::Trial => return Ok(Some(guard)),
+                }
             }
-            Admission::Refused(left) => left,
         };
         self.log_quarantine_refusal(call, left);
-        Some(Refusal::retry_later(left.max(MIN_RETRY_AFTER), REASON))
+        Err(Refusal::retry_later(left.max(MIN_RETRY_AFTER), REASON))
+    }
+
+    fn confirm_trial(&self, call: &Call, claimant: Claimant) -> Admission {
+        let crashes = self.crashes.borrow();
+        let admission = crashes.confirm_trial(Instant::now(), &call.fingerprints, claimant);
+        if admission == Admission::Trial {
+            call.is_trial.set(true);
+            let [prefix, fingerprint] = call.fingerprints.map(|print| print.to_string());
+            crate::event!("quarantine_trial", "request" => call.id(),
+                "fingerprint" => fingerprint, "prefix" => prefix);
+        }
+        admission
     }
 
     /// Returns the failure of a call that must not be sent, or not again, because its request has
@@ -115,6 +161,7 @@
                 }
                 _ => return,
             };
+            crashes.record_prefix(&attempt.fingerprints);
             drop(crashes);
             let Some(suspicion) = suspicion else {
                 continue;
--- a/gateway/src/record.rs
+++ b/gateway/src/record.rs
@@ -74,6 +74,9 @@
     pub(crate) last_crash_unix_ms: u64,
     /// Lifetimes of endpoints that ended under the request, and whether each is cleared.
     pub(crate) lifetimes: Vec<(Lifetime, bool)>,
+    /// Hash of the prefix of a request; records of an earlier version lack it.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub(crate) prefix: Option<u64>,
 }
 
 impl CompletedTurn {
--- a/src/coordination/crashes.rs
+++ b/src/coordination/crashes.rs
@@ -3,7 +3,11 @@
 //! For each request, and for requests whose bodies begin alike, the table holds the lifetimes of
 //! endpoints that ended while they had it. A complete answer proves the request harmless and clears
 //! them. A request with enough lifetimes that are not cleared is quarantined: it reaches no endpoint
-//! until the quarantine is over, and then one at a time.
+//! until the quarantine is over, and then one at a time over all gateways.
+//!
+//! A request that only ran beside one that crashes endpoints shares lifetimes with it. As long as
+//! another request that has at least as many may have caused them, the quarantine is short and the
+//! trial decides.
 //!
 //! The state of a request is a set of lifetimes, each cleared or not. Gateways merge theirs by union,
 //! and a cleared lifetime stays cleared, so the order in which reports arrive does not matter.
@@ -34,6 +38,9 @@
 /// Duration of the first quarantine of requests that only begin alike.
 const PREFIX_QUARANTINE: Duration = Duration::from_secs(60);
 
+/// Duration of the first quarantine of a request whose crashes another one may have caused.
+const SHARED_QUARANTINE: Duration = Duration::from_secs(2);
+
 /// Maximum number of lifetimes that are kept for a request.
 pub const MAX_LIFETIMES: usize = 8;
 
@@ -80,6 +87,9 @@
     }
 }
 
+/// Hash of the name of a gateway that wants to try a request.
+pub type Claimant = u64;
+
 /// Hash of an endpoint's id and start time.
 pub type Lifetime = u64;
 
@@ -100,6 +110,26 @@
     /// Lifetimes that ended under the request, and whether each is cleared.
     #[serde(rename = "l")]
     pub lifetimes: Vec<(Lifetime, bool)>,
+    /// Hash of the prefix of a request; a gateway of an earlier version does not send it.
+    #[serde(rename = "p", default, skip_serializing_if = "Option::is_none")]
+    pub prefix: Option<u64>,
+    /// The latest trial.
+    #[serde(rename = "t", default, skip_serializing_if = "Option::is_none")]
+    pub trial: Option<TrialReport>,
+}
+
+/// What one gateway tells others about a trial.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct TrialReport {
+    /// Number of trials of the request up to this one.
+    #[serde(rename = "n")]
+    pub number: u32,
+    /// Gateway that claims or runs it.
+    #[serde(rename = "c")]
+    pub claimant: Claimant,
+    /// Time after which it makes way for another one, in milliseconds; zero once it is over.
+    #[serde(rename = "m")]
+    pub left_ms: u64,
 }
 
 /// State of a request after a change.
@@ -116,12 +146,23 @@
 pub enum Admission {
     /// It is not quarantined.
     Open,
-    /// It may be sent to one endpoint, to see whether it still crashes.
+    /// It may be sent to one endpoint, to see whether it still crashes, if no other gateway claims
+    /// the trial at the same time.
     Trial,
     /// It is quarantined for this long.
     Refused(Duration),
 }
 
+/// The latest trial of a request. Gateways that report different ones agree on the one with the
+/// highest number, of these on that of the lowest claimant, and on its earliest end.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+struct Trial {
+    number: Reverse<u32>,
+    claimant: Claimant,
+    /// When it makes way for another one; in the past once it is over.
+    until: Instant,
+}
+
 #[derive(Debug)]
 struct Entry {
     /// Number of lifetimes that are not cleared from which on the requests are quarantined.
@@ -131,8 +172,9 @@
     /// At most [`MAX_LIFETIMES`], each with whether it is cleared.
     lifetimes: SmallVec<[(Lifetime, bool); 4]>,
     last_crash_at: Instant,
-    /// When the running trial makes way for another one.
-    trial_until: Option<Instant>,
+    /// Hash of the prefix of a request; always `None` for a prefix.
+    prefix: Option<u64>,
+    trial: Option<Trial>,
     /// Number of reports of the last change that are still to be sent.
     reports_left: u8,
     reported_at: Option<Instant>,
@@ -145,12 +187,19 @@
             first_quarantine: fingerprint.quarantine(),
             lifetimes: SmallVec::new(),
             last_crash_at,
-            trial_until: None,
+            prefix: None,
+            trial: None,
             reports_left: 0,
             reported_at: None,
         }
     }
 
+    /// Returns the lifetimes that are not cleared.
+    fn suspected(&self) -> SmallVec<[Lifetime; MAX_LIFETIMES]> {
+        let suspected = self.lifetimes.iter().filter(|(_, cleared)| !cleared);
+        suspected.map(|(lifetime, _)| *lifetime).collect()
+    }
+
     fn suspicion(&self) -> Suspicion {
         let lifetimes = self.lifetimes.iter().filter(|(_, cleared)| !cleared);
         let lifetimes = lifetimes.count();
@@ -160,27 +209,46 @@
         }
     }
 
-    /// Returns the end of the quarantine, past or not; `None` if the request is not quarantined.
-    fn quarantined_until(&self) -> Option<Instant> {
-        let suspicion = self.suspicion();
-        let doublings = suspicion.lifetimes.saturating_sub(self.quarantine_crashes) as u32;
-        let end = self.last_crash_at + self.first_quarantine * 2_u32.pow(doublings);
-        suspicion.is_quarantined.then_some(end)
+    /// Returns the end of the quarantine of a quarantined request, past or not.
+    fn quarantined_until(&self, first_quarantine: Duration) -> Instant {
+        let lifetimes = self.suspicion().lifetimes;
+        let doublings = lifetimes.saturating_sub(self.quarantine_crashes) as u32;
+        self.last_crash_at + first_quarantine * 2_u32.pow(doublings)
+    }
+
+    fn claim_trial(&mut self, now: Instant, claimant: Claimant) {
+        let last_number = self.trial.map_or(0, |trial| trial.number.0);
+        self.trial = Some(Trial {
+            number: Reverse(last_number.saturating_add(1)),
+            claimant,
+            until: now + TRIAL_TIMEOUT,
+        });
+        self.mark_changed();
+    }
+
+    fn merge_trial(&mut self, now: Instant, report: TrialReport) {
+        let left = Duration::from_millis(report.left_ms).min(TRIAL_TIMEOUT);
+        let trial = Trial {
+            number: Reverse(report.number),
+            claimant: report.claimant,
+            until: now + left,
+        };
+        self.trial = Some(self.trial.map_or(trial, |current| current.min(trial)));
     }
 
-    /// Returns the end of the quarantine or of the trial that follows it.
-    fn refused_until(&self) -> Option<Instant> {
-        let quarantined_until = self.quarantined_until()?;
-        Some(
-            self.trial_until
-                .map_or(quarantined_until, |until| until.max(quarantined_until)),
-        )
+    /// Ends the trial and returns whether one was running.
+    fn end_trial(&mut self, now: Instant) -> bool {
+        let running = self.trial.as_mut().filter(|trial| trial.until > now);
+        running.map(|trial| trial.until = now).is_some()
     }
 
     /// Returns when the request is forgotten: a quarantined one is kept for a trial afterwards.
     fn expires_at(&self) -> Instant {
-        let quarantined_until = self.quarantined_until();
-        quarantined_until.unwrap_or(self.last_crash_at) + SUSPICION
+        let kept_from = match self.suspicion().is_quarantined {
+            true => self.quarantined_until(self.first_quarantine),
+            false => self.last_crash_at,
+        };
+        kept_from + SUSPICION
     }
 
     /// Adds a lifetime and returns whether that changed anything.
@@ -201,11 +269,11 @@
         true
     }
 
-    fn clear(&mut self) {
+    fn clear(&mut self, now: Instant) {
         for (_, cleared) in &mut self.lifetimes {
             *cleared = true;
         }
-        self.trial_until = None;
+        self.end_trial(now);
     }
 
     fn mark_changed(&mut self) {
@@ -282,7 +350,7 @@
         }
         let entry = self.entry(now, fingerprint);
         entry.last_crash_at = now;
-        let is_trial = entry.trial_until.take().is_some();
+        let is_trial = entry.end_trial(now);
         if !entry.add(lifetime, false) && !is_trial {
             return None;
         }
@@ -298,13 +366,30 @@
         if cleared.lifetimes == 0 {
             return None;
         }
-        entry.clear();
+        entry.clear(now);
         entry.mark_changed();
         Some(cleared)
     }
 
-    /// Decides whether a request that arrives may be served, and starts a trial if one is due.
-    pub fn admit(&mut self, now: Instant, fingerprints: &Fingerprints) -> Admission {
+    /// Records which prefix a request has, if it is in the table.
+    pub fn record_prefix(&mut self, fingerprints: &Fingerprints) {
+        let [Fingerprint::Prefix(prefix), request] = fingerprints else {
+            return;
+        };
+        if let Some(entry) = self.entries.get_mut(request) {
+            entry.prefix = Some(*prefix);
+        }
+    }
+
+    /// Decides whether a request that arrives may be served, and claims a trial if one is due. The
+    /// claim counts once other gateways have had the time to report theirs, see
+    /// [`Self::confirm_trial`].
+    pub fn admit(
+        &mut self,
+        now: Instant,
+        fingerprints: &Fingerprints,
+        claimant: Claimant,
+    ) -> Admission {
         let Some(left) = self.quarantine_left(now, fingerprints) else {
             return Admission::Open;
         };
@@ -313,22 +398,112 @@
         }
         for fingerprint in fingerprints {
             if let Some(entry) = self.entries.get_mut(fingerprint) {
-                entry.trial_until = Some(now + TRIAL_TIMEOUT);
+                entry.claim_trial(now, claimant);
             }
         }
         Admission::Trial
     }
 
-    /// Returns the time for which a request must not be sent: the rest of its quarantine or of the
+    /// Decides whether a request whose trial was claimed may be sent.
+    pub fn confirm_trial(
+        &self,
+        now: Instant,
+        fingerprints: &Fingerprints,
+        claimant: Claimant,
+    ) -> Admission {
+        // Of trials of several requests that share crashes, that of the lowest claimant runs.
+        let precedes = |fingerprint, trial: &Trial| {
+            let is_same_request = fingerprints.contains(&fingerprint);
+            trial.claimant < claimant || (is_same_request && trial.claimant != claimant)
+        };
+        match self.refused_until(fingerprints, precedes) {
+            None => Admission::Open,
+            Some(until) if until <= now => Admission::Trial,
+            Some(until) => Admission::Refused(until.saturating_duration_since(now)),
+        }
+    }
+
+    /// Ends a trial that was not run.
+    pub fn cancel_trial(&mut self, now: Instant, fingerprints: &Fingerprints, claimant: Claimant) {
+        for fingerprint in fingerprints {
+            let entry = self.entries.get_mut(fingerprint);
+            let is_own = |trial: Trial| trial.claimant == claimant;
+            if let Some(entry) = entry.filter(|entry| entry.trial.is_some_and(is_own))
+                && entry.end_trial(now)
+            {
+                entry.mark_changed();
+            }
+        }
+    }
+
+    /// Returns the time for which a request must not be sent: the rest of its quarantine or of a
     /// trial that follows it. Zero allows a trial; `None` if it is not quarantined.
     pub fn quarantine_left(&self, now: Instant, fingerprints: &Fingerprints) -> Option<Duration> {
-        let entries = fingerprints
-            .iter()
-            .filter_map(|fingerprint| self.entries.get(fingerprint));
-        let refused_until = entries.filter_map(Entry::refused_until).max()?;
+        let refused_until = self.refused_until(fingerprints, |_, _| true)?;
         Some(refused_until.saturating_duration_since(now))
     }
 
+    /// Returns the end of the quarantine of a request or of a trial that `counts`, past or not;
+    /// `None` if it is not quarantined.
+    fn refused_until(
+        &self,
+        fingerprints: &Fingerprints,
+        counts: impl Fn(Fingerprint, &Trial) -> bool,
+    ) -> Option<Instant> {
+        let ends = fingerprints.iter().filter_map(|fingerprint| {
+            let entry = self.entries.get(fingerprint)?;
+            // Most requests are not quarantined and need no search.
+            entry.suspicion().is_quarantined.then(|| {
+                let quarantined_until = self.quarantined_until(*fingerprint, entry);
+                let trial_until = self.trial_until(entry, &counts);
+                trial_until.map_or(quarantined_until, |until| until.max(quarantined_until))
+            })
+        });
+        ends.max()
+    }
+
+    /// Returns the end of the quarantine of a quarantined entry, past or not.
+    fn quarantined_until(&self, fingerprint: Fingerprint, entry: &Entry) -> Instant {
+        entry.quarantined_until(if self.is_shared(fingerprint, entry) {
+            SHARED_QUARANTINE
+        } else {
+            entry.first_quarantine
+        })
+    }
+
+    /// Returns the latest end of the trials that `counts` of an entry and of all that share crashes
+    /// with it. At the same time they could crash an endpoint under each other.
+    fn trial_until(
+        &self,
+        entry: &Entry,
+        counts: impl Fn(Fingerprint, &Trial) -> bool,
+    ) -> Option<Instant> {
+        let suspected = entry.suspected();
+        let trials = self.entries.iter().filter_map(|(fingerprint, other)| {
+            let trial = other.trial.filter(|trial| counts(*fingerprint, trial))?;
+            let mut shared = other.suspected().into_iter();
+            let is_shared = shared.any(|lifetime| suspected.contains(&lifetime));
+            is_shared.then_some(trial.until)
+        });
+        trials.max()
+    }
+
+    /// Returns whether most crashes of a quarantined entry may be due to others and the rest would not
+    /// quarantine it. Only entries with at least as many crashes count, so that a trial that ends
+    /// with a crash singles out its request.
+    fn is_shared(&self, fingerprint: Fingerprint, entry: &Entry) -> bool {
+        let mut unshared = entry.suspected();
+        let crashes = unshared.len();
+        for (other_fingerprint, other) in &self.entries {
+            let is_same = is_same_request((fingerprint, entry), (*other_fingerprint, other));
+            if other.suspicion().lifetimes >= crashes && !is_same {
+                let suspected = other.suspected();
+                unshared.retain(|lifetime| !suspected.contains(lifetime));
+            }
+        }
+        unshared.len() < entry.quarantine_crashes && unshared.len() * 2 < crashes
+    }
+
     /// Merges what another gateway knows of a request. Returns the request's state unless nothing
     /// changed.
     ///
@@ -352,20 +527,27 @@
         for (lifetime, is_cleared) in report.lifetimes.iter().take(MAX_LIFETIMES) {
             is_changed |= entry.add(*lifetime, *is_cleared);
         }
+        entry.prefix = entry.prefix.max(report.prefix);
+        if let Some(trial) = report.trial {
+            entry.merge_trial(now, trial);
+        }
         if is_answered && entry.suspicion().lifetimes > 0 {
-            entry.clear();
+            entry.clear(now);
             entry.mark_changed();
         }
         is_changed.then(|| entry.suspicion())
     }
 
-    /// Returns the reports that are due, at most `limit`, and marks them as sent. Requests under
-    /// which most endpoints crashed come first.
+    /// Returns the reports that are due, at most `limit`, and marks them as sent. Trials come first,
+    /// then requests under which most endpoints crashed.
     pub fn due_reports(&mut self, now: Instant, limit: usize) -> Vec<CrashReport> {
         let entries = self.entries.iter_mut();
         let due = entries.filter(|(_, entry)| entry.is_report_due(now));
         let mut due: Vec<_> = due.collect();
-        due.sort_by_key(|(_, entry)| Reverse(entry.suspicion().lifetimes));
+        due.sort_by_key(|(_, entry)| {
+            let is_trial_running = entry.trial.is_some_and(|trial| trial.until > now);
+            Reverse((is_trial_running, entry.suspicion().lifetimes))
+        });
         due.into_iter()
             .take(limit)
             .map(|(fingerprint, entry)| {
@@ -434,11 +616,28 @@
     }
 }
 
+/// Returns whether two entries are the same, or a request and the prefix that it has or may have.
+fn is_same_request(one: (Fingerprint, &Entry), other: (Fingerprint, &Entry)) -> bool {
+    match (one, other) {
+        ((Fingerprint::Request(_), request), (Fingerprint::Prefix(prefix), _))
+        | ((Fingerprint::Prefix(prefix), _), (Fingerprint::Request(_), request)) => {
+            request.prefix.is_none_or(|own| own == prefix)
+        }
+        _ => one.0 == other.0,
+    }
+}
+
 fn report(now: Instant, fingerprint: Fingerprint, entry: &Entry) -> CrashReport {
     let age = now.saturating_duration_since(entry.last_crash_at);
     CrashReport {
         fingerprint,
         age_ms: age.as_millis() as u64,
         lifetimes: entry.lifetimes.to_vec(),
+        prefix: entry.prefix,
+        trial: entry.trial.map(|trial| TrialReport {
+            number: trial.number.0,
+            claimant: trial.claimant,
+            left_ms: trial.until.saturating_duration_since(now).as_millis() as u64,
+        }),
     }
 }
