--- a/src/entry/crashes.rs
+++ b/src/entry/crashes.rs
@@ -6,6 +6,7 @@
 use crate::coordination::crashes::{
     self, Admission, CrashReport, Fingerprints, Lifetime, Suspicion,
 };
+use crate::coordination::stable_hash::stable_hash;
 use crate::entry::{Entry, lock};
 use crate::ids::{CallId, NodeId, ProgramId, format_id};
 use crate::protocol::link::{Call, Reply, Request, Work};
@@ -25,6 +26,9 @@
 /// Minimum retry delay sent to callers, which applies while a trial runs.
 const MIN_RETRY_AFTER: Duration = Duration::from_secs(1);
 
+/// Time in which entries that claim a trial at the same time have told each other.
+const CLAIM_TIME: Duration = Duration::from_millis(200);
+
 /// Maximum number of reports in a message to another entry.
 const MAX_REPORTS: usize = 32;
 
@@ -85,9 +89,20 @@
 }
 
 impl<L: Log> Entry<L> {
-    /// Refuses a call that is due to run but is quarantined, or lets it run as a trial.
-    pub(super) fn admit(&self, call: &FingerprintedCall) -> Result<(), Refusal> {
-        let admission = lock(&self.0.crashes).admit(Instant::now(), &call.fingerprints);
+    /// Refuses a call that is due to run but is quarantined, or lets it run as a trial. A trial waits
+    /// until other entries have reported their claims to it.
+    pub(super) async fn admit(&self, call: &FingerprintedCall) -> Result<(), Refusal> {
+        let claimant = stable_hash(&self.0.config.node);
+        let fingerprints = &call.fingerprints;
+        let admission = lock(&self.0.crashes).admit(Instant::now(), fingerprints, claimant);
+        let admission = match admission {
+            Admission::Trial => {
+                self.share_crashes();
+                Timer::after(CLAIM_TIME).await;
+                lock(&self.0.crashes).confirm_trial(Instant::now(), fingerprints, claimant)
+            }
+            decided => decided,
+        };
         match admission {
             Admission::Open => Ok(()),
             Admission::Trial => {
--- a/src/entry/owner/action.rs
+++ b/src/entry/owner/action.rs
@@ -55,7 +55,7 @@
         if is_log_down(&owned.handle) {
             return Err(refuse_log_down());
         }
-        self.admit(&job.fingerprinted)?;
+        self.admit(&job.fingerprinted).await?;
         let mut prepared = self.prepare_action(owned, job, limit).await?;
         let mut reservation = Reservation::new(self, owned, prepared.cost);
         let intent = build_intent(owned, job, &prepared);
--- a/src/entry/owner/model.rs
+++ b/src/entry/owner/model.rs
@@ -54,7 +54,7 @@
         limit: Duration,
     ) -> Result<CallOutput, Refusal> {
         self.check_backlog(owned)?;
-        self.admit(&job.fingerprinted)?;
+        self.admit(&job.fingerprinted).await?;
         match &job.call.work {
             Work::Model {
                 model,
--- a/src/protocol/crashes.rs
+++ b/src/protocol/crashes.rs
@@ -48,6 +48,9 @@
 /// Hash of an endpoint's id and start time.
 pub type Lifetime = u64;
 
+/// Hash of the name of a node that wants to try a request.
+pub type Claimant = u64;
+
 /// What one node tells others about a request.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct CrashReport {
@@ -60,4 +63,24 @@
     /// Lifetimes that ended under the request, and whether each is cleared.
     #[serde(rename = "l")]
     pub lifetimes: Vec<(Lifetime, bool)>,
+    /// Hash of the prefix of a request; a node of an earlier version does not send it.
+    #[serde(rename = "p", default, skip_serializing_if = "Option::is_none")]
+    pub prefix: Option<u64>,
+    /// The latest trial.
+    #[serde(rename = "t", default, skip_serializing_if = "Option::is_none")]
+    pub trial: Option<TrialReport>,
+}
+
+/// What one node tells others about a trial.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct TrialReport {
+    /// Number of trials of the request up to this one.
+    #[serde(rename = "n")]
+    pub number: u32,
+    /// Node that claims or runs it.
+    #[serde(rename = "c")]
+    pub claimant: Claimant,
+    /// Time after which it makes way for another one, in milliseconds; zero once it is over.
+    #[serde(rename = "m")]
+    pub left_ms: u64,
 }
