Say in a refusal why no endpoint can take a call

Callers saw: "No endpoint can take the call now" and nothing else, also in the one failure of a_paused_sidecar_causes_no_repetition, which could not be traced for this reason.

Change: the refusal counts the endpoints of the model or service by what keeps them from the call: leaving, suspect, silent, with an open breaker, outdated, or that failed it; "none is known" if the entry has none. The choice itself uses the same function, so the two cannot differ.

--- a/src/coordination/choice/endpoint.rs
+++ b/src/coordination/choice/endpoint.rs
@@ -1,6 +1,7 @@
 //! State of one endpoint as an entry sees it.
 
 use super::averages::GroupAverages;
+use super::obstacle::Obstacle;
 use super::{
     CallOutcome, CallWork, ChoiceConfig, EndpointInfo, EndpointKind, EndpointState, Target,
 };
@@ -130,16 +131,27 @@
         models.chain(service)
     }
 
-    /// Returns whether it may get new calls.
-    pub(super) fn is_usable(&self, now: Instant, cfg: &ChoiceConfig) -> bool {
+    /// Returns what keeps it from new calls, or `None` if it may get some.
+    pub(super) fn obstacle(&self, now: Instant, cfg: &ChoiceConfig) -> Option<Obstacle> {
         let waiting_since = self.outstanding.iter().map(|o| o.sent_at).min();
         let is_awaiting_answer =
             waiting_since.is_some_and(|sent| is_older(now, sent, cfg.silent_after));
-        let is_silent = is_awaiting_answer && is_older(now, self.last_activity, cfg.silent_after);
-        self.state == EndpointState::Live
-            && !self.load.leaving
-            && !is_silent
-            && self.breaker.would_allow(now)
+        if self.state == EndpointState::Leaving || self.load.leaving {
+            Some(Obstacle::Leaving)
+        } else if self.state == EndpointState::Suspect {
+            Some(Obstacle::Suspect)
+        } else if is_awaiting_answer && is_older(now, self.last_activity, cfg.silent_after) {
+            Some(Obstacle::Silent)
+        } else if !self.breaker.would_allow(now) {
+            Some(Obstacle::BreakerOpen)
+        } else {
+            None
+        }
+    }
+
+    /// Returns whether it may get new calls.
+    pub(super) fn is_usable(&self, now: Instant, cfg: &ChoiceConfig) -> bool {
+        self.obstacle(now, cfg).is_none()
     }
 
     /// Returns whether it serves the model in at least the version, or the service.
--- a/src/coordination/choice/mod.rs
+++ b/src/coordination/choice/mod.rs
@@ -3,6 +3,7 @@
 
 mod averages;
 mod endpoint;
+mod obstacle;
 #[cfg(test)]
 mod tests;
 
@@ -12,6 +13,7 @@
 use averages::GroupAverages;
 use endpoint::Endpoint;
 use fastrand::Rng;
+pub use obstacle::Obstacle;
 use std::collections::HashMap;
 use std::time::{Duration, Instant};
 
@@ -403,9 +405,7 @@
         endpoint: &Endpoint,
         requirements: &EndpointRequirements<'_>,
     ) -> bool {
-        endpoint.is_usable(now, &self.cfg)
-            && endpoint.can_serve(requirements.target)
-            && !requirements.exclude.contains(&endpoint.name)
+        self.obstacle(now, endpoint, requirements).is_none()
     }
 
     /// Averages the load reports of a group's usable endpoints.
--- a/src/coordination/choice/tests.rs
+++ b/src/coordination/choice/tests.rs
@@ -1,5 +1,6 @@
 use super::*;
 use googletest::prelude::*;
+use std::collections::BTreeMap;
 
 fn engine(domain: &str) -> EndpointInfo {
     EndpointInfo {
@@ -180,3 +181,38 @@
         expect_that!(choice.endpoint, not(eq("e0")));
     }
 }
+
+#[gtest]
+fn obstacles_say_why_no_endpoint_gets_a_call() {
+    let now = Instant::now();
+    let mut chooser = chooser(now, 6);
+    expect_that!(chooser.obstacles(now, &requirements(&[])), is_empty());
+    chooser.set_state("e0", EndpointState::Leaving);
+    chooser.set_state("e1", EndpointState::Suspect);
+    chooser.set_state("e2", EndpointState::Suspect);
+    for call in 0..3 {
+        chooser.begin_call(now, "e3", call, CallWork::default());
+        chooser.finish_call(now, "e3", call, CallOutcome::Failed);
+    }
+    let exclude = ["e4".to_owned()];
+    let newer = EndpointRequirements {
+        exclude: &exclude,
+        ..requirements(&[])
+    };
+    let mut expected = BTreeMap::from([
+        (Obstacle::Leaving, 1),
+        (Obstacle::Suspect, 2),
+        (Obstacle::BreakerOpen, 1),
+        (Obstacle::Excluded, 1),
+    ]);
+    expect_that!(chooser.obstacles(now, &newer), eq(&expected));
+    chooser.begin_call(now, "e5", 9, CallWork::default());
+    let later = now + ChoiceConfig::default().silent_after;
+    expected.insert(Obstacle::Silent, 1);
+    expected.remove(&Obstacle::BreakerOpen);
+    expect_that!(chooser.obstacles(later, &newer), eq(&expected));
+    expect_that!(
+        chooser.choose(later, &newer, &mut Rng::with_seed(3)),
+        some(anything())
+    );
+}
--- a/src/entry/dispatch.rs
+++ b/src/entry/dispatch.rs
@@ -1,6 +1,8 @@
 //! Dispatch of calls to endpoints, with retries at other endpoints on failure.
 
-use crate::coordination::choice::{CallOutcome, CallWork, Choice, EndpointRequirements, Target};
+use crate::coordination::choice::{
+    CallOutcome, CallWork, Choice, EndpointRequirements, Obstacle, Target,
+};
 use crate::coordination::retry::FailedCall;
 use crate::entry::{Entry, lock};
 use crate::ids::{CallId, EndpointId, ProgramId};
@@ -14,6 +16,7 @@
 use crate::transport::replay::{ReplayBuffer, Run};
 use smallvec::SmallVec;
 use smol::Timer;
+use std::collections::BTreeMap;
 use std::time::{Duration, Instant};
 
 /// Retry delay sent to the caller if no endpoint can take a call, in milliseconds.
@@ -76,11 +79,9 @@
             exclude: &dispatch.failed,
         };
         let mut rng = fastrand::Rng::new();
-        let choice = lock(&self.0.chooser).choose(now, &requirements, &mut rng);
-        choice.ok_or_else(|| {
-            let message = "No endpoint can take the call now.";
-            Refusal::not_run(RefusalCode::NoEndpoint, message).retry_after_ms(NO_ENDPOINT_RETRY_MS)
-        })
+        let mut chooser = lock(&self.0.chooser);
+        let choice = chooser.choose(now, &requirements, &mut rng);
+        choice.ok_or_else(|| refuse_no_endpoint(&chooser.obstacles(now, &requirements)))
     }
 
     /// Returns the endpoint where the call already runs, if that endpoint is usable and has not
@@ -328,6 +329,20 @@
     refusal.retry_after_ms(NO_ENDPOINT_RETRY_MS)
 }
 
+/// Refusal for a call that no endpoint can take, with the number of endpoints by their obstacles.
+fn refuse_no_endpoint(obstacles: &BTreeMap<Obstacle, usize>) -> Refusal {
+    let counts = obstacles.iter();
+    let counts: Vec<String> = counts
+        .map(|(obstacle, count)| format!("{count} {obstacle}"))
+        .collect();
+    let reason = match counts.as_slice() {
+        [] => "none is known".to_owned(),
+        counts => counts.join(", "),
+    };
+    let message = format!("No endpoint can take the call now: {reason}.");
+    Refusal::not_run(RefusalCode::NoEndpoint, message).retry_after_ms(NO_ENDPOINT_RETRY_MS)
+}
+
 fn refuse_unexpected_reply() -> Refusal {
     Refusal {
         ran: Ran::No,
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -85,7 +85,7 @@
 };
 pub use coordination::choice::{
     CallOutcome, CallWork, Choice, ChoiceConfig, Chooser, EndpointInfo, EndpointKind,
-    EndpointRequirements, EndpointState, Target,
+    EndpointRequirements, EndpointState, Obstacle, Target,
 };
 pub use coordination::commit::{
     BacklogFull, CommitEffect, CommitLimits, Committed, GroupCommit, Ticket,
