Report new crashes before quarantined requests are reported again

What callers saw: nothing yet; found in the review. With more quarantined requests than fit into a datagram, a gateway of a large site repeats these in each one, and a crash of its own is never told to the others, so that its request crashes three endpoints at each gateway.

Cause: reports that are due were ordered by the number of crashes, whether they say something new or repeat what was told.

Change: after running trials, those with reports of a change left come first.

A change is reported three times, so repeated reports wait only while there is news.

--- a/src/coordination/crashes.rs
+++ b/src/coordination/crashes.rs
@@ -499,14 +499,15 @@
     }
 
     /// Returns the reports that are due, at most `limit`, and marks them as sent. Trials come first,
-    /// then requests under which most endpoints crashed.
+    /// then changes, then requests under which most endpoints crashed.
     pub fn due_reports(&mut self, now: Instant, limit: usize) -> Vec<CrashReport> {
         let entries = self.entries.iter_mut();
         let due = entries.filter(|(_, entry)| entry.is_report_due(now));
         let mut due: Vec<_> = due.collect();
         due.sort_by_key(|(_, entry)| {
             let is_trial_running = entry.trial.is_some_and(|trial| trial.until > now);
-            Reverse((is_trial_running, entry.suspicion().lifetimes))
+            let is_changed = entry.reports_left > 0;
+            Reverse((is_trial_running, is_changed, entry.suspicion().lifetimes))
         });
         due.into_iter()
             .take(limit)
--- a/src/coordination/crashes/tests.rs
+++ b/src/coordination/crashes/tests.rs
@@ -724,3 +724,27 @@
         prop_assert!(crashes.forget_expired(now).is_empty());
     }
 }
+
+// Guards against crashes that peers never hear of because many quarantined requests are reported again.
+#[googletest::test]
+fn a_new_crash_is_reported_before_quarantined_requests_are_again() {
+    let now = Instant::now();
+    let mut crashes = Crashes::default();
+    for number in 100..300 {
+        for lifetime in 1..=3 {
+            crashes.record_crash(now, Fingerprint::Request(number), lifetime);
+        }
+    }
+    let round = Duration::from_millis(400);
+    let mut at = now;
+    for _ in 0..60 {
+        crashes.due_reports(at, 24);
+        at += round;
+    }
+    crashes.record_crash(at, FATAL, 1);
+    let reports = crashes.due_reports(at, 24);
+    expect_that!(
+        reports.iter().any(|report| report.fingerprint == FATAL),
+        eq(true)
+    );
+}
