Count the log as up once a lost append is read

Callers saw: after one append whose answer was lost, every action of the partition was refused, "The log is down", until something else was appended. A program that only tried its action again ended at its deadline.

Cause: a failed append sets the time since which appends fail, and only the next append cleared it. The record itself is found by reading, after which nothing may be left to append, and a refused action appends nothing.

Change: a batch of this epoch that is read clears it, also when the read comes before the append's failure.

Evidence: `log_faults::an_action_runs_after_one_lost_append_answer` failed before (refused as log_down) and passes in 2 of 2 runs; the eight tests of `log_faults` and those of the partition pass. The read that comes before the failure is covered by reasoning only.

--- a/src/coordination/partition/core.rs
+++ b/src/coordination/partition/core.rs
@@ -124,6 +124,10 @@
             let commit = self.group_commit.as_mut();
             let committed =
                 commit.map(|c| c.on_batch_accepted(batch.epoch, batch.sequence, offset, ignored));
+            if self.epoch() == Some(batch.epoch) {
+                // The log has stored this node's append, even if its answer was lost.
+                self.append_failing_since = None;
+            }
             self.resolve_pushes(committed.unwrap_or_default());
         }
         self.notify_subscribers(PartitionEvent::Applied {
--- a/src/coordination/partition/driver.rs
+++ b/src/coordination/partition/driver.rs
@@ -323,6 +323,10 @@
             && !append.is_claim
         {
             commit.on_append_result(now, result);
+            if !commit.needs_read() {
+                // The batch was read from the stream before its answer was missed.
+                core.append_failing_since = None;
+            }
         }
         // The record directly follows what has been read, so it can be applied without reading it.
         if offset == Some(core.next_offset) && core.caught_up {
--- a/tests/system/log_faults.rs
+++ b/tests/system/log_faults.rs
@@ -114,6 +114,26 @@
     });
 }
 
+// Guards against a log that counts as down after one lost answer, until something else is appended.
+#[gtest]
+fn an_action_runs_after_one_lost_append_answer() {
+    with_cluster(small_cluster(2), async |cluster| {
+        let client = bank_client(cluster);
+        let program = create_program(&client, "p").await;
+        call_model(&client, program, "before").await;
+        let lose_one = LogControl {
+            lose_answers: Some(1),
+            ..LogControl::default()
+        };
+        cluster.platform.log.control(lose_one).await;
+        call_model(&client, program, "lost").await;
+        expect_that!(committed_turns(&client, program, 2).await, eq(2));
+        Timer::after(Duration::from_secs(2)).await;
+        let action = client.call(program, &transfer_request("a")).await;
+        expect_that!(action, ok(anything()));
+    });
+}
+
 /// Waits for an expected number of committed turns and returns the number found.
 async fn committed_turns(client: &Client, program: ProgramId, expected: usize) -> usize {
     let deadline = std::time::Instant::now() + DRAIN_TIMEOUT;
