Charge runs that do not finish to the program's budget

What callers saw: a program whose calls fail in the middle of their streams goes on receiving tokens without end.

Cause: a call's reservation was released whole unless the call was answered. Failed attempts, calls that were stopped and calls that were late had been handed out as streams and cost nothing, and the next attempt used the same reservation again.

Change: the buffer that callers read counts the tokens of all runs, and the time from the first to the last part of each; a run that is read again counts once. `GenerationReservation` charges what came beyond what is charged when an attempt fails, when a call ends without an answer or is dropped, and, for earlier runs, when it is answered. Before another attempt it reserves again what was used, or refuses with `budget`, as not run. The ledger keeps that usage inside its reserved part until a record has it, so that a takeover charges it. A turn takes it as spent. A call without a turn writes a `Reserved` entry with the new field `spent`, since a handover charges no reservation and a program that leaves memory forgets its ledger; without spent usage the entry is encoded as before. A turn that cannot be queued gives its usage back to be recorded later. The reservation of a model call is now guarded from the moment it is made, so that a call stopped while it is being committed releases it.

Not charged: the prompts of runs that do not finish. Not changed: a call's time limit is not shortened to the program's remaining time.

--- a/src/entry/dispatch.rs
+++ b/src/entry/dispatch.rs
@@ -3,6 +3,7 @@
 use crate::coordination::choice::{CallOutcome, CallWork, Choice, EndpointRequirements, Target};
 use crate::coordination::crashes::Fingerprints;
 use crate::coordination::retry::FailedCall;
+use crate::entry::owner::budget::GenerationReservation;
 use crate::entry::{Entry, lock};
 use crate::ids::{CallId, EndpointId, ProgramId};
 use crate::protocol::link::{
@@ -99,14 +100,14 @@
         (usable && !dispatch.failed.contains(endpoint)).then_some(choice)
     }
 
-    /// Runs a generation, retrying at other endpoints within the retry budget.
+    /// Runs a generation, retrying at other endpoints within the retry budget and the program's budget.
     ///
-    /// Tokens are copied into `output` as they arrive.
-    pub(super) async fn generate<R: Clone + Send + 'static>(
+    /// Tokens are copied into the reservation's answer as they arrive. Those of failed runs are charged.
+    pub(super) async fn generate(
         &self,
         dispatch: &mut DispatchedCall<'_>,
         mut generate: Generate,
-        output: &ReplayBuffer<Tokens, R>,
+        reservation: &mut GenerationReservation<'_, L>,
     ) -> Result<FinishedGeneration, Refusal> {
         let mut attempts = 0;
         loop {
@@ -114,7 +115,9 @@
             generate.expected_cached_tokens = choice.expected_cached_tokens;
             let endpoint = choice.endpoint.clone();
             let mut guard = self.record_dispatch(dispatch, &choice, attempts);
-            let result = self.generate_at(&endpoint, &generate, output).await;
+            let result = self
+                .generate_at(&endpoint, &generate, reservation.answer())
+                .await;
             guard.outcome = generation_outcome(&result);
             drop(guard);
             let refusal = match result {
@@ -128,9 +131,11 @@
                 }
                 Err(refusal) => refusal,
             };
+            reservation.charge_failed_run();
             attempts += 1;
             self.back_off(dispatch, &endpoint, attempts, refusal)
                 .await?;
+            reservation.renew().await?;
         }
     }
 
--- a/src/entry/owner.rs
+++ b/src/entry/owner.rs
@@ -2,7 +2,7 @@
 
 mod action;
 mod branch;
-mod budget;
+pub(in crate::entry) mod budget;
 mod end;
 mod keep;
 mod lookup;
--- a/src/entry/owner/branch.rs
+++ b/src/entry/owner/branch.rs
@@ -184,6 +184,7 @@
         if result.is_err() {
             // The next job reads the branch again from the log.
             *context = None;
+            self.record_failed_runs(owned);
         }
         if has_not_run(&result) {
             owned.live.forget_call(job.call.call);
--- a/src/entry/owner/model.rs
+++ b/src/entry/owner/model.rs
@@ -7,7 +7,7 @@
 use crate::entry::Entry;
 use crate::entry::dispatch::{DispatchedCall, FinishedGeneration};
 use crate::entry::owner::branch::{BranchContext, CallJob, token_bound};
-use crate::entry::owner::budget::Reservation;
+use crate::entry::owner::budget::GenerationReservation;
 use crate::entry::owner::program::OwnedProgram;
 use crate::entry::owner::refusals::refuse_log_down;
 use crate::entry::owner::tool::ToolCall;
@@ -116,8 +116,7 @@
         let cost = owned
             .live
             .with_ledger(|ledger| cap_time(cost, ledger.remaining()));
-        self.reserve(owned, cost).await?;
-        let mut reservation = Reservation::new(self, owned, cost);
+        let mut reservation = GenerationReservation::grant(self, owned, job, cost).await?;
         let generate = self.generate_request(owned, context, job, &call)?;
         let prompt_tokens = u32::try_from(bound / BYTES_PER_TOKEN).unwrap_or(u32::MAX);
         let mut dispatch = DispatchedCall {
@@ -136,8 +135,10 @@
             fingerprints: job.fingerprints,
             failed: SmallVec::new(),
         };
-        let finished = self.generate(&mut dispatch, generate, &job.answer).await?;
-        reservation.spent = generation_usage(&finished);
+        let finished = self
+            .generate(&mut dispatch, generate, &mut reservation)
+            .await?;
+        reservation.finish(generation_usage(&finished));
         Ok(model_output(context, job, call.messages, finished))
     }
 
--- a/src/entry/owner/program.rs
+++ b/src/entry/owner/program.rs
@@ -7,7 +7,7 @@
 use crate::protocol::image;
 use crate::protocol::link::{Answer, Create, Tokens};
 use crate::protocol::message::Usage;
-use crate::protocol::record::{EndReason, Turn};
+use crate::protocol::record::{EndReason, Reserved, Turn};
 use crate::protocol::refusal::Refusal;
 use crate::state::budget::Ledger;
 use crate::transport::replay::ReplayBuffer;
@@ -227,6 +227,20 @@
         state.queued_reserve
     }
 
+    /// Takes what failed runs have used and no record has, as a record of the log. Returns `None` if
+    /// there is nothing.
+    pub(super) fn take_unrecorded(&self) -> Option<Reserved> {
+        let spent = self.with_ledger(Ledger::take_unrecorded);
+        (!spent.is_zero()).then(|| Reserved {
+            program: self.id,
+            reserved: match self.end_reason() {
+                Some(_) => Usage::default(),
+                None => self.reserve_ahead(0),
+            },
+            spent,
+        })
+    }
+
     /// Records a turn that is queued for the log.
     pub(super) fn add_pending(&self, turn: Arc<Turn>) {
         lock(&self.state).pending.push(turn);
@@ -248,10 +262,12 @@
         (!state.has_running_call()).then(|| state.last_call_at.elapsed())
     }
 
-    /// Closes the program for calls. Returns false if a call is running or a turn is pending.
+    /// Closes the program for calls. Returns false if a call is running, a turn is pending, or the
+    /// budget has usage that no record has.
     pub(super) fn try_close(&self) -> bool {
         let mut state = lock(&self.state);
-        if state.has_running_call() || !state.pending.is_empty() {
+        let is_recorded = state.ended.is_some() || state.ledger.unrecorded().is_zero();
+        if state.has_running_call() || !state.pending.is_empty() || !is_recorded {
             return false;
         }
         state.closed = true;
--- a/src/entry/owner/turn.rs
+++ b/src/entry/owner/turn.rs
@@ -13,6 +13,7 @@
 use crate::protocol::message::{Message, Usage};
 use crate::protocol::record::Turn;
 use crate::protocol::refusal::{Refusal, RefusalCode};
+use crate::state::budget::Ledger;
 use crate::state::receipt::ReceiptKey;
 use async_channel::Receiver;
 use futures_lite::FutureExt;
@@ -39,7 +40,12 @@
             output.endpoint,
         ));
         let commit = owned.handle.push(vec![Turn::clone(&turn).into()]);
-        let commit = commit.map_err(|error| refuse_commit(&error))?;
+        let commit = commit.map_err(|error| {
+            owned
+                .live
+                .with_ledger(|ledger| ledger.restore_unrecorded(turn.spent));
+            refuse_commit(&error)
+        })?;
         owned.live.add_pending(turn.clone());
         context.add(&turn, output.branch_tokens);
         let durability = self.wait_for_turn(owned, &turn, commit).await?;
@@ -154,7 +160,8 @@
 
 /// Builds the turn that follows the last one of a call's branch.
 ///
-/// `branch_tokens` is an upper bound of the branch's tokens including this turn.
+/// `branch_tokens` is an upper bound of the branch's tokens including this turn. The turn also charges
+/// what failed runs have used and no record has.
 pub(super) fn next_turn<L: Log>(
     owned: &OwnedProgram<L>,
     context: &BranchContext,
@@ -164,6 +171,7 @@
     branch_tokens: u64,
     endpoint: EndpointId,
 ) -> Turn {
+    let used = owned.live.with_ledger(Ledger::take_unrecorded);
     Turn {
         program: owned.live.id,
         client_account: owned.live.client_account.clone(),
@@ -173,7 +181,7 @@
         call: job.call.call,
         key: job.call.key.clone(),
         messages,
-        spent,
+        spent: spent + used,
         reserved: owned.live.reserve_ahead(branch_tokens),
         endpoint,
     }
--- a/src/protocol/message.rs
+++ b/src/protocol/message.rs
@@ -71,6 +71,16 @@
     pub fn fits(self, limit: Usage) -> bool {
         self.tokens <= limit.tokens && self.calls <= limit.calls && self.time_ms <= limit.time_ms
     }
+
+    /// Returns whether every part is zero.
+    pub fn is_zero(&self) -> bool {
+        *self == Usage::default()
+    }
+
+    /// Returns the smaller one of each part.
+    pub(crate) fn min_parts(self, other: Usage) -> Usage {
+        self - (self - other)
+    }
 }
 
 impl Add for Usage {
--- a/src/protocol/record.rs
+++ b/src/protocol/record.rs
@@ -99,13 +99,17 @@
     pub reserved: Usage,
 }
 
-/// A program's reservation was replaced, for example after a takeover charged the previous one.
+/// A program's reservation was replaced, for example after a takeover charged the previous one or
+/// after a call failed.
 #[derive(Clone, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub struct Reserved {
     /// The program.
     pub program: ProgramId,
     /// Budget reserved for the program's next calls.
     pub reserved: Usage,
+    /// Usage of runs whose calls have no turn, charged with this record.
+    #[serde(default, skip_serializing_if = "Usage::is_zero")]
+    pub spent: Usage,
 }
 
 /// A turn of a branch.
--- a/src/standin/engine/batch.rs
+++ b/src/standin/engine/batch.rs
@@ -30,6 +30,8 @@
     /// The loaded models, with their versions.
     models: Vec<(String, u32)>,
     counts: EngineCounts,
+    /// Number of tokens after which a stream is cut off.
+    cut_after_tokens: Option<u32>,
     rng: fastrand::Rng,
 }
 
@@ -48,6 +50,7 @@
             events: CacheEvents::default(),
             models: config.models.clone(),
             counts: EngineCounts::default(),
+            cut_after_tokens: None,
             rng: fastrand::Rng::with_seed(config.seed),
             config,
         };
@@ -176,6 +179,11 @@
         self.events.visible_after(after, now, lag)
     }
 
+    /// Sets the number of tokens after which a stream is cut off, zero for no such limit.
+    pub(crate) fn set_cut_after(&mut self, tokens: u32) {
+        self.cut_after_tokens = (tokens > 0).then_some(tokens);
+    }
+
     /// Sets the share of lost events, from 0 to 1.
     pub(crate) fn set_event_loss(&mut self, share: f64) {
         self.config.event_loss = share;
@@ -228,6 +236,7 @@
     pub(crate) fn step(&mut self, now: Instant) {
         let prefill_tokens_each = self.prefill_share();
         let mut finished = Vec::new();
+        let mut cut = Vec::new();
         let running = std::mem::take(&mut self.running);
         for &call in &running {
             let Some(stream) = self.streams.get_mut(&call) else {
@@ -248,6 +257,8 @@
                     self.counts.completion_tokens += 1;
                     if stream.advance(self.config.chunk_tokens) {
                         finished.push(call);
+                    } else if Some(stream.generated_tokens) == self.cut_after_tokens {
+                        cut.push(call);
                     }
                 }
                 Phase::Waiting | Phase::Finished(_) => {}
@@ -257,6 +268,9 @@
         for call in finished {
             self.finish(call, now);
         }
+        for call in cut {
+            self.cut(call, now);
+        }
         self.publish_cache_changes(now);
         self.record_load(now);
     }
@@ -342,6 +356,15 @@
         self.counts.finished += 1;
     }
 
+    /// Ends the connections of a stream before its last event and forgets the call.
+    fn cut(&mut self, call: CallId, now: Instant) {
+        self.running.retain(|&other| other != call);
+        if let Some(stream) = self.streams.remove(&call) {
+            self.cache
+                .release_reservation(stream.program, stream.reserved_tokens, now);
+        }
+    }
+
     /// Removes finished streams after their retention period.
     fn remove_expired(&mut self, now: Instant) {
         let retention = self.config.finished_retention;
--- a/src/standin/engine/config.rs
+++ b/src/standin/engine/config.rs
@@ -87,6 +87,9 @@
     pub event_loss: Option<f64>,
     /// Delay after which a load report becomes visible, in milliseconds.
     pub load_lag_ms: Option<u64>,
+    /// Number of tokens after which the engine ends the connection of a stream and forgets the call.
+    /// Zero for no such limit.
+    pub cut_after: Option<u32>,
     /// Text that crashes the engine when it begins to run a prompt with it. It then closes every
     /// connection and forgets its streams and its cache. Empty for no such text.
     pub crash_on: Option<String>,
--- a/src/standin/engine/core.rs
+++ b/src/standin/engine/core.rs
@@ -72,6 +72,9 @@
         if let Some(text) = &control.crash_on {
             inner.crash_on = Some(text.clone()).filter(|text| !text.is_empty());
         }
+        if let Some(tokens) = control.cut_after {
+            inner.batch.set_cut_after(tokens);
+        }
         if control.silence == Some(true) {
             inner.batch.silence();
         }
--- a/src/state/budget.rs
+++ b/src/state/budget.rs
@@ -5,8 +5,9 @@
 
 /// Budget accounting of one program.
 ///
-/// Invariant: `spent + reserved` stays within the budget as long as every reservation was granted
-/// by [`Ledger::reserve`] and no call spends more than its reservation.
+/// Invariants: `spent + reserved` stays within the budget as long as every reservation was granted
+/// by [`Ledger::reserve`] and no call spends more than its reservation. `unrecorded` is a part of
+/// `reserved`, so that a takeover charges it.
 ///
 /// ```
 /// use galenapick::{Ledger, Usage};
@@ -25,6 +26,8 @@
     budget: Usage,
     spent: Usage,
     reserved: Usage,
+    /// Usage of failed runs that no record of the log has as spent yet.
+    unrecorded: Usage,
 }
 
 impl Ledger {
@@ -42,6 +45,7 @@
             budget: program.budget,
             spent: program.spent,
             reserved: program.total_reserved(),
+            unrecorded: Usage::default(),
         }
     }
 
@@ -61,10 +65,31 @@
         self.spent += spent;
     }
 
+    /// Uses a part of a reservation for a failed run. The amount stays reserved until it is recorded.
+    pub fn use_reserved(&mut self, reserved: Usage, used: Usage) {
+        self.reserved = self.reserved - reserved + used;
+        self.unrecorded += used;
+    }
+
+    /// Moves the usage of failed runs to the spent amounts and returns it. The caller writes it to the
+    /// log, or calls [`Ledger::restore_unrecorded`].
+    pub fn take_unrecorded(&mut self) -> Usage {
+        let used = std::mem::take(&mut self.unrecorded);
+        self.settle(used, used);
+        used
+    }
+
+    /// Takes back spent amounts whose record was not written, to be recorded later.
+    pub fn restore_unrecorded(&mut self, spent: Usage) {
+        self.spent = self.spent - spent;
+        self.use_reserved(Usage::default(), spent);
+    }
+
     /// Charges all reservations as spent, because their actual use is unknown after a takeover.
     pub fn charge_reserved(&mut self) {
         self.spent += self.reserved;
         self.reserved = Usage::default();
+        self.unrecorded = Usage::default();
     }
 
     /// Returns the total budget.
@@ -82,6 +107,11 @@
         self.reserved
     }
 
+    /// Returns the usage of failed runs that is reserved and that no record has as spent yet.
+    pub fn unrecorded(&self) -> Usage {
+        self.unrecorded
+    }
+
     /// Returns the amounts neither spent nor reserved.
     pub fn remaining(&self) -> Usage {
         self.budget - self.spent - self.reserved
--- a/src/state/partition/entries.rs
+++ b/src/state/partition/entries.rs
@@ -22,7 +22,9 @@
             Entry::Outcome(outcome) => self.apply_outcome(offset, outcome),
             Entry::Ended(ended) => self.program_mut(ended.program)?.end(ended),
             Entry::Reserved(reserved) => {
-                self.program_mut(reserved.program)?.reserved = reserved.reserved;
+                let program = self.program_mut(reserved.program)?;
+                program.spent += reserved.spent;
+                program.reserved = reserved.reserved;
                 Ok(())
             }
             Entry::Snapshot(part) => self.apply_snapshot(offset, index, part),
--- a/src/state/tests.rs
+++ b/src/state/tests.rs
@@ -7,6 +7,7 @@
     ActionResult, Batch, Claim, Created, Entry, Intent, Outcome, Record, Reserved, Turn,
 };
 use crate::protocol::service::ServiceRequest;
+use crate::state::budget::Ledger;
 use crate::state::history::{BodyCache, HistoryError, initial_hash, turn_hash, verify};
 use crate::state::partition::{Applied, PartitionState, RejectReason};
 use crate::state::program::EntryError;
@@ -215,6 +216,7 @@
     let reserved = Entry::Reserved(Reserved {
         program: PROGRAM,
         reserved: unit(8),
+        spent: unit(0),
     });
     stream.write(vec![reserved, intent(9)]);
     stream.claim();
@@ -223,6 +225,91 @@
     expect_that!(program.total_reserved(), eq(unit(5)));
 }
 
+// Guards against usage of failed runs that a takeover or a release leaves out.
+#[gtest]
+fn a_reservation_with_usage_of_failed_runs_charges_it_once() {
+    let reserved = |spent| {
+        Entry::Reserved(Reserved {
+            program: PROGRAM,
+            reserved: unit(4),
+            spent: unit(spent),
+        })
+    };
+    let mut stream = Stream::new();
+    stream.write(vec![reserved(3)]);
+    expect_that!(stream.state.program(PROGRAM).unwrap().spent, eq(unit(3)));
+    stream.write(vec![reserved(2)]);
+    stream.claim();
+    let program = stream.state.program(PROGRAM).unwrap();
+    expect_that!(program.spent, eq(unit(9)));
+    expect_that!(program.total_reserved(), eq(unit(0)));
+}
+
+// Guards against a record format that older nodes cannot read, or that cannot read theirs.
+#[gtest]
+fn a_reservation_without_spent_usage_is_encoded_as_before() {
+    #[derive(serde::Serialize)]
+    struct Earlier {
+        program: ProgramId,
+        reserved: Usage,
+    }
+    let reserved = Reserved {
+        program: PROGRAM,
+        reserved: unit(4),
+        spent: unit(0),
+    };
+    let earlier = Earlier {
+        program: PROGRAM,
+        reserved: unit(4),
+    };
+    let (mut new, mut old) = (Vec::new(), Vec::new());
+    ciborium::into_writer(&reserved, &mut new).unwrap();
+    ciborium::into_writer(&earlier, &mut old).unwrap();
+    expect_that!(new, eq(&old));
+    let decoded: Reserved = ciborium::from_reader(old.as_slice()).unwrap();
+    expect_that!(decoded, eq(&reserved));
+}
+
+// Guards against failed runs that leave the budget before a record has them.
+#[gtest]
+fn usage_of_failed_runs_stays_reserved_until_it_is_recorded() {
+    let mut ledger = Ledger::new(unit(10));
+    expect_true!(ledger.reserve(unit(6)));
+    ledger.use_reserved(unit(2), unit(2));
+    expect_that!(ledger.reserved(), eq(unit(6)));
+    expect_that!(ledger.unrecorded(), eq(unit(2)));
+    // The call ends without an answer.
+    ledger.settle(unit(4), unit(0));
+    expect_that!(ledger.reserved(), eq(unit(2)));
+    expect_that!(ledger.remaining(), eq(unit(8)));
+    expect_false!(ledger.reserve(unit(9)));
+    expect_that!(ledger.take_unrecorded(), eq(unit(2)));
+    expect_that!(ledger.take_unrecorded(), eq(unit(0)));
+    expect_that!(ledger.spent(), eq(unit(2)));
+    expect_that!(ledger.reserved(), eq(unit(0)));
+    // Its record was not written.
+    ledger.restore_unrecorded(unit(2));
+    expect_that!(ledger.spent(), eq(unit(0)));
+    expect_that!(ledger.remaining(), eq(unit(8)));
+    ledger.charge_reserved();
+    expect_that!(ledger.spent(), eq(unit(2)));
+    expect_that!(ledger.unrecorded(), eq(unit(0)));
+}
+
+// Guards against a failed run that leaves room for another call beside the next attempt.
+#[gtest]
+fn another_attempt_needs_room_for_what_failed_runs_used() {
+    let mut ledger = Ledger::new(unit(10));
+    expect_true!(ledger.reserve(unit(6)));
+    ledger.use_reserved(unit(4), unit(4));
+    expect_true!(ledger.reserve(unit(4)));
+    ledger.use_reserved(unit(4), unit(4));
+    expect_false!(ledger.reserve(unit(4)));
+    expect_that!(ledger.reserved(), eq(unit(10)));
+    ledger.settle(unit(2), unit(0));
+    expect_that!(ledger.take_unrecorded(), eq(unit(8)));
+}
+
 #[gtest]
 fn batches_after_a_release_are_rejected() {
     let mut stream = Stream::new();
--- a/src/transport/replay.rs
+++ b/src/transport/replay.rs
@@ -1,6 +1,9 @@
 //! A buffer for an answer that is still being produced. Several readers can follow it, each from its
 //! own position.
 
+#[cfg(test)]
+mod tests;
+
 use event_listener::Event;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::{Duration, Instant};
@@ -38,16 +41,58 @@
     End(R),
 }
 
+/// What runs have put into a buffer.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub(crate) struct Delivered {
+    /// Number of tokens.
+    pub(crate) tokens: u64,
+    /// Time from the first part to the last one of each run.
+    pub(crate) time: Duration,
+}
+
+impl Delivered {
+    fn plus(self, other: Self) -> Self {
+        Self {
+            tokens: self.tokens + other.tokens,
+            time: self.time + other.time,
+        }
+    }
+
+    /// Returns what came after `earlier`.
+    pub(crate) fn since(self, earlier: Self) -> Self {
+        Self {
+            tokens: self.tokens.saturating_sub(earlier.tokens),
+            time: self.time.saturating_sub(earlier.time),
+        }
+    }
+}
+
 /// Invariants: `parts` are contiguous and belong to `run`; neither changes after `result` is set.
+/// `dropped` counts the runs before `run`, each of them once.
 struct State<P, R> {
     run: Run,
     parts: Vec<P>,
+    dropped: Delivered,
+    first_part_at: Instant,
+    last_part_at: Instant,
     result: Option<R>,
     followers: usize,
     /// Time at which the last follower left or the answer ended, whichever is later.
     idle_since: Instant,
 }
 
+impl<P: Part, R> State<P, R> {
+    fn delivered(&self) -> Delivered {
+        let Some(last) = self.parts.last() else {
+            return self.dropped;
+        };
+        self.dropped.plus(Delivered {
+            tokens: u64::from(last.end()),
+            time: self.last_part_at - self.first_part_at,
+        })
+    }
+}
+
 struct Shared<P, R> {
     state: Mutex<State<P, R>>,
     changed: Event,
@@ -69,6 +114,9 @@
             state: Mutex::new(State {
                 run: Run::default(),
                 parts: Vec::new(),
+                dropped: Delivered::default(),
+                first_part_at: Instant::now(),
+                last_part_at: Instant::now(),
                 result: None,
                 followers: 0,
                 idle_since: Instant::now(),
@@ -89,6 +137,7 @@
     pub(crate) fn start(&self, run: Run) {
         let mut state = self.state();
         if state.run.id != run.id && state.result.is_none() {
+            state.dropped = state.delivered();
             state.run = run;
             state.parts.clear();
         }
@@ -106,6 +155,10 @@
         if part.index() != next {
             return Err(Gap);
         }
+        state.last_part_at = Instant::now();
+        if state.parts.is_empty() {
+            state.first_part_at = state.last_part_at;
+        }
         state.parts.push(part);
         drop(state);
         self.0.changed.notify(usize::MAX);
@@ -140,6 +193,17 @@
         self.state().parts.last().map_or(0, Part::end)
     }
 
+    /// Returns the current run, and what it and all runs before it have delivered.
+    pub(crate) fn delivered(&self) -> (Run, Delivered) {
+        let state = self.state();
+        (state.run.clone(), state.delivered())
+    }
+
+    /// Returns what the runs before the current one have delivered.
+    pub(crate) fn delivered_before(&self) -> Delivered {
+        self.state().dropped
+    }
+
     /// Calls `read` with the parts received so far.
     pub(crate) fn with_parts<T>(&self, read: impl FnOnce(&[P]) -> T) -> T {
         read(&self.state().parts)
--- a/tests/model/turns.rs
+++ b/tests/model/turns.rs
@@ -129,6 +129,7 @@
             let entry = Entry::Reserved(Reserved {
                 program: PROGRAM,
                 reserved: usage(1),
+                spent: usage(0),
             });
             let ticket = next.stream.push(node, vec![entry]);
             next.node_work[node] = ticket.map_or(NodeWork::None, NodeWork::Reserving);
