--- a/tests/system/budgets.rs
+++ b/tests/system/budgets.rs
@@ -6,8 +6,8 @@
 use galenapick::protocol::link::Answer;
 use galenapick::standin::EngineControl;
 use galenapick::{
-    CallError, Client, ClusterOptions, Message, Ran, Refusal, RefusalCode, RetryDeadline, Role,
-    RunningNode, StreamEvent,
+    CallError, Client, ClusterOptions, Deployment, Endpoint, Message, Ran, Refusal, RefusalCode,
+    RetryDeadline, Role, RunningNode, StreamEvent,
 };
 use googletest::prelude::*;
 use smol::Timer;
@@ -38,6 +38,20 @@
     }
 }
 
+/// Cuts streams off at one of the bank's two engines.
+async fn cut_streams_at(cluster: &Cluster, index: usize) {
+    for (other, cut_after) in [(index, CUT_AFTER_TOKENS), (1 - index, 0)] {
+        let control = EngineControl {
+            cut_after: Some(cut_after),
+            ..EngineControl::default()
+        };
+        let engine = cluster
+            .platform
+            .engine(Endpoint::Engine(Deployment::SaaMubadala, other));
+        engine.expect("an engine").control(control).await;
+    }
+}
+
 fn model_call(input: &str) -> CallRequest {
     CallRequest::model(
         "matcher-llm",
@@ -127,6 +141,11 @@
     engines.map(|e| e.counts().completion_tokens).sum()
 }
 
+/// Returns what the run that answered a call costs.
+fn cost(answer: &Answer) -> u64 {
+    u64::from(answer.usage.prompt_tokens) + u64::from(answer.usage.completion_tokens)
+}
+
 /// Returns the options of a cluster with two entries that each own one partition or more.
 fn two_entries() -> ClusterOptions {
     ClusterOptions {
@@ -160,9 +179,6 @@
         let program = create_program(&client, 10 * BUDGET_TOKENS).await;
         let first = client.call(program, &model_call("otter")).await;
         let first = first.expect("an answer");
-        let cost = |answer: &Answer| {
-            u64::from(answer.usage.prompt_tokens) + u64::from(answer.usage.completion_tokens)
-        };
         expect_that!(first.spent.tokens, eq(cost(&first)));
         expect_that!(first.spent.calls, eq(1));
 
@@ -185,6 +201,37 @@
     });
 }
 
+// Guards against earlier runs of an answered call that are not charged, or charged twice.
+#[gtest]
+fn an_answered_call_charges_its_earlier_runs_once() {
+    let options = ClusterOptions {
+        engines: 2,
+        ..small_cluster(1)
+    };
+    with_cluster(options, async |cluster| {
+        let client = bank_client(cluster);
+        let program = create_program(&client, 100 * BUDGET_TOKENS).await;
+        let (mut costs, mut answer_tokens, mut failed_tokens) = (0, 0, 0);
+        for number in 0..20 {
+            // Each engine has the program's cache when it cuts its streams off.
+            cut_streams_at(cluster, number % 2).await;
+            let request = model_call(&format!("{number} heron")).key(format!("c{number}"));
+            let deadline = RetryDeadline::after(CALL_TIMEOUT);
+            let answer = client.call_with_retry(program, &request, deadline).await;
+            let answer = answer.result.expect("an answer");
+            costs += cost(&answer);
+            answer_tokens += u64::from(answer.usage.completion_tokens);
+            failed_tokens = generated_tokens(cluster) - answer_tokens;
+            expect_that!(answer.spent.tokens, eq(costs + failed_tokens));
+            if failed_tokens >= 2 * u64::from(CUT_AFTER_TOKENS) {
+                break;
+            }
+        }
+        println!("{failed_tokens} tokens failed, {costs} answered");
+        expect_that!(failed_tokens, ge(u64::from(CUT_AFTER_TOKENS)));
+    });
+}
+
 // Guards against a new owner that does not count what failed calls received at a killed one.
 #[gtest]
 fn a_killed_owner_leaves_the_failed_calls_charged() {
