Release a partition only once the log answers

What callers saw: calls refused with no_owner, "No node answers for the program", for as long as an outage of the log lasted, although a live entry owned the partition.

Cause: an entry that should no longer own a partition refuses all calls at once and queues the record of the release. If the log has just failed, the record cannot be written: the owner takes no calls, and nobody else can claim. The class: work is given up before it can be handed over.

Change: the release begins once the log has answered a read that was started after the entry learned that another one should own the partition; the read does not wait for records. Until then the owner goes on.

--- a/src/coordination/partition/driver.rs
+++ b/src/coordination/partition/driver.rs
@@ -61,6 +61,9 @@
     /// trimmed before they were read.
     is_gapless: bool,
     read_not_before: Instant,
+    last_answered_read: u64,
+    /// Number of the read that must be answered before the partition is released.
+    release_read: Option<u64>,
     /// Follow the stream until this time, because the log may still store a claim that got no
     /// answer.
     unanswered_claim_until: Instant,
@@ -97,6 +100,8 @@
             is_start_found: false,
             is_gapless: true,
             read_not_before: Instant::now(),
+            last_answered_read: 0,
+            release_read: None,
             unanswered_claim_until: Instant::now(),
             shared,
         }
@@ -127,10 +132,8 @@
             self.discard_state(&mut core);
             return tick;
         }
+        self.release_if_answered(&mut core);
         self.start_read(now, &core);
-        if !core.should_own {
-            core.begin_release();
-        }
         let wake_at = self.start_append(now, &mut core);
         self.start_relocation_read();
         wake_at.min(tick)
@@ -154,6 +157,24 @@
         }
     }
 
+    /// Starts to release a partition that this node should no longer own, once the log has answered a
+    /// read that began after that. During an outage the release could not be written, and no node
+    /// would take calls.
+    fn release_if_answered(&mut self, core: &mut Core) {
+        if core.should_own || core.group_commit.is_none() {
+            self.release_read = None;
+            return;
+        }
+        match self.release_read {
+            None => {
+                self.read_in_flight = None;
+                self.release_read = Some(self.last_read_number + 1);
+            }
+            Some(number) if self.last_answered_read >= number => core.begin_release(),
+            Some(_) => {}
+        }
+    }
+
     /// Starts a read unless one is in flight.
     fn start_read(&mut self, now: Instant, core: &Core) {
         if self.read_in_flight.is_some() || now < self.read_not_before {
@@ -168,7 +189,7 @@
             .is_some_and(GroupCommit::needs_read);
         let limit = ReadLimit {
             max_bytes: config.read_bytes,
-            wait: if core.caught_up && !needs_read {
+            wait: if core.caught_up && !needs_read && !self.is_release_pending() {
                 config.read_wait
             } else {
                 Duration::ZERO
@@ -363,6 +384,7 @@
             Err(error) => return self.on_read_failed(&mut core, now, &error),
         };
         core.read_failing_since = None;
+        self.last_answered_read = number;
         for record in &page.records {
             self.process_record(&mut core, now, record);
         }
@@ -398,6 +420,11 @@
         self.read_not_before = now + READ_RETRY_DELAY + jitter;
     }
 
+    fn is_release_pending(&self) -> bool {
+        let number = self.release_read;
+        number.is_some_and(|number| self.last_answered_read < number)
+    }
+
     fn is_current_read(&self, number: u64) -> bool {
         self.read_in_flight
             .as_ref()
--- a/src/coordination/partition/tests.rs
+++ b/src/coordination/partition/tests.rs
@@ -299,6 +299,27 @@
     });
 }
 
+// Guards against a handover that begins in an outage of the log, so that no node takes calls until its
+// end.
+#[gtest]
+fn a_partition_is_not_released_during_a_log_outage() {
+    smol::block_on(async {
+        let log = TestLog::default();
+        let old = spawn(&log, "a", true);
+        let epoch = wait_for_epoch(&old).await;
+        log.lock().down = true;
+        old.set_should_own(false);
+        Timer::after(Duration::from_millis(100)).await;
+        expect_that!(old.epoch(), some(eq(epoch)));
+        let commit = old.push(vec![created(program_id(1, 1))]);
+        log.lock().down = false;
+        expect_that!(commit.unwrap().await, ok(anything()));
+        wait_until(|| old.epoch().is_none()).await;
+        let new = spawn(&log, "b", true);
+        expect_that!(wait_for_epoch(&new).await, gt(epoch));
+    });
+}
+
 #[gtest]
 fn a_release_does_not_charge_reservations() {
     smol::block_on(async {
