--- a/src/coordination/crashes.rs
+++ b/src/coordination/crashes.rs
@@ -12,81 +12,29 @@
 //! The state of a request is a set of lifetimes, each cleared or not. Gateways merge theirs by union,
 //! and a cleared lifetime stays cleared, so the order in which reports arrive does not matter.
 
+mod answered;
+mod entry;
 mod fingerprint;
 #[cfg(test)]
 mod tests;
 
 pub use crate::protocol::crashes::{Claimant, CrashReport, Fingerprint, Lifetime, TrialReport};
+pub use entry::MAX_LIFETIMES;
 pub use fingerprint::{Fingerprints, PREFIX_BYTES, fingerprints};
 
 use crate::coordination::stable_hash::stable_hash;
-use smallvec::SmallVec;
+use answered::AnsweredRequests;
+use entry::{Entry, Trial};
 use std::cmp::Reverse;
-use std::collections::{HashMap, VecDeque};
+use std::collections::HashMap;
 use std::time::{Duration, Instant};
 
-/// Number of lifetimes that end under copies of a request before they are quarantined.
-const REQUEST_CRASHES: usize = 3;
-
-/// Number of lifetimes that end under requests whose bodies begin alike, none of which is answered,
-/// before these are quarantined. They may be different requests, so it takes one crash more.
-const PREFIX_CRASHES: usize = 4;
-
-/// Duration of the first quarantine of a request; each further crash doubles it.
-const QUARANTINE: Duration = Duration::from_secs(120);
-
-/// Duration of the first quarantine of requests that only begin alike.
-const PREFIX_QUARANTINE: Duration = Duration::from_secs(60);
-
 /// Duration of the first quarantine of a request whose crashes another one may have caused.
 const SHARED_QUARANTINE: Duration = Duration::from_secs(2);
 
-/// Maximum number of lifetimes that are kept for a request.
-pub const MAX_LIFETIMES: usize = 8;
-
-/// Time after the last crash for which a request that is not quarantined is remembered.
-const SUSPICION: Duration = Duration::from_secs(600);
-
 /// Maximum number of requests in the table. One entry takes about 200 bytes.
 const MAX_REQUESTS: usize = 1_024;
 
-/// Time after a complete answer in which crashes are not blamed on the request. It covers the pause
-/// between two copies of a popular request.
-const ANSWERED_RECENTLY: Duration = Duration::from_secs(10);
-
-/// Maximum number of fingerprints that are remembered as answered recently; one takes about 90 bytes.
-const MAX_ANSWERED: usize = 4_096;
-
-/// Time after which a trial that had no outcome makes way for another one.
-const TRIAL_TIMEOUT: Duration = Duration::from_secs(10);
-
-/// Number of times that a change is reported to peers, because datagrams get lost.
-const REPORTS_PER_CHANGE: u8 = 3;
-
-/// Interval between these reports.
-const REPORT_INTERVAL: Duration = Duration::from_millis(250);
-
-/// Interval at which quarantined requests are reported again, for peers that were unreachable.
-const REFRESH_INTERVAL: Duration = Duration::from_secs(2);
-
-impl Fingerprint {
-    /// Number of lifetimes after which the requests are quarantined.
-    fn quarantine_crashes(self) -> usize {
-        match self {
-            Self::Prefix(_) => PREFIX_CRASHES,
-            Self::Request(_) => REQUEST_CRASHES,
-        }
-    }
-
-    /// Duration of the first quarantine.
-    fn quarantine(self) -> Duration {
-        match self {
-            Self::Prefix(_) => PREFIX_QUARANTINE,
-            Self::Request(_) => QUARANTINE,
-        }
-    }
-}
-
 /// Returns the tag of a lifetime of an endpoint.
 pub fn lifetime(instance: &str, started_unix_ms: Option<u64>) -> Lifetime {
     stable_hash((instance, started_unix_ms))
@@ -113,181 +61,6 @@
     Refused(Duration),
 }
 
-/// The latest trial of a request. Gateways that report different ones agree on the one with the
-/// highest number, of these on that of the lowest claimant, and on its earliest end.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
-struct Trial {
-    number: Reverse<u32>,
-    claimant: Claimant,
-    /// When it makes way for another one; in the past once it is over.
-    until: Instant,
-}
-
-#[derive(Debug)]
-struct Entry {
-    /// Number of lifetimes that are not cleared from which on the requests are quarantined.
-    quarantine_crashes: usize,
-    /// Duration of the first quarantine.
-    first_quarantine: Duration,
-    /// At most [`MAX_LIFETIMES`], each with whether it is cleared.
-    lifetimes: SmallVec<[(Lifetime, bool); 4]>,
-    last_crash_at: Instant,
-    /// Hash of the prefix of a request; always `None` for a prefix.
-    prefix: Option<u64>,
-    trial: Option<Trial>,
-    /// Number of reports of the last change that are still to be sent.
-    reports_left: u8,
-    reported_at: Option<Instant>,
-}
-
-impl Entry {
-    fn new(fingerprint: Fingerprint, last_crash_at: Instant) -> Self {
-        Self {
-            quarantine_crashes: fingerprint.quarantine_crashes(),
-            first_quarantine: fingerprint.quarantine(),
-            lifetimes: SmallVec::new(),
-            last_crash_at,
-            prefix: None,
-            trial: None,
-            reports_left: 0,
-            reported_at: None,
-        }
-    }
-
-    /// Returns the lifetimes that are not cleared.
-    fn suspected(&self) -> SmallVec<[Lifetime; MAX_LIFETIMES]> {
-        let suspected = self.lifetimes.iter().filter(|(_, cleared)| !cleared);
-        suspected.map(|(lifetime, _)| *lifetime).collect()
-    }
-
-    fn suspicion(&self) -> Suspicion {
-        let lifetimes = self.lifetimes.iter().filter(|(_, cleared)| !cleared);
-        let lifetimes = lifetimes.count();
-        Suspicion {
-            lifetimes,
-            is_quarantined: lifetimes >= self.quarantine_crashes,
-        }
-    }
-
-    /// Returns the end of the quarantine of a quarantined request, past or not.
-    fn quarantined_until(&self, first_quarantine: Duration) -> Instant {
-        let lifetimes = self.suspicion().lifetimes;
-        let doublings = lifetimes.saturating_sub(self.quarantine_crashes) as u32;
-        self.last_crash_at + first_quarantine * 2_u32.pow(doublings)
-    }
-
-    fn claim_trial(&mut self, now: Instant, claimant: Claimant) {
-        let last_number = self.trial.map_or(0, |trial| trial.number.0);
-        self.trial = Some(Trial {
-            number: Reverse(last_number.saturating_add(1)),
-            claimant,
-            until: now + TRIAL_TIMEOUT,
-        });
-        self.mark_changed();
-    }
-
-    fn merge_trial(&mut self, now: Instant, report: TrialReport) {
-        let left = Duration::from_millis(report.left_ms).min(TRIAL_TIMEOUT);
-        let trial = Trial {
-            number: Reverse(report.number),
-            claimant: report.claimant,
-            until: now + left,
-        };
-        self.trial = Some(self.trial.map_or(trial, |current| current.min(trial)));
-    }
-
-    /// Ends the trial and returns whether one was running.
-    fn end_trial(&mut self, now: Instant) -> bool {
-        let running = self.trial.as_mut().filter(|trial| trial.until > now);
-        running.map(|trial| trial.until = now).is_some()
-    }
-
-    /// Returns when the request is forgotten: a quarantined one is kept for a trial afterwards.
-    fn expires_at(&self) -> Instant {
-        let kept_from = match self.suspicion().is_quarantined {
-            true => self.quarantined_until(self.first_quarantine),
-            false => self.last_crash_at,
-        };
-        kept_from + SUSPICION
-    }
-
-    /// Adds a lifetime and returns whether that changed anything.
-    fn add(&mut self, lifetime: Lifetime, is_cleared: bool) -> bool {
-        let mut known = self.lifetimes.iter_mut();
-        if let Some((_, cleared)) = known.find(|(known, _)| *known == lifetime) {
-            let is_changed = is_cleared && !*cleared;
-            *cleared |= is_cleared;
-            return is_changed;
-        }
-        if self.lifetimes.len() >= MAX_LIFETIMES {
-            let Some(oldest) = self.lifetimes.iter().position(|(_, cleared)| *cleared) else {
-                return false;
-            };
-            self.lifetimes.remove(oldest);
-        }
-        self.lifetimes.push((lifetime, is_cleared));
-        true
-    }
-
-    fn clear(&mut self, now: Instant) {
-        for (_, cleared) in &mut self.lifetimes {
-            *cleared = true;
-        }
-        self.end_trial(now);
-    }
-
-    fn mark_changed(&mut self) {
-        self.reports_left = REPORTS_PER_CHANGE;
-        self.reported_at = None;
-    }
-
-    fn is_report_due(&self, now: Instant) -> bool {
-        let interval = match self.reports_left {
-            0 if !self.suspicion().is_quarantined => return false,
-            0 => REFRESH_INTERVAL,
-            _ => REPORT_INTERVAL,
-        };
-        let reported_at = self.reported_at;
-        reported_at.is_none_or(|at| now.saturating_duration_since(at) >= interval)
-    }
-}
-
-/// Requests that were answered completely within [`ANSWERED_RECENTLY`].
-#[derive(Debug, Default)]
-struct AnsweredRequests {
-    last_answers: HashMap<Fingerprint, Instant>,
-    /// One element for each request, with an answer that may not be its last one.
-    queue: VecDeque<(Instant, Fingerprint)>,
-}
-
-impl AnsweredRequests {
-    fn insert(&mut self, now: Instant, fingerprint: Fingerprint) {
-        if self.last_answers.insert(fingerprint, now).is_none() {
-            self.queue.push_back((now, fingerprint));
-        }
-        while let Some((at, oldest)) = self.queue.front().copied() {
-            let is_expired = now.saturating_duration_since(at) >= ANSWERED_RECENTLY;
-            if !is_expired && self.queue.len() <= MAX_ANSWERED {
-                break;
-            }
-            self.queue.pop_front();
-            match self.last_answers.get(&oldest) {
-                Some(last_answer) if *last_answer > at => {
-                    self.queue.push_back((*last_answer, oldest));
-                }
-                _ => {
-                    self.last_answers.remove(&oldest);
-                }
-            }
-        }
-    }
-
-    fn contains(&self, now: Instant, fingerprint: Fingerprint) -> bool {
-        let answered_at = self.last_answers.get(&fingerprint);
-        answered_at.is_some_and(|at| now.saturating_duration_since(*at) < ANSWERED_RECENTLY)
-    }
-}
-
 /// The requests under which endpoints crashed.
 #[derive(Debug, Default)]
 pub struct Crashes {
--- a/src/coordination/crashes/tests.rs
+++ b/src/coordination/crashes/tests.rs
@@ -1,9 +1,12 @@
+use super::answered::{ANSWERED_RECENTLY, MAX_ANSWERED};
+use super::entry::{
+    PREFIX_CRASHES, PREFIX_QUARANTINE, QUARANTINE, REFRESH_INTERVAL, REPORT_INTERVAL,
+    REPORTS_PER_CHANGE, SUSPICION, TRIAL_TIMEOUT,
+};
 use super::fingerprint::PREFIX_BYTES;
 use super::{
-    ANSWERED_RECENTLY, Admission, Claimant, CrashReport, Crashes, Fingerprint, Fingerprints,
-    Lifetime, MAX_ANSWERED, MAX_LIFETIMES, MAX_REQUESTS, PREFIX_CRASHES, PREFIX_QUARANTINE,
-    QUARANTINE, REFRESH_INTERVAL, REPORT_INTERVAL, REPORTS_PER_CHANGE, SHARED_QUARANTINE,
-    SUSPICION, TRIAL_TIMEOUT, TrialReport, fingerprints, lifetime,
+    Admission, Claimant, CrashReport, Crashes, Fingerprint, Fingerprints, Lifetime, MAX_LIFETIMES,
+    MAX_REQUESTS, SHARED_QUARANTINE, TrialReport, fingerprints, lifetime,
 };
 use googletest::prelude::*;
 use proptest::prelude::*;
