Read the limits that endpoints state, and log them

Each gateway now keeps the latest statement of each incarnation and logs 'endpoint_limit' with the limit before and after, the request and the status; the gauge endpoints_limited counts them. Nothing acts on it yet. A value that is no decimal number neither sets nor ends a limit, and only signed answers and refusals of the endpoint itself end one.

--- a/gateway/src/dialect.rs
+++ b/gateway/src/dialect.rs
@@ -3,6 +3,7 @@
 use crate::endpoints::{EndpointRecord, ReportedLoad};
 use crate::http::Header;
 use crate::routes::Configuration;
+use galenapick::StatedLimit;
 use smallvec::SmallVec;
 use std::time::Duration;
 
@@ -52,6 +53,9 @@
     /// Whether the endpoint states that it is leaving. The statement holds for the incarnation that
     /// sent the answer.
     pub is_leaving: bool,
+    /// Rate of requests to which the endpoint limits all gateways together. The statement holds for
+    /// the incarnation that sent the answer.
+    pub rate_limit: StatedLimit,
     /// Id of the endpoint that sent the answer, if the answer names it.
     pub instance: Option<String>,
 }
--- a/gateway/src/endpoints.rs
+++ b/gateway/src/endpoints.rs
@@ -12,13 +12,16 @@
 mod cost;
 mod leaving;
 mod memory;
+mod rate_limits;
 mod sample;
 
 use crate::dialect::PartId;
 use cost::{EndpointLoad, engine_cost_ms, service_cost_ms};
+use galenapick::crashes::{Lifetime, lifetime};
 use galenapick::stable_hash;
 use leaving::LeavingInstances;
 use memory::PromptCache;
+use rate_limits::RateLimits;
 use sample::sample;
 use std::collections::HashMap;
 use std::net::SocketAddr;
@@ -122,6 +125,7 @@
 struct Endpoint {
     record: EndpointRecord,
     tag: InstanceTag,
+    lifetime: Lifetime,
     /// Whether this incarnation stated in an answer that it is leaving, whatever its entry says.
     is_leaving: bool,
     /// Calls of this gateway in flight.
@@ -165,6 +169,7 @@
 pub struct Endpoints {
     endpoints: HashMap<InstanceId, Endpoint>,
     leaving: LeavingInstances,
+    rate_limits: RateLimits,
     /// Moving average of call durations by service, in ms.
     service_average_ms: HashMap<Rc<str>, f64>,
     peer_counts: HashMap<String, PeerCounts>,
@@ -189,6 +194,7 @@
         }
         let endpoint = Endpoint {
             tag: instance_tag(&record.id),
+            lifetime: lifetime(&record.id, record.started_unix_ms),
             is_leaving,
             local_calls: 0,
             average_call_ms: None,
@@ -241,6 +247,26 @@
         endpoint.is_some_and(|endpoint| !endpoint.takes_calls())
     }
 
+    /// Returns the limits that endpoints have stated.
+    pub(crate) fn rate_limits(&self) -> &RateLimits {
+        &self.rate_limits
+    }
+
+    /// Returns the limits that endpoints have stated, to change them.
+    pub(crate) fn rate_limits_mut(&mut self) -> &mut RateLimits {
+        &mut self.rate_limits
+    }
+
+    /// Forgets limits that no longer matter.
+    pub(crate) fn forget_old_rate_limits(&mut self, now: Instant) {
+        let endpoints = &self.endpoints;
+        let is_listed = |lifetime| {
+            let mut listed = endpoints.values();
+            listed.any(|endpoint| endpoint.lifetime == lifetime)
+        };
+        self.rate_limits.forget_old(now, is_listed);
+    }
+
     /// Returns whether any endpoint of a service takes new calls.
     pub fn has_endpoint(&self, service: &str) -> bool {
         let mut endpoints = self.endpoints.values();
--- a/gateway/src/forward.rs
+++ b/gateway/src/forward.rs
@@ -3,6 +3,7 @@
 mod failure;
 mod leaving;
 mod quarantine;
+mod rate_limit;
 #[cfg(test)]
 mod tests;
 
@@ -331,7 +332,10 @@
         call.sent_bytes.set(outgoing.body.len());
         self.record_prompt(&endpoint.id, &call.info.prompt_parts);
         let is_written = Cell::new(false);
-        let observe = |answer: &ObservedAnswer<'_>| self.observe_answer(call, endpoint, answer);
+        let observe = |answer: &ObservedAnswer<'_>| {
+            self.observe_leaving(call, endpoint, answer);
+            self.observe_rate_limit(call, endpoint, answer);
+        };
         let exchange = exchange::<D>(&mut connection, &request, call.id(), &is_written, &observe);
         let may_send_again = call.send_count.get() < call.route.max_attempts;
         let is_idempotent = call.route.kind == RouteKind::Idempotent;
--- a/gateway/src/forward/leaving.rs
+++ b/gateway/src/forward/leaving.rs
@@ -15,7 +15,7 @@
 
 impl<D: Dialect> Gateway<D> {
     /// Marks the incarnation that sent an answer if the answer states that it is leaving.
-    pub(super) fn observe_answer(
+    pub(super) fn observe_leaving(
         &self,
         call: &Call,
         called: &EndpointRecord,
@@ -52,7 +52,7 @@
     ///
     /// Status 421 comes from another incarnation than the called one, and so may an answer to another
     /// request; they must name their sender.
-    fn sender(
+    pub(super) fn sender(
         &self,
         called: &EndpointRecord,
         answer: &ObservedAnswer<'_>,
--- a/gateway/src/forward/tests.rs
+++ b/gateway/src/forward/tests.rs
@@ -1,5 +1,6 @@
 use super::{AnswerClass, classify};
 use crate::dialect::AnswerInfo;
+use galenapick::StatedLimit;
 use googletest::prelude::*;
 
 fn info(is_signed: bool, has_not_run: bool) -> AnswerInfo {
@@ -7,6 +8,7 @@
         request_id: Some("r".to_owned()),
         is_signed,
         has_not_run,
+        rate_limit: StatedLimit::None,
         load: None,
         is_leaving: false,
         instance: None,
--- a/gateway/src/lib.rs
+++ b/gateway/src/lib.rs
@@ -49,6 +49,7 @@
 pub use endpoints::{
     CallOutcome, EndpointRecord, EndpointRequirements, Endpoints, InstanceId, ReportedLoad,
 };
+pub use galenapick::{RequestRate, StatedLimit};
 pub use http::Header;
 pub use node::{GatewaySettings, SettingsReader, run_gateway};
 pub use routes::{
--- a/gateway/src/node.rs
+++ b/gateway/src/node.rs
@@ -199,6 +199,10 @@
                 "endpoints_known",
                 self.endpoints.borrow().ids().len() as u64,
             ),
+            (
+                "endpoints_limited",
+                self.endpoints.borrow().rate_limits().limited_count() as u64,
+            ),
             (
                 "configuration_version",
                 self.routes.borrow().version().unwrap_or_default(),
@@ -272,6 +276,7 @@
             }
             self.delete_expired_turns(now);
             self.forget_expired_crashes(now);
+            self.endpoints.borrow_mut().forget_old_rate_limits(now);
             // Ownership may change without a load on this gateway.
             self.update_turns_loaded();
             Timer::after(HOUSEKEEPING_INTERVAL).await;
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -121,6 +121,7 @@
     Action, ActionPhase, Branch, End, Program, SupersededTurn, TurnLocation,
 };
 pub use protocol::message::{Message, Role, Usage};
+pub use protocol::rate::{RequestRate, StatedLimit};
 pub use protocol::record::{
     ActionResult, Batch, Claim, Created, EndReason, Ended, Entry, Intent, Outcome, RESET_EPOCH,
     Record, Reserved, Snapshot, Turn,
--- a/src/protocol/mod.rs
+++ b/src/protocol/mod.rs
@@ -12,6 +12,7 @@
 pub mod message;
 pub mod operations;
 pub mod operator;
+pub mod rate;
 pub mod record;
 pub mod refusal;
 pub mod service;
