Send requests to endpoints with a limit only with a permit

Cause: nothing read the limit, and each gateway knows only its own sends, so none could keep it alone.

Change: one gateway, by rendezvous over those alive, paces the requests to each endpoint that states a limit. Each attempt, whether a first send, a retry, a continued stream or a trial, asks it for a permit by datagram; without an answer there is none. A gateway that begins to pace starts with an empty bucket, and grants the share of the limit that corresponds to the gateways it reaches, so both sides of a cut keep one limit. An endpoint without a permit is passed over by its wait in the cost model; if all have limits, a request waits for a quarter of its time or is refused at once with the time of a permit. Without a limited endpoint nothing is sent.

Why it works: all sends go through one place, and a permit is used at once or never.

--- a/gateway/examples/choice.rs
+++ b/gateway/examples/choice.rs
@@ -50,7 +50,7 @@
                 prompt_tokens: 1_000,
                 answer_tokens: 70,
                 prompt_parts: &parts,
-                exclude: &[],
+                ..EndpointRequirements::default()
             };
             black_box(endpoints.choose(started_at, &requirements, "domain-1", &mut rng));
         }
--- a/gateway/src/crash_reports.rs
+++ b/gateway/src/crash_reports.rs
@@ -5,7 +5,7 @@
 mod tests;
 
 use crate::dialect::{Append, AppendOutcome, Dialect, KeyValue, Topic};
-use crate::gossip::{HEARTBEAT_INTERVAL, IDLE_HEARTBEAT_INTERVAL, INTERVAL_PER_PEER};
+use crate::gossip::report_delay;
 use crate::node::Gateway;
 use crate::record::{QuarantineRecord, decode, encode};
 use event_listener::Event;
@@ -257,13 +257,6 @@
     }
 }
 
-/// Returns the time between two datagrams to this number of peers.
-fn report_delay(peers: usize) -> Duration {
-    let peers = u32::try_from(peers).unwrap_or(u32::MAX);
-    let delay = INTERVAL_PER_PEER.saturating_mul(peers);
-    delay.clamp(HEARTBEAT_INTERVAL, IDLE_HEARTBEAT_INTERVAL)
-}
-
 fn quarantine_key(fingerprint: Fingerprint) -> String {
     format!("{KEY_PREFIX}{fingerprint}")
 }
--- a/gateway/src/endpoints.rs
+++ b/gateway/src/endpoints.rs
@@ -17,11 +17,12 @@
 
 use crate::dialect::PartId;
 use cost::{EndpointLoad, engine_cost_ms, service_cost_ms};
+use galenapick::Urgency;
 use galenapick::crashes::{Lifetime, lifetime};
 use galenapick::stable_hash;
 use leaving::LeavingInstances;
 use memory::PromptCache;
-use rate_limits::RateLimits;
+pub(crate) use rate_limits::{RateLimit, RateLimits};
 use sample::sample;
 use std::collections::HashMap;
 use std::net::SocketAddr;
@@ -92,7 +93,7 @@
 }
 
 /// Requirements of a call on the endpoint that runs it.
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Copy, Debug, Default)]
 pub struct EndpointRequirements<'a> {
     /// Service that must run the call.
     pub service: &'a str,
@@ -104,6 +105,10 @@
     pub prompt_parts: &'a [(PartId, u32)],
     /// Endpoints that must not be chosen because they were already tried.
     pub exclude: &'a [InstanceId],
+    /// Urgency of the call, where an endpoint limits the rate of its requests.
+    pub urgency: Urgency,
+    /// Whether endpoints that limit the rate of their requests must not be chosen.
+    pub is_unlimited: bool,
 }
 
 /// Outcome of a call, as far as it concerns the endpoint's health.
@@ -286,7 +291,8 @@
     /// Returns the endpoint with the lowest cost for a call; `None` if no endpoint is usable. Where
     /// there are many gateways, only a random subset of the endpoints is compared.
     ///
-    /// An endpoint in back-off after a failure is chosen only if there is no other.
+    /// An endpoint in back-off after a failure is chosen only if there is no other. One that limits
+    /// the rate of its requests costs the time until it may take another one.
     pub fn choose(
         &self,
         now: Instant,
@@ -294,27 +300,71 @@
         local_domain: &str,
         rng: &mut fastrand::Rng,
     ) -> Option<EndpointRecord> {
-        let usable = self.endpoints.values().filter(|endpoint| {
-            let record = &endpoint.record;
-            *record.service == *requirements.service
-                && endpoint.takes_calls()
-                && !requirements.exclude.contains(&record.id)
-        });
+        let usable = self.usable(requirements);
+        let (backing_off, healthy): (Vec<_>, Vec<_>) =
+            usable.partition(|endpoint| endpoint.is_backing_off(now));
+        let usable = if healthy.is_empty() {
+            backing_off
+        } else {
+            healthy
+        };
+        let permit_wait = |endpoint: &Endpoint| self.permit_wait(now, endpoint, requirements);
+        let (ready, waiting): (Vec<_>, Vec<_>) = usable
+            .into_iter()
+            .partition(|endpoint| permit_wait(endpoint).is_zero());
         let gateways = self.peer_counts.len() + 1;
         let cached_tokens = |endpoint: &Endpoint| {
             endpoint
                 .prompt_cache
                 .cached_tokens(requirements.prompt_parts)
         };
-        let sampled = sample(usable, now, local_domain, gateways, cached_tokens, rng);
-        let ranked = sampled.into_iter().map(|endpoint| {
-            let cost_ms = self.cost_ms(endpoint, requirements, local_domain);
+        let sampled = sample(ready, local_domain, gateways, cached_tokens, rng);
+        let soonest = waiting.into_iter().min_by_key(|it| permit_wait(it));
+        let ranked = sampled.into_iter().chain(soonest).map(|endpoint| {
+            let wait_ms = permit_wait(endpoint).as_secs_f64() * 1_000.0;
+            let cost_ms = self.cost_ms(endpoint, requirements, local_domain) + wait_ms;
             (cost_ms + rng.f64() * JITTER_MS, endpoint)
         });
         let best = ranked.min_by(|(a, _), (b, _)| a.total_cmp(b));
         best.map(|(_, endpoint)| endpoint.record.clone())
     }
 
+    /// Returns the endpoints that may run a call.
+    fn usable(&self, requirements: &EndpointRequirements<'_>) -> impl Iterator<Item = &Endpoint> {
+        self.endpoints.values().filter(move |endpoint| {
+            let record = &endpoint.record;
+            let is_limited = || self.rate_limits.rate(endpoint.lifetime).is_some();
+            *record.service == *requirements.service
+                && endpoint.takes_calls()
+                && !requirements.exclude.contains(&record.id)
+                && !(requirements.is_unlimited && is_limited())
+        })
+    }
+
+    fn permit_wait(
+        &self,
+        now: Instant,
+        endpoint: &Endpoint,
+        requirements: &EndpointRequirements<'_>,
+    ) -> Duration {
+        let urgency = requirements.urgency;
+        self.rate_limits
+            .permit_wait(now, endpoint.lifetime, urgency)
+    }
+
+    /// Returns the time until an endpoint may have a permit for a call, as far as is known; `None` if
+    /// no endpoint is usable.
+    pub(crate) fn shortest_permit_wait(
+        &self,
+        now: Instant,
+        requirements: &EndpointRequirements<'_>,
+    ) -> Option<Duration> {
+        let usable = self.usable(requirements);
+        usable
+            .map(|endpoint| self.permit_wait(now, endpoint, requirements))
+            .min()
+    }
+
     fn cost_ms(
         &self,
         endpoint: &Endpoint,
--- a/gateway/src/endpoints/fleet_tests.rs
+++ b/gateway/src/endpoints/fleet_tests.rs
@@ -83,7 +83,7 @@
             prompt_tokens: 1_000,
             answer_tokens: 70,
             prompt_parts: &[],
-            exclude: &[],
+            ..EndpointRequirements::default()
         };
         let gateway = &mut self.gateways[at];
         let domain = format!("domain-{}", at % DOMAINS);
--- a/gateway/src/endpoints/sample.rs
+++ b/gateway/src/endpoints/sample.rs
@@ -5,7 +5,6 @@
 //! otherwise. The subset gets smaller as the number of gateways grows.
 
 use super::Endpoint;
-use std::time::Instant;
 
 /// Number of gateways up to which all endpoints are compared, since the counts of so few peers are
 /// fresh and few calls arrive between them.
@@ -17,23 +16,15 @@
 
 /// Returns the endpoints to compare, out of the usable ones.
 ///
-/// Endpoints in back-off are included only if all are. The endpoint that caches most of the prompt
-/// is always included, since a call may cost less there than at any idle one.
+/// The endpoint that caches most of the prompt is always included, since a call may cost less there
+/// than at any idle one.
 pub(super) fn sample<'a>(
-    usable: impl Iterator<Item = &'a Endpoint>,
-    now: Instant,
+    mut usable: Vec<&'a Endpoint>,
     local_domain: &str,
     gateways: usize,
     cached_tokens: impl Fn(&Endpoint) -> u32,
     rng: &mut fastrand::Rng,
 ) -> Vec<&'a Endpoint> {
-    let (backing_off, healthy): (Vec<_>, Vec<_>) =
-        usable.partition(|endpoint| endpoint.is_backing_off(now));
-    let mut usable = if healthy.is_empty() {
-        backing_off
-    } else {
-        healthy
-    };
     if gateways <= FULL_VIEW_GATEWAYS {
         return usable;
     }
--- a/gateway/src/endpoints/tests.rs
+++ b/gateway/src/endpoints/tests.rs
@@ -41,7 +41,7 @@
         prompt_tokens: 2_000,
         answer_tokens: 70,
         prompt_parts,
-        exclude: &[],
+        ..EndpointRequirements::default()
     }
 }
 
--- a/gateway/src/forward.rs
+++ b/gateway/src/forward.rs
@@ -2,6 +2,7 @@
 
 mod failure;
 mod leaving;
+mod permit;
 mod quarantine;
 mod rate_limit;
 #[cfg(test)]
@@ -9,7 +10,7 @@
 
 use crate::call::Call;
 use crate::dialect::{AnswerInfo, Dialect, Dispatch};
-use crate::endpoints::{CallOutcome, EndpointRecord, EndpointRequirements, InstanceId};
+use crate::endpoints::{CallOutcome, EndpointRecord, InstanceId};
 use crate::http::{
     BodyDecoder, BodyError, Connection, Framing, Header, ResponseHead, connection_tokens,
     is_hop_header, is_reset,
@@ -227,6 +228,16 @@
         while call.send_count.get() < call.route.max_attempts.max(1)
             && call.tried.borrow().len() < MAX_ENDPOINTS_TRIED
         {
+            let endpoint = match self.next_endpoint(outgoing).await {
+                Ok(endpoint) => endpoint,
+                Err(failure) => {
+                    let is_limited = matches!(failure.cause, FailureCause::RateLimited(_));
+                    if is_limited && last.execution == Execution::NotRun {
+                        last = failure;
+                    }
+                    break;
+                }
+            };
             if let Some(quarantined) = self.check_quarantine(call) {
                 // An earlier attempt of the call may have run.
                 if last.execution == Execution::NotRun {
@@ -234,9 +245,6 @@
                 }
                 break;
             }
-            let Some(endpoint) = self.choose(outgoing, &call.tried.borrow()) else {
-                break;
-            };
             call.tried.borrow_mut().push(endpoint.id.clone());
             match self.send_once(outgoing, &endpoint).await {
                 Ok(answer) => return Ok(answer),
@@ -277,24 +285,6 @@
         }
     }
 
-    fn choose(
-        &self,
-        outgoing: &OutgoingRequest<'_>,
-        tried: &[InstanceId],
-    ) -> Option<EndpointRecord> {
-        let requirements = EndpointRequirements {
-            service: outgoing.service,
-            prompt_tokens: outgoing.prompt_tokens,
-            answer_tokens: outgoing.answer_tokens,
-            prompt_parts: &outgoing.call.info.prompt_parts,
-            exclude: tried,
-        };
-        let local_domain = &self.settings.failure_domain;
-        let mut rng = self.rng.borrow_mut();
-        let endpoints = self.endpoints.borrow();
-        endpoints.choose(Instant::now(), &requirements, local_domain, &mut rng)
-    }
-
     /// Sends a request to one endpoint.
     async fn send_once(
         self: &Rc<Self>,
--- a/gateway/src/forward/failure.rs
+++ b/gateway/src/forward/failure.rs
@@ -37,6 +37,8 @@
     Disconnected,
     /// The request is quarantined for this long.
     Quarantined(Duration),
+    /// The endpoints take no more requests for this long.
+    RateLimited(Duration),
 }
 
 impl Failure {
@@ -76,9 +78,10 @@
     pub(crate) fn refusal(&self, call: &Call) -> Refusal {
         match (self.execution, self.cause) {
             (Execution::NotRun, FailureCause::NoEndpoint) => call.refuse_during_outage(self.reason),
-            (Execution::NotRun, FailureCause::Quarantined(left)) => {
-                Refusal::retry_later(left, self.reason)
-            }
+            (
+                Execution::NotRun,
+                FailureCause::Quarantined(left) | FailureCause::RateLimited(left),
+            ) => Refusal::retry_later(left, self.reason),
             (Execution::NotRun, _) => {
                 let delay = RETRY_AFTER.mul_f64(0.5 + fastrand::f64());
                 Refusal::retry_later(delay, self.reason)
--- /dev/null
+++ b/gateway/src/forward/permit.rs
@@ -0,0 +1,125 @@
+//! Chooses the endpoint for the next attempt of a request, with a permit if the endpoint limits the
+//! rate of its requests.
+
+use super::failure::FailureCause;
+use super::{Execution, Failure, OutgoingRequest};
+use crate::call::Call;
+use crate::dialect::Dialect;
+use crate::endpoints::{EndpointRecord, EndpointRequirements};
+use crate::node::Gateway;
+use crate::routes::RouteKind;
+use galenapick::Urgency;
+use galenapick::crashes::lifetime;
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+/// Maximum number of requests for a permit before one attempt. Each takes a round trip to a peer.
+const MAX_PERMIT_REQUESTS: usize = 3;
+
+/// Fraction of the client's remaining time for which a request waits for a permit.
+const WAIT_SHARE: f64 = 0.25;
+
+/// Reason given to clients.
+const REASON: &str = "the endpoints of the service take no more requests now";
+
+impl<D: Dialect> Gateway<D> {
+    /// Returns the endpoint for the next attempt. The request may be sent to it once, now.
+    ///
+    /// An endpoint without a permit is passed over for another one. If there is none, the request
+    /// waits for a permit as long as that is in time, and is refused at once otherwise.
+    pub(super) async fn next_endpoint(
+        self: &Rc<Self>,
+        outgoing: &OutgoingRequest<'_>,
+    ) -> Result<EndpointRecord, Failure> {
+        let call = outgoing.call;
+        let urgency = urgency(call);
+        for _ in 0..MAX_PERMIT_REQUESTS {
+            let Some(endpoint) = self.choose(outgoing, false) else {
+                return Err(self.no_endpoint());
+            };
+            let Some(wait) = self.permit_wait(&endpoint, urgency) else {
+                return Ok(endpoint);
+            };
+            let longest_wait = call.time_left().mul_f64(WAIT_SHARE);
+            if wait > longest_wait {
+                break;
+            }
+            let max_wait = if wait.is_zero() {
+                Duration::ZERO
+            } else {
+                longest_wait
+            };
+            let permit = self.request_permit(call.id(), &endpoint, urgency, max_wait);
+            if permit.await {
+                return Ok(endpoint);
+            }
+        }
+        self.choose(outgoing, true)
+            .ok_or_else(|| self.rate_limited(outgoing))
+    }
+
+    fn choose(&self, outgoing: &OutgoingRequest<'_>, is_unlimited: bool) -> Option<EndpointRecord> {
+        let tried = outgoing.call.tried.borrow();
+        let requirements = requirements(outgoing, &tried, is_unlimited);
+        let local_domain = &self.settings.failure_domain;
+        let mut rng = self.rng.borrow_mut();
+        let endpoints = self.endpoints.borrow();
+        endpoints.choose(Instant::now(), &requirements, local_domain, &mut rng)
+    }
+
+    /// Returns the time until an endpoint may have a permit, as far as is known; `None` if it has no
+    /// limit.
+    fn permit_wait(&self, endpoint: &EndpointRecord, urgency: Urgency) -> Option<Duration> {
+        let lifetime = lifetime(&endpoint.id, endpoint.started_unix_ms);
+        let endpoints = self.endpoints.borrow();
+        let limits = endpoints.rate_limits();
+        limits.rate(lifetime)?;
+        Some(limits.permit_wait(Instant::now(), lifetime, urgency))
+    }
+
+    /// Returns the failure of a request for which no endpoint has a permit in time.
+    fn rate_limited(&self, outgoing: &OutgoingRequest<'_>) -> Failure {
+        let call = outgoing.call;
+        let tried = call.tried.borrow();
+        let requirements = requirements(outgoing, &tried, false);
+        let endpoints = self.endpoints.borrow();
+        let wait = endpoints.shortest_permit_wait(Instant::now(), &requirements);
+        let Some(wait) = wait else {
+            return self.no_endpoint();
+        };
+        crate::event!("rate_limited", "request" => call.id(), "service" => outgoing.service,
+            "retry_after_ms" => wait.as_millis(), "left_ms" => call.time_left().as_millis());
+        Failure {
+            execution: Execution::NotRun,
+            reason: REASON,
+            cause: FailureCause::RateLimited(wait),
+        }
+    }
+}
+
+fn requirements<'a>(
+    outgoing: &'a OutgoingRequest<'_>,
+    tried: &'a [crate::endpoints::InstanceId],
+    is_unlimited: bool,
+) -> EndpointRequirements<'a> {
+    EndpointRequirements {
+        service: outgoing.service,
+        prompt_tokens: outgoing.prompt_tokens,
+        answer_tokens: outgoing.answer_tokens,
+        prompt_parts: &outgoing.call.info.prompt_parts,
+        exclude: tried,
+        urgency: urgency(outgoing.call),
+        is_unlimited,
+    }
+}
+
+/// Returns the urgency of a request. A program has begun if the request continues a turn, is a call
+/// of a tool, or has been sent before.
+fn urgency(call: &Call) -> Urgency {
+    let info = &call.info;
+    let is_tool_call = info.program.is_some() && call.route.kind != RouteKind::Streaming;
+    Urgency {
+        is_under_way: info.previous_turn.is_some() || is_tool_call || call.send_count.get() > 0,
+        priority: call.route.priority,
+    }
+}
--- a/gateway/src/forward/rate_limit.rs
+++ b/gateway/src/forward/rate_limit.rs
@@ -7,7 +7,6 @@
 use crate::node::Gateway;
 use galenapick::crashes::lifetime;
 use galenapick::{RequestRate, StatedLimit};
-use std::time::Instant;
 
 impl<D: Dialect> Gateway<D> {
     /// Records the limit that an answer states for the incarnation that sent it.
@@ -35,13 +34,11 @@
             return;
         };
         let lifetime = lifetime(&id, started_unix_ms);
-        let mut endpoints = self.endpoints.borrow_mut();
-        let limits = endpoints.rate_limits_mut();
-        let before = limits.rate(lifetime);
-        if limits.observe(Instant::now(), lifetime, rate) {
+        let before = self.endpoints.borrow().rate_limits().rate(lifetime);
+        if self.record_limit(lifetime, rate) {
             crate::event!("endpoint_limit", "endpoint" => &*id, "request" => call.id(),
                 "status" => answer.status, "per_s" => format_rate(rate),
-                "before_per_s" => format_rate(before));
+                "before_per_s" => format_rate(before), "lifetime" => format!("{lifetime:016x}"));
         }
     }
 }
--- a/gateway/src/gossip.rs
+++ b/gateway/src/gossip.rs
@@ -9,9 +9,11 @@
 use crate::crash_reports::CRASH_REPORTS_TAG;
 use crate::dialect::{Append, AppendOutcome, Dialect, Topic};
 use crate::endpoints::InstanceTag;
+use crate::limit_reports::LIMIT_REPORTS_TAG;
 use crate::node::Gateway;
 use crate::owners::{Candidate, Location};
 use crate::partition::PartitionSet;
+use crate::permits::{PERMIT_REPLY_TAG, PERMIT_REQUEST_TAG};
 use crate::record::{GatewayRecord, decode, encode};
 use serde::{Deserialize, Serialize};
 use smol::Timer;
@@ -290,6 +292,20 @@
         at_address.any(|peer| peer.is_healthy(now))
     }
 
+    /// Returns the share of the gateways that are reachable, this one included. Those that have
+    /// announced their end are not missed.
+    ///
+    /// Where gateways are cut off from each other, the shares on all sides together are 1.
+    pub(crate) fn reachable_share(&self, now: Instant) -> f64 {
+        let peers = self.peers.borrow();
+        let is_reachable = |peer: &&Peer| peer.is_healthy(now) || peer.is_presumed_healthy(now);
+        let reachable = peers.values().filter(is_reachable).count();
+        let missing = peers
+            .values()
+            .filter(|peer| !is_reachable(peer) && !peer.state.is_stopping);
+        (reachable + 1) as f64 / (reachable + 1 + missing.count()) as f64
+    }
+
     /// Records that the peer at an address left a request unanswered.
     pub(crate) fn suspect(&self, address: SocketAddr) {
         let mut peers = self.peers.borrow_mut();
@@ -448,9 +464,25 @@
                 }
             };
             let datagram = &buffer[..length];
-            if let Some((&CRASH_REPORTS_TAG, reports)) = datagram.split_first() {
-                self.receive_crash_reports(reports, from);
-                continue;
+            match datagram.split_first() {
+                Some((&CRASH_REPORTS_TAG, reports)) => {
+                    self.receive_crash_reports(reports, from);
+                    continue;
+                }
+                Some((&LIMIT_REPORTS_TAG, reports)) => {
+                    self.receive_limit_reports(reports);
+                    continue;
+                }
+                Some((&PERMIT_REQUEST_TAG, request)) => {
+                    let decide = self.clone().receive_permit_request(request.to_vec(), from);
+                    self.executor.spawn(decide).detach();
+                    continue;
+                }
+                Some((&PERMIT_REPLY_TAG, reply)) => {
+                    self.receive_permit_reply(reply);
+                    continue;
+                }
+                _ => {}
             }
             let heartbeat: Heartbeat = match decode(datagram) {
                 Ok(heartbeat) => heartbeat,
@@ -466,3 +498,10 @@
         }
     }
 }
+
+/// Returns the time between two datagrams to this number of peers.
+pub(crate) fn report_delay(peers: usize) -> Duration {
+    let peers = u32::try_from(peers).unwrap_or(u32::MAX);
+    let delay = INTERVAL_PER_PEER.saturating_mul(peers);
+    delay.clamp(HEARTBEAT_INTERVAL, IDLE_HEARTBEAT_INTERVAL)
+}
--- a/gateway/src/node.rs
+++ b/gateway/src/node.rs
@@ -6,10 +6,12 @@
 use crate::endpoints::Endpoints;
 use crate::events;
 use crate::gossip::Gossip;
+use crate::limit_reports::LimitSync;
 use crate::limits::BufferGauge;
 use crate::net::with_timeout;
 use crate::partition::{PARTITION_COUNT, Partition, PartitionSet};
 use crate::peers::PeerLinks;
+use crate::permits::Permits;
 use crate::pool::Pool;
 use crate::routes::Routes;
 use crate::shutdown::Shutdown;
@@ -115,6 +117,8 @@
     /// Requests under which endpoints crashed.
     pub(crate) crashes: RefCell<Crashes>,
     pub(crate) crash_sync: CrashSync,
+    pub(crate) permits: Permits,
+    pub(crate) limit_sync: LimitSync,
     /// Number of requests in flight.
     pub(crate) requests_in_flight: Rc<Cell<usize>>,
     pub(crate) shutdown: Shutdown,
@@ -123,8 +127,9 @@
 impl<D: Dialect> Gateway<D> {
     fn new(settings: GatewaySettings, executor: Rc<LocalExecutor<'static>>) -> Self {
         let mut rng = fastrand::Rng::new();
+        let incarnation = rng.u64(..);
         Self {
-            incarnation: rng.u64(..),
+            incarnation,
             executor,
             rng: RefCell::new(rng),
             routes: RefCell::default(),
@@ -145,6 +150,8 @@
             counters: Counters::default(),
             crashes: RefCell::default(),
             crash_sync: CrashSync::default(),
+            permits: Permits::new(incarnation),
+            limit_sync: LimitSync::default(),
             requests_in_flight: Rc::default(),
             shutdown: Shutdown::default(),
             settings,
@@ -277,6 +284,7 @@
             self.delete_expired_turns(now);
             self.forget_expired_crashes(now);
             self.endpoints.borrow_mut().forget_old_rate_limits(now);
+            self.forget_pacers();
             // Ownership may change without a load on this gateway.
             self.update_turns_loaded();
             Timer::after(HOUSEKEEPING_INTERVAL).await;
@@ -334,6 +342,9 @@
     spawn(Box::pin(gateway.clone().follow_endpoints()));
     spawn(Box::pin(gateway.clone().send_heartbeats(gossip.clone())));
     spawn(Box::pin(gateway.clone().send_crash_reports(gossip.clone())));
+    spawn(Box::pin(gateway.clone().send_limit_reports(gossip.clone())));
+    // The cell is empty before.
+    let _ = gateway.permits.socket.set(gossip.clone());
     spawn(Box::pin(gateway.clone().receive_datagrams(gossip)));
     spawn(Box::pin(gateway.clone().store_quarantines()));
     spawn(Box::pin(gateway.clone().accept_peers(peers)));
--- a/gateway/src/owners.rs
+++ b/gateway/src/owners.rs
@@ -13,6 +13,7 @@
 use crate::partition::PartitionSet;
 use galenapick::stable_hash;
 use smol::Timer;
+use std::hash::Hash;
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
@@ -48,13 +49,10 @@
 /// fully used by their own requests.
 const MIN_PROCESSOR_SHARE: f64 = 0.5;
 
-/// Returns the owner of a partition, which is the eligible gateway with the highest rank. All
-/// gateways compute the same ranks, and a gateway that joins or leaves moves only its own
-/// partitions.
-pub(crate) fn choose_owner(
-    partition: PartitionNumber,
-    candidates: &[Candidate],
-) -> Option<&Candidate> {
+/// Returns the owner of a partition, or of another key, which is the eligible gateway with the
+/// highest rank. All gateways compute the same ranks, and a gateway that joins or leaves moves only
+/// its own keys.
+pub(crate) fn choose_owner(key: impl Hash + Copy, candidates: &[Candidate]) -> Option<&Candidate> {
     let processors = candidates
         .iter()
         .map(|candidate| candidate.processor_permille);
@@ -62,7 +60,7 @@
     let eligible = candidates
         .iter()
         .filter(|candidate| f64::from(candidate.processor_permille) >= min_permille);
-    eligible.max_by_key(|candidate| rank(partition, &candidate.name))
+    eligible.max_by_key(|candidate| rank(key, &candidate.name))
 }
 
 /// Returns the gateway to which requests for a partition go: its owner or, until the owner has
@@ -83,8 +81,8 @@
     Some(owner.location)
 }
 
-fn rank(partition: PartitionNumber, name: &str) -> u64 {
-    stable_hash((partition, name))
+fn rank(key: impl Hash, name: &str) -> u64 {
+    stable_hash((key, name))
 }
 
 impl<D: Dialect> Gateway<D> {
@@ -114,7 +112,7 @@
     ///
     /// Whether a gateway reaches the store does not matter, because its peers can relay its calls.
     /// Gateways notice an outage at different times, and it must not move partitions.
-    fn candidates(&self) -> Vec<Candidate> {
+    pub(crate) fn candidates(&self) -> Vec<Candidate> {
         let mut candidates = self.gossip.candidates(Instant::now());
         // A gateway that is shutting down owns partitions only if there is no other candidate.
         if !self.is_stopping() || candidates.is_empty() {
--- a/src/coordination/limits.rs
+++ b/src/coordination/limits.rs
@@ -12,6 +12,9 @@
 /// Number of keys above which those without open calls are removed.
 const CLEANUP_THRESHOLD: usize = 4_096;
 
+/// Part of a token that a bucket may lack because its level is rounded.
+const ROUNDING: f64 = 1e-6;
+
 /// Token bucket that fills at a constant rate.
 ///
 /// ```
@@ -44,13 +47,29 @@
         }
     }
 
+    /// Creates an empty bucket.
+    pub fn empty(rate_per_s: f64, burst: f64, now: Instant) -> Self {
+        Self {
+            level: 0.0,
+            ..Self::new(rate_per_s, burst, now)
+        }
+    }
+
+    /// Changes the rate and the burst. Tokens beyond the new burst are lost.
+    pub fn set_rate(&mut self, now: Instant, rate_per_s: f64, burst: f64) {
+        self.refill(now);
+        self.rate_per_s = rate_per_s;
+        self.burst = burst;
+        self.level = self.level.min(burst);
+    }
+
     /// Takes tokens. Returns false, and takes none, if there are too few.
     pub fn take(&mut self, now: Instant, tokens: f64) -> bool {
         self.refill(now);
-        if self.level < tokens {
+        if self.missing(tokens) > 0.0 {
             return false;
         }
-        self.level -= tokens;
+        self.level = (self.level - tokens).max(0.0);
         true
     }
 
@@ -62,7 +81,7 @@
     /// Returns the time until the bucket contains this many tokens.
     pub fn time_until(&mut self, now: Instant, tokens: f64) -> Duration {
         self.refill(now);
-        let missing = (tokens - self.level).max(0.0);
+        let missing = self.missing(tokens);
         if missing == 0.0 {
             return Duration::ZERO;
         }
@@ -70,6 +89,12 @@
         Duration::try_from_secs_f64(wait_s).unwrap_or(Duration::MAX)
     }
 
+    /// Returns how many of these tokens are not in the bucket.
+    fn missing(&self, tokens: f64) -> f64 {
+        let missing = tokens - self.level;
+        if missing > ROUNDING { missing } else { 0.0 }
+    }
+
     fn refill(&mut self, now: Instant) {
         let elapsed = now.saturating_duration_since(self.refilled_at);
         self.level = (self.level + elapsed.as_secs_f64() * self.rate_per_s).min(self.burst);
--- a/src/coordination/mod.rs
+++ b/src/coordination/mod.rs
@@ -16,6 +16,7 @@
 pub(crate) mod limits;
 pub(crate) mod membership;
 pub(crate) mod ownership;
+pub(crate) mod pacing;
 pub(crate) mod partition;
 pub(crate) mod placement;
 pub(crate) mod rendezvous;
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -99,6 +99,7 @@
 pub use coordination::limits::{Limit, Limits, TokenBucket};
 pub use coordination::membership::{Membership, MembershipConfig, Node, NodeState};
 pub use coordination::ownership::{ClaimView, Claimant};
+pub use coordination::pacing::{Pacer, PacerTicket, Urgency};
 pub use coordination::partition::{
     Commit, CommitError, LogHealth, PartitionConfig, PartitionEvent, PartitionHandle,
     PartitionIdentity,
