Refuse new programs that would wait long for endpoints with limits

Cause: where endpoints have limits, each request waited for a permit for up to a quarter of its time. The queues were always full, so programs under way waited as long as new ones and nearly all ended late; on routes without history no request counted as under way.

Change: a request of a new program waits for no longer than its route aims at, for a permit or for a slot of an endpoint without a limit, and is refused with that time otherwise. A program of which this gateway has answered a request has begun.

--- a/gateway/src/call.rs
+++ b/gateway/src/call.rs
@@ -146,6 +146,9 @@
         if let Some(reason) = future::or(work, future::or(timeout, end)).await {
             self.answer_unfinished(call, reply, reason).await;
         }
+        if let (200..=299, Some(program)) = (reply.status(), &call.info.program) {
+            self.begun_programs.borrow_mut().insert(program);
+        }
         let duration = call.received_at.elapsed();
         self.counters
             .record_answer(call.route.kind, reply.status(), duration);
--- a/gateway/src/endpoints.rs
+++ b/gateway/src/endpoints.rs
@@ -372,13 +372,8 @@
         local_domain: &str,
     ) -> f64 {
         let record = &endpoint.record;
-        let service_average_ms = self.service_average_ms.get(&record.service).copied();
-        let average_ms = service_average_ms.unwrap_or(DEFAULT_CALL_MS);
-        let load = EndpointLoad {
-            calls: f64::from(self.calls_in_flight(endpoint)),
-            slots: f64::from(record.slots.max(1)),
-            average_ms,
-        };
+        let average_ms = self.average_ms(endpoint);
+        let load = self.load(endpoint);
         let cross_domain_ms = if record.failure_domain == local_domain {
             0.0
         } else {
@@ -407,6 +402,37 @@
         cost_ms + cross_domain_ms + slowdown_ms
     }
 
+    /// Returns whether an endpoint of a service limits the rate of its requests.
+    pub(crate) fn has_rate_limit(&self, service: &str) -> bool {
+        !self.rate_limits.is_empty()
+            && self.endpoints.values().any(|endpoint| {
+                *endpoint.record.service == *service
+                    && self.rate_limits.rate(endpoint.lifetime).is_some()
+            })
+    }
+
+    /// Returns the expected time until an endpoint has a free slot; zero if it is not known.
+    pub(crate) fn queue_wait(&self, id: &str) -> Duration {
+        let endpoint = self.endpoints.get(id);
+        endpoint.map_or(Duration::ZERO, |endpoint| {
+            Duration::from_secs_f64(self.load(endpoint).wait_ms() / 1_000.0)
+        })
+    }
+
+    fn load(&self, endpoint: &Endpoint) -> EndpointLoad {
+        EndpointLoad {
+            calls: f64::from(self.calls_in_flight(endpoint)),
+            slots: f64::from(endpoint.record.slots.max(1)),
+            average_ms: self.average_ms(endpoint),
+        }
+    }
+
+    /// Returns the average duration of the calls of an endpoint's service, in ms.
+    fn average_ms(&self, endpoint: &Endpoint) -> f64 {
+        let average_ms = self.service_average_ms.get(&endpoint.record.service);
+        average_ms.copied().unwrap_or(DEFAULT_CALL_MS)
+    }
+
     /// Returns the calls in flight at an endpoint, of this gateway and of its peers.
     fn calls_in_flight(&self, endpoint: &Endpoint) -> u32 {
         endpoint.local_calls
--- a/gateway/src/endpoints/cost.rs
+++ b/gateway/src/endpoints/cost.rs
@@ -36,7 +36,7 @@
 
 impl EndpointLoad {
     /// Returns the expected time until a slot is free, in ms.
-    fn wait_ms(&self) -> f64 {
+    pub(super) fn wait_ms(&self) -> f64 {
         self.average_ms * (self.calls + 1.0 - self.slots).max(0.0) / self.slots
     }
 }
--- a/gateway/src/forward/permit.rs
+++ b/gateway/src/forward/permit.rs
@@ -5,7 +5,7 @@
 use super::{Execution, Failure, OutgoingRequest};
 use crate::call::Call;
 use crate::dialect::Dialect;
-use crate::endpoints::{EndpointRecord, EndpointRequirements};
+use crate::endpoints::{EndpointRecord, EndpointRequirements, InstanceId};
 use crate::node::Gateway;
 use crate::routes::RouteKind;
 use galenapick::Urgency;
@@ -32,15 +32,15 @@
         outgoing: &OutgoingRequest<'_>,
     ) -> Result<EndpointRecord, Failure> {
         let call = outgoing.call;
-        let urgency = urgency(call);
+        let urgency = self.urgency(call);
+        let longest_wait = longest_wait(call, urgency);
         for _ in 0..MAX_PERMIT_REQUESTS {
             let Some(endpoint) = self.choose(outgoing, false) else {
                 return Err(self.no_endpoint());
             };
             let Some(wait) = self.permit_wait(&endpoint, urgency) else {
-                return Ok(endpoint);
+                return self.check_queue(outgoing, endpoint, urgency, longest_wait);
             };
-            let longest_wait = call.time_left().mul_f64(WAIT_SHARE);
             if wait > longest_wait {
                 break;
             }
@@ -54,13 +54,36 @@
                 return Ok(endpoint);
             }
         }
-        self.choose(outgoing, true)
-            .ok_or_else(|| self.rate_limited(outgoing))
+        match self.choose(outgoing, true) {
+            Some(endpoint) => self.check_queue(outgoing, endpoint, urgency, longest_wait),
+            None => Err(self.no_permit(outgoing)),
+        }
+    }
+
+    /// Returns an endpoint without a limit, or refuses a request of a new program whose queue there
+    /// is too long. Those endpoints get what the ones with a limit do not take.
+    fn check_queue(
+        &self,
+        outgoing: &OutgoingRequest<'_>,
+        endpoint: EndpointRecord,
+        urgency: Urgency,
+        longest_wait: Duration,
+    ) -> Result<EndpointRecord, Failure> {
+        let endpoints = self.endpoints.borrow();
+        if urgency.is_under_way || !endpoints.has_rate_limit(outgoing.service) {
+            return Ok(endpoint);
+        }
+        let wait = endpoints.queue_wait(&endpoint.id);
+        if wait <= longest_wait {
+            return Ok(endpoint);
+        }
+        Err(rate_limited(outgoing, wait))
     }
 
     fn choose(&self, outgoing: &OutgoingRequest<'_>, is_unlimited: bool) -> Option<EndpointRecord> {
         let tried = outgoing.call.tried.borrow();
-        let requirements = requirements(outgoing, &tried, is_unlimited);
+        let urgency = self.urgency(outgoing.call);
+        let requirements = requirements(outgoing, &tried, urgency, is_unlimited);
         let local_domain = &self.settings.failure_domain;
         let mut rng = self.rng.borrow_mut();
         let endpoints = self.endpoints.borrow();
@@ -78,28 +101,60 @@
     }
 
     /// Returns the failure of a request for which no endpoint has a permit in time.
-    fn rate_limited(&self, outgoing: &OutgoingRequest<'_>) -> Failure {
+    fn no_permit(&self, outgoing: &OutgoingRequest<'_>) -> Failure {
         let call = outgoing.call;
         let tried = call.tried.borrow();
-        let requirements = requirements(outgoing, &tried, false);
+        let urgency = self.urgency(call);
+        let requirements = requirements(outgoing, &tried, urgency, false);
         let endpoints = self.endpoints.borrow();
         let wait = endpoints.shortest_permit_wait(Instant::now(), &requirements);
-        let Some(wait) = wait else {
-            return self.no_endpoint();
+        wait.map_or_else(|| self.no_endpoint(), |wait| rate_limited(outgoing, wait))
+    }
+
+    /// Returns the urgency of a request. A program has begun if the request continues a turn, is a
+    /// call of a tool, or has been sent before, or if another request of the program was answered.
+    fn urgency(&self, call: &Call) -> Urgency {
+        let info = &call.info;
+        let is_begun = |program: &String| {
+            call.route.kind != RouteKind::Streaming
+                || self.begun_programs.borrow().contains(program)
         };
-        crate::event!("rate_limited", "request" => call.id(), "service" => outgoing.service,
-            "retry_after_ms" => wait.as_millis(), "left_ms" => call.time_left().as_millis());
-        Failure {
-            execution: Execution::NotRun,
-            reason: REASON,
-            cause: FailureCause::RateLimited(wait),
+        Urgency {
+            is_under_way: info.previous_turn.is_some()
+                || call.send_count.get() > 0
+                || info.program.as_ref().is_some_and(is_begun),
+            priority: call.route.priority,
         }
     }
 }
 
+/// Returns the failure of a request that no endpoint takes in time.
+fn rate_limited(outgoing: &OutgoingRequest<'_>, wait: Duration) -> Failure {
+    let call = outgoing.call;
+    crate::event!("rate_limited", "request" => call.id(), "service" => outgoing.service,
+        "retry_after_ms" => wait.as_millis(), "left_ms" => call.time_left().as_millis());
+    Failure {
+        execution: Execution::NotRun,
+        reason: REASON,
+        cause: FailureCause::RateLimited(wait),
+    }
+}
+
+/// Returns the longest time for which a request waits for an endpoint. A new program that begins
+/// later than its route aims at would end late, in place of another one.
+fn longest_wait(call: &Call, urgency: Urgency) -> Duration {
+    let longest = call.time_left().mul_f64(WAIT_SHARE);
+    if urgency.is_under_way {
+        longest
+    } else {
+        longest.min(call.route.target_latency)
+    }
+}
+
 fn requirements<'a>(
     outgoing: &'a OutgoingRequest<'_>,
-    tried: &'a [crate::endpoints::InstanceId],
+    tried: &'a [InstanceId],
+    urgency: Urgency,
     is_unlimited: bool,
 ) -> EndpointRequirements<'a> {
     EndpointRequirements {
@@ -108,18 +163,7 @@
         answer_tokens: outgoing.answer_tokens,
         prompt_parts: &outgoing.call.info.prompt_parts,
         exclude: tried,
-        urgency: urgency(outgoing.call),
+        urgency,
         is_unlimited,
     }
 }
-
-/// Returns the urgency of a request. A program has begun if the request continues a turn, is a call
-/// of a tool, or has been sent before.
-fn urgency(call: &Call) -> Urgency {
-    let info = &call.info;
-    let is_tool_call = info.program.is_some() && call.route.kind != RouteKind::Streaming;
-    Urgency {
-        is_under_way: info.previous_turn.is_some() || is_tool_call || call.send_count.get() > 0,
-        priority: call.route.priority,
-    }
-}
--- a/gateway/src/lib.rs
+++ b/gateway/src/lib.rs
@@ -32,6 +32,7 @@
 mod peers;
 mod permits;
 mod pool;
+mod programs;
 mod readiness;
 mod record;
 mod relay;
--- a/gateway/src/node.rs
+++ b/gateway/src/node.rs
@@ -13,6 +13,7 @@
 use crate::peers::PeerLinks;
 use crate::permits::Permits;
 use crate::pool::Pool;
+use crate::programs::BegunPrograms;
 use crate::routes::Routes;
 use crate::shutdown::Shutdown;
 use crate::store::{StoreLink, StorePaths};
@@ -118,6 +119,7 @@
     pub(crate) crashes: RefCell<Crashes>,
     pub(crate) crash_sync: CrashSync,
     pub(crate) permits: Permits,
+    pub(crate) begun_programs: RefCell<BegunPrograms>,
     pub(crate) limit_sync: LimitSync,
     /// Number of requests in flight.
     pub(crate) requests_in_flight: Rc<Cell<usize>>,
@@ -151,6 +153,7 @@
             crashes: RefCell::default(),
             crash_sync: CrashSync::default(),
             permits: Permits::new(incarnation),
+            begun_programs: RefCell::default(),
             limit_sync: LimitSync::default(),
             requests_in_flight: Rc::default(),
             shutdown: Shutdown::default(),
