Wait for a permit no longer than the choice of its endpoint assumed

Cause: an endpoint was chosen for the wait that was last told, but the request then waited for up to a quarter of its time, while an endpoint without a limit would have taken it sooner.

Change: where another endpoint has no limit, the wait is that of the choice and 50 ms; a longer one is told, and the choice is made again.

--- a/gateway/src/forward/permit.rs
+++ b/gateway/src/forward/permit.rs
@@ -19,6 +19,9 @@
 /// Fraction of the client's remaining time for which a request waits for a permit.
 const WAIT_SHARE: f64 = 0.25;
 
+/// Time by which the wait for a permit may exceed the one that was last told.
+const WAIT_MARGIN: Duration = Duration::from_millis(50);
+
 /// Reason given to clients.
 const REASON: &str = "the endpoints of the service take no more requests now";
 
@@ -44,8 +47,11 @@
             if wait > longest_wait {
                 break;
             }
+            // With a choice, the endpoint was chosen for this wait and not for a longer one.
             let max_wait = if wait.is_zero() {
                 Duration::ZERO
+            } else if self.choose(outgoing, true).is_some() {
+                longest_wait.min(wait + WAIT_MARGIN)
             } else {
                 longest_wait
             };
