Keep to the limits of engines and services at their sidecars

Change: the protocols of engines and services know Request-Rate-Limit. All requests to an endpoint pass its sidecar, which keeps the pace with the pacer that the gateways use: first sends, hedged copies, reopened streams, actions. What would wait for longer than a quarter of its time is refused as not run, generations with a time to come back.

--- a/src/adapter/engine.rs
+++ b/src/adapter/engine.rs
@@ -1,6 +1,7 @@
 //! HTTP client for model engines.
 
 use crate::adapter::lost_answer;
+use crate::adapter::rate_limit::StatedRate;
 use crate::adapter::sse::DataLines;
 use crate::http::{HttpClient, HttpError, HttpRequest, HttpResponse};
 use crate::ids::{CallId, Epoch, ProgramId, format_id, parse_id};
@@ -11,6 +12,7 @@
 };
 use crate::protocol::failure::LostAnswer;
 use crate::protocol::message::Message;
+use crate::protocol::rate::RequestRate;
 use serde::de::DeserializeOwned;
 use serde::{Deserialize, Serialize};
 use std::time::Duration;
@@ -25,6 +27,7 @@
     http: HttpClient,
     /// For exported caches, which are larger than other answers.
     cache_http: HttpClient,
+    rate_limit: StatedRate,
 }
 
 impl HttpEngine {
@@ -36,12 +39,14 @@
         Self {
             http: HttpClient::new(base, timeout),
             cache_http: HttpClient::with_max_answer_bytes(base, timeout, MAX_CACHE_BYTES),
+            rate_limit: StatedRate::default(),
         }
     }
 
     /// Sends a request whose response is an event stream.
     async fn open(&self, request: HttpRequest) -> Result<HttpEngineStream, EngineError> {
         let body = self.http.open(request).await.map_err(connection_lost)?;
+        self.rate_limit.observe(body.rate_limit.as_deref());
         if body.status == 200 {
             return Ok(HttpEngineStream::new(DataLines::new(body)));
         }
@@ -55,6 +60,7 @@
     /// Sends a request and returns the body of a successful response.
     async fn send(&self, request: HttpRequest) -> Result<Vec<u8>, EngineError> {
         let response = self.http.send(request).await.map_err(connection_lost)?;
+        self.rate_limit.observe(response.rate_limit.as_deref());
         successful_body(response)
     }
 
@@ -68,6 +74,10 @@
 impl Engine for HttpEngine {
     type Stream = HttpEngineStream;
 
+    fn rate_limit(&self) -> Option<RequestRate> {
+        self.rate_limit.get()
+    }
+
     async fn generate(&self, request: GenerateRequest) -> Result<HttpEngineStream, EngineError> {
         let body = encode(&CompletionRequest::from(&request))?;
         self.open(HttpRequest::new(Method::Post, "/v1/chat/completions").json(body))
--- a/src/adapter/mod.rs
+++ b/src/adapter/mod.rs
@@ -2,6 +2,7 @@
 
 mod engine;
 mod log;
+mod rate_limit;
 mod service;
 mod sse;
 mod vms;
--- a/src/adapter/service.rs
+++ b/src/adapter/service.rs
@@ -1,10 +1,12 @@
 //! HTTP client for services.
 
 use crate::adapter::lost_answer;
+use crate::adapter::rate_limit::StatedRate;
 use crate::http::{self, HttpError, HttpResponse};
 use crate::ids::format_id;
 use crate::limits::MAX_ANSWER_BYTES;
 use crate::protocol::failure::LostAnswer;
+use crate::protocol::rate::RequestRate;
 use crate::protocol::service::{Service, ServiceError, ServiceReply, ServiceRequest};
 use smol::net::TcpStream;
 use std::collections::HashMap;
@@ -27,6 +29,7 @@
     client: Client,
     open_connections: OpenConnections,
     timeout: Duration,
+    rate_limit: StatedRate,
 }
 
 impl HttpService {
@@ -40,6 +43,7 @@
             client: http::build_client(open_connections.clone(), MAX_ANSWER_BYTES),
             open_connections,
             timeout,
+            rate_limit: StatedRate::default(),
         }
     }
 
@@ -86,6 +90,10 @@
 }
 
 impl Service for HttpService {
+    fn rate_limit(&self) -> Option<RequestRate> {
+        self.rate_limit.get()
+    }
+
     async fn invoke(&self, request: ServiceRequest) -> Result<ServiceReply, ServiceError> {
         if !is_path_segment(&request.operation) {
             let reason = "the operation's name has other characters";
@@ -97,6 +105,7 @@
             .send(stream, request, deadline)
             .await
             .map_err(|error| ServiceError::Unknown(lost_answer(&error)))?;
+        self.rate_limit.observe(response.rate_limit.as_deref());
         let body = String::from_utf8(response.body)
             .map_err(|_| ServiceError::Unknown(LostAnswer::other("the answer is not text")))?;
         Ok(ServiceReply {
--- a/src/http.rs
+++ b/src/http.rs
@@ -18,6 +18,9 @@
 /// Request bodies up to this size are sent without asking the server first.
 const MAX_DIRECT_BODY_BYTES: usize = 1 << 30;
 
+/// Header in which an endpoint states the requests a second that it takes from all callers.
+pub(crate) const RATE_LIMIT: &str = "request-rate-limit";
+
 /// Size of the read buffer.
 const READ_BYTES: usize = 4 << 10;
 
@@ -101,6 +104,8 @@
 pub(crate) struct HttpResponse {
     /// The status code.
     pub(crate) status: u16,
+    /// Value of the [`RATE_LIMIT`] header.
+    pub(crate) rate_limit: Option<String>,
     /// The whole body.
     pub(crate) body: Vec<u8>,
 }
@@ -205,8 +210,11 @@
         .ok_or_else(|| HttpError::Failed("no answer".to_owned()))?
         .with_max_len(u64::MAX);
     let read_buf = vec![0; READ_BYTES].into_boxed_slice();
+    let rate_limit = conn.response_headers().get_str(RATE_LIMIT);
+    let rate_limit = rate_limit.map(str::to_owned);
     Ok(HttpBody {
         status,
+        rate_limit,
         body,
         read_buf,
         bytes_in_turn: 0,
@@ -255,6 +263,8 @@
 pub(crate) struct HttpBody {
     /// The status code.
     pub(crate) status: u16,
+    /// Value of the [`RATE_LIMIT`] header.
+    pub(crate) rate_limit: Option<String>,
     body: ResponseBody<'static>,
     /// Buffer for each read.
     read_buf: Box<[u8]>,
@@ -291,6 +301,7 @@
         }
         Ok(HttpResponse {
             status: self.status,
+            rate_limit: self.rate_limit,
             body,
         })
     }
--- a/src/protocol/engine.rs
+++ b/src/protocol/engine.rs
@@ -4,6 +4,7 @@
 use crate::ids::{CallId, Epoch, ModelId, ProgramId};
 use crate::protocol::failure::LostAnswer;
 use crate::protocol::message::Message;
+use crate::protocol::rate::RequestRate;
 use serde::{Deserialize, Serialize};
 use std::fmt;
 use std::future::Future;
@@ -130,6 +131,10 @@
     /// The engine's streams.
     type Stream: EngineStream;
 
+    /// Returns the limit that the latest answer stated for the rate of generations, including
+    /// streams that are read again; `None` if it stated none.
+    fn rate_limit(&self) -> Option<RequestRate>;
+
     /// Starts a generation.
     fn generate(
         &self,
--- a/src/protocol/service.rs
+++ b/src/protocol/service.rs
@@ -1,6 +1,7 @@
 //! Interface to services: tool services, and plain services that run alongside the engines.
 
 use crate::protocol::failure::LostAnswer;
+use crate::protocol::rate::RequestRate;
 use serde::{Deserialize, Serialize};
 use std::future::Future;
 
@@ -35,6 +36,10 @@
 
 /// A service.
 pub trait Service: Clone + Send + Sync + 'static {
+    /// Returns the limit that the latest answer stated for the rate of requests; `None` if it stated
+    /// none.
+    fn rate_limit(&self) -> Option<RequestRate>;
+
     /// Sends the request on a new connection, without retries.
     fn invoke(
         &self,
--- a/src/sidecar/action.rs
+++ b/src/sidecar/action.rs
@@ -2,6 +2,7 @@
 
 use crate::coordination::crashes::Lifetime;
 use crate::coordination::dispatch::{Dispatch, DispatchError, DispatchOutcome, SettleOutcome};
+use crate::coordination::pacing::Urgency;
 use crate::ids::{CallId, Epoch, Partition, format_id};
 use crate::protocol::engine::Engine;
 use crate::protocol::failure::{Connection, LostAnswer};
@@ -10,6 +11,7 @@
 use crate::protocol::refusal::{Refusal, RefusalCode};
 use crate::protocol::service::{Service, ServiceError, ServiceRequest};
 use crate::sidecar::lifetime::LifetimeNumber;
+use crate::sidecar::pace::longest_wait;
 use crate::sidecar::{Endpoint, Sidecar, lock};
 use futures_lite::FutureExt;
 use smol::Timer;
@@ -151,6 +153,17 @@
         request: ServiceRequest,
         limit: Duration,
     ) -> (ActionResult, Option<Lifetime>) {
+        let asked_at = Instant::now();
+        let paced = self.wait_for_service(&service, limit).await;
+        if let Err(wait) = paced {
+            log::info!(
+                target: "sidecar",
+                "sidecar: call {} not sent, the service takes the next one in {} ms",
+                format_id(request.call), wait.as_millis()
+            );
+            return (not_run("the service takes no more requests now"), None);
+        }
+        let limit = limit.saturating_sub(asked_at.elapsed());
         let number = self.0.lifetimes.current();
         let call = request.call;
         let timeout = async {
@@ -170,6 +183,17 @@
         }
     }
 
+    /// Waits until the service takes another request. Returns the time until it might, if a call that
+    /// must end within `limit` would wait for too long. Calls belong to programs that have begun.
+    async fn wait_for_service(&self, service: &S, limit: Duration) -> Result<(), Duration> {
+        let urgency = Urgency {
+            is_under_way: true,
+            priority: 0,
+        };
+        let rate = || service.rate_limit();
+        self.0.pace.wait(rate, urgency, longest_wait(limit)).await
+    }
+
     fn record_service_crash(&self, call: CallId, number: LifetimeNumber) -> Lifetime {
         self.0.lifetimes.end(number);
         let lifetime = self.0.lifetimes.tag(number);
--- a/src/sidecar/generation.rs
+++ b/src/sidecar/generation.rs
@@ -3,6 +3,7 @@
 use crate::coordination::admission::Cost;
 use crate::coordination::cache::CacheReleases;
 use crate::coordination::crashes::Lifetime;
+use crate::coordination::pacing::Urgency;
 use crate::ids::{CallId, ProgramId, format_id};
 use crate::limits::MAX_EXTRA_EVENTS;
 use crate::protocol::engine::{
@@ -13,6 +14,7 @@
 use crate::protocol::refusal::{Refusal, RefusalCode};
 use crate::protocol::service::Service;
 use crate::sidecar::lifetime::LifetimeNumber;
+use crate::sidecar::pace::longest_wait;
 use crate::sidecar::queue::AdmissionSlot;
 use crate::sidecar::{Endpoint, GenerationOutput, Sidecar, lock};
 use crate::transport::replay::Run;
@@ -60,6 +62,14 @@
     pub(crate) ran: Duration,
 }
 
+/// Claim of a generation to the requests that its engine takes.
+#[derive(Clone, Copy)]
+struct Turn {
+    urgency: Urgency,
+    /// Deadline of its program.
+    deadline: Instant,
+}
+
 /// Why a generation failed.
 enum GenerationError {
     Stopped,
@@ -69,6 +79,8 @@
     Stalled,
     /// The engine sent more tokens or events than the call allows.
     TooLong,
+    /// The engine takes no more requests before this time.
+    RateLimited(Duration),
 }
 
 impl GenerationError {
@@ -77,6 +89,11 @@
             Self::Stopped => Refusal::not_run(RefusalCode::Ended, "The call was cancelled."),
             Self::Stalled => refuse_failed("The engine stopped sending."),
             Self::TooLong => refuse_failed("The engine sent more than the call allows."),
+            Self::RateLimited(wait) => {
+                let message = "The engine takes no more requests now.";
+                let wait_ms = u64::try_from(wait.as_millis()).unwrap_or(u64::MAX);
+                Refusal::not_run(RefusalCode::Overloaded, message).retry_after_ms(wait_ms.max(1))
+            }
             Self::Engine(e) => refuse_failed(&e.to_string()),
             Self::Crashed(lifetime) => refuse_failed("The engine crashed while it had the call.")
                 .retry_after_ms(CRASH_RETRY_MS)
@@ -198,6 +215,8 @@
             max_tokens: request.max_tokens,
         };
         let priority = generate.priority;
+        let (attained_tokens, is_production) = (priority.attained_tokens, priority.production);
+        let time_left = Duration::from_millis(priority.slack_ms);
         let waiting = self
             .0
             .queue
@@ -206,7 +225,16 @@
         let queued = slot.waited();
         let _in_use = self.mark_in_use(request.program);
         let started = Instant::now();
-        let streamed = self.stream(engine, request, generation, &mut slot).await;
+        let turn = Turn {
+            urgency: Urgency {
+                is_under_way: attained_tokens > 0,
+                priority: u32::from(!is_production),
+            },
+            deadline: started + time_left,
+        };
+        let streamed = self
+            .stream(engine, request, turn, generation, &mut slot)
+            .await;
         slot.observed.ran = started.elapsed();
         let usage = streamed.map_err(GenerationError::into_refusal)?;
         slot.observed.uncached_tokens = usage.prompt_tokens - usage.cached_tokens;
@@ -226,6 +254,7 @@
         &self,
         engine: &E,
         request: GenerateRequest,
+        turn: Turn,
         generation: &Generation,
         slot: &mut AdmissionSlot<'_>,
     ) -> Result<EngineUsage, GenerationError> {
@@ -234,6 +263,7 @@
         let started = Instant::now();
         let mut lifetime = self.0.lifetimes.current();
         let mut is_lost = false;
+        self.wait_for_turn(engine, turn).await?;
         let mut opened = engine.generate(request.clone()).await;
         for _ in 0..REOPENS_MAX {
             let error = match opened {
@@ -266,12 +296,14 @@
                 log::info!(target: "sidecar", "sidecar: engine stream stalled, reopening it");
             }
             Timer::after(REOPEN_PAUSE).await;
+            self.wait_for_turn(engine, turn).await?;
             opened = engine.resume(call, generation.output.next_index()).await;
             if is_lost && is_unknown_call(&opened) {
                 return Err(self.crashed(call, lifetime));
             }
             if is_unknown_call(&opened) && generation.output.next_index() == 0 {
                 lifetime = self.0.lifetimes.current();
+                self.wait_for_turn(engine, turn).await?;
                 opened = engine.generate(request.clone()).await;
             }
         }
@@ -287,6 +319,17 @@
         }
     }
 
+    /// Waits until the engine takes another request. A call that would wait for too long is given up.
+    async fn wait_for_turn(&self, engine: &E, turn: Turn) -> Result<(), GenerationError> {
+        let time_left = turn.deadline.saturating_duration_since(Instant::now());
+        let rate = || engine.rate_limit();
+        let paced = self
+            .0
+            .pace
+            .wait(rate, turn.urgency, longest_wait(time_left));
+        paced.await.map_err(GenerationError::RateLimited)
+    }
+
     fn crashed(&self, call: CallId, number: LifetimeNumber) -> GenerationError {
         let lifetime = self.0.lifetimes.tag(number);
         log::info!(
--- a/src/sidecar/mod.rs
+++ b/src/sidecar/mod.rs
@@ -4,6 +4,7 @@
 mod generation;
 mod lifetime;
 mod orders;
+mod pace;
 mod probe;
 mod queue;
 mod serve;
@@ -22,6 +23,7 @@
 use crate::protocol::service::Service;
 use crate::sidecar::generation::Generation;
 use crate::sidecar::lifetime::{CrashedActions, EndpointLifetimes};
+use crate::sidecar::pace::EndpointPace;
 use crate::sidecar::queue::AdmissionQueue;
 use crate::state::kept::PendingEntries;
 use crate::transport::spawn::Spawner;
@@ -86,6 +88,7 @@
     endpoint: Endpoint<E, S>,
     spawner: Spawner,
     queue: AdmissionQueue,
+    pace: EndpointPace,
     generations: Mutex<HashMap<CallId, Generation>>,
     dispatches: Mutex<DispatchTable>,
     action_finished: Event,
@@ -109,6 +112,7 @@
     pub(crate) fn start(config: SidecarConfig, endpoint: Endpoint<E, S>, spawner: Spawner) -> Self {
         let sidecar = Self(Arc::new(Inner {
             queue: AdmissionQueue::new(config.admission.clone()),
+            pace: EndpointPace::default(),
             endpoint,
             spawner: spawner.clone(),
             generations: Mutex::default(),
