Count requests for permits by outcome

OPERATIONS needs a figure that shows whether limits bind; permits_total counts granted, refused, unlimited, not-pacing and no-answer on each gateway.

--- a/gateway/src/counters.rs
+++ b/gateway/src/counters.rs
@@ -36,6 +36,8 @@
     times: RefCell<BTreeMap<String, Histogram>>,
     endpoints_leaving: Cell<u64>,
     quarantine_refusals: Cell<u64>,
+    /// Requests for permits, by outcome.
+    permits: RefCell<BTreeMap<String, u64>>,
 }
 
 impl Counters {
@@ -65,6 +67,11 @@
             .set(self.quarantine_refusals.get() + 1);
     }
 
+    /// Counts a request for a permit to send to an endpoint with a limit.
+    pub(crate) fn record_permit(&self, outcome: String) {
+        *self.permits.borrow_mut().entry(outcome).or_default() += 1;
+    }
+
     /// Renders all counters and the given gauges in the Prometheus text format.
     pub(crate) fn render(&self, gauges: &[(&str, u64)]) -> String {
         let mut text = String::new();
@@ -99,6 +106,10 @@
             "",
             quarantine_refusals,
         );
+        for (outcome, count) in self.permits.borrow().iter() {
+            let labels = format!("outcome=\"{outcome}\"");
+            write_metric(&mut text, "permits_total", &labels, *count);
+        }
         for (name, value) in gauges {
             write_metric(&mut text, name, "", *value);
         }
--- a/gateway/src/permits.rs
+++ b/gateway/src/permits.rs
@@ -191,6 +191,7 @@
             Some(Location::Pending) | None => None,
         };
         let outcome = self.apply_permit_reply(lifetime, urgency, reply);
+        self.counters.record_permit(outcome.to_string());
         let pacing = match pacing {
             Some(Location::Remote(address)) => address.to_string(),
             Some(Location::Local) => "local".to_owned(),
