Let a call of the store end although others fail and succeed in turn

Where some calls fail and others succeed in turn faster than the store answers, as over relays or with a store that refuses a part with 429, a reader is interrupted each time and never gets its answer; an interruption was not logged.

Change: a call that follows an interrupted one is not interrupted, so each second one ends with its answer or its timeout. store_call_interrupted says so.

--- a/gateway/src/store.rs
+++ b/gateway/src/store.rs
@@ -205,6 +205,9 @@
     paths: Rc<StorePaths>,
     /// Whether calls go only to the store's own address.
     is_direct_only: bool,
+    /// Whether the last call was interrupted by a recovery. The next one is not, since other calls
+    /// may fail and succeed in turn faster than the store answers.
+    was_interrupted: bool,
     idle: Option<(SocketAddr, Connection)>,
 }
 
@@ -214,6 +217,7 @@
         Self {
             paths,
             is_direct_only: false,
+            was_interrupted: false,
             idle: None,
         }
     }
@@ -251,12 +255,19 @@
         let connection = idle.map(|(_, connection)| connection);
         let started_at = Instant::now();
         // A connection from before the recovery may stay silent forever.
+        let may_interrupt = !self.was_interrupted;
         let reconnect = async {
+            if !may_interrupt {
+                future::pending::<()>().await;
+            }
             self.paths.recovered().await;
             Err(io::ErrorKind::Interrupted.into())
         };
         let answer = future::or(exchange(address, connection, call), reconnect);
-        match io_with_timeout(timeout, answer).await {
+        let answer = io_with_timeout(timeout, answer).await;
+        let error_kind = answer.as_ref().err().map(io::Error::kind);
+        self.was_interrupted = error_kind == Some(io::ErrorKind::Interrupted);
+        match answer {
             Ok((status, body, connection)) => {
                 self.idle = connection.map(|connection| (address, connection));
                 if is_refusal(status) {
@@ -268,7 +279,12 @@
                 }
                 Ok((status, body))
             }
-            Err(error) if error.kind() == io::ErrorKind::Interrupted => Err(error),
+            Err(error) if error.kind() == io::ErrorKind::Interrupted => {
+                crate::event!("store_call_interrupted", "address" => address.to_string(),
+                    "target" => call.target.as_str(),
+                    "after_ms" => started_at.elapsed().as_millis());
+                Err(error)
+            }
             Err(error) => {
                 self.paths.record_failure(address, started_at);
                 crate::event!("store_call_failed", "address" => address.to_string(),
--- a/gateway/src/store/tests.rs
+++ b/gateway/src/store/tests.rs
@@ -1,9 +1,14 @@
-use super::{LOST_AFTER, PROBE_INTERVAL, StoreHealth, StorePaths};
+use super::{LOST_AFTER, PROBE_INTERVAL, StoreHealth, StoreLink, StorePaths};
+use crate::dialect::StoreCall;
 use futures_lite::future;
 use futures_util::future::join_all;
 use googletest::prelude::*;
 use smol::Timer;
 use std::cell::Cell;
+use std::io::{Read, Write};
+use std::net::{SocketAddr, TcpListener};
+use std::rc::Rc;
+use std::thread;
 use std::time::{Duration, Instant};
 
 #[googletest::test]
@@ -92,3 +97,51 @@
     };
     expect_that!(smol::block_on(future::or(all, recovery)), eq(true));
 }
+
+/// Time that the store of the next test takes for an answer.
+const SLOW_ANSWER: Duration = Duration::from_millis(200);
+
+/// Starts a store that answers each call after [`SLOW_ANSWER`], and returns its address.
+fn start_slow_store() -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
+    let address = listener.local_addr().expect("an address");
+    thread::spawn(move || {
+        for mut stream in listener.incoming().flatten() {
+            thread::spawn(move || {
+                let _ = stream.read(&mut [0; 1024]);
+                thread::sleep(SLOW_ANSWER);
+                // The caller may have given up.
+                let _ = stream.write_all(b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n");
+            });
+        }
+    });
+    address
+}
+
+// Guards against readers that never get an answer while other calls fail and succeed in turn, because
+// each success interrupts the calls under way.
+#[googletest::test]
+fn a_slow_call_ends_although_other_calls_fail_and_succeed_in_turn() {
+    let store = start_slow_store();
+    let paths = Rc::new(StorePaths::new(store));
+    let call = StoreCall {
+        method: "GET",
+        target: "/".to_owned(),
+        body: Vec::new(),
+    };
+    let mut link = StoreLink::new(paths.clone());
+    let reader = async {
+        while link.call(&call, SLOW_ANSWER * 4).await.is_err() {}
+        true
+    };
+    let others = async {
+        for _ in 0..60 {
+            paths.health.record_failure(Instant::now());
+            Timer::after(Duration::from_millis(25)).await;
+            paths.record_answer("127.0.0.1:1".parse().expect("an address"));
+            Timer::after(Duration::from_millis(25)).await;
+        }
+        false
+    };
+    expect_that!(smol::block_on(future::or(reader, others)), eq(true));
+}
