--- a/gateway/src/gossip.rs
+++ b/gateway/src/gossip.rs
@@ -3,6 +3,7 @@
 //!
 //! Each heartbeat contains all counts of its sender, so a lost datagram only delays an update.
 
+mod heartbeat;
 #[cfg(test)]
 mod tests;
 
@@ -12,10 +13,12 @@
 use crate::limit_reports::LIMIT_REPORTS_TAG;
 use crate::node::Gateway;
 use crate::owners::{Candidate, Location};
-use crate::partition::PartitionSet;
 use crate::permits::{PERMIT_REPLY_TAG, PERMIT_REQUEST_TAG};
 use crate::record::{GatewayRecord, decode, encode};
-use serde::{Deserialize, Serialize};
+pub(crate) use heartbeat::GatewayState;
+use heartbeat::Heartbeat;
+#[cfg(test)]
+pub(crate) use heartbeat::is_readable_heartbeat;
 use smol::Timer;
 use smol::net::UdpSocket;
 use std::cell::{Cell, RefCell};
@@ -57,79 +60,6 @@
 /// Timeout of an announcement.
 const ANNOUNCE_TIMEOUT: Duration = Duration::from_millis(800);
 
-/// A heartbeat of one gateway.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-#[serde(from = "Datagram", into = "Datagram")]
-struct Heartbeat {
-    gateway: String,
-    incarnation: u64,
-    /// Sequence number within an incarnation. Heartbeats that arrive out of order are dropped.
-    number: u64,
-    state: GatewayState,
-    calls: Vec<(InstanceTag, u32)>,
-}
-
-/// Wire format of a heartbeat. It omits the field names, which would take most of the datagram.
-type Datagram = (
-    (String, u64, u64),
-    (bool, PartitionSet, bool, u32),
-    Vec<(InstanceTag, u32)>,
-);
-
-impl From<Heartbeat> for Datagram {
-    fn from(heartbeat: Heartbeat) -> Self {
-        let state = heartbeat.state;
-        (
-            (heartbeat.gateway, heartbeat.incarnation, heartbeat.number),
-            (
-                state.reaches_store,
-                state.loaded,
-                state.is_stopping,
-                state.processor_permille,
-            ),
-            heartbeat.calls,
-        )
-    }
-}
-
-impl From<Datagram> for Heartbeat {
-    fn from((identity, state, calls): Datagram) -> Self {
-        let (gateway, incarnation, number) = identity;
-        let (reaches_store, loaded, is_stopping, processor_permille) = state;
-        Self {
-            gateway,
-            incarnation,
-            number,
-            state: GatewayState {
-                reaches_store,
-                loaded,
-                is_stopping,
-                processor_permille,
-            },
-            calls,
-        }
-    }
-}
-
-/// Returns whether a datagram is a heartbeat.
-#[cfg(test)]
-pub(crate) fn is_readable_heartbeat(datagram: &[u8]) -> bool {
-    decode::<Heartbeat>(datagram).is_ok()
-}
-
-/// State that a gateway reports about itself.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
-pub(crate) struct GatewayState {
-    /// Whether it reaches the store without a relay.
-    pub(crate) reaches_store: bool,
-    /// Partitions that it has loaded.
-    pub(crate) loaded: PartitionSet,
-    /// Whether it is shutting down.
-    pub(crate) is_stopping: bool,
-    /// Processor share available to its VM, in thousandths of a core.
-    pub(crate) processor_permille: u32,
-}
-
 /// Peers that get heartbeats at the same times.
 ///
 /// A gateway sends most calls to endpoints of its own failure domain, so that the counts of its
--- a/gateway/src/permits.rs
+++ b/gateway/src/permits.rs
@@ -6,6 +6,8 @@
 //! pacing gateway from those that they hear of. If two take themselves for it, each grants only the
 //! share of the limit that corresponds to the share of the gateways that it reaches.
 
+mod pacing;
+
 use crate::dialect::Dialect;
 use crate::endpoints::EndpointRecord;
 use crate::net::with_timeout;
@@ -14,9 +16,8 @@
 use crate::record::{decode, encode};
 use async_channel::Sender;
 use galenapick::crashes::{Lifetime, lifetime};
-use galenapick::{Pacer, PacerTicket, RequestRate, Urgency};
+use galenapick::{Pacer, RequestRate, Urgency};
 use serde::{Deserialize, Serialize};
-use smol::Timer;
 use std::cell::{Cell, OnceCell, RefCell};
 use std::collections::HashMap;
 use std::net::SocketAddr;
@@ -133,28 +134,6 @@
     }
 }
 
-/// A request that waits for its permit here, until it is dropped.
-struct WaitingRequest<'a> {
-    permits: &'a Permits,
-    lifetime: Lifetime,
-    ticket: PacerTicket,
-}
-
-impl WaitingRequest<'_> {
-    fn with_pacer<T>(&self, apply: impl FnOnce(&mut Pacer, PacerTicket) -> T) -> Option<T> {
-        let mut pacers = self.permits.pacers.borrow_mut();
-        let pacer = pacers.get_mut(&self.lifetime)?;
-        Some(apply(pacer, self.ticket))
-    }
-}
-
-impl Drop for WaitingRequest<'_> {
-    fn drop(&mut self) {
-        // A request that has its permit no longer waits, which changes nothing.
-        self.with_pacer(Pacer::cancel);
-    }
-}
-
 impl<D: Dialect> Gateway<D> {
     /// Asks for a permit to send a request to an endpoint that has a limit, and returns whether it was
     /// granted. It waits for the permit for `max_wait`.
@@ -263,27 +242,6 @@
         with_timeout(timeout, replies.recv()).await?.ok()
     }
 
-    /// Decides on a request of a peer and answers it, at once or after the wait for its permit.
-    pub(crate) async fn receive_permit_request(
-        self: Rc<Self>,
-        datagram: Vec<u8>,
-        from: SocketAddr,
-    ) {
-        let request: PermitRequest = match decode(&datagram) {
-            Ok(request) => request,
-            Err(error) => {
-                crate::event!("datagram_unreadable", "error" => error);
-                return;
-            }
-        };
-        let reply = self.decide_permit(&request).await;
-        let datagram = tagged(PERMIT_REPLY_TAG, &(request.number, reply));
-        if let Some(socket) = self.permits.socket.get() {
-            // The peer takes a lost answer for a refusal.
-            let _ = socket.send_to(&datagram, from).await;
-        }
-    }
-
     /// Passes the answer of a peer to the request that waits for it.
     pub(crate) fn receive_permit_reply(&self, datagram: &[u8]) {
         let (number, reply) = match decode::<(u64, PermitReply)>(datagram) {
@@ -300,91 +258,11 @@
         }
     }
 
-    /// Decides on a request for a permit, which waits for its turn.
-    async fn decide_permit(&self, request: &PermitRequest) -> PermitReply {
-        let lifetime = request.lifetime;
-        let asked_at = Instant::now();
-        let observed_at = before(asked_at, request.age_ms);
-        self.merge_limit(observed_at, lifetime, Some(request.rate));
-        if self.pacing_gateway(lifetime) != Some(Location::Local) {
-            self.permits.pacers.borrow_mut().remove(&lifetime);
-            return PermitReply::NotPacing;
-        }
-        let urgency = Urgency {
-            is_under_way: request.is_under_way,
-            priority: request.priority,
-        };
-        let deadline = asked_at + Duration::from_millis(request.max_wait_ms);
-        let mut waiting: Option<WaitingRequest<'_>> = None;
-        loop {
-            let now = Instant::now();
-            let limit = self.endpoints.borrow().rate_limits().limit(lifetime);
-            let rate = match limit.map(|limit| (limit.rate, limit.observed_at)) {
-                Some((Some(rate), _)) => rate,
-                ended => {
-                    let age = ended.map_or(Duration::ZERO, |(_, observed_at)| now - observed_at);
-                    let age_ms = milliseconds(age);
-                    return PermitReply::Unlimited { age_ms };
-                }
-            };
-            let rate = rate.share(self.gossip.reachable_share(now));
-            let waiting = waiting.get_or_insert_with(|| self.enqueue(now, lifetime, rate, urgency));
-            let polled = waiting.with_pacer(|pacer, ticket| {
-                pacer.set_rate(now, rate);
-                (pacer.poll(now, ticket), pacer.period())
-            });
-            let Some((wait, period)) = polled else {
-                return PermitReply::NotPacing;
-            };
-            if wait.is_zero() {
-                return PermitReply::Granted;
-            }
-            if now + wait > deadline {
-                let after = waiting.with_pacer(|pacer, ticket| pacer.refuse(now, ticket));
-                let after_ms = milliseconds(after.unwrap_or(wait)).max(1);
-                return PermitReply::Refused { after_ms };
-            }
-            // Requests before it may give up.
-            Timer::after(wait.min(period)).await;
-        }
-    }
-
-    /// Adds a request to those that wait for a permit here.
-    fn enqueue(
-        &self,
-        now: Instant,
-        lifetime: Lifetime,
-        rate: RequestRate,
-        urgency: Urgency,
-    ) -> WaitingRequest<'_> {
-        let mut pacers = self.permits.pacers.borrow_mut();
-        let pacer = pacers.entry(lifetime).or_insert_with(|| {
-            crate::event!("pacing_begun", "lifetime" => format!("{lifetime:016x}"),
-                "per_s" => rate.requests_per_s().to_string());
-            Pacer::new(now, rate)
-        });
-        WaitingRequest {
-            permits: &self.permits,
-            lifetime,
-            ticket: pacer.enqueue(now, urgency),
-        }
-    }
-
     /// Returns the gateway that paces the requests to an incarnation of an endpoint.
     pub(crate) fn pacing_gateway(&self, lifetime: Lifetime) -> Option<Location> {
         let candidates = self.candidates();
         choose_owner(lifetime, &candidates).map(|candidate| candidate.location)
     }
-
-    /// Forgets the pace of endpoints that have no limit any more or that another gateway paces.
-    pub(crate) fn forget_pacers(&self) {
-        let endpoints = self.endpoints.borrow();
-        let limits = endpoints.rate_limits();
-        self.permits.pacers.borrow_mut().retain(|lifetime, _| {
-            limits.rate(*lifetime).is_some()
-                && self.pacing_gateway(*lifetime) == Some(Location::Local)
-        });
-    }
 }
 
 /// Encodes a message with the tag that tells its kind.
