Wait for a last permit before a request is refused for limits

Cause, found on reading: where all endpoints have limits, a request was refused after three refusals without a wait, though the queue of one of them may have been short, and with a Retry-After of 0 if other endpoints had not been asked lately.

Change: the last request for a permit waits for what is left of the longest wait, all waits together keep within it, and Retry-After is 50 ms or more.

--- a/gateway/src/forward/permit.rs
+++ b/gateway/src/forward/permit.rs
@@ -22,6 +22,9 @@
 /// Time by which the wait for a permit may exceed the one that was last told.
 const WAIT_MARGIN: Duration = Duration::from_millis(50);
 
+/// Minimum `Retry-After` delay, which applies where the waits of some endpoints are not known.
+const MIN_RETRY_AFTER: Duration = Duration::from_millis(50);
+
 /// Reason given to clients.
 const REASON: &str = "the endpoints of the service take no more requests now";
 
@@ -37,24 +40,21 @@
         let call = outgoing.call;
         let urgency = self.urgency(call);
         let longest_wait = longest_wait(call, urgency);
-        for _ in 0..MAX_PERMIT_REQUESTS {
+        let wait_deadline = Instant::now() + longest_wait;
+        let time_to_wait = || wait_deadline.saturating_duration_since(Instant::now());
+        for number in 1..=MAX_PERMIT_REQUESTS {
             let Some(endpoint) = self.choose(outgoing, false) else {
                 return Err(self.no_endpoint());
             };
             let Some(wait) = self.permit_wait(&endpoint, urgency) else {
                 return self.check_queue(outgoing, endpoint, urgency, longest_wait);
             };
-            if wait > longest_wait {
+            if wait > time_to_wait() {
                 break;
             }
-            // With a choice, the endpoint was chosen for this wait and not for a longer one.
-            let max_wait = if wait.is_zero() {
-                Duration::ZERO
-            } else if self.choose(outgoing, true).is_some() {
-                longest_wait.min(wait + WAIT_MARGIN)
-            } else {
-                longest_wait
-            };
+            let is_last = number == MAX_PERMIT_REQUESTS;
+            let max_wait = self.max_permit_wait(outgoing, wait, is_last);
+            let max_wait = max_wait.min(time_to_wait());
             let permit = self.request_permit(call.id(), &endpoint, urgency, max_wait);
             if permit.await {
                 return Ok(endpoint);
@@ -66,6 +66,23 @@
         }
     }
 
+    /// Returns the time for which a request for a permit that may be had after `wait` should wait.
+    /// Where there is a choice, the endpoint was chosen for this wait and not for a longer one.
+    fn max_permit_wait(
+        &self,
+        outgoing: &OutgoingRequest<'_>,
+        wait: Duration,
+        is_last: bool,
+    ) -> Duration {
+        let has_choice = self.choose(outgoing, true).is_some();
+        match (has_choice, wait.is_zero()) {
+            (true, true) => Duration::ZERO,
+            (true, false) => wait + WAIT_MARGIN,
+            (false, true) if !is_last => Duration::ZERO,
+            (false, _) => Duration::MAX,
+        }
+    }
+
     /// Returns an endpoint without a limit, or refuses a request of a new program whose queue there
     /// is too long. Those endpoints get what the ones with a limit do not take.
     fn check_queue(
@@ -138,11 +155,11 @@
 fn rate_limited(outgoing: &OutgoingRequest<'_>, wait: Duration) -> Failure {
     let call = outgoing.call;
     crate::event!("rate_limited", "request" => call.id(), "service" => outgoing.service,
-        "retry_after_ms" => wait.as_millis(), "left_ms" => call.time_left().as_millis());
+        "retry_after_ms" => wait.max(MIN_RETRY_AFTER).as_millis(), "left_ms" => call.time_left().as_millis());
     Failure {
         execution: Execution::NotRun,
         reason: REASON,
-        cause: FailureCause::RateLimited(wait),
+        cause: FailureCause::RateLimited(wait.max(MIN_RETRY_AFTER)),
     }
 }
 
