--- a/gateway/src/permits/pacing.rs
+++ b/gateway/src/permits/pacing.rs
@@ -59,7 +59,7 @@
         }
     }
 
-    /// Decides on a request for a permit, which waits for its turn.
+    /// Decides on a request for a permit, which waits among the others.
     pub(super) async fn decide_permit(&self, request: &PermitRequest) -> PermitReply {
         let lifetime = request.lifetime;
         let asked_at = Instant::now();
--- a/src/coordination/pacing.rs
+++ b/src/coordination/pacing.rs
@@ -120,7 +120,7 @@
     }
 
     /// Grants a request, which then no longer waits, and returns zero. If it must wait, returns the
-    /// time until its turn among those that wait now.
+    /// time until its permit among those that wait now.
     pub fn poll(&mut self, now: Instant, ticket: PacerTicket) -> Duration {
         let before = self.waiting.range(..ticket).count();
         let wait = self.bucket.time_until(now, (before + 1) as f64);
--- a/src/sidecar/generation.rs
+++ b/src/sidecar/generation.rs
@@ -62,9 +62,9 @@
     pub(crate) ran: Duration,
 }
 
-/// Claim of a generation to the requests that its engine takes.
+/// What decides how long the requests of a generation wait for their engine.
 #[derive(Clone, Copy)]
-struct Turn {
+struct RequestTiming {
     urgency: Urgency,
     /// Deadline of its program.
     deadline: Instant,
@@ -225,7 +225,7 @@
         let queued = slot.waited();
         let _in_use = self.mark_in_use(request.program);
         let started = Instant::now();
-        let turn = Turn {
+        let timing = RequestTiming {
             urgency: Urgency {
                 is_under_way: attained_tokens > 0,
                 priority: u32::from(!is_production),
@@ -233,7 +233,7 @@
             deadline: started + time_left,
         };
         let streamed = self
-            .stream(engine, request, turn, generation, &mut slot)
+            .stream(engine, request, timing, generation, &mut slot)
             .await;
         slot.observed.ran = started.elapsed();
         let usage = streamed.map_err(GenerationError::into_refusal)?;
@@ -254,7 +254,7 @@
         &self,
         engine: &E,
         request: GenerateRequest,
-        turn: Turn,
+        timing: RequestTiming,
         generation: &Generation,
         slot: &mut AdmissionSlot<'_>,
     ) -> Result<EngineUsage, GenerationError> {
@@ -263,7 +263,7 @@
         let started = Instant::now();
         let mut lifetime = self.0.lifetimes.current();
         let mut is_lost = false;
-        self.wait_for_turn(engine, turn).await?;
+        self.wait_for_engine(engine, timing).await?;
         let mut opened = engine.generate(request.clone()).await;
         for _ in 0..REOPENS_MAX {
             let error = match opened {
@@ -296,14 +296,14 @@
                 log::info!(target: "sidecar", "sidecar: engine stream stalled, reopening it");
             }
             Timer::after(REOPEN_PAUSE).await;
-            self.wait_for_turn(engine, turn).await?;
+            self.wait_for_engine(engine, timing).await?;
             opened = engine.resume(call, generation.output.next_index()).await;
             if is_lost && is_unknown_call(&opened) {
                 return Err(self.crashed(call, lifetime));
             }
             if is_unknown_call(&opened) && generation.output.next_index() == 0 {
                 lifetime = self.0.lifetimes.current();
-                self.wait_for_turn(engine, turn).await?;
+                self.wait_for_engine(engine, timing).await?;
                 opened = engine.generate(request.clone()).await;
             }
         }
@@ -320,13 +320,17 @@
     }
 
     /// Waits until the engine takes another request. A call that would wait for too long is given up.
-    async fn wait_for_turn(&self, engine: &E, turn: Turn) -> Result<(), GenerationError> {
-        let time_left = turn.deadline.saturating_duration_since(Instant::now());
+    async fn wait_for_engine(
+        &self,
+        engine: &E,
+        timing: RequestTiming,
+    ) -> Result<(), GenerationError> {
+        let time_left = timing.deadline.saturating_duration_since(Instant::now());
         let rate = || engine.rate_limit();
         let paced = self
             .0
             .pace
-            .wait(rate, turn.urgency, longest_wait(time_left));
+            .wait(rate, timing.urgency, longest_wait(time_left));
         paced.await.map_err(GenerationError::RateLimited)
     }
 
--- a/src/sidecar/pace.rs
+++ b/src/sidecar/pace.rs
@@ -12,7 +12,7 @@
 use std::sync::Mutex;
 use std::time::{Duration, Instant};
 
-/// Fraction of the remaining time for which a request waits for its turn.
+/// Fraction of the remaining time for which a request waits for its permit.
 const WAIT_SHARE: f64 = 0.25;
 
 /// Returns the longest wait of a request that must be done within `time_left`.
@@ -43,22 +43,22 @@
                 return Ok(());
             };
             let wait = match self.poll(rate, urgency, deadline, &mut waiting) {
-                Turn::Granted => return Ok(()),
-                Turn::Refused(wait) => return Err(wait),
-                Turn::Waiting(wait) => wait,
+                Decision::Granted => return Ok(()),
+                Decision::Refused(wait) => return Err(wait),
+                Decision::Waiting(wait) => wait,
             };
             Timer::after(wait).await;
         }
     }
 
-    /// Asks for the turn of a request, which is added to those that wait if it is new.
+    /// Asks for the permit of a request, which is added to those that wait if it is new.
     fn poll<'a>(
         &'a self,
         rate: RequestRate,
         urgency: Urgency,
         deadline: Instant,
         waiting: &mut Option<WaitingRequest<'a>>,
-    ) -> Turn {
+    ) -> Decision {
         let now = Instant::now();
         let mut pacer = lock(&self.pacer);
         let pacer = pacer.get_or_insert_with(|| Pacer::new(now, rate));
@@ -69,18 +69,18 @@
         });
         let wait = pacer.poll(now, waiting.ticket);
         if wait.is_zero() {
-            Turn::Granted
+            Decision::Granted
         } else if now + wait > deadline {
-            Turn::Refused(pacer.refuse(now, waiting.ticket))
+            Decision::Refused(pacer.refuse(now, waiting.ticket))
         } else {
             // Requests before it may give up.
-            Turn::Waiting(wait.min(pacer.period()))
+            Decision::Waiting(wait.min(pacer.period()))
         }
     }
 }
 
-/// State of a request that may wait.
-enum Turn {
+/// What becomes of a request that asks for its permit.
+enum Decision {
     /// It may be sent now.
     Granted,
     /// It asks again after this time.
@@ -89,7 +89,7 @@
     Refused(Duration),
 }
 
-/// A request that waits for its turn until it is dropped.
+/// A request that waits for its permit until it is dropped.
 struct WaitingRequest<'a> {
     pace: &'a EndpointPace,
     ticket: PacerTicket,
