Move the gateway's modules into rooms by job

Cause: gateway/src had 55 modules side by side, most of them with Gateway in hand, and the next parts (accounts, quotas, order under load, speeds) would have been ten more.

Change: serve (sockets, one request at a time), turns (one turn at a time), fleet (what gateways tell each other), choice (the endpoint of a call), store (calls to the store and readers of its topics). turns.rs is turns/index.rs, store.rs is store/link.rs. Only paths of modules change; no behaviour, no test.

--- /dev/null
+++ b/gateway/src/choice/mod.rs
@@ -0,0 +1,3 @@
+//! Choice of the endpoint for a call.
+
+pub(crate) mod endpoints;
--- a/gateway/src/decoder_tests.rs
+++ b/gateway/src/decoder_tests.rs
@@ -1,11 +1,11 @@
 //! Properties of all decoders that read what others send: arbitrary bytes break nothing, and how the
 //! bytes are split into reads changes nothing.
 
-use crate::gossip::is_readable_heartbeat;
-use crate::http::{BodyDecoder, BodyError, Framing, parse_request, parse_response};
-use crate::ledger::{OwnerReply, OwnerRequest};
-use crate::record::{GatewayRecord, QuarantineRecord, TurnRecord, decode};
-use crate::stream::{EventSplitter, append_data, event_id};
+use crate::fleet::gossip::is_readable_heartbeat;
+use crate::serve::http::{BodyDecoder, BodyError, Framing, parse_request, parse_response};
+use crate::serve::stream::{EventSplitter, append_data, event_id};
+use crate::turns::ledger::{OwnerReply, OwnerRequest};
+use crate::turns::record::{GatewayRecord, QuarantineRecord, TurnRecord, decode};
 use galenapick::crashes::CrashReport;
 use proptest::prelude::*;
 
--- a/gateway/src/dialect.rs
+++ b/gateway/src/dialect.rs
@@ -1,8 +1,8 @@
 //! Interface to a platform's dialect: the formats of its headers, documents and store calls.
 
-use crate::endpoints::{EndpointRecord, ReportedLoad};
-use crate::http::Header;
+use crate::choice::endpoints::{EndpointRecord, ReportedLoad};
 use crate::routes::Configuration;
+use crate::serve::http::Header;
 use galenapick::StatedLimit;
 use smallvec::SmallVec;
 use std::time::Duration;
--- a/gateway/src/crash_reports.rs
+++ b/gateway/src/fleet/crash_reports.rs
@@ -5,9 +5,9 @@
 mod tests;
 
 use crate::dialect::{Append, AppendOutcome, Dialect, KeyValue, Topic};
-use crate::gossip::report_delay;
+use crate::fleet::gossip::report_delay;
 use crate::node::Gateway;
-use crate::record::{QuarantineRecord, decode, encode};
+use crate::turns::record::{QuarantineRecord, decode, encode};
 use event_listener::Event;
 use galenapick::crashes::{Claimant, CrashReport, Fingerprint};
 use galenapick::stable_hash;
--- a/gateway/src/crash_reports/tests.rs
+++ b/gateway/src/fleet/crash_reports/tests.rs
@@ -1,6 +1,6 @@
 use super::{CRASH_REPORTS_TAG, MAX_REPORTS};
-use crate::gossip::is_readable_heartbeat;
-use crate::record::{decode, encode};
+use crate::fleet::gossip::is_readable_heartbeat;
+use crate::turns::record::{decode, encode};
 use galenapick::crashes::{
     Admission, CrashReport, Crashes, Fingerprint, Lifetime, MAX_LIFETIMES, TrialReport,
 };
--- a/gateway/src/gossip.rs
+++ b/gateway/src/fleet/gossip.rs
@@ -7,14 +7,14 @@
 #[cfg(test)]
 mod tests;
 
-use crate::crash_reports::CRASH_REPORTS_TAG;
+use crate::choice::endpoints::InstanceTag;
 use crate::dialect::{Append, AppendOutcome, Dialect, Topic};
-use crate::endpoints::InstanceTag;
-use crate::limit_reports::LIMIT_REPORTS_TAG;
+use crate::fleet::crash_reports::CRASH_REPORTS_TAG;
+use crate::fleet::limit_reports::LIMIT_REPORTS_TAG;
+use crate::fleet::owners::{Candidate, Location};
+use crate::fleet::permits::{PERMIT_REPLY_TAG, PERMIT_REQUEST_TAG};
 use crate::node::Gateway;
-use crate::owners::{Candidate, Location};
-use crate::permits::{PERMIT_REPLY_TAG, PERMIT_REQUEST_TAG};
-use crate::record::{GatewayRecord, decode, encode};
+use crate::turns::record::{GatewayRecord, decode, encode};
 pub(crate) use heartbeat::GatewayState;
 use heartbeat::Heartbeat;
 #[cfg(test)]
--- a/gateway/src/gossip/heartbeat.rs
+++ b/gateway/src/fleet/gossip/heartbeat.rs
@@ -1,9 +1,9 @@
 //! Content of heartbeats.
 
-use crate::endpoints::InstanceTag;
-use crate::partition::PartitionSet;
+use crate::choice::endpoints::InstanceTag;
+use crate::turns::partition::PartitionSet;
 #[cfg(test)]
-use crate::record::decode;
+use crate::turns::record::decode;
 use serde::{Deserialize, Serialize};
 
 /// A heartbeat of one gateway.
--- a/gateway/src/gossip/tests.rs
+++ b/gateway/src/fleet/gossip/tests.rs
@@ -2,7 +2,7 @@
     GatewayState, Gossip, HEARTBEAT_INTERVAL, Heartbeat, IDLE_HEARTBEAT_INTERVAL,
     INTERVAL_PER_PEER, LastHeartbeat, PeerGroup, encode,
 };
-use crate::record::{GatewayRecord, decode};
+use crate::turns::record::{GatewayRecord, decode};
 use googletest::prelude::*;
 use std::time::{Duration, Instant};
 
--- a/gateway/src/limit_reports.rs
+++ b/gateway/src/fleet/limit_reports.rs
@@ -3,13 +3,13 @@
 //! A gateway that learns of a change from an answer tells the gateway that paces the endpoint, which
 //! tells all and repeats it.
 
+use crate::choice::endpoints::RateLimit;
 use crate::dialect::Dialect;
-use crate::endpoints::RateLimit;
-use crate::gossip::report_delay;
+use crate::fleet::gossip::report_delay;
+use crate::fleet::owners::Location;
+use crate::fleet::permits::{before, milliseconds, tagged};
 use crate::node::Gateway;
-use crate::owners::Location;
-use crate::permits::{before, milliseconds, tagged};
-use crate::record::decode;
+use crate::turns::record::decode;
 use event_listener::Event;
 use galenapick::RequestRate;
 use galenapick::crashes::Lifetime;
--- /dev/null
+++ b/gateway/src/fleet/mod.rs
@@ -0,0 +1,9 @@
+//! What gateways tell each other: heartbeats, reports, permits, ownership of partitions.
+
+pub(crate) mod crash_reports;
+pub(crate) mod gossip;
+pub(crate) mod limit_reports;
+pub(crate) mod owners;
+pub(crate) mod peers;
+pub(crate) mod permits;
+pub(crate) mod relay;
--- a/gateway/src/owners.rs
+++ b/gateway/src/fleet/owners.rs
@@ -10,7 +10,7 @@
 
 use crate::dialect::{Dialect, PartitionNumber};
 use crate::node::Gateway;
-use crate::partition::PartitionSet;
+use crate::turns::partition::PartitionSet;
 use galenapick::stable_hash;
 use smol::Timer;
 use std::hash::Hash;
--- a/gateway/src/owners/tests.rs
+++ b/gateway/src/fleet/owners/tests.rs
@@ -1,5 +1,5 @@
 use super::{Candidate, Location, choose_owner, choose_server};
-use crate::partition::{PARTITION_COUNT, PartitionSet};
+use crate::turns::partition::{PARTITION_COUNT, PartitionSet};
 use googletest::prelude::*;
 
 fn gateways(count: usize) -> Vec<Candidate> {
--- a/gateway/src/peers.rs
+++ b/gateway/src/fleet/peers.rs
@@ -7,11 +7,11 @@
 //! address.
 
 use crate::dialect::Dialect;
-use crate::http::Connection;
-use crate::ledger::{OwnerReply, OwnerRequest};
 use crate::net::{accept, connect, io_with_timeout, set_socket_options};
 use crate::node::Gateway;
-use crate::record::{decode, encode};
+use crate::serve::http::Connection;
+use crate::turns::ledger::{OwnerReply, OwnerRequest};
+use crate::turns::record::{decode, encode};
 use async_channel::{Receiver, Sender};
 use futures_lite::{AsyncWriteExt, future};
 use serde::{Deserialize, Serialize};
--- a/gateway/src/permits.rs
+++ b/gateway/src/fleet/permits.rs
@@ -8,12 +8,12 @@
 
 mod pacing;
 
+use crate::choice::endpoints::EndpointRecord;
 use crate::dialect::Dialect;
-use crate::endpoints::EndpointRecord;
+use crate::fleet::owners::{Location, choose_owner};
 use crate::net::with_timeout;
 use crate::node::Gateway;
-use crate::owners::{Location, choose_owner};
-use crate::record::{decode, encode};
+use crate::turns::record::{decode, encode};
 use async_channel::Sender;
 use galenapick::crashes::{Lifetime, lifetime};
 use galenapick::{Pacer, RequestRate, Urgency};
--- a/gateway/src/permits/pacing.rs
+++ b/gateway/src/fleet/permits/pacing.rs
@@ -2,9 +2,9 @@
 
 use super::{PERMIT_REPLY_TAG, PermitReply, PermitRequest, Permits, before, milliseconds, tagged};
 use crate::dialect::Dialect;
+use crate::fleet::owners::Location;
 use crate::node::Gateway;
-use crate::owners::Location;
-use crate::record::decode;
+use crate::turns::record::decode;
 use galenapick::crashes::Lifetime;
 use galenapick::{Pacer, PacerTicket, RequestRate, Urgency};
 use smol::Timer;
--- a/gateway/src/relay.rs
+++ b/gateway/src/fleet/relay.rs
@@ -4,11 +4,11 @@
 //! so a call that arrives over two paths is executed once.
 
 use crate::dialect::{Dialect, StoreCall, Topic};
-use crate::http::{BodyDecoder, Connection, Framing};
 use crate::net::with_timeout;
 use crate::node::Gateway;
-use crate::reply::Reply;
-use crate::store::StoreLink;
+use crate::serve::http::{BodyDecoder, Connection, Framing};
+use crate::serve::reply::Reply;
+use crate::store::link::StoreLink;
 use smol::Timer;
 use std::rc::Rc;
 use std::time::Duration;
--- a/gateway/src/node.rs
+++ b/gateway/src/node.rs
@@ -1,22 +1,22 @@
 //! The gateway process: state shared by its tasks, start and shutdown.
 
+use crate::choice::endpoints::Endpoints;
 use crate::counters::Counters;
-use crate::crash_reports::CrashSync;
 use crate::dialect::{Dialect, Offset};
-use crate::endpoints::Endpoints;
 use crate::events;
-use crate::gossip::Gossip;
-use crate::limit_reports::LimitSync;
+use crate::fleet::crash_reports::CrashSync;
+use crate::fleet::gossip::Gossip;
+use crate::fleet::limit_reports::LimitSync;
+use crate::fleet::peers::PeerLinks;
+use crate::fleet::permits::Permits;
 use crate::limits::BufferGauge;
 use crate::net::with_timeout;
-use crate::partition::{PARTITION_COUNT, Partition, PartitionSet};
-use crate::peers::PeerLinks;
-use crate::permits::Permits;
-use crate::pool::Pool;
-use crate::programs::BegunPrograms;
 use crate::routes::Routes;
-use crate::shutdown::Shutdown;
-use crate::store::{StoreLink, StorePaths};
+use crate::serve::pool::Pool;
+use crate::serve::shutdown::Shutdown;
+use crate::store::link::{StoreLink, StorePaths};
+use crate::turns::partition::{PARTITION_COUNT, Partition, PartitionSet};
+use crate::turns::programs::BegunPrograms;
 use async_signal::{Signal, Signals};
 use futures_lite::StreamExt;
 use galenapick::crashes::Crashes;
--- a/gateway/src/call.rs
+++ b/gateway/src/serve/call.rs
@@ -1,15 +1,15 @@
 //! State of a client's request, and its processing until the answer.
 
+use crate::choice::endpoints::InstanceId;
 use crate::dialect::{CallInfo, Dialect};
-use crate::endpoints::InstanceId;
-use crate::forward::{EndpointAnswer, Execution, MAX_ENDPOINTS_TRIED, OutgoingRequest};
-use crate::http::{Framing, RequestHead};
 use crate::node::Gateway;
-use crate::outage::retry_delay;
-use crate::reply::{Refusal, Reply, ReplyState};
 use crate::routes::{Route, RouteKind};
-use crate::shutdown::{Phase, late_refusal};
-use crate::stream::{EventId, LAST_EVENT_ID};
+use crate::serve::forward::{EndpointAnswer, Execution, MAX_ENDPOINTS_TRIED, OutgoingRequest};
+use crate::serve::http::{Framing, RequestHead};
+use crate::serve::reply::{Refusal, Reply, ReplyState};
+use crate::serve::shutdown::{Phase, late_refusal};
+use crate::serve::stream::{EventId, LAST_EVENT_ID};
+use crate::turns::outage::retry_delay;
 use futures_lite::future;
 use galenapick::crashes::Fingerprints;
 use smallvec::SmallVec;
--- a/gateway/src/event_stream.rs
+++ b/gateway/src/serve/event_stream.rs
@@ -1,14 +1,14 @@
 //! Forwards the events of a stream, and continues a broken one at another endpoint.
 
+use crate::choice::endpoints::{CallOutcome, InstanceId};
 use crate::dialect::Dialect;
-use crate::endpoints::{CallOutcome, InstanceId};
-use crate::forward::{EndpointAnswer, Exchange, OutgoingRequest};
 use crate::limits::{MAX_EVENT_BYTES, MAX_EXTRA_EVENTS, MAX_STREAM_BYTES, MAX_TURN_BYTES};
 use crate::net::with_timeout;
 use crate::node::Gateway;
-use crate::reply::Reply;
-use crate::reserved_turn::ReservedTurn;
-use crate::stream::{EventId, EventSplitter, append_data, event_id};
+use crate::serve::forward::{EndpointAnswer, Exchange, OutgoingRequest};
+use crate::serve::reply::Reply;
+use crate::serve::stream::{EventId, EventSplitter, append_data, event_id};
+use crate::turns::reserved_turn::ReservedTurn;
 use std::rc::Rc;
 use std::time::Duration;
 
--- a/gateway/src/forward.rs
+++ b/gateway/src/serve/forward.rs
@@ -8,18 +8,18 @@
 #[cfg(test)]
 mod tests;
 
-use crate::call::Call;
+use crate::choice::endpoints::{CallOutcome, EndpointRecord, InstanceId};
 use crate::dialect::{AnswerInfo, Dialect, Dispatch};
-use crate::endpoints::{CallOutcome, EndpointRecord, InstanceId};
-use crate::http::{
-    BodyDecoder, BodyError, Connection, Framing, Header, ResponseHead, connection_tokens,
-    is_hop_header, is_reset,
-};
 use crate::limits::{BufferShare, MAX_ANSWER_BYTES};
 use crate::net::{connect, io_with_timeout, with_timeout};
 use crate::node::Gateway;
 use crate::routes::RouteKind;
-use crate::stream::{EventId, LAST_EVENT_ID};
+use crate::serve::call::Call;
+use crate::serve::http::{
+    BodyDecoder, BodyError, Connection, Framing, Header, ResponseHead, connection_tokens,
+    is_hop_header, is_reset,
+};
+use crate::serve::stream::{EventId, LAST_EVENT_ID};
 use failure::FailureCause;
 pub(crate) use failure::{Execution, Failure};
 use futures_lite::future;
--- a/gateway/src/forward/failure.rs
+++ b/gateway/src/serve/forward/failure.rs
@@ -1,8 +1,8 @@
 //! Failed attempts to get an answer from an endpoint, and the replies to their clients.
 
-use crate::call::Call;
-use crate::endpoints::CallOutcome;
-use crate::reply::Refusal;
+use crate::choice::endpoints::CallOutcome;
+use crate::serve::call::Call;
+use crate::serve::reply::Refusal;
 use std::time::Duration;
 
 /// Mean `Retry-After` delay when no endpoint takes a request, for instance because all are full; a
--- a/gateway/src/forward/leaving.rs
+++ b/gateway/src/serve/forward/leaving.rs
@@ -1,9 +1,9 @@
 //! Recognises endpoints that state in an answer that they are leaving.
 
-use crate::call::Call;
+use crate::choice::endpoints::{EndpointRecord, InstanceId};
 use crate::dialect::{AnswerInfo, Dialect};
-use crate::endpoints::{EndpointRecord, InstanceId};
 use crate::node::Gateway;
+use crate::serve::call::Call;
 
 /// Head of an answer that arrived from an endpoint, whatever becomes of it.
 pub(super) struct ObservedAnswer<'a> {
--- a/gateway/src/forward/permit.rs
+++ b/gateway/src/serve/forward/permit.rs
@@ -3,11 +3,11 @@
 
 use super::failure::FailureCause;
 use super::{Execution, Failure, OutgoingRequest};
-use crate::call::Call;
+use crate::choice::endpoints::{EndpointRecord, EndpointRequirements, InstanceId};
 use crate::dialect::Dialect;
-use crate::endpoints::{EndpointRecord, EndpointRequirements, InstanceId};
 use crate::node::Gateway;
 use crate::routes::RouteKind;
+use crate::serve::call::Call;
 use galenapick::Urgency;
 use galenapick::crashes::lifetime;
 use std::rc::Rc;
--- a/gateway/src/forward/quarantine.rs
+++ b/gateway/src/serve/forward/quarantine.rs
@@ -4,12 +4,12 @@
 mod tests;
 
 use super::{Execution, Failure, FailureCause};
-use crate::call::Call;
+use crate::choice::endpoints::{CallOutcome, EndpointRecord};
 use crate::dialect::{AnswerInfo, Dialect};
-use crate::endpoints::{CallOutcome, EndpointRecord};
-use crate::http::{Framing, RequestHead, ResponseHead};
 use crate::node::Gateway;
-use crate::reply::Refusal;
+use crate::serve::call::Call;
+use crate::serve::http::{Framing, RequestHead, ResponseHead};
+use crate::serve::reply::Refusal;
 use galenapick::crashes::{self, Admission, Claimant, Fingerprints, Lifetime, Suspicion, lifetime};
 use smol::Timer;
 use std::cell::Cell;
--- a/gateway/src/forward/quarantine/tests.rs
+++ b/gateway/src/serve/forward/quarantine/tests.rs
@@ -1,5 +1,5 @@
 use super::fingerprints;
-use crate::http::{RequestHead, parse_request};
+use crate::serve::http::{RequestHead, parse_request};
 use galenapick::crashes::PREFIX_BYTES;
 use googletest::prelude::*;
 
--- a/gateway/src/forward/rate_limit.rs
+++ b/gateway/src/serve/forward/rate_limit.rs
@@ -1,10 +1,10 @@
 //! Learns from answers how many requests their endpoints take.
 
 use super::leaving::ObservedAnswer;
-use crate::call::Call;
+use crate::choice::endpoints::EndpointRecord;
 use crate::dialect::Dialect;
-use crate::endpoints::EndpointRecord;
 use crate::node::Gateway;
+use crate::serve::call::Call;
 use galenapick::crashes::lifetime;
 use galenapick::{RequestRate, StatedLimit};
 
--- a/gateway/src/front.rs
+++ b/gateway/src/serve/front.rs
@@ -1,16 +1,16 @@
 //! Accepts client connections and reads requests from them.
 
-use crate::call::Call;
 use crate::dialect::Dialect;
-use crate::forward::{Execution, fingerprints};
-use crate::http::{
-    BodyDecoder, BodyError, Connection, Framing, HeadError, RequestHead, parse_request,
-};
 use crate::limits::BufferShare;
 use crate::net::{self, with_timeout};
 use crate::node::{Gateway, InFlightGuard};
-use crate::reply::{Refusal, Reply, ReplyState};
-use crate::shutdown::{Phase, late_refusal};
+use crate::serve::call::Call;
+use crate::serve::forward::{Execution, fingerprints};
+use crate::serve::http::{
+    BodyDecoder, BodyError, Connection, Framing, HeadError, RequestHead, parse_request,
+};
+use crate::serve::reply::{Refusal, Reply, ReplyState};
+use crate::serve::shutdown::{Phase, late_refusal};
 use futures_lite::future;
 use smol::net::{TcpListener, TcpStream};
 use std::cell::{Cell, RefCell};
--- a/gateway/src/pool.rs
+++ b/gateway/src/serve/pool.rs
@@ -1,7 +1,7 @@
 //! Pool of idle connections to endpoints.
 
-use crate::endpoints::InstanceId;
-use crate::http::Connection;
+use crate::choice::endpoints::InstanceId;
+use crate::serve::http::Connection;
 use rustix::net::{RecvFlags, recv};
 use std::cell::RefCell;
 use std::collections::HashMap;
--- a/gateway/src/readiness.rs
+++ b/gateway/src/serve/readiness.rs
@@ -1,10 +1,10 @@
 //! Serves readiness probes to the platform and metrics to monitoring.
 
 use crate::dialect::Dialect;
-use crate::http::{Connection, Framing};
 use crate::net::{self, with_timeout};
 use crate::node::Gateway;
-use crate::reply::{Refusal, Reply};
+use crate::serve::http::{Connection, Framing};
+use crate::serve::reply::{Refusal, Reply};
 use smol::net::{TcpListener, TcpStream};
 use std::rc::Rc;
 use std::time::Duration;
--- a/gateway/src/reply.rs
+++ b/gateway/src/serve/reply.rs
@@ -1,6 +1,6 @@
 //! Writes the answer to a client's request.
 
-use crate::http::{Header, connection_tokens, is_hop_header};
+use crate::serve::http::{Header, connection_tokens, is_hop_header};
 use futures_lite::AsyncWriteExt;
 use smol::net::TcpStream;
 use std::cell::Cell;
--- a/gateway/src/shutdown.rs
+++ b/gateway/src/serve/shutdown.rs
@@ -2,7 +2,7 @@
 
 use crate::dialect::Dialect;
 use crate::node::Gateway;
-use crate::reply::Refusal;
+use crate::serve::reply::Refusal;
 use smol::Timer;
 use std::cell::Cell;
 use std::time::{Duration, Instant};
--- a/gateway/src/stream.rs
+++ b/gateway/src/serve/stream.rs
@@ -3,7 +3,7 @@
 #[cfg(test)]
 mod tests;
 
-use crate::http::Framing;
+use crate::serve::http::Framing;
 
 /// Header in which a client or a gateway names the last event that it received.
 pub(crate) const LAST_EVENT_ID: &str = "Last-Event-Id";
--- a/gateway/src/stream/tests.rs
+++ b/gateway/src/serve/stream/tests.rs
@@ -1,5 +1,5 @@
 use super::{EventSplitter, append_data};
-use crate::http::Framing;
+use crate::serve::http::Framing;
 use googletest::prelude::*;
 
 #[googletest::test]
--- a/gateway/src/turn_call.rs
+++ b/gateway/src/serve/turn_call.rs
@@ -2,19 +2,19 @@
 //! checked before the first token, and a turn that can be continued is stored before the stream
 //! ends.
 
-use crate::call::Call;
 use crate::dialect::Dialect;
-use crate::event_stream::{ForwardedStream, StreamForwarder};
-use crate::forward::{EndpointAnswer, Exchange, OutgoingRequest};
-use crate::ledger::Denial;
 use crate::limits::MAX_TURN_INPUT_BYTES;
 use crate::net::with_timeout;
 use crate::node::Gateway;
-use crate::record::CompletedTurn;
-use crate::reply::{Refusal, Reply};
-use crate::reserved_turn::ReservedTurn;
 use crate::routes::Retention;
-use crate::stream::LAST_EVENT_ID;
+use crate::serve::call::Call;
+use crate::serve::event_stream::{ForwardedStream, StreamForwarder};
+use crate::serve::forward::{EndpointAnswer, Exchange, OutgoingRequest};
+use crate::serve::reply::{Refusal, Reply};
+use crate::serve::stream::LAST_EVENT_ID;
+use crate::turns::ledger::Denial;
+use crate::turns::record::CompletedTurn;
+use crate::turns::reserved_turn::ReservedTurn;
 use std::rc::Rc;
 use std::time::Duration;
 
--- a/gateway/src/follow.rs
+++ b/gateway/src/store/follow.rs
@@ -1,13 +1,13 @@
 //! Readers of the store's topics: turns, gateways, configuration and endpoints.
 
-use crate::crash_reports::quarantine_fingerprint;
 use crate::dialect::{
     Dialect, KeyValue, NewestPage, Offset, PartId, PartitionNumber, ReadOutcome, StoreRecord, Topic,
 };
+use crate::fleet::crash_reports::quarantine_fingerprint;
 use crate::node::Gateway;
-use crate::partition::Partition;
-use crate::record::decode;
-use crate::store::StoreLink;
+use crate::store::link::StoreLink;
+use crate::turns::partition::Partition;
+use crate::turns::record::decode;
 use smol::Timer;
 use std::collections::{HashMap, HashSet};
 use std::rc::Rc;
@@ -352,7 +352,7 @@
         }
     }
 
-    fn upsert_endpoint(&self, endpoint: crate::endpoints::EndpointRecord) {
+    fn upsert_endpoint(&self, endpoint: crate::choice::endpoints::EndpointRecord) {
         let id = endpoint.id.clone();
         let is_draining = endpoint.is_draining;
         let before = self.endpoints.borrow().record(&id).cloned();
--- a/gateway/src/store.rs
+++ b/gateway/src/store/link.rs
@@ -4,8 +4,8 @@
 mod tests;
 
 use crate::dialect::StoreCall;
-use crate::http::{BodyDecoder, Connection};
 use crate::net::{connect, io_with_timeout};
+use crate::serve::http::{BodyDecoder, Connection};
 use futures_lite::future;
 use smol::Timer;
 use std::cell::{Cell, RefCell};
--- a/gateway/src/commit.rs
+++ b/gateway/src/turns/commit.rs
@@ -9,7 +9,7 @@
 mod tests;
 
 use crate::dialect::{Append, AppendOutcome, Dialect, KeyValue, Offset, Topic};
-use crate::store::StoreLink;
+use crate::store::link::StoreLink;
 use queue::CommitQueue;
 use smol::Timer;
 use std::cell::Cell;
--- a/gateway/src/turns.rs
+++ b/gateway/src/turns/index.rs
@@ -9,7 +9,7 @@
 mod tests;
 
 use crate::dialect::{Offset, StoreRecord};
-use crate::record::{CompletedTurn, TurnRecord, decode};
+use crate::turns::record::{CompletedTurn, TurnRecord, decode};
 use smallvec::SmallVec;
 use std::collections::HashMap;
 use std::rc::Rc;
--- a/gateway/src/turns/tests.rs
+++ b/gateway/src/turns/index/tests.rs
@@ -1,6 +1,6 @@
 use super::{TurnIndex, completed_key, parse_key, reservation_key};
 use crate::dialect::StoreRecord;
-use crate::record::{CompletedTurn, TurnRecord, encode};
+use crate::turns::record::{CompletedTurn, TurnRecord, encode};
 use googletest::prelude::*;
 use smallvec::SmallVec;
 use std::time::{Duration, Instant};
--- a/gateway/src/ledger.rs
+++ b/gateway/src/turns/ledger.rs
@@ -3,15 +3,15 @@
 //! All functions here also work on a gateway that does not own the partition; it then reads the
 //! required records first.
 
-use crate::commit::PendingCommit;
 use crate::dialect::{Dialect, PartId, PartitionNumber};
+use crate::fleet::peers::PendingReply;
 use crate::net::with_timeout;
 use crate::node::Gateway;
-use crate::outage::max_wait;
-use crate::partition::{Partition, partition_of};
-use crate::peers::PendingReply;
-use crate::record::{CompletedTurn, TurnRecord, encode};
-use crate::turns::{Chain, WriterTag, completed_key, reservation_key};
+use crate::turns::commit::PendingCommit;
+use crate::turns::index::{Chain, WriterTag, completed_key, reservation_key};
+use crate::turns::outage::max_wait;
+use crate::turns::partition::{Partition, partition_of};
+use crate::turns::record::{CompletedTurn, TurnRecord, encode};
 use galenapick::stable_hash;
 use serde::{Deserialize, Serialize};
 use smallvec::SmallVec;
--- a/gateway/src/ledger_call.rs
+++ b/gateway/src/turns/ledger_call.rs
@@ -2,14 +2,14 @@
 //! gateway executes the operation itself.
 
 use crate::dialect::{Dialect, PartitionNumber};
-use crate::ledger::{
-    Denial, History, NewTurn, OwnerReply, OwnerRequest, PendingReservation, StartError, StartedTurn,
-};
+use crate::fleet::peers::PendingReply;
 use crate::net::with_timeout;
 use crate::node::Gateway;
-use crate::partition::{PARTITION_COUNT, partition_of};
-use crate::peers::PendingReply;
-use crate::record::CompletedTurn;
+use crate::turns::ledger::{
+    Denial, History, NewTurn, OwnerReply, OwnerRequest, PendingReservation, StartError, StartedTurn,
+};
+use crate::turns::partition::{PARTITION_COUNT, partition_of};
+use crate::turns::record::CompletedTurn;
 use futures_util::future::join_all;
 use std::net::SocketAddr;
 use std::rc::Rc;
--- a/gateway/src/partition.rs
+++ b/gateway/src/turns/partition.rs
@@ -6,10 +6,10 @@
 
 mod queued;
 
-use crate::commit::Committer;
 use crate::dialect::{Dialect, Offset, PartitionNumber, Topic};
 use crate::net::with_timeout;
-use crate::turns::TurnIndex;
+use crate::turns::commit::Committer;
+use crate::turns::index::TurnIndex;
 use galenapick::stable_hash;
 use queued::QueuedReservations;
 use serde::{Deserialize, Serialize};
--- a/gateway/src/reserved_turn.rs
+++ b/gateway/src/turns/reserved_turn.rs
@@ -1,9 +1,9 @@
 //! The tokens of one turn: reserved before it runs, settled when it ends.
 
-use crate::call::Call;
 use crate::dialect::Dialect;
-use crate::ledger::{NewTurn, PendingReservation};
 use crate::node::{Gateway, InFlightGuard};
+use crate::serve::call::Call;
+use crate::turns::ledger::{NewTurn, PendingReservation};
 use std::cell::{Cell, OnceCell};
 use std::rc::Rc;
 
