Identify client accounts by their API keys

Callers' keys were passed on to endpoints, requests with unknown keys were served and a client's own account header was forwarded. The configuration now holds accounts and public routes; a request of a deployment with accounts runs on the account of its key or is refused with 401, before each attempt again. Keys are kept as keyed hashes only, dropped from the head before it is forwarded, and appear in no log line or error of the parser. Settings carry the further terms of a deployment.

--- /dev/null
+++ b/gateway/src/admission/mod.rs
@@ -0,0 +1,3 @@
+//! Decisions whether a request is served. They have neither sockets nor a clock of their own.
+
+pub(crate) mod accounts;
--- a/gateway/src/dialect.rs
+++ b/gateway/src/dialect.rs
@@ -1,7 +1,7 @@
 //! Interface to a platform's dialect: the formats of its headers, documents and store calls.
 
 use crate::choice::endpoints::{EndpointRecord, ReportedLoad};
-use crate::routes::Configuration;
+use crate::routes::{Configuration, KeyHash};
 use crate::serve::http::Header;
 use galenapick::StatedLimit;
 use smallvec::SmallVec;
@@ -10,6 +10,18 @@
 /// Id of a prompt part.
 pub type PartId = u64;
 
+/// What a request says about the client account that sends it.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum Credential {
+    /// It has no credential.
+    #[default]
+    Absent,
+    /// It has one that is not exactly one API key.
+    Malformed,
+    /// It has an API key with this hash.
+    Key(KeyHash),
+}
+
 /// Contents of the headers of a client's request.
 #[derive(Clone, Debug, Default, PartialEq)]
 pub struct CallInfo {
@@ -37,6 +49,10 @@
     pub prompt_parts: SmallVec<[(PartId, u32); 4]>,
     /// Affinity key; requests with the same key concern the same object.
     pub affinity: Option<String>,
+    /// API key of the client account.
+    pub credential: Credential,
+    /// Line of turns within the program to which the request belongs.
+    pub session: Option<String>,
 }
 
 /// Contents of the headers of an endpoint's answer.
@@ -67,6 +83,8 @@
     pub time_left: Duration,
     /// Id of the instance that must run the request; any other instance must refuse it.
     pub instance: &'a str,
+    /// Name of the client account on which the request runs.
+    pub account: Option<&'a str>,
 }
 
 /// An HTTP request to the platform's store.
@@ -176,6 +194,10 @@
     /// Returns whether a request header is reserved; reserved headers of clients are not forwarded.
     fn is_reserved(name: &str) -> bool;
 
+    /// Returns whether a request header may hold an API key: any credential if the deployment has
+    /// accounts, otherwise one in the deployment's own format. Such a header is never forwarded.
+    fn is_credential(header: &Header, has_accounts: bool) -> bool;
+
     /// Appends to `out` the header lines that the gateway sets on a request to an endpoint.
     fn write_dispatch(dispatch: &Dispatch<'_>, out: &mut Vec<u8>);
 
--- a/gateway/src/lib.rs
+++ b/gateway/src/lib.rs
@@ -5,6 +5,7 @@
 //! One gateway normally owns each partition of that state. If the owner is lost, any other gateway
 //! continues without it immediately.
 
+mod admission;
 mod choice;
 mod counters;
 #[cfg(test)]
@@ -24,13 +25,13 @@
     CallOutcome, EndpointRecord, EndpointRequirements, Endpoints, InstanceId, ReportedLoad,
 };
 pub use dialect::{
-    AnswerInfo, Append, AppendOutcome, CallInfo, Dialect, Dispatch, KeyValue, NewestPage, Offset,
-    PartId, PartitionNumber, ReadOutcome, StoreCall, StoreRecord, Topic,
+    AnswerInfo, Append, AppendOutcome, CallInfo, Credential, Dialect, Dispatch, KeyValue,
+    NewestPage, Offset, PartId, PartitionNumber, ReadOutcome, StoreCall, StoreRecord, Topic,
 };
 pub use galenapick::{RequestRate, StatedLimit};
-pub use node::{GatewaySettings, SettingsReader, run_gateway};
+pub use node::{GatewaySettings, SettingsReader, Terms, run_gateway};
 pub use routes::{
-    ClientLimits, Configuration, ConfigurationVersion, EngineLimits, Retention, Route, RouteKind,
-    Routes, Service,
+    Account, AccountName, ClientLimits, Configuration, ConfigurationVersion, EngineLimits, KeyHash,
+    Quota, Retention, Route, RouteKind, Routes, Service,
 };
 pub use serve::http::Header;
--- a/gateway/src/node.rs
+++ b/gateway/src/node.rs
@@ -42,6 +42,24 @@
 /// Interval between reads of the settings, which may change without a signal.
 const SETTINGS_CHECK_INTERVAL: Duration = Duration::from_secs(2);
 
+/// Terms of a deployment that not every deployment has; by default there are none.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct Terms {
+    /// Length of the windows in which quotas are checked.
+    pub quota_window: Duration,
+    /// Share of a quota by which it may be exceeded in a window.
+    pub quota_overage: f64,
+    /// Number of requests by which a quota may be exceeded in a window, besides.
+    pub quota_slack: f64,
+    /// Time without confirmation of its configuration after which a gateway refuses requests with
+    /// keys; `None` if it never does.
+    pub strict_revocation: Option<Duration>,
+    /// Whether endpoints may have less room than callers ask for.
+    pub has_scarce_room: bool,
+    /// Whether endpoints may fail requests while they report to be healthy.
+    pub has_unreliable_health: bool,
+}
+
 /// Settings of a gateway.
 #[derive(Clone, Debug, PartialEq)]
 pub struct GatewaySettings {
@@ -64,6 +82,8 @@
     pub processor_share: f64,
     /// Memory available to the process; `None` if it is not limited.
     pub memory_bytes: Option<u64>,
+    /// Further terms of the deployment.
+    pub terms: Terms,
 }
 
 /// Counts one task that must finish before the process may end. Dropping the guard ends the count.
--- a/gateway/src/routes.rs
+++ b/gateway/src/routes.rs
@@ -1,8 +1,12 @@
 //! The active configuration: routes, services and limits.
 
+mod accounts;
 #[cfg(test)]
 mod tests;
 
+pub use accounts::{Account, AccountName, KeyHash, Quota};
+pub(crate) use accounts::{AccountTable, UnknownKey};
+
 use std::collections::HashMap;
 use std::rc::Rc;
 use std::time::Duration;
@@ -54,6 +58,8 @@
     pub longest_pause: Duration,
     /// Retention of the route's turns; `None` if they are not stored.
     pub retention: Option<Retention>,
+    /// Whether its requests need no API key.
+    pub is_public: bool,
     /// Services that run its requests, each with its weight; never empty.
     pub services: Vec<(Rc<str>, u32)>,
 }
@@ -117,6 +123,11 @@
     pub services: Vec<Service>,
     /// Limits on clients.
     pub limits: ClientLimits,
+    /// All client accounts; always empty unless `requires_keys`.
+    pub accounts: Vec<Account>,
+    /// Whether requests need an API key of an account, except on public routes. It stays true while
+    /// the configuration lists accounts but has none left.
+    pub requires_keys: bool,
 }
 
 /// The active configuration. Its version never decreases.
@@ -127,6 +138,7 @@
     by_host: HashMap<String, Vec<Rc<Route>>>,
     services: HashMap<Rc<str>, Service>,
     limits: ClientLimits,
+    accounts: AccountTable,
 }
 
 impl Routes {
@@ -140,6 +152,7 @@
         }
         self.version = Some(configuration.version);
         self.limits = configuration.limits;
+        self.accounts = AccountTable::new(configuration.accounts, configuration.requires_keys);
         self.by_host.clear();
         for route in configuration.routes {
             let host_routes = self.by_host.entry(route.host.clone()).or_default();
@@ -177,6 +190,11 @@
         found.cloned()
     }
 
+    /// Returns the active client accounts; none before the first configuration.
+    pub(crate) fn accounts(&self) -> &AccountTable {
+        &self.accounts
+    }
+
     /// Returns a service by name.
     pub fn service(&self, name: &str) -> Option<&Service> {
         self.services.get(name)
--- a/gateway/src/routes/tests.rs
+++ b/gateway/src/routes/tests.rs
@@ -16,6 +16,7 @@
         is_resumable: false,
         longest_pause: Duration::ZERO,
         retention: None,
+        is_public: false,
         services: vec![("a".into(), 90), ("b".into(), 10)],
     })
 }
--- a/gateway/src/serve/call.rs
+++ b/gateway/src/serve/call.rs
@@ -3,7 +3,7 @@
 use crate::choice::endpoints::InstanceId;
 use crate::dialect::{CallInfo, Dialect};
 use crate::node::Gateway;
-use crate::routes::{Route, RouteKind};
+use crate::routes::{Account, ConfigurationVersion, Route, RouteKind};
 use crate::serve::forward::{EndpointAnswer, Execution, MAX_ENDPOINTS_TRIED, OutgoingRequest};
 use crate::serve::http::{Framing, RequestHead};
 use crate::serve::reply::{Refusal, Reply, ReplyState};
@@ -27,6 +27,10 @@
     pub(crate) info: CallInfo,
     pub(crate) body: Vec<u8>,
     pub(crate) route: Rc<Route>,
+    /// Client account on which it runs; `None` if the route or the deployment needs none.
+    pub(crate) account: Option<Rc<Account>>,
+    /// Version of the configuration under which the account was found.
+    pub(crate) admitted_version: Option<ConfigurationVersion>,
     /// Identify the request over its attempts.
     pub(crate) fingerprints: Fingerprints,
     /// Whether it is sent once, although it crashed endpoints, to see whether it still does.
@@ -68,6 +72,13 @@
         self.deadline.saturating_duration_since(Instant::now())
     }
 
+    /// Returns its priority, 0 being the highest: that of its account, otherwise that of its route.
+    pub(crate) fn priority(&self) -> u32 {
+        let account = self.account.as_ref();
+        let priority = account.and_then(|account| account.priority);
+        priority.unwrap_or(self.route.priority)
+    }
+
     /// Returns the refusal of a request that has not run and cannot be served soon.
     pub(crate) fn refuse_during_outage(&self, reason: &'static str) -> Refusal {
         Refusal::retry_later(retry_delay(self.time_left(), fastrand::f64()), reason)
@@ -80,7 +91,8 @@
         };
         crate::event!("answered", "request" => self.id(),
             "program" => self.info.program.as_deref().unwrap_or_default(),
-            "route" => self.route.name.as_str(), "kind" => self.route.kind.to_string(),
+            "route" => self.route.name.as_str(), "account" => self.account_name(),
+            "priority" => self.priority(), "kind" => self.route.kind.to_string(),
             "endpoint" => self.endpoint.borrow().as_deref().unwrap_or_default(),
             "status" => reply.status(), "reply" => reply.state().to_string(),
             "framing" => self.framing.get().map_or_else(String::new, |framing| framing.to_string()),
@@ -97,6 +109,11 @@
         header.value.parse().ok()
     }
 
+    /// Returns the name of its account; empty if it has none.
+    pub(crate) fn account_name(&self) -> &str {
+        self.account.as_ref().map_or("", |account| &account.name)
+    }
+
     /// Returns the id of the client's attempt; empty if the client sent none.
     pub(crate) fn id(&self) -> &str {
         self.info.request_id.as_deref().unwrap_or_default()
--- a/gateway/src/serve/forward.rs
+++ b/gateway/src/serve/forward.rs
@@ -1,5 +1,6 @@
 //! Forwards a request to endpoints and determines whether the request may have run.
 
+mod account;
 mod failure;
 mod leaving;
 mod permit;
@@ -258,7 +259,8 @@
                         last = failure;
                     }
                     call.execution.set(last.execution);
-                    if last.execution == Execution::MayHaveRun && !is_retryable {
+                    let may_run_elsewhere = last.execution == Execution::NotRun || is_retryable;
+                    if !may_run_elsewhere || failure.is_account_refused() {
                         break;
                     }
                 }
@@ -314,6 +316,9 @@
         if !self.endpoints.borrow().takes_calls(&endpoint.id) {
             return Err(Failure::not_run("the endpoint is leaving"));
         }
+        if let Some(failure) = self.recheck_account(call) {
+            return Err(failure);
+        }
         let request = self.request_bytes(outgoing, &endpoint.id);
         call.execution.set(Execution::MayHaveRun);
         call.send_count.set(call.send_count.get() + 1);
@@ -407,6 +412,7 @@
         let dispatch = Dispatch {
             time_left: call.time_left(),
             instance,
+            account: call.account.as_ref().map(|account| &*account.name),
         };
         D::write_dispatch(&dispatch, &mut bytes);
         bytes.extend_from_slice(b"\r\n");
--- a/gateway/src/serve/forward/failure.rs
+++ b/gateway/src/serve/forward/failure.rs
@@ -9,6 +9,10 @@
 /// fraction of the usual call duration.
 const RETRY_AFTER: Duration = Duration::from_millis(150);
 
+/// `Retry-After` delay of a request whose key has moved to another account. That account is in force
+/// here already.
+const KEY_MOVED_RETRY_AFTER: Duration = Duration::from_millis(50);
+
 /// Whether a request may have been executed.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, strum::Display)]
 #[strum(serialize_all = "kebab-case")]
@@ -39,6 +43,10 @@
     Quarantined(Duration),
     /// The endpoints take no more requests for this long.
     RateLimited(Duration),
+    /// No account has the request's key any more.
+    KeyRevoked,
+    /// The request's key now belongs to another account.
+    KeyMoved,
 }
 
 impl Failure {
@@ -66,6 +74,14 @@
         }
     }
 
+    /// Returns whether the request must not be sent because of its account.
+    pub(super) fn is_account_refused(&self) -> bool {
+        matches!(
+            self.cause,
+            FailureCause::KeyRevoked | FailureCause::KeyMoved
+        )
+    }
+
     /// Returns what the failure of a request that was sent says of the endpoint.
     pub(super) fn outcome(&self) -> CallOutcome {
         match self.cause {
@@ -77,6 +93,10 @@
     /// Returns the reply to send to the client.
     pub(crate) fn refusal(&self, call: &Call) -> Refusal {
         match (self.execution, self.cause) {
+            (Execution::NotRun, FailureCause::KeyRevoked) => Refusal::new(401, self.reason),
+            (Execution::NotRun, FailureCause::KeyMoved) => {
+                Refusal::retry_later(KEY_MOVED_RETRY_AFTER, self.reason)
+            }
             (Execution::NotRun, FailureCause::NoEndpoint) => call.refuse_during_outage(self.reason),
             (
                 Execution::NotRun,
--- a/gateway/src/serve/forward/permit.rs
+++ b/gateway/src/serve/forward/permit.rs
@@ -146,7 +146,7 @@
             is_under_way: info.previous_turn.is_some()
                 || call.send_count.get() > 0
                 || info.program.as_ref().is_some_and(is_begun),
-            priority: call.route.priority,
+            priority: call.priority(),
         }
     }
 }
--- a/gateway/src/serve/forward/quarantine.rs
+++ b/gateway/src/serve/forward/quarantine.rs
@@ -7,6 +7,7 @@
 use crate::choice::endpoints::{CallOutcome, EndpointRecord};
 use crate::dialect::{AnswerInfo, Dialect};
 use crate::node::Gateway;
+use crate::routes::Account;
 use crate::serve::call::Call;
 use crate::serve::http::{Framing, RequestHead, ResponseHead};
 use crate::serve::reply::Refusal;
@@ -22,7 +23,18 @@
 const MIN_RETRY_AFTER: Duration = Duration::from_secs(1);
 
 /// Returns the fingerprints of a request as the client sent it.
-pub(crate) fn fingerprints(head: &RequestHead, body: &[u8]) -> Fingerprints {
+///
+/// Requests of different client accounts have different ones. Where the deployment has no accounts,
+/// the credential stands for the account.
+pub(crate) fn fingerprints(
+    head: &RequestHead,
+    body: &[u8],
+    account: Option<&Account>,
+) -> Fingerprints {
+    if let Some(account) = account {
+        let target = (&head.method, &head.host, &head.target, None::<&str>);
+        return crashes::fingerprints((target, &*account.name), body);
+    }
     let mut headers = head.headers.iter();
     let credential = headers.find(|header| header.is("authorization"));
     let credential = credential.map(|header| header.value.as_str());
--- a/gateway/src/serve/front.rs
+++ b/gateway/src/serve/front.rs
@@ -189,7 +189,12 @@
         })
     }
 
-    async fn answer(self: &Rc<Self>, request: Request, connection: &mut Connection, reply: &Reply) {
+    async fn answer(
+        self: &Rc<Self>,
+        mut request: Request,
+        connection: &mut Connection,
+        reply: &Reply,
+    ) {
         if !request.head.keep_alive {
             reply.close_after_answer();
         }
@@ -197,18 +202,24 @@
             Ok(route) => route,
             Err(refusal) => {
                 crate::event!("not_routed", "host" => request.head.host.as_str(),
-                    "target" => request.head.target.as_str(), "status" => refusal.status);
+                    "target" => loggable_target(&request.head.target), "status" => refusal.status);
                 return reply.refuse(&refusal).await;
             }
         };
         let info = D::parse_call(&request.head.headers);
+        let account = match self.admit(&route, &info) {
+            Ok(account) => account,
+            Err(refusal) => return reply.refuse(&refusal).await,
+        };
+        let fingerprints = fingerprints(&request.head, &request.body, account.as_deref());
+        self.remove_credentials(&mut request.head);
         let client_timeout = info
             .client_timeout
             .unwrap_or(route.timeout)
             .min(route.timeout);
         let call = Call {
             deadline: request.started_at + client_timeout,
-            fingerprints: fingerprints(&request.head, &request.body),
+            fingerprints,
             is_trial: Cell::new(false),
             received_at: request.started_at,
             head: request.head,
@@ -223,6 +234,8 @@
             framing: Cell::new(None),
             info,
             route,
+            account,
+            admitted_version: self.routes.borrow().version(),
         };
         let disconnect = async {
             self.wait_for_disconnect(connection, reply).await;
@@ -256,6 +269,13 @@
     }
 }
 
+/// Returns the first segment of a target's path. The rest may hold a key that a client put there.
+fn loggable_target(target: &str) -> &str {
+    let path = target.split(['?', '#']).next().unwrap_or_default();
+    let first_segment_end = path.match_indices('/').nth(1);
+    first_segment_end.map_or(path, |(end, _)| &path[..=end])
+}
+
 async fn read_head(
     connection: &mut Connection,
     limit_bytes: usize,
--- a/gateway/src/serve/http/head.rs
+++ b/gateway/src/serve/http/head.rs
@@ -1,12 +1,13 @@
 //! Strict parsing of request heads; ambiguous heads are refused.
 
 use super::connection_tokens;
+use std::fmt::{self, Debug, Formatter};
 
 /// Maximum number of headers.
 const MAX_HEADERS: usize = 96;
 
 /// A header line.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, PartialEq, Eq)]
 pub struct Header {
     /// Name in the case in which it was received.
     pub name: String,
@@ -14,6 +15,13 @@
     pub value: String,
 }
 
+/// Shows no value, since values hold credentials.
+impl Debug for Header {
+    fn fmt(&self, formatter: &mut Formatter<'_>) -> fmt::Result {
+        write!(formatter, "{}: ({} bytes)", self.name, self.value.len())
+    }
+}
+
 impl Header {
     /// Returns whether the header has this name, ignoring case.
     pub fn is(&self, name: &str) -> bool {
--- a/gateway/src/serve/mod.rs
+++ b/gateway/src/serve/mod.rs
@@ -1,5 +1,6 @@
 //! Requests of clients, one at a time: sockets, forwarding to endpoints, answers.
 
+mod admit;
 pub(crate) mod call;
 pub(crate) mod event_stream;
 pub(crate) mod forward;
--- a/gateway/src/serve/reply.rs
+++ b/gateway/src/serve/reply.rs
@@ -220,10 +220,12 @@
     match status {
         200 => "OK",
         400 => "Bad Request",
+        401 => "Unauthorized",
         402 => "Payment Required",
         404 => "Not Found",
         408 => "Request Timeout",
         413 => "Content Too Large",
+        429 => "Too Many Requests",
         431 => "Request Header Fields Too Large",
         502 => "Bad Gateway",
         503 => "Service Unavailable",
--- a/gateway/src/store/follow.rs
+++ b/gateway/src/store/follow.rs
@@ -287,7 +287,12 @@
                 Ok(configuration) => {
                     let version = configuration.version;
                     if self.routes.borrow_mut().apply(configuration) {
-                        crate::event!("configuration_in_force", "version" => version);
+                        let routes = self.routes.borrow();
+                        let accounts = routes.accounts();
+                        crate::event!("configuration_in_force", "version" => version,
+                            "accounts" => accounts.accounts().len(),
+                            "keys" => accounts.key_count(),
+                            "keys_of_several_accounts" => accounts.shared_key_count());
                     }
                 }
                 Err(error) => crate::event!("configuration_unreadable", "error" => error),
