Keep turns, programs and budgets of client accounts apart

One account could continue another's turns, and two accounts that used one request id or program id shared a budget, the begun programs and quarantined requests. Ids are scoped by the account where the ledger is called; its messages and records stay as they are and records of before are read. The record of a completed turn names its account.

--- a/gateway/src/serve/call.rs
+++ b/gateway/src/serve/call.rs
@@ -164,7 +164,9 @@
             self.answer_unfinished(call, reply, reason).await;
         }
         if let (200..=299, Some(program)) = (reply.status(), &call.info.program) {
-            self.begun_programs.borrow_mut().insert(program);
+            self.begun_programs
+                .borrow_mut()
+                .insert(call.account_name(), program);
         }
         let duration = call.received_at.elapsed();
         self.counters
--- a/gateway/src/serve/forward/permit.rs
+++ b/gateway/src/serve/forward/permit.rs
@@ -140,7 +140,10 @@
         let info = &call.info;
         let is_begun = |program: &String| {
             call.route.kind != RouteKind::Streaming
-                || self.begun_programs.borrow().contains(program)
+                || self
+                    .begun_programs
+                    .borrow()
+                    .contains(call.account_name(), program)
         };
         Urgency {
             is_under_way: info.previous_turn.is_some()
--- a/gateway/src/serve/turn_call.rs
+++ b/gateway/src/serve/turn_call.rs
@@ -15,16 +15,24 @@
 use crate::turns::ledger::Denial;
 use crate::turns::record::CompletedTurn;
 use crate::turns::reserved_turn::ReservedTurn;
+use crate::turns::scope::MAX_PREFIX_BYTES;
 use std::rc::Rc;
 use std::time::Duration;
 
 /// Maximum wait for the confirmation of a reservation before the turn runs.
 const RESERVATION_TIMEOUT: Duration = Duration::from_millis(1_200);
 
-/// Maximum length of a turn id. Keys in the store are limited to 255 bytes, some of which are
-/// prefixes.
+/// Maximum length of a turn id.
 const MAX_TURN_ID_BYTES: usize = 200;
 
+/// Maximum length of a key in the store, which holds a turn id with prefixes.
+const MAX_KEY_BYTES: usize = 255;
+
+/// Maximum length of the prefix of a key, besides that of the account.
+const MAX_KEY_PREFIX_BYTES: usize = 3;
+
+const _: () = assert!(MAX_TURN_ID_BYTES + MAX_PREFIX_BYTES + MAX_KEY_PREFIX_BYTES <= MAX_KEY_BYTES);
+
 /// Estimated length of an answer if the client gives none.
 const DEFAULT_ANSWER_TOKENS: u32 = 70;
 
@@ -175,14 +183,18 @@
         let completed = CompletedTurn {
             program: reserved.new_turn.program.clone(),
             spent_tokens,
-            previous: call.info.previous_turn.clone(),
+            previous: reserved.new_turn.previous.clone(),
+            account: call
+                .account
+                .as_ref()
+                .map(|account| account.name.to_string()),
             endpoint: endpoint.to_string(),
             prompt_parts,
             retention_ms: retention.duration.as_millis() as u64,
             text,
         };
         reserved.mark_settled();
-        self.complete_turn(call.id(), completed).await;
+        self.complete_turn(&reserved.new_turn.turn, completed).await;
     }
 }
 
--- a/gateway/src/turns/index/tests.rs
+++ b/gateway/src/turns/index/tests.rs
@@ -57,6 +57,7 @@
             endpoint: "e".to_owned(),
             prompt_parts: SmallVec::new(),
             retention_ms: 60_000,
+            account: None,
             text: turn.as_bytes().to_vec(),
         };
         self.append(&completed_key(turn), Some(TurnRecord::Completed(completed)));
--- a/gateway/src/turns/ledger.rs
+++ b/gateway/src/turns/ledger.rs
@@ -12,6 +12,7 @@
 use crate::turns::outage::max_wait;
 use crate::turns::partition::{Partition, partition_of};
 use crate::turns::record::{CompletedTurn, TurnRecord, encode};
+use crate::turns::scope::client_id;
 use galenapick::stable_hash;
 use serde::{Deserialize, Serialize};
 use smallvec::SmallVec;
@@ -32,8 +33,9 @@
 /// A turn that is about to start.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub(crate) struct NewTurn {
-    /// Id of the turn: the request id of the client's request.
+    /// Id of the turn: the request id of the client's request, scoped to its account.
     pub(crate) turn: String,
+    /// Program of the turn, scoped to the account.
     pub(crate) program: String,
     /// Id of the turn that it continues.
     pub(crate) previous: Option<String>,
@@ -321,8 +323,8 @@
         let index = partition.index.borrow();
         let is_confirmed = index.is_within_budget(&new_turn.turn, budget_tokens);
         if !is_confirmed {
-            crate::event!("reservation_denied", "request" => new_turn.turn.as_str(),
-                "program" => new_turn.program.as_str(), "offset" => offset,
+            crate::event!("reservation_denied", "request" => client_id(&new_turn.turn),
+                "program" => client_id(&new_turn.program), "offset" => offset,
                 "committed_tokens" => index.charged_tokens(&new_turn.program),
                 "budget_tokens" => budget_tokens);
         }
--- a/gateway/src/turns/ledger_call.rs
+++ b/gateway/src/turns/ledger_call.rs
@@ -10,6 +10,7 @@
 };
 use crate::turns::partition::{PARTITION_COUNT, partition_of};
 use crate::turns::record::CompletedTurn;
+use crate::turns::scope::client_id;
 use futures_util::future::join_all;
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -231,7 +232,7 @@
         turn: &str,
         reply: Option<OwnerReply>,
     ) {
-        crate::event!("owner_missed", "request" => turn, "part" => operation,
+        crate::event!("owner_missed", "request" => client_id(turn), "part" => operation,
             "owner" => owner.to_string(), "has_answered" => reply.is_some());
     }
 }
--- a/gateway/src/turns/mod.rs
+++ b/gateway/src/turns/mod.rs
@@ -9,3 +9,4 @@
 pub(crate) mod programs;
 pub(crate) mod record;
 pub(crate) mod reserved_turn;
+pub(crate) mod scope;
--- a/gateway/src/turns/programs.rs
+++ b/gateway/src/turns/programs.rs
@@ -21,17 +21,18 @@
 }
 
 impl BegunPrograms {
-    /// Records that a request of a program was answered.
-    pub(crate) fn insert(&mut self, program: &str) {
+    /// Records that a request of an account's program was answered. The account is empty if the
+    /// request has none.
+    pub(crate) fn insert(&mut self, account: &str, program: &str) {
         if self.recent.len() >= GENERATION_PROGRAMS {
             self.older = mem::take(&mut self.recent);
         }
-        self.recent.insert(stable_hash(program));
+        self.recent.insert(stable_hash((account, program)));
     }
 
-    /// Returns whether a program has begun, as far as is known here.
-    pub(crate) fn contains(&self, program: &str) -> bool {
-        let hash = stable_hash(program);
+    /// Returns whether an account's program has begun, as far as is known here.
+    pub(crate) fn contains(&self, account: &str, program: &str) -> bool {
+        let hash = stable_hash((account, program));
         self.recent.contains(&hash) || self.older.contains(&hash)
     }
 }
--- a/gateway/src/turns/record.rs
+++ b/gateway/src/turns/record.rs
@@ -1,5 +1,8 @@
 //! Record formats of the turns topic and the gateways topic.
 
+#[cfg(test)]
+mod tests;
+
 use crate::dialect::PartId;
 use galenapick::crashes::Lifetime;
 use serde::{Deserialize, Serialize};
@@ -34,11 +37,11 @@
 }
 
 /// A completed turn that a later turn can continue.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub(crate) struct CompletedTurn {
     pub(crate) program: String,
     pub(crate) spent_tokens: u64,
-    /// Id of the preceding turn; `None` for the first turn of a chain.
+    /// Scoped id of the preceding turn; `None` for the first turn of a chain.
     pub(crate) previous: Option<String>,
     /// Endpoint that ran the turn and therefore has its prompt cached.
     pub(crate) endpoint: String,
@@ -47,6 +50,10 @@
     /// Time for which the turn can be continued, in milliseconds.
     #[serde(rename = "keep_ms")]
     pub(crate) retention_ms: u64,
+    /// Name of the client account whose turn it is; records of an earlier version and turns without
+    /// an account lack it.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub(crate) account: Option<String>,
     /// Input of the turn, followed by the data of each event and a line feed.
     #[serde(with = "serde_bytes")]
     pub(crate) text: Vec<u8>,
--- a/gateway/src/turns/reserved_turn.rs
+++ b/gateway/src/turns/reserved_turn.rs
@@ -4,6 +4,7 @@
 use crate::node::{Gateway, InFlightGuard};
 use crate::serve::call::Call;
 use crate::turns::ledger::{NewTurn, PendingReservation};
+use crate::turns::scope::scoped_id;
 use std::cell::{Cell, OnceCell};
 use std::rc::Rc;
 
@@ -29,11 +30,13 @@
 impl<D: Dialect> ReservedTurn<D> {
     pub(crate) fn new(gateway: &Rc<Gateway<D>>, call: &Call) -> Self {
         let info = &call.info;
+        let account = call.account.as_deref();
         let is_kept = call.route.retention.is_some();
+        let previous = info.previous_turn.as_deref().filter(|_| is_kept);
         let new_turn = NewTurn {
-            turn: call.id().to_owned(),
-            program: info.program.clone().unwrap_or_default(),
-            previous: info.previous_turn.clone().filter(|_| is_kept),
+            turn: scoped_id(account, call.id()),
+            program: scoped_id(account, info.program.as_deref().unwrap_or_default()),
+            previous: previous.map(|turn| scoped_id(account, turn)),
             max_tokens: info
                 .tokens
                 .map_or(0, |(_, max_tokens)| u64::from(max_tokens)),
