Carry reports between gateways by one module

Four kinds of datagrams (heartbeats with counts, crash reports, limits, permits) each held the socket, encoded and tagged themselves, and read their own tags, tied in one circle of imports with the heartbeats' receiver. Now fleet/carrier.rs alone knows socket, peers, size and delay; a kind is a type with a tag (trait Report), and fleet/reception.rs passes what arrives on. Wire formats and delays are unchanged; datagrams and bytes by tag are new metrics.

--- a/gateway/src/counters.rs
+++ b/gateway/src/counters.rs
@@ -117,7 +117,7 @@
     }
 }
 
-fn write_metric(text: &mut String, name: &str, labels: &str, value: u64) {
+pub(crate) fn write_metric(text: &mut String, name: &str, labels: &str, value: u64) {
     let labels = if labels.is_empty() {
         String::new()
     } else {
--- a/gateway/src/fleet/crash_reports.rs
+++ b/gateway/src/fleet/crash_reports.rs
@@ -5,21 +5,27 @@
 mod tests;
 
 use crate::dialect::{Append, AppendOutcome, Dialect, KeyValue, Topic};
-use crate::fleet::gossip::report_delay;
+use crate::fleet::carrier::Report;
 use crate::node::Gateway;
 use crate::turns::record::{QuarantineRecord, decode, encode};
 use event_listener::Event;
 use galenapick::crashes::{Claimant, CrashReport, Fingerprint};
 use galenapick::stable_hash;
+use serde::{Deserialize, Serialize};
 use smol::Timer;
-use smol::net::UdpSocket;
 use std::collections::BTreeSet;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
-/// First byte of a datagram with crash reports. No heartbeat begins with it, as each is an array.
-pub(crate) const CRASH_REPORTS_TAG: u8 = b'C';
+/// Reports of requests that crash endpoints, as they are sent.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+#[serde(transparent)]
+pub(super) struct CrashReports(Vec<CrashReport>);
+
+impl Report for CrashReports {
+    const TAG: u8 = b'C';
+}
 
 /// Maximum number of reports in a datagram; together they take at most 4 KB.
 pub(crate) const MAX_REPORTS: usize = 24;
@@ -104,24 +110,19 @@
     }
 
     /// Sends crash reports to all peers until the process ends.
-    pub(crate) async fn send_crash_reports(self: Rc<Self>, socket: UdpSocket) {
+    pub(crate) async fn send_crash_reports(self: Rc<Self>) {
         loop {
             let changed = self.crash_sync.changed.listen();
             let reports = self
                 .crashes
                 .borrow_mut()
                 .due_reports(Instant::now(), MAX_REPORTS);
-            let addresses = self.gossip.all_addresses();
             if !reports.is_empty() {
-                let mut datagram = vec![CRASH_REPORTS_TAG];
-                datagram.extend(encode(&reports));
-                for address in &addresses {
-                    // A lost datagram needs no retry here, because reports are repeated.
-                    let _ = socket.send_to(&datagram, address).await;
-                }
+                // A lost datagram needs no retry here, because reports are repeated.
+                self.carrier.send_to_all(&CrashReports(reports)).await;
             }
             if self.crashes.borrow().has_reports() {
-                Timer::after(report_delay(addresses.len())).await;
+                Timer::after(self.carrier.report_delay()).await;
             } else {
                 changed.await;
             }
@@ -137,26 +138,21 @@
     /// report waits for the previous one, and a claim may come just before that of this gateway
     /// arrives.
     pub(crate) fn claim_time(&self) -> Duration {
-        match self.gossip.all_addresses().len() {
-            0 => Duration::ZERO,
-            peers => report_delay(peers) * 2 + MAX_REPORT_TRANSIT,
+        if self.carrier.peers().is_empty() {
+            return Duration::ZERO;
         }
+        self.carrier.report_delay() * 2 + MAX_REPORT_TRANSIT
     }
 
-    /// Merges the reports in a datagram, without its tag. The gateway that owns the first partition
+    /// Merges the reports of a peer. The gateway that owns the first partition
     /// has quarantines stored that only the reports of several gateways together cause.
-    pub(crate) fn receive_crash_reports(&self, datagram: &[u8], from: SocketAddr) {
-        match decode::<Vec<CrashReport>>(datagram) {
-            Ok(reports) => {
-                for report in reports.iter().take(MAX_REPORTS_READ) {
-                    let is_quarantined = self.merge_crash_report(report, &from.to_string());
-                    // Gateways that saw crashes at the same time all learn of the last one so.
-                    if is_quarantined && self.owns(0) {
-                        self.crash_sync.enqueue(report.fingerprint);
-                    }
-                }
+    pub(super) fn receive_crash_reports(&self, reports: &CrashReports, from: SocketAddr) {
+        for report in reports.0.iter().take(MAX_REPORTS_READ) {
+            let is_quarantined = self.merge_crash_report(report, &from.to_string());
+            // Gateways that saw crashes at the same time all learn of the last one so.
+            if is_quarantined && self.owns(0) {
+                self.crash_sync.enqueue(report.fingerprint);
             }
-            Err(error) => crate::event!("datagram_unreadable", "error" => error),
         }
     }
 
--- a/gateway/src/fleet/crash_reports/tests.rs
+++ b/gateway/src/fleet/crash_reports/tests.rs
@@ -1,4 +1,5 @@
-use super::{CRASH_REPORTS_TAG, MAX_REPORTS};
+use super::{CrashReports, MAX_REPORTS};
+use crate::fleet::carrier::{Report, to_datagram};
 use crate::fleet::gossip::is_readable_heartbeat;
 use crate::turns::record::{decode, encode};
 use galenapick::crashes::{
@@ -34,7 +35,9 @@
     let datagram = encode(&reports);
     expect_that!(datagram.len(), le(4 * 1024));
     expect_that!(decode::<Vec<CrashReport>>(&datagram), ok(eq(&reports)));
-    expect_that!(is_readable_heartbeat(&[CRASH_REPORTS_TAG]), eq(false));
+    expect_that!(is_readable_heartbeat(&[CrashReports::TAG]), eq(false));
+    let tagged = [&[CrashReports::TAG], &*datagram].concat();
+    expect_that!(to_datagram(&CrashReports(reports)), eq(&tagged));
 }
 
 /// A report as the earlier version writes and reads it.
--- a/gateway/src/fleet/gossip.rs
+++ b/gateway/src/fleet/gossip.rs
@@ -9,18 +9,14 @@
 
 use crate::choice::endpoints::InstanceTag;
 use crate::dialect::{Append, AppendOutcome, Dialect, Topic};
-use crate::fleet::crash_reports::CRASH_REPORTS_TAG;
-use crate::fleet::limit_reports::LIMIT_REPORTS_TAG;
+use crate::fleet::carrier::{MAX_REPORT_DELAY, MIN_REPORT_DELAY, report_delay};
 use crate::fleet::owners::{Candidate, Location};
-use crate::fleet::permits::{PERMIT_REPLY_TAG, PERMIT_REQUEST_TAG};
 use crate::node::Gateway;
-use crate::turns::record::{GatewayRecord, decode, encode};
-pub(crate) use heartbeat::GatewayState;
-use heartbeat::Heartbeat;
+use crate::turns::record::{GatewayRecord, encode};
 #[cfg(test)]
 pub(crate) use heartbeat::is_readable_heartbeat;
+pub(crate) use heartbeat::{GatewayState, Heartbeat};
 use smol::Timer;
-use smol::net::UdpSocket;
 use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
 use std::net::SocketAddr;
@@ -28,18 +24,11 @@
 use std::time::{Duration, Instant};
 use strum::IntoEnumIterator;
 
-/// Interval between heartbeats while counts change, short compared with the duration of a call.
-pub(crate) const HEARTBEAT_INTERVAL: Duration = Duration::from_millis(40);
-
-/// Minimum interval per peer of a group, so that large sites do not overload small VMs. A datagram
-/// takes about 10 us at each end.
-pub(crate) const INTERVAL_PER_PEER: Duration = Duration::from_millis(3);
+/// Interval between heartbeats while counts change.
+const HEARTBEAT_INTERVAL: Duration = MIN_REPORT_DELAY;
 
 /// Interval between heartbeats while nothing changes, and the longest one while something does.
-pub(crate) const IDLE_HEARTBEAT_INTERVAL: Duration = Duration::from_millis(400);
-
-/// Maximum size of a datagram.
-const MAX_DATAGRAM_BYTES: usize = 16 * 1024;
+const IDLE_HEARTBEAT_INTERVAL: Duration = MAX_REPORT_DELAY;
 
 /// Time without a heartbeat after which a peer is forgotten. It covers two announcements, so that
 /// gateways that were disconnected for long find each other again.
@@ -283,9 +272,7 @@
         let Some(sent_at) = self.sent_at else {
             return true;
         };
-        let peers = u32::try_from(peers).unwrap_or(u32::MAX);
-        let interval =
-            (INTERVAL_PER_PEER * peers).clamp(HEARTBEAT_INTERVAL, IDLE_HEARTBEAT_INTERVAL);
+        let interval = report_delay(peers);
         let is_same = self.state == heartbeat.state && self.calls == heartbeat.calls;
         let interval = if is_same {
             interval.max(IDLE_HEARTBEAT_INTERVAL)
@@ -335,7 +322,7 @@
     }
 
     /// Sends heartbeats to all peers until the process ends.
-    pub(crate) async fn send_heartbeats(self: Rc<Self>, socket: UdpSocket) {
+    pub(crate) async fn send_heartbeats(self: Rc<Self>) {
         let mut number = 0;
         let groups = PeerGroup::iter().map(|group| (group, LastHeartbeat::default()));
         let mut last_sent: Vec<(PeerGroup, LastHeartbeat)> = groups.collect();
@@ -345,6 +332,7 @@
             self.store_paths.set_relays(self.gossip.relays(now));
             self.endpoints.borrow_mut().expire_peer_counts(now);
             self.gossip.forget_silent_peers(now);
+            self.update_carrier_peers();
             if self.gossip.has_new_peer.take() {
                 for (_, last_sent) in &mut last_sent {
                     *last_sent = LastHeartbeat::default();
@@ -366,12 +354,8 @@
                 if !last_sent.is_due(now, &heartbeat, addresses.len()) {
                     continue;
                 }
-                let datagram = encode(&heartbeat);
-                for address in addresses {
-                    // A lost datagram needs no retry, because the next one contains all counts
-                    // again.
-                    let _ = socket.send_to(&datagram, address).await;
-                }
+                // A lost datagram needs no retry, because the next one contains all counts again.
+                self.carrier.send_each(&addresses, &heartbeat).await;
                 *last_sent = LastHeartbeat {
                     state: heartbeat.state,
                     calls: heartbeat.calls.clone(),
@@ -381,57 +365,20 @@
         }
     }
 
-    /// Receives the peers' datagrams until the process ends.
-    pub(crate) async fn receive_datagrams(self: Rc<Self>, socket: UdpSocket) {
-        let mut buffer = vec![0; MAX_DATAGRAM_BYTES];
-        loop {
-            let (length, from) = match socket.recv_from(&mut buffer).await {
-                Ok(received) => received,
-                Err(error) => {
-                    crate::event!("datagrams_failed", "error" => error.to_string());
-                    Timer::after(IDLE_HEARTBEAT_INTERVAL).await;
-                    continue;
-                }
-            };
-            let datagram = &buffer[..length];
-            match datagram.split_first() {
-                Some((&CRASH_REPORTS_TAG, reports)) => {
-                    self.receive_crash_reports(reports, from);
-                    continue;
-                }
-                Some((&LIMIT_REPORTS_TAG, reports)) => {
-                    self.receive_limit_reports(reports);
-                    continue;
-                }
-                Some((&PERMIT_REQUEST_TAG, request)) => {
-                    let decide = self.clone().receive_permit_request(request.to_vec(), from);
-                    self.executor.spawn(decide).detach();
-                    continue;
-                }
-                Some((&PERMIT_REPLY_TAG, reply)) => {
-                    self.receive_permit_reply(reply);
-                    continue;
-                }
-                _ => {}
-            }
-            let heartbeat: Heartbeat = match decode(datagram) {
-                Ok(heartbeat) => heartbeat,
-                Err(error) => {
-                    crate::event!("datagram_unreadable", "error" => error);
-                    continue;
-                }
-            };
-            if self.gossip.receive(&heartbeat, from) {
-                let mut endpoints = self.endpoints.borrow_mut();
-                endpoints.set_peer_counts(Instant::now(), &heartbeat.gateway, heartbeat.calls);
-            }
+    /// Takes in a heartbeat of a peer.
+    pub(super) fn receive_heartbeat(&self, heartbeat: Heartbeat, from: SocketAddr) {
+        let is_newer = self.gossip.receive(&heartbeat, from);
+        if self.gossip.has_new_peer.get() {
+            self.update_carrier_peers();
+        }
+        if is_newer {
+            let mut endpoints = self.endpoints.borrow_mut();
+            endpoints.set_peer_counts(Instant::now(), &heartbeat.gateway, heartbeat.calls);
         }
     }
-}
 
-/// Returns the time between two datagrams to this number of peers.
-pub(crate) fn report_delay(peers: usize) -> Duration {
-    let peers = u32::try_from(peers).unwrap_or(u32::MAX);
-    let delay = INTERVAL_PER_PEER.saturating_mul(peers);
-    delay.clamp(HEARTBEAT_INTERVAL, IDLE_HEARTBEAT_INTERVAL)
+    /// Tells the carrier the addresses of the peers.
+    pub(crate) fn update_carrier_peers(&self) {
+        self.carrier.set_peers(self.gossip.all_addresses());
+    }
 }
--- a/gateway/src/fleet/gossip/heartbeat.rs
+++ b/gateway/src/fleet/gossip/heartbeat.rs
@@ -1,6 +1,7 @@
 //! Content of heartbeats.
 
 use crate::choice::endpoints::InstanceTag;
+use crate::fleet::carrier::Report;
 use crate::turns::partition::PartitionSet;
 #[cfg(test)]
 use crate::turns::record::decode;
@@ -9,13 +10,13 @@
 /// A heartbeat of one gateway.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(from = "Datagram", into = "Datagram")]
-pub(super) struct Heartbeat {
-    pub(super) gateway: String,
-    pub(super) incarnation: u64,
+pub(crate) struct Heartbeat {
+    pub(in crate::fleet) gateway: String,
+    pub(in crate::fleet) incarnation: u64,
     /// Sequence number within an incarnation. Heartbeats that arrive out of order are dropped.
-    pub(super) number: u64,
-    pub(super) state: GatewayState,
-    pub(super) calls: Vec<(InstanceTag, u32)>,
+    pub(in crate::fleet) number: u64,
+    pub(in crate::fleet) state: GatewayState,
+    pub(in crate::fleet) calls: Vec<(InstanceTag, u32)>,
 }
 
 /// Wire format of a heartbeat. It omits the field names, which would take most of the datagram.
@@ -25,6 +26,13 @@
     Vec<(InstanceTag, u32)>,
 );
 
+impl Report for Heartbeat {
+    /// Head of an array of three elements, with which each encoding begins.
+    const TAG: u8 = 0x83;
+
+    const IS_TAG_ENCODED: bool = true;
+}
+
 impl From<Heartbeat> for Datagram {
     fn from(heartbeat: Heartbeat) -> Self {
         let state = heartbeat.state;
--- a/gateway/src/fleet/gossip/tests.rs
+++ b/gateway/src/fleet/gossip/tests.rs
@@ -1,7 +1,8 @@
 use super::{
-    GatewayState, Gossip, HEARTBEAT_INTERVAL, Heartbeat, IDLE_HEARTBEAT_INTERVAL,
-    INTERVAL_PER_PEER, LastHeartbeat, PeerGroup, encode,
+    GatewayState, Gossip, HEARTBEAT_INTERVAL, Heartbeat, IDLE_HEARTBEAT_INTERVAL, LastHeartbeat,
+    PeerGroup, encode,
 };
+use crate::fleet::carrier::DELAY_PER_PEER;
 use crate::turns::record::{GatewayRecord, decode};
 use googletest::prelude::*;
 use std::time::{Duration, Instant};
@@ -55,7 +56,7 @@
     let now = Instant::now();
     let last_sent = last_sent(&heartbeat(&[(1, 1)]), now);
     let changed = heartbeat(&[(1, 2)]);
-    let interval = INTERVAL_PER_PEER * 100;
+    let interval = DELAY_PER_PEER * 100;
     let due = |after| last_sent.is_due(now + after, &changed, 100);
     expect_that!(
         last_sent.is_due(now + IDLE_HEARTBEAT_INTERVAL, &changed, 1_000),
--- a/gateway/src/fleet/limit_reports.rs
+++ b/gateway/src/fleet/limit_reports.rs
@@ -5,25 +5,19 @@
 
 use crate::choice::endpoints::RateLimit;
 use crate::dialect::Dialect;
-use crate::fleet::gossip::report_delay;
+use crate::fleet::carrier::{Report, before, milliseconds};
 use crate::fleet::owners::Location;
-use crate::fleet::permits::{before, milliseconds, tagged};
 use crate::node::Gateway;
-use crate::turns::record::decode;
 use event_listener::Event;
 use galenapick::RequestRate;
 use galenapick::crashes::Lifetime;
 use serde::{Deserialize, Serialize};
 use smol::Timer;
-use smol::net::UdpSocket;
 use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
-/// First byte of a datagram with limits. No heartbeat begins with it, as each is an array.
-pub(crate) const LIMIT_REPORTS_TAG: u8 = b'L';
-
 /// Maximum number of limits in a datagram; together they take at most 4 KB.
 const MAX_REPORTS: usize = 128;
 
@@ -45,6 +39,15 @@
     age_ms: u64,
 }
 
+/// Limits, as they are sent.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+#[serde(transparent)]
+pub(super) struct LimitReports(Vec<LimitReport>);
+
+impl Report for LimitReports {
+    const TAG: u8 = b'L';
+}
+
 impl LimitReport {
     fn new(now: Instant, lifetime: Lifetime, limit: RateLimit) -> Self {
         let age = now.saturating_duration_since(limit.observed_at);
@@ -103,23 +106,16 @@
         }
     }
 
-    /// Merges the limits in a datagram, without its tag.
-    pub(crate) fn receive_limit_reports(&self, datagram: &[u8]) {
-        let reports = match decode::<Vec<LimitReport>>(datagram) {
-            Ok(reports) => reports,
-            Err(error) => {
-                crate::event!("datagram_unreadable", "error" => error);
-                return;
-            }
-        };
+    /// Merges the limits that a peer reports.
+    pub(super) fn receive_limit_reports(&self, reports: &LimitReports) {
         let now = Instant::now();
-        for report in reports.iter().take(MAX_REPORTS) {
+        for report in reports.0.iter().take(MAX_REPORTS) {
             self.merge_limit(before(now, report.age_ms), report.lifetime, report.rate);
         }
     }
 
     /// Sends reports of limits until the process ends.
-    pub(crate) async fn send_limit_reports(self: Rc<Self>, socket: UdpSocket) {
+    pub(crate) async fn send_limit_reports(self: Rc<Self>) {
         let mut repeated_at = Instant::now();
         loop {
             let changed = self.limit_sync.changed.listen();
@@ -128,12 +124,12 @@
             if is_repeat {
                 repeated_at = now;
             }
-            let peers = self.gossip.all_addresses();
+            let peers = self.carrier.peers();
             for (address, reports) in self.due_limit_reports(now, is_repeat, &peers) {
                 for reports in reports.chunks(MAX_REPORTS) {
-                    let datagram = tagged(LIMIT_REPORTS_TAG, &reports);
                     // A lost datagram needs no retry, because the limits are repeated.
-                    let _ = socket.send_to(&datagram, address).await;
+                    let reports = LimitReports(reports.to_vec());
+                    self.carrier.send(address, &reports).await;
                 }
             }
             if self.endpoints.borrow().rate_limits().is_empty() {
@@ -144,7 +140,7 @@
                 };
                 futures_lite::future::or(changed, repeat).await;
                 // Changes that come together share a datagram.
-                Timer::after(report_delay(peers.len())).await;
+                Timer::after(self.carrier.report_delay()).await;
             }
         }
     }
--- a/gateway/src/fleet/permits.rs
+++ b/gateway/src/fleet/permits.rs
@@ -10,26 +10,20 @@
 
 use crate::choice::endpoints::EndpointRecord;
 use crate::dialect::Dialect;
+use crate::fleet::carrier::{Report, before, milliseconds};
 use crate::fleet::owners::{Location, choose_owner};
 use crate::net::with_timeout;
 use crate::node::Gateway;
-use crate::turns::record::{decode, encode};
 use async_channel::Sender;
 use galenapick::crashes::{Lifetime, lifetime};
 use galenapick::{Pacer, RequestRate, Urgency};
 use serde::{Deserialize, Serialize};
-use std::cell::{Cell, OnceCell, RefCell};
+use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
-/// First byte of a datagram that asks for a permit. No heartbeat begins with it, as each is an array.
-pub(crate) const PERMIT_REQUEST_TAG: u8 = b'P';
-
-/// First byte of a datagram that answers such a request.
-pub(crate) const PERMIT_REPLY_TAG: u8 = b'G';
-
 /// Maximum wait for an answer, besides the time for which the request may wait for its permit. It
 /// covers the scheduling delay of a busy VM.
 const REPLY_TIMEOUT: Duration = Duration::from_millis(150);
@@ -43,7 +37,7 @@
 
 /// A request for a permit.
 #[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
-struct PermitRequest {
+pub(super) struct PermitRequest {
     /// Identifies the request at its sender.
     #[serde(rename = "n")]
     number: u64,
@@ -65,6 +59,10 @@
     max_wait_ms: u64,
 }
 
+impl Report for PermitRequest {
+    const TAG: u8 = b'P';
+}
+
 /// Answer to a request for a permit.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 enum PermitReply {
@@ -82,6 +80,14 @@
     NotPacing,
 }
 
+/// Number of a request, and the answer to it.
+#[derive(Clone, Copy, Debug, Serialize, Deserialize)]
+pub(super) struct NumberedPermitReply(u64, PermitReply);
+
+impl Report for NumberedPermitReply {
+    const TAG: u8 = b'G';
+}
+
 /// Outcome of a request for a permit, as it is logged.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, strum::Display)]
 #[strum(serialize_all = "kebab-case")]
@@ -98,8 +104,6 @@
 /// Requests for permits of this gateway, and the pace of the endpoints that it grants them for.
 #[derive(Debug, Default)]
 pub(crate) struct Permits {
-    /// Socket for the datagrams to peers, set at the start.
-    pub(crate) socket: OnceCell<smol::net::UdpSocket>,
     next_number: Cell<u64>,
     /// Receivers of answers, by number of the request.
     waiters: RefCell<HashMap<u64, Sender<PermitReply>>>,
@@ -234,27 +238,19 @@
             permits: &self.permits,
             number: request.number,
         };
-        let datagram = tagged(PERMIT_REQUEST_TAG, request);
-        let socket = self.permits.socket.get()?;
         // A datagram that is not sent is not answered either.
-        let _ = socket.send_to(&datagram, address).await;
+        self.carrier.send(address, request).await;
         let timeout = Duration::from_millis(request.max_wait_ms) + REPLY_TIMEOUT;
         with_timeout(timeout, replies.recv()).await?.ok()
     }
 
     /// Passes the answer of a peer to the request that waits for it.
-    pub(crate) fn receive_permit_reply(&self, datagram: &[u8]) {
-        let (number, reply) = match decode::<(u64, PermitReply)>(datagram) {
-            Ok(reply) => reply,
-            Err(error) => {
-                crate::event!("datagram_unreadable", "error" => error);
-                return;
-            }
-        };
-        match self.permits.waiters.borrow().get(&number) {
+    pub(super) fn receive_permit_reply(&self, reply: &NumberedPermitReply) {
+        let NumberedPermitReply(number, reply) = reply;
+        match self.permits.waiters.borrow().get(number) {
             // An answer that comes twice counts once.
-            Some(waiter) => drop(waiter.try_send(reply)),
-            None => crate::event!("permit_unused", "number" => number),
+            Some(waiter) => drop(waiter.try_send(*reply)),
+            None => crate::event!("permit_unused", "number" => *number),
         }
     }
 
@@ -264,20 +260,3 @@
         choose_owner(lifetime, &candidates).map(|candidate| candidate.location)
     }
 }
-
-/// Encodes a message with the tag that tells its kind.
-pub(crate) fn tagged(tag: u8, message: &impl Serialize) -> Vec<u8> {
-    let mut datagram = vec![tag];
-    datagram.extend(encode(message));
-    datagram
-}
-
-/// Returns the time of an observation of this age.
-pub(crate) fn before(now: Instant, age_ms: u64) -> Instant {
-    now.checked_sub(Duration::from_millis(age_ms))
-        .unwrap_or(now)
-}
-
-pub(crate) fn milliseconds(duration: Duration) -> u64 {
-    u64::try_from(duration.as_millis()).unwrap_or(u64::MAX)
-}
--- a/gateway/src/fleet/permits/pacing.rs
+++ b/gateway/src/fleet/permits/pacing.rs
@@ -1,10 +1,10 @@
 //! Grants permits for the endpoints that this gateway paces.
 
-use super::{PERMIT_REPLY_TAG, PermitReply, PermitRequest, Permits, before, milliseconds, tagged};
+use super::{NumberedPermitReply, PermitReply, PermitRequest, Permits};
 use crate::dialect::Dialect;
+use crate::fleet::carrier::{before, milliseconds};
 use crate::fleet::owners::Location;
 use crate::node::Gateway;
-use crate::turns::record::decode;
 use galenapick::crashes::Lifetime;
 use galenapick::{Pacer, PacerTicket, RequestRate, Urgency};
 use smol::Timer;
@@ -39,24 +39,15 @@
 
 impl<D: Dialect> Gateway<D> {
     /// Decides on a request of a peer and answers it, at once or after the wait for its permit.
-    pub(crate) async fn receive_permit_request(
+    pub(in crate::fleet) async fn receive_permit_request(
         self: Rc<Self>,
-        datagram: Vec<u8>,
+        request: PermitRequest,
         from: SocketAddr,
     ) {
-        let request: PermitRequest = match decode(&datagram) {
-            Ok(request) => request,
-            Err(error) => {
-                crate::event!("datagram_unreadable", "error" => error);
-                return;
-            }
-        };
         let reply = self.decide_permit(&request).await;
-        let datagram = tagged(PERMIT_REPLY_TAG, &(request.number, reply));
-        if let Some(socket) = self.permits.socket.get() {
-            // The peer takes a lost answer for a refusal.
-            let _ = socket.send_to(&datagram, from).await;
-        }
+        // The peer takes a lost answer for a refusal.
+        let reply = NumberedPermitReply(request.number, reply);
+        self.carrier.send(from, &reply).await;
     }
 
     /// Decides on a request for a permit, which waits among the others.
--- a/gateway/src/node.rs
+++ b/gateway/src/node.rs
@@ -4,6 +4,7 @@
 use crate::counters::Counters;
 use crate::dialect::{Dialect, Offset};
 use crate::events;
+use crate::fleet::carrier::Carrier;
 use crate::fleet::crash_reports::CrashSync;
 use crate::fleet::gossip::Gossip;
 use crate::fleet::limit_reports::LimitSync;
@@ -104,6 +105,7 @@
     pub(crate) gateways_loaded: Cell<bool>,
     /// Offset of the next record to read from the gateways topic.
     pub(crate) next_gateways_offset: Cell<Offset>,
+    pub(crate) carrier: Carrier,
     pub(crate) gossip: Gossip,
     pub(crate) peer_links: PeerLinks,
     /// Number of announcements that the store has acknowledged.
@@ -142,6 +144,7 @@
             turns_loaded: Cell::new(false),
             gateways_loaded: Cell::new(false),
             next_gateways_offset: Cell::new(0),
+            carrier: Carrier::default(),
             gossip: Gossip::new(&settings.name, &settings.failure_domain),
             peer_links: PeerLinks::default(),
             announcements: Cell::new(0),
@@ -201,7 +204,7 @@
     /// Returns all counters and gauges in text format.
     pub(crate) fn metrics(&self) -> String {
         let health = self.store_paths.health();
-        self.counters.render(&[
+        let mut metrics = self.counters.render(&[
             ("requests_open", self.requests_in_flight.get() as u64),
             ("turns_known", self.turns_known() as u64),
             ("partitions_loaded", self.loaded_partitions().len()),
@@ -223,7 +226,9 @@
             ),
             ("store_lost", u64::from(health.is_lost(Instant::now()))),
             ("store_direct", u64::from(self.store_paths.is_direct())),
-        ])
+        ]);
+        metrics.push_str(&self.carrier.render());
+        metrics
     }
 
     /// Number of turns in the partitions loaded here.
@@ -331,7 +336,8 @@
     let clients = listen(settings.client_address).await?;
     let readiness = listen(settings.readiness_address).await?;
     let peers = listen(settings.peer_address).await?;
-    let gossip = UdpSocket::bind(settings.peer_address).await?;
+    let socket = UdpSocket::bind(settings.peer_address).await?;
+    gateway.carrier.open(socket);
     let mut signals = Signals::new([Signal::Term, Signal::Int, Signal::Hup])?;
     let spawn = |task: std::pin::Pin<Box<dyn Future<Output = ()>>>| {
         gateway.executor.spawn(task).detach();
@@ -343,12 +349,10 @@
     spawn(Box::pin(events::write_lines()));
     spawn(Box::pin(gateway.clone().follow_configuration()));
     spawn(Box::pin(gateway.clone().follow_endpoints()));
-    spawn(Box::pin(gateway.clone().send_heartbeats(gossip.clone())));
-    spawn(Box::pin(gateway.clone().send_crash_reports(gossip.clone())));
-    spawn(Box::pin(gateway.clone().send_limit_reports(gossip.clone())));
-    // The cell is empty before.
-    let _ = gateway.permits.socket.set(gossip.clone());
-    spawn(Box::pin(gateway.clone().receive_datagrams(gossip)));
+    spawn(Box::pin(gateway.clone().send_heartbeats()));
+    spawn(Box::pin(gateway.clone().send_crash_reports()));
+    spawn(Box::pin(gateway.clone().send_limit_reports()));
+    spawn(Box::pin(gateway.clone().receive_reports()));
     spawn(Box::pin(gateway.clone().store_quarantines()));
     spawn(Box::pin(gateway.clone().accept_peers(peers)));
     spawn(Box::pin(gateway.clone().follow_gateways()));
--- a/gateway/src/store/follow.rs
+++ b/gateway/src/store/follow.rs
@@ -243,6 +243,7 @@
                     "key" => record.key.as_str(), "error" => error),
             }
         }
+        self.update_carrier_peers();
     }
 
     /// Records that an engine has a prompt in its cache.
