Bind revocation of keys to the configuration's version

A gateway that the store turned away, or whose read of the configuration hung, served revoked keys until its own read ended, and nothing bounded that where a deployment asks for strict revocation. Heartbeats now carry the version; a gateway that misses one reads at once, through a relay if it must, with growing intervals for a version that does not come. With strict revocation an unconfirmed gateway answers requests with keys by 503.

--- a/gateway/src/admission/accounts.rs
+++ b/gateway/src/admission/accounts.rs
@@ -8,7 +8,7 @@
 use std::rc::Rc;
 
 /// Reason why a request's credential does not let it run.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, strum::Display)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, strum::Display, strum::IntoStaticStr)]
 #[strum(serialize_all = "kebab-case")]
 pub(crate) enum KeyRefusal {
     /// It has no key.
--- a/gateway/src/admission/mod.rs
+++ b/gateway/src/admission/mod.rs
@@ -1,3 +1,4 @@
 //! Decisions whether a request is served. They have neither sockets nor a clock of their own.
 
 pub(crate) mod accounts;
+pub(crate) mod version_watch;
--- /dev/null
+++ b/gateway/src/admission/version_watch.rs
@@ -0,0 +1,117 @@
+//! Decides when the configuration must be read again because a peer has a newer one, and whether the
+//! version in force is still confirmed.
+//!
+//! The load it answers: a change that all gateways read at the same time causes no read here, and a
+//! version that this gateway cannot get causes ever fewer.
+
+#[cfg(test)]
+mod tests;
+
+use crate::routes::ConfigurationVersion;
+use std::time::{Duration, Instant};
+
+/// Time for which a newer version of a peer is expected to arrive here by itself. The store tells all
+/// gateways of a change at once, and heartbeats may be faster by some milliseconds.
+const ARRIVAL_TIME: Duration = Duration::from_millis(150);
+
+/// Minimum time between two reads. Each further one for the same version doubles it.
+const MIN_READ_INTERVAL: Duration = Duration::from_millis(250);
+
+/// Maximum time between two reads for a version that does not come.
+const MAX_READ_INTERVAL: Duration = Duration::from_secs(4);
+
+/// A version that a peer has and this gateway does not.
+#[derive(Clone, Copy, Debug)]
+struct Missed {
+    version: ConfigurationVersion,
+    /// When the next read is due.
+    read_at: Instant,
+    /// Reads so far.
+    reads: u32,
+}
+
+/// What is known of the version of the configuration.
+#[derive(Clone, Copy, Debug, Default)]
+pub(crate) struct VersionWatch {
+    /// Version in force; `None` before the first configuration.
+    version: Option<ConfigurationVersion>,
+    /// When it came into force.
+    applied_at: Option<Instant>,
+    /// When the store or a peer that reaches it last had no newer version.
+    confirmed_at: Option<Instant>,
+    missed: Option<Missed>,
+}
+
+impl VersionWatch {
+    /// Records that a version came into force.
+    pub(crate) fn apply(&mut self, now: Instant, version: ConfigurationVersion) {
+        self.version = Some(version);
+        self.applied_at = Some(now);
+        if self.missed.is_some_and(|missed| missed.version <= version) {
+            self.missed = None;
+        }
+    }
+
+    /// Records that the store was read to its end and the newest version there is in force.
+    pub(crate) fn confirm(&mut self, now: Instant) {
+        self.confirmed_at = Some(now);
+    }
+
+    /// Records the version of a peer; 0 if it has none. Returns whether it is newer than all before.
+    ///
+    /// `jitter` in 0 to 1 spreads the reads of gateways that hear of the version at the same time.
+    pub(crate) fn hear(
+        &mut self,
+        now: Instant,
+        version: ConfigurationVersion,
+        reaches_store: bool,
+        jitter: f64,
+    ) -> bool {
+        let Some(own) = self.version else {
+            // Until the first configuration has been read, it is read anyway.
+            return false;
+        };
+        if reaches_store && version == own {
+            self.confirmed_at = Some(now);
+        }
+        let newest = self.missed.map_or(own, |missed| missed.version);
+        if version <= newest {
+            return false;
+        }
+        self.missed = Some(Missed {
+            version,
+            read_at: now + ARRIVAL_TIME.mul_f64(1.0 + jitter),
+            reads: 0,
+        });
+        true
+    }
+
+    /// Returns when a read is due; `None` while no newer version is known.
+    pub(crate) fn read_at(&self) -> Option<Instant> {
+        self.missed.map(|missed| missed.read_at)
+    }
+
+    /// Records that a read begins. Returns the version that it is to bring.
+    pub(crate) fn begin_read(&mut self, now: Instant) -> Option<ConfigurationVersion> {
+        let missed = self.missed.as_mut()?;
+        let interval = MIN_READ_INTERVAL * 2_u32.pow(missed.reads.min(8));
+        missed.read_at = now + interval.min(MAX_READ_INTERVAL);
+        missed.reads += 1;
+        Some(missed.version)
+    }
+
+    /// Returns the age of the version in force; zero if there is none.
+    pub(crate) fn age(&self, now: Instant) -> Duration {
+        let applied_at = self.applied_at.unwrap_or(now);
+        now.saturating_duration_since(applied_at)
+    }
+
+    /// Returns whether keys may have been revoked for `limit` without word here.
+    pub(crate) fn is_unconfirmed(&self, now: Instant, limit: Option<Duration>) -> bool {
+        let is_recent = |limit: Duration| {
+            let confirmed_at = self.confirmed_at;
+            confirmed_at.is_some_and(|at| now.saturating_duration_since(at) <= limit)
+        };
+        limit.is_some_and(|limit| !is_recent(limit))
+    }
+}
--- /dev/null
+++ b/gateway/src/admission/version_watch/tests.rs
@@ -0,0 +1,85 @@
+use super::{ARRIVAL_TIME, MAX_READ_INTERVAL, VersionWatch};
+use googletest::prelude::*;
+use std::time::{Duration, Instant};
+
+const LIMIT: Duration = Duration::from_secs(5);
+
+fn at_version(now: Instant, version: u64) -> VersionWatch {
+    let mut watch = VersionWatch::default();
+    watch.apply(now, version);
+    watch.confirm(now);
+    watch
+}
+
+// Guards against gateways that serve revoked keys while the store turns them away.
+#[googletest::test]
+fn a_newer_version_of_a_peer_that_does_not_arrive_is_read() {
+    let now = Instant::now();
+    let mut watch = at_version(now, 3);
+    expect_that!(watch.hear(now, 3, true, 0.0), eq(false));
+    expect_that!(watch.hear(now, 2, true, 0.0), eq(false));
+    expect_that!(watch.read_at(), none());
+    expect_that!(watch.hear(now, 4, false, 0.0), eq(true));
+    expect_that!(watch.read_at(), some(eq(now + ARRIVAL_TIME)));
+    expect_that!(watch.begin_read(now), some(eq(4)));
+    watch.apply(now, 4);
+    expect_that!(watch.read_at(), none());
+}
+
+// Guards against reads by all gateways at each change.
+#[googletest::test]
+fn a_change_that_arrives_by_itself_is_not_read_again() {
+    let now = Instant::now();
+    let mut watch = at_version(now, 3);
+    watch.hear(now, 4, true, 1.0);
+    watch.apply(now + Duration::from_millis(20), 4);
+    expect_that!(watch.hear(now, 4, true, 1.0), eq(false));
+    expect_that!(watch.read_at(), none());
+}
+
+// Guards against a storm of reads for a version that cannot be read, for instance a malformed one.
+#[googletest::test]
+fn reads_for_a_version_that_does_not_come_become_rare() {
+    let start = Instant::now();
+    let mut watch = at_version(start, 3);
+    watch.hear(start, 9, true, 0.0);
+    let mut now = start;
+    let mut reads = 0;
+    while now < start + Duration::from_secs(20) {
+        now += Duration::from_millis(10);
+        watch.hear(now, 9, true, 0.0);
+        if watch.read_at().is_some_and(|at| at <= now) {
+            watch.begin_read(now);
+            reads += 1;
+        }
+    }
+    expect_that!(reads, all![ge(4), le(10)]);
+    let wait = watch.read_at().expect("a read") - now;
+    expect_that!(wait, le(MAX_READ_INTERVAL));
+}
+
+// Guards against a gateway out of touch that serves revoked keys where that is forbidden.
+#[googletest::test]
+fn a_version_without_confirmation_is_not_relied_on_where_revocation_is_strict() {
+    let now = Instant::now();
+    let mut watch = at_version(now, 3);
+    let later = now + LIMIT + Duration::from_millis(1);
+    expect_that!(watch.is_unconfirmed(now + LIMIT, Some(LIMIT)), eq(false));
+    expect_that!(watch.is_unconfirmed(later, Some(LIMIT)), eq(true));
+    expect_that!(watch.is_unconfirmed(later, None), eq(false));
+    // A peer that is itself out of touch, or that has another version, confirms nothing.
+    watch.hear(later, 3, false, 0.0);
+    watch.hear(later, 2, true, 0.0);
+    watch.hear(later, 4, true, 0.0);
+    expect_that!(watch.is_unconfirmed(later, Some(LIMIT)), eq(true));
+    watch.hear(later, 3, true, 0.0);
+    expect_that!(watch.is_unconfirmed(later, Some(LIMIT)), eq(false));
+}
+
+#[googletest::test]
+fn a_gateway_without_configuration_hears_nothing() {
+    let now = Instant::now();
+    let mut watch = VersionWatch::default();
+    expect_that!(watch.hear(now, 4, true, 0.0), eq(false));
+    expect_that!(watch.is_unconfirmed(now, Some(LIMIT)), eq(true));
+}
--- a/gateway/src/counters.rs
+++ b/gateway/src/counters.rs
@@ -1,9 +1,11 @@
 //! Counters and latency histograms, served as text at the readiness address.
 
+mod accounts;
 #[cfg(test)]
 mod tests;
 
 use crate::routes::RouteKind;
+use accounts::AccountCounters;
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
 use std::fmt::Write;
@@ -38,6 +40,7 @@
     quarantine_refusals: Cell<u64>,
     /// Requests for permits, by outcome.
     permits: RefCell<BTreeMap<String, u64>>,
+    pub(crate) accounts: RefCell<AccountCounters>,
 }
 
 impl Counters {
@@ -106,6 +109,7 @@
             "",
             quarantine_refusals,
         );
+        self.accounts.borrow().render(&mut text);
         for (outcome, count) in self.permits.borrow().iter() {
             let labels = format!("outcome=\"{outcome}\"");
             write_metric(&mut text, "permits_total", &labels, *count);
--- a/gateway/src/fleet/gossip.rs
+++ b/gateway/src/fleet/gossip.rs
@@ -318,6 +318,7 @@
             loaded: self.loaded_partitions(),
             is_stopping: self.is_stopping(),
             processor_permille: self.processor_permille(),
+            configuration_version: self.configuration_version(),
         }
     }
 
@@ -372,6 +373,8 @@
             self.update_carrier_peers();
         }
         if is_newer {
+            let state = heartbeat.state;
+            self.hear_version(from, state.configuration_version, state.reaches_store);
             let mut endpoints = self.endpoints.borrow_mut();
             endpoints.set_peer_counts(Instant::now(), &heartbeat.gateway, heartbeat.calls);
         }
--- a/gateway/src/fleet/gossip/heartbeat.rs
+++ b/gateway/src/fleet/gossip/heartbeat.rs
@@ -2,10 +2,13 @@
 
 use crate::choice::endpoints::InstanceTag;
 use crate::fleet::carrier::Report;
+use crate::routes::ConfigurationVersion;
 use crate::turns::partition::PartitionSet;
 #[cfg(test)]
 use crate::turns::record::decode;
+use serde::de::{Deserializer, Error, SeqAccess, Visitor};
 use serde::{Deserialize, Serialize};
+use std::fmt::{self, Formatter};
 
 /// A heartbeat of one gateway.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -20,11 +23,38 @@
 }
 
 /// Wire format of a heartbeat. It omits the field names, which would take most of the datagram.
-type Datagram = (
-    (String, u64, u64),
-    (bool, PartitionSet, bool, u32),
-    Vec<(InstanceTag, u32)>,
-);
+type Datagram = ((String, u64, u64), StateFields, Vec<(InstanceTag, u32)>);
+
+/// State of the sender. Earlier versions do not send the version of the configuration.
+#[derive(Serialize)]
+struct StateFields(bool, PartitionSet, bool, u32, ConfigurationVersion);
+
+impl<'de> Deserialize<'de> for StateFields {
+    fn deserialize<D: Deserializer<'de>>(deserializer: D) -> Result<Self, D::Error> {
+        struct FieldsVisitor;
+
+        impl<'de> Visitor<'de> for FieldsVisitor {
+            type Value = StateFields;
+
+            fn expecting(&self, formatter: &mut Formatter<'_>) -> fmt::Result {
+                formatter.write_str("the state of a gateway")
+            }
+
+            fn visit_seq<A: SeqAccess<'de>>(self, mut fields: A) -> Result<StateFields, A::Error> {
+                let missing = || A::Error::custom("the state lacks a field");
+                Ok(StateFields(
+                    fields.next_element()?.ok_or_else(missing)?,
+                    fields.next_element()?.ok_or_else(missing)?,
+                    fields.next_element()?.ok_or_else(missing)?,
+                    fields.next_element()?.ok_or_else(missing)?,
+                    fields.next_element()?.unwrap_or_default(),
+                ))
+            }
+        }
+
+        deserializer.deserialize_seq(FieldsVisitor)
+    }
+}
 
 impl Report for Heartbeat {
     /// Head of an array of three elements, with which each encoding begins.
@@ -38,11 +68,12 @@
         let state = heartbeat.state;
         (
             (heartbeat.gateway, heartbeat.incarnation, heartbeat.number),
-            (
+            StateFields(
                 state.reaches_store,
                 state.loaded,
                 state.is_stopping,
                 state.processor_permille,
+                state.configuration_version,
             ),
             heartbeat.calls,
         )
@@ -52,7 +83,13 @@
 impl From<Datagram> for Heartbeat {
     fn from((identity, state, calls): Datagram) -> Self {
         let (gateway, incarnation, number) = identity;
-        let (reaches_store, loaded, is_stopping, processor_permille) = state;
+        let StateFields(
+            reaches_store,
+            loaded,
+            is_stopping,
+            processor_permille,
+            configuration_version,
+        ) = state;
         Self {
             gateway,
             incarnation,
@@ -62,6 +99,7 @@
                 loaded,
                 is_stopping,
                 processor_permille,
+                configuration_version,
             },
             calls,
         }
@@ -85,4 +123,6 @@
     pub(crate) is_stopping: bool,
     /// Processor share available to its VM, in thousandths of a core.
     pub(crate) processor_permille: u32,
+    /// Version of its configuration; 0 if it has none.
+    pub(crate) configuration_version: ConfigurationVersion,
 }
--- a/gateway/src/fleet/gossip/tests.rs
+++ b/gateway/src/fleet/gossip/tests.rs
@@ -2,7 +2,9 @@
     GatewayState, Gossip, HEARTBEAT_INTERVAL, Heartbeat, IDLE_HEARTBEAT_INTERVAL, LastHeartbeat,
     PeerGroup, encode,
 };
+use crate::choice::endpoints::InstanceTag;
 use crate::fleet::carrier::DELAY_PER_PEER;
+use crate::turns::partition::PartitionSet;
 use crate::turns::record::{GatewayRecord, decode};
 use googletest::prelude::*;
 use std::time::{Duration, Instant};
@@ -128,3 +130,29 @@
     let decoded: GatewayRecord = decode(&encode(&record)).expect("a readable record");
     expect_that!(decoded.failure_domain, none());
 }
+
+#[derive(serde::Serialize)]
+struct EarlierHeartbeat(
+    (String, u64, u64),
+    (bool, PartitionSet, bool, u32),
+    Vec<(InstanceTag, u32)>,
+);
+
+// Guards against gateways of an earlier version that are taken for lost during an update.
+#[googletest::test]
+fn a_heartbeat_without_the_version_of_the_configuration_is_readable() {
+    let state = (true, PartitionSet::default(), false, 500);
+    let earlier = EarlierHeartbeat(("edge-1".to_owned(), 7, 3), state, Vec::new());
+    let decoded: Heartbeat = decode(&encode(&earlier)).expect("a readable heartbeat");
+    expect_that!(decoded.state.configuration_version, eq(0));
+    expect_that!(decoded.state.processor_permille, eq(500));
+    let with_version = Heartbeat {
+        state: GatewayState {
+            configuration_version: 9,
+            ..decoded.state
+        },
+        ..decoded
+    };
+    let decoded: Heartbeat = decode(&encode(&with_version)).expect("a readable heartbeat");
+    expect_that!(decoded, eq(&with_version));
+}
--- a/gateway/src/node.rs
+++ b/gateway/src/node.rs
@@ -1,5 +1,6 @@
 //! The gateway process: state shared by its tasks, start and shutdown.
 
+use crate::admission::version_watch::VersionWatch;
 use crate::choice::endpoints::Endpoints;
 use crate::counters::Counters;
 use crate::dialect::{Dialect, Offset};
@@ -114,6 +115,9 @@
     pub(crate) executor: Rc<LocalExecutor<'static>>,
     pub(crate) rng: RefCell<fastrand::Rng>,
     pub(crate) routes: RefCell<Routes>,
+    pub(crate) version_watch: RefCell<VersionWatch>,
+    /// Notified when a peer has a newer configuration.
+    pub(crate) version_heard: event_listener::Event,
     pub(crate) endpoints: RefCell<Endpoints>,
     pub(crate) endpoints_loaded: Cell<bool>,
     /// When the list of endpoints was last read from the store.
@@ -157,6 +161,8 @@
             executor,
             rng: RefCell::new(rng),
             routes: RefCell::default(),
+            version_watch: RefCell::default(),
+            version_heard: event_listener::Event::new(),
             endpoints: RefCell::default(),
             endpoints_loaded: Cell::new(false),
             endpoints_read_at: Cell::new(None),
@@ -236,9 +242,18 @@
                 "endpoints_limited",
                 self.endpoints.borrow().rate_limits().limited_count() as u64,
             ),
+            ("configuration_version", self.configuration_version()),
             (
-                "configuration_version",
-                self.routes.borrow().version().unwrap_or_default(),
+                "configuration_age_s",
+                self.version_watch.borrow().age(Instant::now()).as_secs(),
+            ),
+            (
+                "accounts_known",
+                self.routes.borrow().accounts().accounts().len() as u64,
+            ),
+            (
+                "keys_known",
+                self.routes.borrow().accounts().key_count() as u64,
             ),
             (
                 "requests_quarantined",
--- a/gateway/src/serve/admit.rs
+++ b/gateway/src/serve/admit.rs
@@ -7,6 +7,13 @@
 use crate::serve::http::RequestHead;
 use crate::serve::reply::Refusal;
 use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+/// `Retry-After` delay of a request with a key while keys may have been revoked without word here.
+const UNCONFIRMED_RETRY_AFTER: Duration = Duration::from_millis(300);
+
+/// Reason given to clients whose keys cannot be relied on.
+pub(crate) const UNCONFIRMED_REASON: &str = "the gateway cannot confirm that the API key is valid";
 
 impl<D: Dialect> Gateway<D> {
     /// Returns the account on which a request runs, or the refusal of one without a valid key.
@@ -16,14 +23,26 @@
         info: &CallInfo,
     ) -> Result<Option<Rc<Account>>, Refusal> {
         let routes = self.routes.borrow();
-        match find_account(routes.accounts(), route.is_public, info.credential) {
-            Ok(account) => Ok(account.cloned()),
-            Err(refusal) => {
-                let id = info.request_id.as_deref().unwrap_or_default();
-                self.log_key_refusal(id, route, info.credential, refusal);
-                Err(Refusal::new(401, refusal.reason()))
-            }
+        let request_id = info.request_id.as_deref().unwrap_or_default();
+        let found = find_account(routes.accounts(), route.is_public, info.credential);
+        let account = found.map_err(|refusal| {
+            self.log_key_refusal(request_id, route, info.credential, refusal);
+            Refusal::new(401, refusal.reason())
+        })?;
+        if account.is_some() && self.has_unconfirmed_keys() {
+            self.log_unconfirmed(request_id, route);
+            let delay = UNCONFIRMED_RETRY_AFTER.mul_f64(0.5 + fastrand::f64());
+            return Err(Refusal::retry_later(delay, UNCONFIRMED_REASON));
         }
+        Ok(account.cloned())
+    }
+
+    /// Returns whether keys may have been revoked without word here for longer than the deployment
+    /// allows.
+    pub(crate) fn has_unconfirmed_keys(&self) -> bool {
+        let limit = self.settings.terms.strict_revocation;
+        let watch = self.version_watch.borrow();
+        watch.is_unconfirmed(Instant::now(), limit)
     }
 
     /// Logs a refusal with the digits that identify its key in the log of this process.
@@ -38,9 +57,26 @@
             Credential::Key(key) => key.to_string(),
             Credential::Absent | Credential::Malformed => String::new(),
         };
+        let mut counters = self.counters.accounts.borrow_mut();
+        counters.record_key_refusal(refusal.into());
         crate::event!("key_refused", "request" => request_id, "route" => route.name.as_str(),
             "reason" => refusal.to_string(), "key" => key,
-            "version" => self.routes.borrow().version().unwrap_or_default());
+            "version" => self.configuration_version(), "age_ms" => self.configuration_age_ms());
+    }
+
+    /// Logs a refusal because the configuration is not confirmed.
+    pub(crate) fn log_unconfirmed(&self, request_id: &str, route: &Route) {
+        let mut counters = self.counters.accounts.borrow_mut();
+        counters.record_key_refusal("unconfirmed");
+        crate::event!("key_refused", "request" => request_id, "route" => route.name.as_str(),
+            "reason" => "unconfirmed", "version" => self.configuration_version(),
+            "age_ms" => self.configuration_age_ms(), "direct" => self.store_paths.is_direct());
+    }
+
+    /// Returns the time since the configuration came into force.
+    pub(crate) fn configuration_age_ms(&self) -> u128 {
+        let watch = self.version_watch.borrow();
+        watch.age(Instant::now()).as_millis()
     }
 
     /// Removes the headers that may hold an API key, so that nothing later passes them on.
--- a/gateway/src/serve/call.rs
+++ b/gateway/src/serve/call.rs
@@ -171,6 +171,10 @@
         let duration = call.received_at.elapsed();
         self.counters
             .record_answer(call.route.kind, reply.status(), duration);
+        if let Some(account) = &call.account {
+            let mut counters = self.counters.accounts.borrow_mut();
+            counters.record_answer(&account.name, reply.status());
+        }
         call.log_answer(reply);
     }
 
--- a/gateway/src/serve/forward/failure.rs
+++ b/gateway/src/serve/forward/failure.rs
@@ -9,8 +9,8 @@
 /// fraction of the usual call duration.
 const RETRY_AFTER: Duration = Duration::from_millis(150);
 
-/// `Retry-After` delay of a request whose key has moved to another account. That account is in force
-/// here already.
+/// `Retry-After` delay of a request whose key has moved to another account, which is in force here
+/// already.
 const KEY_MOVED_RETRY_AFTER: Duration = Duration::from_millis(50);
 
 /// Whether a request may have been executed.
@@ -45,8 +45,8 @@
     RateLimited(Duration),
     /// No account has the request's key any more.
     KeyRevoked,
-    /// The request's key now belongs to another account.
-    KeyMoved,
+    /// The request's key now belongs to another account, or may have been revoked.
+    KeyUncertain,
 }
 
 impl Failure {
@@ -78,7 +78,7 @@
     pub(super) fn is_account_refused(&self) -> bool {
         matches!(
             self.cause,
-            FailureCause::KeyRevoked | FailureCause::KeyMoved
+            FailureCause::KeyRevoked | FailureCause::KeyUncertain
         )
     }
 
@@ -94,7 +94,7 @@
     pub(crate) fn refusal(&self, call: &Call) -> Refusal {
         match (self.execution, self.cause) {
             (Execution::NotRun, FailureCause::KeyRevoked) => Refusal::new(401, self.reason),
-            (Execution::NotRun, FailureCause::KeyMoved) => {
+            (Execution::NotRun, FailureCause::KeyUncertain) => {
                 Refusal::retry_later(KEY_MOVED_RETRY_AFTER, self.reason)
             }
             (Execution::NotRun, FailureCause::NoEndpoint) => call.refuse_during_outage(self.reason),
--- a/gateway/src/store/follow.rs
+++ b/gateway/src/store/follow.rs
@@ -1,4 +1,4 @@
-//! Readers of the store's topics: turns, gateways, configuration and endpoints.
+//! Readers of the store's topics: turns, gateways and endpoints.
 
 use crate::dialect::{
     Dialect, KeyValue, NewestPage, Offset, PartId, PartitionNumber, ReadOutcome, StoreRecord, Topic,
@@ -41,11 +41,6 @@
 /// endpoint must stop receiving work.
 const ENDPOINTS_POLL_INTERVAL: Duration = Duration::from_millis(350);
 
-/// Time for which the store holds a read of the configuration that has no new records. A silent
-/// connection is noticed only afterwards, so this is well below the time within which a
-/// configuration must take effect.
-const CONFIGURATION_LONG_POLL: Duration = Duration::from_millis(900);
-
 /// Time allowed for a read in addition to its wait.
 const READ_TIMEOUT: Duration = Duration::from_millis(700);
 
@@ -257,50 +252,6 @@
         }
     }
 
-    /// Reads the configuration until the process ends.
-    pub(crate) async fn follow_configuration(self: Rc<Self>) {
-        let mut link = self.store_link();
-        loop {
-            let (mut from, records) = self.load(&mut link, Topic::Configuration).await;
-            self.apply_configuration(&records);
-            let mut failures = Backoff::default();
-            loop {
-                let wait = CONFIGURATION_LONG_POLL;
-                match self.read(&mut link, Topic::Configuration, from, wait).await {
-                    Some(ReadOutcome::Records { records, .. }) => {
-                        failures.reset();
-                        self.apply_configuration(&records);
-                        from += records.len() as Offset;
-                    }
-                    Some(ReadOutcome::Expired) => break,
-                    Some(ReadOutcome::Failed) | None => failures.pause().await,
-                }
-            }
-        }
-    }
-
-    fn apply_configuration(&self, records: &[StoreRecord]) {
-        let documents = records
-            .iter()
-            .filter(|record| record.key == D::configuration_key());
-        for value in documents.filter_map(|record| record.value.as_ref()) {
-            match D::parse_configuration(value) {
-                Ok(configuration) => {
-                    let version = configuration.version;
-                    if self.routes.borrow_mut().apply(configuration) {
-                        let routes = self.routes.borrow();
-                        let accounts = routes.accounts();
-                        crate::event!("configuration_in_force", "version" => version,
-                            "accounts" => accounts.accounts().len(),
-                            "keys" => accounts.key_count(),
-                            "keys_of_several_accounts" => accounts.shared_key_count());
-                    }
-                }
-                Err(error) => crate::event!("configuration_unreadable", "error" => error),
-            }
-        }
-    }
-
     /// Reads the list of endpoints until the process ends.
     pub(crate) async fn follow_endpoints(self: Rc<Self>) {
         let mut link = self.store_link();
@@ -414,7 +365,11 @@
     ///
     /// The pages are not a snapshot. Reading continues at the end that the first page reported,
     /// which covers all changes since.
-    async fn load(&self, link: &mut StoreLink, topic: Topic) -> (Offset, Vec<StoreRecord>) {
+    pub(super) async fn load(
+        &self,
+        link: &mut StoreLink,
+        topic: Topic,
+    ) -> (Offset, Vec<StoreRecord>) {
         let mut next_offset = None;
         let mut records: Vec<StoreRecord> = Vec::new();
         loop {
@@ -446,7 +401,7 @@
         }
     }
 
-    async fn read(
+    pub(super) async fn read(
         &self,
         link: &mut StoreLink,
         topic: Topic,
@@ -471,16 +426,16 @@
 
 /// Exponential back-off with jitter for consecutive failures.
 #[derive(Debug, Default)]
-struct Backoff {
+pub(super) struct Backoff {
     failures: u32,
 }
 
 impl Backoff {
-    fn reset(&mut self) {
+    pub(super) fn reset(&mut self) {
         self.failures = 0;
     }
 
-    async fn pause(&mut self) {
+    pub(super) async fn pause(&mut self) {
         let doubled = INITIAL_BACKOFF * 2_u32.pow(self.failures.min(8));
         self.failures += 1;
         let max_pause = doubled.min(MAX_BACKOFF);
