--- a/src/cli/explain.rs
+++ b/src/cli/explain.rs
@@ -115,6 +115,15 @@
         |line: &&LogLine, event: &str| line.fields.get("event").is_some_and(|name| name == event);
     let answered = lines.iter().rev().find(|line| has_event(line, "answered"));
     let Some(answered) = answered else {
+        if let Some(refused) = lines
+            .iter()
+            .rev()
+            .find(|line| has_event(line, "key_refused"))
+        {
+            let reason = refused.fields.get("reason").and_then(Value::as_str);
+            let reason = reason.unwrap_or("?");
+            return format!("It was refused for its API key and has not run: {reason}.");
+        }
         return "No line says how it ended: the gateway was lost, or its log is missing."
             .to_owned();
     };
@@ -127,9 +136,14 @@
     };
     let status = answered.fields.get("status").and_then(Value::as_u64);
     let reasons = lines.iter().rev().filter(|line| {
-        ["attempt_failed", "stream_broken", "turn_refused"]
-            .iter()
-            .any(|event| has_event(line, event))
+        [
+            "attempt_failed",
+            "stream_broken",
+            "turn_refused",
+            "key_refused",
+        ]
+        .iter()
+        .any(|event| has_event(line, event))
     });
     let mut reasons = reasons.filter_map(|line| line.fields.get("reason").and_then(Value::as_str));
     let because = reasons
--- a/src/cli/explain/tests.rs
+++ b/src/cli/explain/tests.rs
@@ -40,3 +40,14 @@
         starts_with("7 vm-1 answered ")
     );
 }
+
+// Guards against a refused key that looks like a lost gateway.
+#[googletest::test]
+fn a_refused_key_is_the_outcome() {
+    let log = r#"vm-1 {"event":"key_refused","unix_ms":5,"request":"r1","reason":"unknown","key":"3fa1c2"}"#;
+    let outcome = summarize_outcome(&find_lines("r1", "a.log", log));
+    expect_that!(
+        outcome,
+        eq("It was refused for its API key and has not run: unknown.")
+    );
+}
