--- a/gateway/src/events.rs
+++ b/gateway/src/events.rs
@@ -2,7 +2,11 @@
 //!
 //! If the buffer is full, new lines are dropped and counted, so requests never wait for the log.
 
+#[cfg(test)]
+mod tests;
+
 use futures_lite::AsyncWriteExt;
+use smallvec::SmallVec;
 use std::cell::RefCell;
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
@@ -30,28 +34,57 @@
     };
 }
 
-pub(crate) use serde_json::Value as JsonValue;
-
 /// Value of a field.
-pub(crate) struct Value(JsonValue);
+pub(crate) enum Value<'a> {
+    /// A text that the caller keeps.
+    Text(&'a str),
+    /// A text made for this event.
+    OwnedText(String),
+    Number(u64),
+    Flag(bool),
+}
+
+impl Value<'_> {
+    fn write_json(&self, line: &mut Vec<u8>) {
+        let written = match self {
+            Self::Text(text) => serde_json::to_writer(line, text),
+            Self::OwnedText(text) => serde_json::to_writer(line, text),
+            Self::Number(number) => serde_json::to_writer(line, number),
+            Self::Flag(flag) => serde_json::to_writer(line, flag),
+        };
+        written.expect("texts and numbers can be written to a buffer");
+    }
+}
+
+impl<'a> From<&'a str> for Value<'a> {
+    fn from(text: &'a str) -> Self {
+        Self::Text(text)
+    }
+}
+
+impl From<String> for Value<'_> {
+    fn from(text: String) -> Self {
+        Self::OwnedText(text)
+    }
+}
+
+impl From<bool> for Value<'_> {
+    fn from(flag: bool) -> Self {
+        Self::Flag(flag)
+    }
+}
 
-macro_rules! value_from {
+macro_rules! value_from_number {
     ($($kind:ty),*) => {
-        $(impl From<$kind> for Value {
-            fn from(value: $kind) -> Self {
-                Self(JsonValue::from(value))
+        $(impl From<$kind> for Value<'_> {
+            fn from(number: $kind) -> Self {
+                Self::Number(u64::try_from(number).unwrap_or(u64::MAX))
             }
         })*
     };
 }
 
-value_from!(&str, String, u16, u32, u64, usize, bool);
-
-impl From<u128> for Value {
-    fn from(value: u128) -> Self {
-        Self(JsonValue::from(u64::try_from(value).unwrap_or(u64::MAX)))
-    }
-}
+value_from_number!(u16, u32, u64, u128, usize);
 
 /// Returns the time of day in Unix milliseconds.
 pub(crate) fn unix_ms() -> u64 {
@@ -60,25 +93,38 @@
 }
 
 /// Adds an event to the buffer, or counts it as dropped if the buffer is full.
-pub(crate) fn push(name: &str, fields: &[(&str, Value)]) {
-    let unix_ms = unix_ms();
-    let mut line = serde_json::Map::with_capacity(fields.len() + 2);
-    line.insert("unix_ms".to_owned(), unix_ms.into());
-    line.insert("event".to_owned(), name.into());
-    for (field, value) in fields {
-        line.insert((*field).to_owned(), value.0.clone());
-    }
-    let text = JsonValue::Object(line).to_string();
+pub(crate) fn push(name: &str, fields: &[(&str, Value<'_>)]) {
     BUFFER.with_borrow_mut(|buffer| {
-        if buffer.lines.len() + text.len() > BUFFER_BYTES {
+        let start = buffer.lines.len();
+        write_line(unix_ms(), name, fields, &mut buffer.lines);
+        if buffer.lines.len() > BUFFER_BYTES {
+            buffer.lines.truncate(start);
             buffer.dropped += 1;
             return;
         }
-        buffer.lines.extend_from_slice(text.as_bytes());
         buffer.lines.push(b'\n');
     });
 }
 
+/// Appends an event as a JSON object with its fields in alphabetical order.
+fn write_line(unix_ms: u64, name: &str, fields: &[(&str, Value<'_>)], line: &mut Vec<u8>) {
+    let header = [
+        ("event", Value::Text(name)),
+        ("unix_ms", Value::Number(unix_ms)),
+    ];
+    let mut sorted: SmallVec<[&(&str, Value<'_>); 24]> = header.iter().chain(fields).collect();
+    sorted.sort_unstable_by_key(|(field, _)| *field);
+    let mut separator = b'{';
+    for (field, value) in sorted {
+        line.push(separator);
+        Value::Text(field).write_json(line);
+        line.push(b':');
+        value.write_json(line);
+        separator = b',';
+    }
+    line.push(b'}');
+}
+
 /// Writes buffered lines until standard output is closed.
 pub(crate) async fn write_lines() {
     let mut output = smol::Unblock::new(std::io::stdout());
--- a/gateway/src/node.rs
+++ b/gateway/src/node.rs
@@ -19,6 +19,7 @@
 use crate::store::link::{StoreLink, StorePaths};
 use crate::turns::partition::{PARTITION_COUNT, Partition, PartitionSet};
 use crate::turns::programs::BegunPrograms;
+use async_channel::Sender;
 use async_signal::{Signal, Signals};
 use futures_lite::StreamExt;
 use galenapick::crashes::Crashes;
@@ -373,7 +374,7 @@
     let peers = listen(settings.peer_address).await?;
     let socket = UdpSocket::bind(settings.peer_address).await?;
     gateway.carrier.open(socket);
-    let mut signals = Signals::new([Signal::Term, Signal::Int, Signal::Hup])?;
+    let signals = Signals::new([Signal::Term, Signal::Int, Signal::Hup])?;
     let spawn = |task: std::pin::Pin<Box<dyn Future<Output = ()>>>| {
         gateway.executor.spawn(task).detach();
     };
@@ -401,7 +402,9 @@
             .clone()
             .follow_settings(read_settings, reload_receiver),
     ));
-    while let Some(signal) = signals.next().await {
+    let (signal_sender, signal_receiver) = async_channel::unbounded();
+    spawn(Box::pin(forward_signals(signals, signal_sender)));
+    while let Ok(signal) = signal_receiver.recv().await {
         if !matches!(signal, Ok(Signal::Hup)) {
             break;
         }
@@ -413,6 +416,16 @@
     Ok(())
 }
 
+/// Passes signals on. Its task alone reads them: the one that `run` is part of is polled whenever any
+/// task is.
+async fn forward_signals(mut signals: Signals, sender: Sender<io::Result<Signal>>) {
+    while let Some(signal) = signals.next().await {
+        if sender.send(signal).await.is_err() {
+            return;
+        }
+    }
+}
+
 async fn listen(address: SocketAddr) -> io::Result<TcpListener> {
     let listener = TcpListener::bind(address).await?;
     rustix::net::listen(&listener, LISTEN_BACKLOG)?;
