Judge endpoints that fail calls with answers of their own

Such answers are now an outcome of their own. Gateways tell each other recent answers and failures of suspected endpoints; an endpoint costs its expected failures, and one whose share of failures certainly exceeds that of the better half of its service gets single calls as trials until six in a row succeed. Not in force yet: the switch is off until the settings name the contract.

--- a/gateway/src/choice/endpoints.rs
+++ b/gateway/src/choice/endpoints.rs
@@ -10,12 +10,14 @@
 mod tests;
 
 mod cost;
+mod failures;
 mod leaving;
 mod memory;
 mod peer_counts;
 mod rate_limits;
 mod sample;
 
+use crate::choice::failing::Failing;
 use crate::dialect::PartId;
 use cost::{EndpointLoad, engine_cost_ms, service_cost_ms};
 use galenapick::Urgency;
@@ -26,6 +28,7 @@
 use peer_counts::PeerCounts;
 pub(crate) use rate_limits::{RateLimit, RateLimits};
 use sample::sample;
+use smallvec::SmallVec;
 use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -115,6 +118,8 @@
 pub enum CallOutcome {
     /// The endpoint answered.
     Answered,
+    /// The endpoint answered with a failure of its own.
+    AnsweredWithFailure,
     /// The endpoint refused the call for lack of capacity.
     Refused,
     /// The endpoint could not be reached, or the answer was invalid or missing.
@@ -134,6 +139,8 @@
     is_leaving: bool,
     /// Calls of this gateway in flight.
     local_calls: u32,
+    /// Times until which calls that failed early count as in flight; at most one for each slot.
+    held_until: SmallVec<[Instant; 8]>,
     /// Moving average of its call durations, in ms.
     average_call_ms: Option<f64>,
     consecutive_failures: u32,
@@ -173,6 +180,11 @@
     /// Sum of `peer_counts` by endpoint. It is cached because each choice examines all endpoints and
     /// there may be hundreds of gateways.
     peer_calls: HashMap<InstanceTag, u32>,
+    /// Whether endpoints that fail calls with answers of their own are judged.
+    judges_failures: bool,
+    failing: Failing,
+    /// Spreads the trials of failing endpoints.
+    trial_rng: fastrand::Rng,
 }
 
 impl Endpoints {
@@ -194,6 +206,7 @@
             lifetime: lifetime(&record.id, record.started_unix_ms),
             is_leaving,
             local_calls: 0,
+            held_until: SmallVec::new(),
             average_call_ms: None,
             consecutive_failures: 0,
             backoff_until: None,
@@ -283,7 +296,8 @@
     /// Returns the endpoint with the lowest cost for a call; `None` if no endpoint is usable. Where
     /// there are many gateways, only a random subset of the endpoints is compared.
     ///
-    /// An endpoint in back-off after a failure is chosen only if there is no other. One that limits
+    /// An endpoint in back-off after a failure, or one that fails calls with answers of its own, is
+    /// chosen only if there is no other, and the latter for single calls as trials. One that limits
     /// the rate of its requests costs the time until it may take another one.
     pub fn choose(
         &self,
@@ -292,9 +306,13 @@
         local_domain: &str,
         rng: &mut fastrand::Rng,
     ) -> Option<EndpointRecord> {
+        if let Some(on_trial) = self.due_trial(now, requirements) {
+            return Some(on_trial);
+        }
         let usable = self.usable(requirements);
-        let (backing_off, healthy): (Vec<_>, Vec<_>) =
-            usable.partition(|endpoint| endpoint.is_backing_off(now));
+        let (backing_off, healthy): (Vec<_>, Vec<_>) = usable.partition(|endpoint| {
+            endpoint.is_backing_off(now) || self.is_failing_endpoint(endpoint)
+        });
         let usable = if healthy.is_empty() {
             backing_off
         } else {
@@ -314,7 +332,7 @@
         let soonest = waiting.into_iter().min_by_key(|it| permit_wait(it));
         let ranked = sampled.into_iter().chain(soonest).map(|endpoint| {
             let wait_ms = permit_wait(endpoint).as_secs_f64() * 1_000.0;
-            let cost_ms = self.cost_ms(endpoint, requirements, local_domain) + wait_ms;
+            let cost_ms = self.cost_ms(now, endpoint, requirements, local_domain) + wait_ms;
             (cost_ms + rng.f64() * JITTER_MS, endpoint)
         });
         let best = ranked.min_by(|(a, _), (b, _)| a.total_cmp(b));
@@ -359,6 +377,7 @@
 
     fn cost_ms(
         &self,
+        now: Instant,
         endpoint: &Endpoint,
         requirements: &EndpointRequirements<'_>,
         local_domain: &str,
@@ -391,7 +410,8 @@
         } else {
             service_cost_ms(&load)
         };
-        cost_ms + cross_domain_ms + slowdown_ms
+        let failure_ms = self.failure_cost_ms(now, endpoint, average_ms);
+        cost_ms + cross_domain_ms + slowdown_ms + failure_ms
     }
 
     /// Returns whether an endpoint of a service limits the rate of its requests.
@@ -427,7 +447,7 @@
 
     /// Returns the calls in flight at an endpoint, of this gateway and of its peers.
     fn calls_in_flight(&self, endpoint: &Endpoint) -> u32 {
-        endpoint.local_calls
+        endpoint.local_calls()
             + self
                 .peer_calls
                 .get(&endpoint.tag)
@@ -439,6 +459,7 @@
     pub fn begin_call(&mut self, id: &str) {
         if let Some(endpoint) = self.endpoints.get_mut(id) {
             endpoint.local_calls += 1;
+            self.failing.begin(endpoint.lifetime);
         }
     }
 
@@ -465,18 +486,24 @@
         duration: Duration,
         outcome: CallOutcome,
     ) {
+        let judges_failures = self.judges_failures;
         let Some(endpoint) = self.endpoints.get_mut(id) else {
             return;
         };
         endpoint.local_calls = endpoint.local_calls.saturating_sub(1);
+        let service = endpoint.record.service.clone();
         match outcome {
-            CallOutcome::Answered => {
+            CallOutcome::AnsweredWithFailure if judges_failures => {
+                let average_ms = self.service_average_ms.get(&service);
+                let average_ms = average_ms.copied().unwrap_or(DEFAULT_CALL_MS);
+                endpoint.hold_failed_call(now, duration, average_ms);
+            }
+            CallOutcome::Answered | CallOutcome::AnsweredWithFailure => {
                 endpoint.consecutive_failures = 0;
                 endpoint.backoff_until = None;
                 let duration_ms = duration.as_secs_f64() * 1_000.0;
                 let endpoint_average = endpoint.average_call_ms.get_or_insert(duration_ms);
                 *endpoint_average += (duration_ms - *endpoint_average) * AVERAGE_WEIGHT;
-                let service = endpoint.record.service.clone();
                 let service_average = self
                     .service_average_ms
                     .entry(service)
@@ -491,5 +518,12 @@
             }
             CallOutcome::Refused | CallOutcome::Abandoned => {}
         }
+        let lifetime = endpoint.lifetime;
+        let has_failed = match outcome {
+            CallOutcome::Answered => Some(false),
+            CallOutcome::AnsweredWithFailure => Some(true),
+            _ => None,
+        };
+        self.record_outcome(now, lifetime, has_failed);
     }
 }
--- a/gateway/src/choice/endpoints/peer_counts.rs
+++ b/gateway/src/choice/endpoints/peer_counts.rs
@@ -70,7 +70,7 @@
             } else {
                 0
             };
-            (endpoint.tag, endpoint.local_calls + failing)
+            (endpoint.tag, endpoint.local_calls() + failing)
         });
         counts.filter(|(_, count)| *count > 0).collect()
     }
--- /dev/null
+++ b/gateway/src/choice/failing/tests.rs
@@ -0,0 +1,149 @@
+use super::{EndpointReport, Failing};
+use googletest::prelude::*;
+use std::time::{Duration, Instant};
+
+const SERVICE: [u64; 10] = [0, 1, 2, 3, 4, 5, 6, 7, 8, 9];
+
+fn report(lifetime: u64, answers: f32, failures: f32, trials: (u32, u32)) -> EndpointReport {
+    EndpointReport {
+        lifetime,
+        answers,
+        failures,
+        succeeded_trials: trials.0,
+        failed_trials: trials.1,
+    }
+}
+
+fn judge(failing: &mut Failing, now: Instant) -> Vec<(u64, bool)> {
+    let verdicts = failing.judge(now, &SERVICE, 2, 0.5);
+    let verdicts = verdicts.into_iter();
+    verdicts.map(|it| (it.lifetime, it.is_failing)).collect()
+}
+
+/// Has nine endpoints answer ten calls each.
+fn healthy_service(now: Instant) -> Failing {
+    let mut failing = Failing::default();
+    for lifetime in 1..10 {
+        for _ in 0..10 {
+            failing.finish(now, lifetime, Some(false), 2, 0.5);
+        }
+    }
+    failing
+}
+
+/// Returns whether the tenth endpoint, with these answers, is failing.
+fn is_judged_failing(answers: u32, failures: u32) -> bool {
+    let now = Instant::now();
+    let mut failing = healthy_service(now);
+    for number in 0..answers {
+        failing.finish(now, 0, Some(number < failures), 2, 0.5);
+    }
+    !judge(&mut failing, now).is_empty()
+}
+
+// Guards against a failing endpoint that is found late, and a tool's own rare failures that count.
+#[googletest::test]
+fn an_endpoint_is_judged_by_its_share_of_failures_within_tens_of_calls() {
+    for (answers, failures, is_failing) in [
+        (1, 1, false),
+        (3, 3, true),
+        (20, 8, true),
+        (40, 15, true),
+        (100, 1, false),
+        (100, 5, false),
+        (300, 10, false),
+    ] {
+        expect_that!(
+            is_judged_failing(answers, failures),
+            eq(is_failing),
+            "{failures} failures in {answers} answers"
+        );
+    }
+}
+
+// Guards against reports that count twice, or that an older one replaces.
+#[googletest::test]
+fn a_report_counts_once_whenever_it_arrives() {
+    let now = Instant::now();
+    let mut failing = healthy_service(now);
+    for number in [2, 2, 1, 2] {
+        failing.merge(now, 7, number, &[report(0, 2.0, 2.0, (0, 0))], 0.5);
+    }
+    expect_that!(judge(&mut failing, now), is_empty());
+    failing.merge(now, 7, 3, &[report(0, 4.0, 4.0, (0, 0))], 0.5);
+    expect_that!(judge(&mut failing, now), elements_are![eq(&(0, true))]);
+}
+
+// Guards against absurd figures of a peer.
+#[googletest::test]
+fn absurd_reports_are_ignored() {
+    let now = Instant::now();
+    let mut failing = healthy_service(now);
+    for (number, (answers, failures)) in [
+        (f32::NAN, 5.0),
+        (f32::INFINITY, 5.0),
+        (3.0, 9.0),
+        (-5.0, -5.0),
+    ]
+    .into_iter()
+    .enumerate()
+    {
+        let number = number as u64 + 1;
+        failing.merge(now, 7, number, &[report(0, answers, failures, (0, 0))], 0.5);
+    }
+    expect_that!(judge(&mut failing, now), is_empty());
+}
+
+// Guards against the reports of a lost peer counting for ever.
+#[googletest::test]
+fn the_report_of_a_silent_peer_expires() {
+    let now = Instant::now();
+    let mut failing = healthy_service(now);
+    failing.merge(now, 7, 1, &[report(0, 4.0, 4.0, (0, 0))], 0.5);
+    let later = now + Duration::from_secs(2);
+    failing.forget_old(later, |_| true);
+    expect_that!(judge(&mut failing, later), is_empty());
+    expect_that!(failing.has_suspects(), eq(false));
+}
+
+// Guards against a new incarnation that pays for the failures of the one before.
+#[googletest::test]
+fn an_endpoint_that_is_gone_is_forgotten() {
+    let now = Instant::now();
+    let mut failing = healthy_service(now);
+    failing.merge(now, 7, 1, &[report(0, 4.0, 4.0, (0, 0))], 0.5);
+    expect_that!(judge(&mut failing, now), elements_are![eq(&(0, true))]);
+    failing.forget_old(now, |lifetime| lifetime != 0);
+    expect_that!(failing.is_failing(0), eq(false));
+    expect_that!(failing.has_suspects(), eq(false));
+}
+
+// Guards against a return before trials have succeeded, whichever gateway sent them.
+#[googletest::test]
+fn trials_of_all_gateways_end_the_failing_state() {
+    let now = Instant::now();
+    let mut failing = healthy_service(now);
+    failing.merge(now, 7, 1, &[report(0, 9.0, 9.0, (0, 0))], 0.5);
+    expect_that!(judge(&mut failing, now), elements_are![eq(&(0, true))]);
+    let later = now + Duration::from_secs(30);
+    expect_that!(judge(&mut failing, later), is_empty());
+    expect_that!(failing.is_failing(0), eq(true));
+    failing.merge(later, 7, 2, &[report(0, 5.0, 0.0, (5, 0))], 0.5);
+    failing.merge(later, 8, 1, &[report(0, 1.0, 1.0, (0, 1))], 0.5);
+    failing.merge(later, 7, 3, &[report(0, 9.0, 0.0, (9, 0))], 0.5);
+    expect_that!(judge(&mut failing, later), is_empty());
+    expect_that!(
+        failing.is_trial_due(later + Duration::from_secs(1), 0),
+        eq(true)
+    );
+    for _ in 0..2 {
+        failing.begin(0);
+        expect_that!(
+            failing.is_trial_due(later + Duration::from_secs(1), 0),
+            eq(false)
+        );
+        failing.finish(later, 0, Some(false), 2, 0.5);
+    }
+    expect_that!(judge(&mut failing, later), elements_are![eq(&(0, false))]);
+    expect_that!(judge(&mut failing, later), is_empty());
+}
--- a/gateway/src/choice/mod.rs
+++ b/gateway/src/choice/mod.rs
@@ -1,3 +1,4 @@
 //! Choice of the endpoint for a call.
 
 pub(crate) mod endpoints;
+pub(crate) mod failing;
--- a/gateway/src/counters.rs
+++ b/gateway/src/counters.rs
@@ -36,6 +36,8 @@
     times: RefCell<BTreeMap<String, Histogram>>,
     endpoints_leaving: Cell<u64>,
     quarantine_refusals: Cell<u64>,
+    endpoints_failing: Cell<u64>,
+    failures_retried: Cell<u64>,
     /// Requests for permits, by outcome.
     permits: RefCell<BTreeMap<String, u64>>,
 }
@@ -61,6 +63,16 @@
         self.endpoints_leaving.set(self.endpoints_leaving.get() + 1);
     }
 
+    /// Counts an endpoint that began to get calls only as trials.
+    pub(crate) fn record_failing_endpoint(&self) {
+        self.endpoints_failing.set(self.endpoints_failing.get() + 1);
+    }
+
+    /// Counts a failure of a failing endpoint after which the request was sent elsewhere.
+    pub(crate) fn record_retried_failure(&self) {
+        self.failures_retried.set(self.failures_retried.get() + 1);
+    }
+
     /// Counts a request that was refused, or not sent again, because it is quarantined.
     pub(crate) fn record_quarantine_refusal(&self) {
         self.quarantine_refusals
@@ -106,6 +118,10 @@
             "",
             quarantine_refusals,
         );
+        let endpoints_failing = self.endpoints_failing.get();
+        write_metric(&mut text, "endpoints_failing_total", "", endpoints_failing);
+        let failures_retried = self.failures_retried.get();
+        write_metric(&mut text, "failures_retried_total", "", failures_retried);
         for (outcome, count) in self.permits.borrow().iter() {
             let labels = format!("outcome=\"{outcome}\"");
             write_metric(&mut text, "permits_total", &labels, *count);
--- a/gateway/src/fleet/gossip.rs
+++ b/gateway/src/fleet/gossip.rs
@@ -10,6 +10,7 @@
 use crate::choice::endpoints::InstanceTag;
 use crate::dialect::{Append, AppendOutcome, Dialect, Topic};
 use crate::fleet::crash_reports::CRASH_REPORTS_TAG;
+use crate::fleet::endpoint_reports::ENDPOINT_REPORTS_TAG;
 use crate::fleet::limit_reports::LIMIT_REPORTS_TAG;
 use crate::fleet::owners::{Candidate, Location};
 use crate::fleet::permits::{PERMIT_REPLY_TAG, PERMIT_REQUEST_TAG};
@@ -343,7 +344,12 @@
             Timer::after(HEARTBEAT_INTERVAL).await;
             let now = Instant::now();
             self.store_paths.set_relays(self.gossip.relays(now));
-            self.endpoints.borrow_mut().expire_peer_counts(now);
+            {
+                let mut endpoints = self.endpoints.borrow_mut();
+                endpoints.expire_peer_counts(now);
+                endpoints.release_held_calls(now);
+            }
+            self.report_failing_endpoints(now, &socket).await;
             self.gossip.forget_silent_peers(now);
             if self.gossip.has_new_peer.take() {
                 for (_, last_sent) in &mut last_sent {
@@ -403,6 +409,10 @@
                     self.receive_limit_reports(reports);
                     continue;
                 }
+                Some((&ENDPOINT_REPORTS_TAG, reports)) => {
+                    self.receive_endpoint_reports(reports);
+                    continue;
+                }
                 Some((&PERMIT_REQUEST_TAG, request)) => {
                     let decide = self.clone().receive_permit_request(request.to_vec(), from);
                     self.executor.spawn(decide).detach();
--- a/gateway/src/fleet/mod.rs
+++ b/gateway/src/fleet/mod.rs
@@ -1,6 +1,7 @@
 //! What gateways tell each other: heartbeats, reports, permits, ownership of partitions.
 
 pub(crate) mod crash_reports;
+pub(crate) mod endpoint_reports;
 pub(crate) mod gossip;
 pub(crate) mod limit_reports;
 pub(crate) mod owners;
--- a/gateway/src/node.rs
+++ b/gateway/src/node.rs
@@ -5,6 +5,7 @@
 use crate::dialect::{Dialect, Offset};
 use crate::events;
 use crate::fleet::crash_reports::CrashSync;
+use crate::fleet::endpoint_reports::EndpointReportSync;
 use crate::fleet::gossip::Gossip;
 use crate::fleet::limit_reports::LimitSync;
 use crate::fleet::peers::PeerLinks;
@@ -121,6 +122,7 @@
     pub(crate) permits: Permits,
     pub(crate) begun_programs: RefCell<BegunPrograms>,
     pub(crate) limit_sync: LimitSync,
+    pub(crate) endpoint_report_sync: EndpointReportSync,
     /// Number of requests in flight.
     pub(crate) requests_in_flight: Rc<Cell<usize>>,
     pub(crate) shutdown: Shutdown,
@@ -155,6 +157,7 @@
             permits: Permits::new(incarnation),
             begun_programs: RefCell::default(),
             limit_sync: LimitSync::default(),
+            endpoint_report_sync: EndpointReportSync::default(),
             requests_in_flight: Rc::default(),
             shutdown: Shutdown::default(),
             settings,
@@ -213,6 +216,10 @@
                 "endpoints_limited",
                 self.endpoints.borrow().rate_limits().limited_count() as u64,
             ),
+            (
+                "endpoints_failing",
+                self.endpoints.borrow().failing_count() as u64,
+            ),
             (
                 "configuration_version",
                 self.routes.borrow().version().unwrap_or_default(),
@@ -287,6 +294,7 @@
             self.delete_expired_turns(now);
             self.forget_expired_crashes(now);
             self.endpoints.borrow_mut().forget_old_rate_limits(now);
+            self.endpoints.borrow_mut().forget_old_failures(now);
             self.forget_pacers();
             // Ownership may change without a load on this gateway.
             self.update_turns_loaded();
--- a/gateway/src/serve/forward.rs
+++ b/gateway/src/serve/forward.rs
@@ -72,6 +72,15 @@
     }
 }
 
+/// Returns what the status of a complete answer says of the endpoint. Status 504 states that the
+/// request's time is over, 501 that the request asks for what the endpoint does not offer.
+fn answer_outcome(status: u16) -> CallOutcome {
+    match status {
+        500 | 502 | 505..=599 => CallOutcome::AnsweredWithFailure,
+        _ => CallOutcome::Answered,
+    }
+}
+
 /// Counts a call at an endpoint as in flight until it is dropped, then records the outcome.
 struct CallGuard<D: Dialect> {
     gateway: Rc<Gateway<D>>,
@@ -225,6 +234,7 @@
         let call = outgoing.call;
         let is_retryable = call.route.is_retryable();
         let mut last = self.no_endpoint();
+        let mut failed_answer = None;
         while call.send_count.get() < call.route.max_attempts.max(1)
             && call.tried.borrow().len() < MAX_ENDPOINTS_TRIED
         {
@@ -247,6 +257,13 @@
             }
             call.tried.borrow_mut().push(endpoint.id.clone());
             match self.send_once(outgoing, &endpoint).await {
+                Ok(answer) if self.may_replace(call, &endpoint, &answer) => {
+                    crate::event!("failure_retried", "request" => call.id(),
+                        "endpoint" => &*endpoint.id, "left_ms" => call.time_left().as_millis());
+                    self.counters.record_retried_failure();
+                    last = Failure::may_have_run("the endpoint failed the request");
+                    failed_answer = Some(answer);
+                }
                 Ok(answer) => return Ok(answer),
                 Err(failure) => {
                     crate::event!("attempt_failed", "request" => call.id(),
@@ -264,6 +281,9 @@
                 }
             }
         }
+        if let Some(answer) = failed_answer {
+            return Ok(answer);
+        }
         let takes_calls = self.endpoints.borrow().has_endpoint(outgoing.service);
         if last.execution == Execution::NotRun && !takes_calls {
             return Err(self.no_endpoint());
@@ -271,6 +291,23 @@
         Err(last)
     }
 
+    /// Returns whether a failing endpoint failed an idempotent call that may be sent elsewhere. A
+    /// failure of an endpoint that is not failing is the answer of what it runs.
+    fn may_replace(
+        &self,
+        call: &Call,
+        endpoint: &EndpointRecord,
+        answer: &EndpointAnswer<D>,
+    ) -> bool {
+        let EndpointAnswer::Whole { head, .. } = answer else {
+            return false;
+        };
+        call.route.kind == RouteKind::Idempotent
+            && answer_outcome(head.status) == CallOutcome::AnsweredWithFailure
+            && call.send_count.get() < call.route.max_attempts
+            && self.endpoints.borrow().is_failing(&endpoint.id)
+    }
+
     /// Returns the failure of a call to a service without an endpoint that takes calls.
     pub(crate) fn no_endpoint(&self) -> Failure {
         Failure {
@@ -356,7 +393,7 @@
             AnswerClass::Answer => {
                 let body = exchange.read_all().await?;
                 let head = exchange.head.clone();
-                exchange.finish(CallOutcome::Answered);
+                exchange.finish(answer_outcome(head.status));
                 Ok(EndpointAnswer::Whole { head, body })
             }
             AnswerClass::NotRun => {
