--- a/gateway/src/fleet/endpoint_reports.rs
+++ b/gateway/src/fleet/endpoint_reports.rs
@@ -2,21 +2,15 @@
 
 use crate::choice::failing::EndpointReport;
 use crate::dialect::Dialect;
-use crate::fleet::gossip::report_delay;
-use crate::fleet::permits::tagged;
+use crate::fleet::carrier::Report;
 use crate::node::Gateway;
-use crate::turns::record::decode;
 use serde::{Deserialize, Serialize};
-use smol::net::UdpSocket;
 use std::cell::Cell;
 use std::time::Instant;
 
-/// First byte of a datagram about endpoints. No heartbeat begins with it, as each is an array.
-pub(crate) const ENDPOINT_REPORTS_TAG: u8 = b'S';
-
 /// What one gateway tells others about endpoints.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
-struct EndpointReports {
+pub(super) struct EndpointReports {
     /// Incarnation of the gateway.
     #[serde(rename = "g")]
     incarnation: u64,
@@ -27,6 +21,10 @@
     endpoints: Vec<EndpointReport>,
 }
 
+impl Report for EndpointReports {
+    const TAG: u8 = b'S';
+}
+
 /// Progress of the reports that this gateway sends.
 #[derive(Debug, Default)]
 pub(crate) struct EndpointReportSync {
@@ -36,7 +34,7 @@
 
 impl<D: Dialect> Gateway<D> {
     /// Judges the endpoints anew and tells peers of those that fail calls, if a report is due.
-    pub(crate) async fn report_failing_endpoints(&self, now: Instant, socket: &UdpSocket) {
+    pub(crate) async fn report_failing_endpoints(&self, now: Instant) {
         let verdicts = self.endpoints.borrow_mut().judge_failures(now);
         for (id, verdict) in verdicts {
             let event = if verdict.is_failing {
@@ -52,9 +50,8 @@
                 "succeeded_trials" => verdict.succeeded_trials,
                 "failing_ms" => verdict.failing_for.as_millis());
         }
-        let peers = self.gossip.all_addresses();
         let sync = &self.endpoint_report_sync;
-        let delay = report_delay(peers.len());
+        let delay = self.carrier.report_delay();
         let is_due = |at: Instant| now.saturating_duration_since(at) >= delay;
         if !sync.sent_at.get().is_none_or(is_due) {
             return;
@@ -70,22 +67,12 @@
             number: sync.number.get(),
             endpoints,
         };
-        let datagram = tagged(ENDPOINT_REPORTS_TAG, &reports);
-        for peer in peers {
-            // A lost datagram needs no retry, because reports contain totals.
-            let _ = socket.send_to(&datagram, peer).await;
-        }
+        // A lost datagram needs no retry, because reports contain totals.
+        self.carrier.send_to_all(&reports).await;
     }
 
-    /// Merges a datagram about endpoints, without its tag.
-    pub(crate) fn receive_endpoint_reports(&self, datagram: &[u8]) {
-        let reports = match decode::<EndpointReports>(datagram) {
-            Ok(reports) => reports,
-            Err(error) => {
-                crate::event!("datagram_unreadable", "error" => error);
-                return;
-            }
-        };
+    /// Merges what a peer tells about endpoints.
+    pub(super) fn receive_endpoint_reports(&self, reports: &EndpointReports) {
         if reports.incarnation == self.incarnation {
             return;
         }
