--- a/gateway/src/choice/mod.rs
+++ b/gateway/src/choice/mod.rs
@@ -1,3 +1,5 @@
 //! Choice of the endpoint for a call.
 
 pub(crate) mod endpoints;
+pub(crate) mod failing;
+pub(crate) mod speed;
--- a/gateway/src/fleet/gossip.rs
+++ b/gateway/src/fleet/gossip.rs
@@ -331,7 +331,12 @@
             Timer::after(HEARTBEAT_INTERVAL).await;
             let now = Instant::now();
             self.store_paths.set_relays(self.gossip.relays(now));
-            self.endpoints.borrow_mut().expire_peer_counts(now);
+            {
+                let mut endpoints = self.endpoints.borrow_mut();
+                endpoints.expire_peer_counts(now);
+                endpoints.release_held_calls(now);
+            }
+            self.report_failing_endpoints(now).await;
             self.gossip.forget_silent_peers(now);
             self.update_carrier_peers();
             if self.gossip.has_new_peer.take() {
--- a/gateway/src/fleet/mod.rs
+++ b/gateway/src/fleet/mod.rs
@@ -2,6 +2,7 @@
 
 pub(crate) mod carrier;
 pub(crate) mod crash_reports;
+pub(crate) mod endpoint_reports;
 pub(crate) mod gossip;
 pub(crate) mod limit_reports;
 pub(crate) mod owners;
--- a/gateway/src/fleet/reception.rs
+++ b/gateway/src/fleet/reception.rs
@@ -3,6 +3,7 @@
 use crate::dialect::Dialect;
 use crate::fleet::carrier::{Incoming, MAX_REPORT_DELAY, Report};
 use crate::fleet::crash_reports::CrashReports;
+use crate::fleet::endpoint_reports::EndpointReports;
 use crate::fleet::gossip::Heartbeat;
 use crate::fleet::limit_reports::LimitReports;
 use crate::fleet::permits::{NumberedPermitReply, PermitRequest};
@@ -32,6 +33,11 @@
                     self.receive_limit_reports(&reports);
                 }
             }
+            Some(EndpointReports::TAG) => {
+                if let Some(reports) = incoming.read() {
+                    self.receive_endpoint_reports(&reports);
+                }
+            }
             Some(PermitRequest::TAG) => {
                 if let Some(request) = incoming.read() {
                     let decide = self.clone().receive_permit_request(request, incoming.from);
--- a/gateway/src/node.rs
+++ b/gateway/src/node.rs
@@ -7,6 +7,7 @@
 use crate::events;
 use crate::fleet::carrier::Carrier;
 use crate::fleet::crash_reports::CrashSync;
+use crate::fleet::endpoint_reports::EndpointReportSync;
 use crate::fleet::gossip::Gossip;
 use crate::fleet::limit_reports::LimitSync;
 use crate::fleet::peers::PeerLinks;
@@ -148,6 +149,7 @@
     pub(crate) permits: Permits,
     pub(crate) begun_programs: RefCell<BegunPrograms>,
     pub(crate) limit_sync: LimitSync,
+    pub(crate) endpoint_report_sync: EndpointReportSync,
     /// Number of requests in flight.
     pub(crate) requests_in_flight: Rc<Cell<usize>>,
     pub(crate) shutdown: Shutdown,
@@ -155,6 +157,8 @@
 
 impl<D: Dialect> Gateway<D> {
     fn new(settings: GatewaySettings, executor: Rc<LocalExecutor<'static>>) -> Self {
+        let mut endpoints = Endpoints::default();
+        endpoints.set_judges_failures(settings.terms.has_unreliable_health);
         let mut rng = fastrand::Rng::new();
         let incarnation = rng.u64(..);
         Self {
@@ -164,7 +168,7 @@
             routes: RefCell::default(),
             version_watch: RefCell::default(),
             version_heard: event_listener::Event::new(),
-            endpoints: RefCell::default(),
+            endpoints: RefCell::new(endpoints),
             endpoints_loaded: Cell::new(false),
             endpoints_read_at: Cell::new(None),
             partitions: (0..PARTITION_COUNT).map(Partition::new).collect(),
@@ -185,6 +189,7 @@
             permits: Permits::new(incarnation),
             begun_programs: RefCell::default(),
             limit_sync: LimitSync::default(),
+            endpoint_report_sync: EndpointReportSync::default(),
             requests_in_flight: Rc::default(),
             shutdown: Shutdown::default(),
             settings,
@@ -256,6 +261,10 @@
                 "keys_known",
                 self.routes.borrow().accounts().key_count() as u64,
             ),
+            (
+                "endpoints_failing",
+                self.endpoints.borrow().failing_count() as u64,
+            ),
             (
                 "requests_quarantined",
                 self.crashes.borrow().quarantined_count() as u64,
@@ -264,6 +273,7 @@
             ("store_direct", u64::from(self.store_paths.is_direct())),
         ]);
         metrics.push_str(&self.carrier.render());
+        metrics.push_str(&self.endpoints.borrow().render_speeds(Instant::now()));
         metrics
     }
 
@@ -328,6 +338,8 @@
             self.delete_expired_turns(now);
             self.forget_expired_crashes(now);
             self.endpoints.borrow_mut().forget_old_rate_limits(now);
+            self.endpoints.borrow_mut().forget_old_failures(now);
+            self.endpoints.borrow_mut().refresh_speeds();
             self.forget_pacers();
             // Ownership may change without a load on this gateway.
             self.update_turns_loaded();
--- a/gateway/src/serve/forward.rs
+++ b/gateway/src/serve/forward.rs
@@ -9,7 +9,7 @@
 #[cfg(test)]
 mod tests;
 
-use crate::choice::endpoints::{CallOutcome, EndpointRecord, InstanceId};
+use crate::choice::endpoints::{CallOutcome, EndpointRecord, ExpectedWork, InstanceId};
 use crate::dialect::{AnswerInfo, Dialect, Dispatch};
 use crate::limits::{BufferShare, MAX_ANSWER_BYTES};
 use crate::net::{connect, io_with_timeout, with_timeout};
@@ -73,6 +73,15 @@
     }
 }
 
+/// Returns what the status of a complete answer says of the endpoint. Status 504 states that the
+/// request's time is over, 501 that the request asks for what the endpoint does not offer.
+fn answer_outcome(status: u16) -> CallOutcome {
+    match status {
+        500 | 502 | 505..=599 => CallOutcome::AnsweredWithFailure,
+        _ => CallOutcome::Answered,
+    }
+}
+
 /// Counts a call at an endpoint as in flight until it is dropped, then records the outcome.
 struct CallGuard<D: Dialect> {
     gateway: Rc<Gateway<D>>,
@@ -80,6 +89,10 @@
     started_at: Instant,
     outcome: Cell<CallOutcome>,
     attempt: Attempt,
+    /// The work of the call, if its time can be compared.
+    work: Option<ExpectedWork>,
+    /// Tokens of the answer.
+    answer_tokens: Cell<u64>,
 }
 
 impl<D: Dialect> Drop for CallGuard<D> {
@@ -88,6 +101,12 @@
         let duration = now.duration_since(self.started_at);
         let mut endpoints = self.gateway.endpoints.borrow_mut();
         endpoints.finish_call(now, &self.endpoint, duration, self.outcome.get());
+        if let Some(work) = &self.work
+            && self.outcome.get() == CallOutcome::Answered
+        {
+            let answer_tokens = self.answer_tokens.get();
+            endpoints.measure_call(now, &self.endpoint, work, duration, answer_tokens);
+        }
         drop(endpoints);
         self.gateway
             .judge_attempt(&self.endpoint, &self.attempt, self.outcome.get());
@@ -140,6 +159,11 @@
         Ok(self.decoder.is_done())
     }
 
+    /// Records how many tokens the answer has.
+    pub(crate) fn record_answer_tokens(&self, tokens: u64) {
+        self.guard.answer_tokens.set(tokens);
+    }
+
     /// Records that the endpoint failed to send a complete answer.
     pub(crate) fn record_failure(&self) {
         self.guard.outcome.set(CallOutcome::Failed);
@@ -226,6 +250,7 @@
         let call = outgoing.call;
         let is_retryable = call.route.is_retryable();
         let mut last = self.no_endpoint();
+        let mut failed_answer = None;
         while call.send_count.get() < call.route.max_attempts.max(1)
             && call.tried.borrow().len() < MAX_ENDPOINTS_TRIED
         {
@@ -248,6 +273,13 @@
             }
             call.tried.borrow_mut().push(endpoint.id.clone());
             match self.send_once(outgoing, &endpoint).await {
+                Ok(answer) if self.may_replace(call, &endpoint, &answer) => {
+                    crate::event!("failure_retried", "request" => call.id(),
+                        "endpoint" => &*endpoint.id, "left_ms" => call.time_left().as_millis());
+                    self.counters.record_retried_failure();
+                    last = Failure::may_have_run("the endpoint failed the request");
+                    failed_answer = Some(answer);
+                }
                 Ok(answer) => return Ok(answer),
                 Err(failure) => {
                     crate::event!("attempt_failed", "request" => call.id(),
@@ -266,6 +298,9 @@
                 }
             }
         }
+        if let Some(answer) = failed_answer {
+            return Ok(answer);
+        }
         let takes_calls = self.endpoints.borrow().has_endpoint(outgoing.service);
         if last.execution == Execution::NotRun && !takes_calls {
             return Err(self.no_endpoint());
@@ -273,6 +308,23 @@
         Err(last)
     }
 
+    /// Returns whether a failing endpoint failed an idempotent call that may be sent elsewhere. A
+    /// failure of an endpoint that is not failing is the answer of what it runs.
+    fn may_replace(
+        &self,
+        call: &Call,
+        endpoint: &EndpointRecord,
+        answer: &EndpointAnswer<D>,
+    ) -> bool {
+        let EndpointAnswer::Whole { head, .. } = answer else {
+            return false;
+        };
+        call.route.kind == RouteKind::Idempotent
+            && answer_outcome(head.status) == CallOutcome::AnsweredWithFailure
+            && call.send_count.get() < call.route.max_attempts
+            && self.endpoints.borrow().is_failing(&endpoint.id)
+    }
+
     /// Returns the failure of a call to a service without an endpoint that takes calls.
     pub(crate) fn no_endpoint(&self) -> Failure {
         Failure {
@@ -294,6 +346,7 @@
         endpoint: &EndpointRecord,
     ) -> Result<EndpointAnswer<D>, Failure> {
         let call = outgoing.call;
+        let work = self.expected_work(outgoing, endpoint);
         self.endpoints.borrow_mut().begin_call(&endpoint.id);
         let guard = CallGuard {
             gateway: self.clone(),
@@ -301,6 +354,8 @@
             started_at: Instant::now(),
             outcome: Cell::new(CallOutcome::Abandoned),
             attempt: Attempt::new(call, endpoint),
+            work,
+            answer_tokens: Cell::new(0),
         };
         let mut connection = match self.pool.take(Instant::now(), &endpoint.id) {
             Some(connection) => connection,
@@ -330,6 +385,7 @@
         let observe = |answer: &ObservedAnswer<'_>| {
             self.observe_leaving(call, endpoint, answer);
             self.observe_rate_limit(call, endpoint, answer);
+            self.observe_slowdown(endpoint, answer);
         };
         let exchange = exchange::<D>(&mut connection, &request, call.id(), &is_written, &observe);
         let may_send_again = call.send_count.get() < call.route.max_attempts;
@@ -361,7 +417,7 @@
             AnswerClass::Answer => {
                 let body = exchange.read_all().await?;
                 let head = exchange.head.clone();
-                exchange.finish(CallOutcome::Answered);
+                exchange.finish(answer_outcome(head.status));
                 Ok(EndpointAnswer::Whole { head, body })
             }
             AnswerClass::NotRun => {
