--- a/gateway/src/admission/mod.rs
+++ b/gateway/src/admission/mod.rs
@@ -1,3 +1,6 @@
 //! Decisions whether a request is served. They have neither sockets nor a clock of their own.
 
 pub(crate) mod accounts;
+pub(crate) mod lease;
+pub(crate) mod quota;
+pub(crate) mod tenure;
--- a/gateway/src/counters.rs
+++ b/gateway/src/counters.rs
@@ -3,15 +3,22 @@
 #[cfg(test)]
 mod tests;
 
-use crate::routes::RouteKind;
+use crate::routes::{AccountName, RouteKind};
+use crate::serve::forward::QuotaOutcome;
 use std::cell::{Cell, RefCell};
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, HashMap};
 use std::fmt::Write;
 use std::time::Duration;
 
 /// Upper bounds of the histogram buckets in ms, from a cached read to a typical client timeout.
 const BUCKETS_MS: [u64; 10] = [5, 10, 25, 50, 100, 250, 500, 1_000, 2_500, 5_000];
 
+/// Maximum number of accounts that are counted each; the others are counted together.
+const MAX_ACCOUNTS: usize = 256;
+
+/// Name under which the others are counted; no account has an empty name.
+const OTHER_ACCOUNTS: &str = "";
+
 /// Latency histogram of one kind of route.
 #[derive(Clone, Copy, Debug, Default)]
 struct Histogram {
@@ -38,6 +45,8 @@
     quarantine_refusals: Cell<u64>,
     /// Requests for permits, by outcome.
     permits: RefCell<BTreeMap<String, u64>>,
+    /// Needs for tokens of quotas, by account and outcome; of at most [`MAX_ACCOUNTS`] accounts.
+    quotas: RefCell<HashMap<AccountName, BTreeMap<QuotaOutcome, u64>>>,
 }
 
 impl Counters {
@@ -72,6 +81,20 @@
         *self.permits.borrow_mut().entry(outcome).or_default() += 1;
     }
 
+    /// Counts what became of a request's need for a token of its account's quota.
+    pub(crate) fn record_quota(&self, account: &AccountName, outcome: QuotaOutcome) {
+        let mut quotas = self.quotas.borrow_mut();
+        let is_counted = quotas.len() < MAX_ACCOUNTS || quotas.contains_key(account);
+        let counts = if let Some(counts) = quotas.get_mut(account) {
+            counts
+        } else if is_counted {
+            quotas.entry(account.clone()).or_default()
+        } else {
+            quotas.entry(AccountName::from(OTHER_ACCOUNTS)).or_default()
+        };
+        *counts.entry(outcome).or_default() += 1;
+    }
+
     /// Renders all counters and the given gauges in the Prometheus text format.
     pub(crate) fn render(&self, gauges: &[(&str, u64)]) -> String {
         let mut text = String::new();
@@ -110,6 +133,13 @@
             let labels = format!("outcome=\"{outcome}\"");
             write_metric(&mut text, "permits_total", &labels, *count);
         }
+        for (account, counts) in self.quotas.borrow().iter() {
+            for (outcome, count) in counts {
+                let account = account.escape_default();
+                let labels = format!("account=\"{account}\",outcome=\"{outcome}\"");
+                write_metric(&mut text, "quota_requests_total", &labels, *count);
+            }
+        }
         for (name, value) in gauges {
             write_metric(&mut text, name, "", *value);
         }
--- a/gateway/src/fleet/gossip.rs
+++ b/gateway/src/fleet/gossip.rs
@@ -13,6 +13,7 @@
 use crate::fleet::owners::{Candidate, Location};
 use crate::node::Gateway;
 use crate::turns::record::{GatewayRecord, encode};
+use galenapick::stable_hash;
 #[cfg(test)]
 pub(crate) use heartbeat::is_readable_heartbeat;
 pub(crate) use heartbeat::{GatewayState, Heartbeat};
@@ -204,6 +205,24 @@
             .collect()
     }
 
+    /// Returns a hash of the peers that may own partitions, with all that decides on it.
+    pub(crate) fn view_hash(&self, now: Instant) -> u64 {
+        let peers = self.peers.borrow();
+        let eligible = peers.iter().filter(|(_, peer)| {
+            !peer.state.is_stopping && (peer.is_healthy(now) || peer.is_presumed_healthy(now))
+        });
+        let hashes = eligible.map(|(name, peer)| {
+            let permille = peer.state.processor_permille;
+            stable_hash((name, peer.incarnation, peer.number == 0, permille))
+        });
+        hashes.fold(0, |view, hash| view ^ hash)
+    }
+
+    /// Returns the number of known peers, also those that are not heard of.
+    pub(crate) fn known_count(&self) -> usize {
+        self.peers.borrow().len()
+    }
+
     /// Returns whether the peer at an address is healthy.
     pub(crate) fn is_healthy(&self, address: SocketAddr, now: Instant) -> bool {
         let peers = self.peers.borrow();
--- a/gateway/src/fleet/reception.rs
+++ b/gateway/src/fleet/reception.rs
@@ -6,6 +6,7 @@
 use crate::fleet::gossip::Heartbeat;
 use crate::fleet::limit_reports::LimitReports;
 use crate::fleet::permits::{NumberedPermitReply, PermitRequest};
+use crate::fleet::quotas::{NumberedQuotaAnswer, QuotaRequest};
 use crate::node::Gateway;
 use smol::Timer;
 use std::rc::Rc;
@@ -43,6 +44,17 @@
                     self.receive_permit_reply(&reply);
                 }
             }
+            Some(QuotaRequest::TAG) => {
+                if let Some(request) = incoming.read() {
+                    let decide = self.clone().receive_quota_request(request, incoming.from);
+                    self.executor.spawn(decide).detach();
+                }
+            }
+            Some(NumberedQuotaAnswer::TAG) => {
+                if let Some(answer) = incoming.read() {
+                    self.receive_quota_answer(&answer);
+                }
+            }
             // What no other kind takes is read as a heartbeat, so that what is unreadable is logged.
             _ => {
                 if let Some(heartbeat) = incoming.read::<Heartbeat>() {
--- a/gateway/src/node.rs
+++ b/gateway/src/node.rs
@@ -10,6 +10,7 @@
 use crate::fleet::limit_reports::LimitSync;
 use crate::fleet::peers::PeerLinks;
 use crate::fleet::permits::Permits;
+use crate::fleet::quotas::Quotas;
 use crate::limits::BufferGauge;
 use crate::net::with_timeout;
 use crate::routes::Routes;
@@ -141,6 +142,7 @@
     pub(crate) crashes: RefCell<Crashes>,
     pub(crate) crash_sync: CrashSync,
     pub(crate) permits: Permits,
+    pub(crate) quotas: Quotas,
     pub(crate) begun_programs: RefCell<BegunPrograms>,
     pub(crate) limit_sync: LimitSync,
     /// Number of requests in flight.
@@ -176,6 +178,7 @@
             crashes: RefCell::default(),
             crash_sync: CrashSync::default(),
             permits: Permits::new(incarnation),
+            quotas: Quotas::new(incarnation, &settings.terms),
             begun_programs: RefCell::default(),
             limit_sync: LimitSync::default(),
             requests_in_flight: Rc::default(),
@@ -373,6 +376,7 @@
     spawn(Box::pin(gateway.clone().send_crash_reports()));
     spawn(Box::pin(gateway.clone().send_limit_reports()));
     spawn(Box::pin(gateway.clone().receive_reports()));
+    spawn(Box::pin(gateway.clone().follow_quotas()));
     spawn(Box::pin(gateway.clone().store_quarantines()));
     spawn(Box::pin(gateway.clone().accept_peers(peers)));
     spawn(Box::pin(gateway.clone().follow_gateways()));
--- a/gateway/src/routes/accounts.rs
+++ b/gateway/src/routes/accounts.rs
@@ -102,6 +102,8 @@
     accounts: Vec<Rc<Account>>,
     by_key: HashMap<KeyHash, Holder>,
     is_key_required: bool,
+    /// Whether an account has a quota.
+    has_quotas: bool,
 }
 
 impl AccountTable {
@@ -125,13 +127,20 @@
                 }
             }
         }
+        let has_quotas = accounts.iter().any(|account| account.quota.is_some());
         Self {
             accounts: accounts.into_iter().map(Rc::new).collect(),
             by_key,
             is_key_required,
+            has_quotas,
         }
     }
 
+    /// Whether an account has a quota.
+    pub(crate) fn has_quotas(&self) -> bool {
+        self.has_quotas
+    }
+
     /// Whether requests of routes that are not public need a key.
     pub(crate) fn is_key_required(&self) -> bool {
         self.is_key_required
--- a/gateway/src/serve/call.rs
+++ b/gateway/src/serve/call.rs
@@ -40,6 +40,8 @@
     pub(crate) deadline: Instant,
     /// Whether it may have run so far.
     pub(crate) execution: Cell<Execution>,
+    /// When its token of the account's quota for the next attempt expires; `None` if it has none.
+    pub(crate) token_expires_at: Cell<Option<Instant>>,
     /// Number of endpoints to which it was sent.
     pub(crate) send_count: Cell<u32>,
     /// Endpoints to which it was sent or that could not be reached.
@@ -144,6 +146,11 @@
                     return None;
                 }
             };
+            // Before any work for a turn is done; further attempts take tokens of their own.
+            if let Err(failure) = self.obtain_token(call).await {
+                reply.refuse(&failure.refusal(call)).await;
+                return None;
+            }
             match call.route.kind {
                 RouteKind::Streaming => self.serve_stream(call, reply).await,
                 RouteKind::Idempotent | RouteKind::AtMostOnce => {
@@ -163,6 +170,7 @@
         if let Some(reason) = future::or(work, future::or(timeout, end)).await {
             self.answer_unfinished(call, reply, reason).await;
         }
+        self.return_token(call);
         if let (200..=299, Some(program)) = (reply.status(), &call.info.program) {
             self.begun_programs.borrow_mut().insert(program);
         }
--- a/gateway/src/serve/forward.rs
+++ b/gateway/src/serve/forward.rs
@@ -5,6 +5,7 @@
 mod leaving;
 mod permit;
 mod quarantine;
+mod quota;
 mod rate_limit;
 #[cfg(test)]
 mod tests;
@@ -27,6 +28,7 @@
 use leaving::ObservedAnswer;
 use quarantine::Attempt;
 pub(crate) use quarantine::fingerprints;
+pub(crate) use quota::QuotaOutcome;
 use std::cell::Cell;
 use std::io::ErrorKind;
 use std::rc::Rc;
@@ -229,6 +231,12 @@
         while call.send_count.get() < call.route.max_attempts.max(1)
             && call.tried.borrow().len() < MAX_ENDPOINTS_TRIED
         {
+            if let Err(failure) = self.obtain_token(call).await {
+                if last.execution == Execution::NotRun {
+                    return Err(failure);
+                }
+                break;
+            }
             let endpoint = match self.next_endpoint(outgoing).await {
                 Ok(endpoint) => endpoint,
                 Err(failure) => {
@@ -246,6 +254,10 @@
                 }
                 break;
             }
+            if self.has_expired_token(call) {
+                // The wait for a permit was longer than the life of the token.
+                continue;
+            }
             call.tried.borrow_mut().push(endpoint.id.clone());
             match self.send_once(outgoing, &endpoint).await {
                 Ok(answer) => return Ok(answer),
@@ -320,6 +332,7 @@
             return Err(failure);
         }
         let request = self.request_bytes(outgoing, &endpoint.id);
+        self.use_token(call);
         call.execution.set(Execution::MayHaveRun);
         call.send_count.set(call.send_count.get() + 1);
         call.endpoint.replace(Some(endpoint.id.clone()));
--- a/gateway/src/serve/forward/failure.rs
+++ b/gateway/src/serve/forward/failure.rs
@@ -47,6 +47,8 @@
     KeyRevoked,
     /// The request's key now belongs to another account.
     KeyMoved,
+    /// The account may send no more requests for this long.
+    QuotaUsedUp(Duration),
 }
 
 impl Failure {
@@ -102,6 +104,10 @@
                 Execution::NotRun,
                 FailureCause::Quarantined(left) | FailureCause::RateLimited(left),
             ) => Refusal::retry_later(left, self.reason),
+            (Execution::NotRun, FailureCause::QuotaUsedUp(left)) => Refusal {
+                status: 429,
+                ..Refusal::retry_later(left, self.reason)
+            },
             (Execution::NotRun, _) => {
                 let delay = RETRY_AFTER.mul_f64(0.5 + fastrand::f64());
                 Refusal::retry_later(delay, self.reason)
--- a/gateway/src/serve/forward/permit.rs
+++ b/gateway/src/serve/forward/permit.rs
@@ -136,7 +136,7 @@
 
     /// Returns the urgency of a request. A program has begun if the request continues a turn, is a
     /// call of a tool, or has been sent before, or if another request of the program was answered.
-    fn urgency(&self, call: &Call) -> Urgency {
+    pub(super) fn urgency(&self, call: &Call) -> Urgency {
         let info = &call.info;
         let is_begun = |program: &String| {
             call.route.kind != RouteKind::Streaming
@@ -165,7 +165,7 @@
 
 /// Returns the longest time for which a request waits for an endpoint. A new program that begins
 /// later than its route aims at would end late, in place of another one.
-fn longest_wait(call: &Call, urgency: Urgency) -> Duration {
+pub(super) fn longest_wait(call: &Call, urgency: Urgency) -> Duration {
     let longest = call.time_left().mul_f64(WAIT_SHARE);
     if urgency.is_under_way {
         longest
--- a/gateway/src/serve/front.rs
+++ b/gateway/src/serve/front.rs
@@ -225,6 +225,7 @@
             head: request.head,
             body: request.body,
             execution: Cell::new(Execution::NotRun),
+            token_expires_at: Cell::new(None),
             send_count: Cell::new(0),
             tried: RefCell::default(),
             endpoint: RefCell::default(),
