--- a/gateway/src/serve/call.rs
+++ b/gateway/src/serve/call.rs
@@ -172,7 +172,9 @@
         }
         self.return_token(call);
         if let (200..=299, Some(program)) = (reply.status(), &call.info.program) {
-            self.begun_programs.borrow_mut().insert(program);
+            self.begun_programs
+                .borrow_mut()
+                .insert(call.account_name(), program);
         }
         let duration = call.received_at.elapsed();
         self.counters
