Simplify the model of quotas as the linter asks

Three findings in the model's causes of faults (an unneeded mut, the side of a cut, a nested if) failed the check with warnings as errors; the model runs the same cases as before with the same bounds.

--- a/gateway/src/admission/quota/model.rs
+++ b/gateway/src/admission/quota/model.rs
@@ -135,7 +135,7 @@
     fn is_linked(&self, one: usize, other: usize) -> bool {
         let is_cut =
             self.fault == Fault::TwoViews && (MS * 8_000..MS * 14_000).contains(&self.elapsed());
-        let side = |gateway: usize| gateway % 3 == 0;
+        let side = |gateway: usize| gateway.is_multiple_of(3);
         !is_cut || side(one) == side(other)
     }
 
@@ -331,7 +331,7 @@
         let granting = (0..count)
             .filter(|it| self.nodes[*it].runs(self.now))
             .max_by_key(|it| Self::rank(*it));
-        let mut kill = |nodes: &mut Vec<Node>, number: usize, down: Duration| {
+        let kill = |nodes: &mut Vec<Node>, number: usize, down: Duration| {
             nodes[number] = Node::new(self.now + down, count);
         };
         match self.fault {
@@ -352,14 +352,12 @@
                 }
                 self.next_fault_at = self.now + MS * 1_900;
             }
-            Fault::AllKilled => {
-                if self.elapsed() >= MS * 10_000 {
-                    for number in 0..count {
-                        let down = MS * self.rng.u32(200..800);
-                        kill(&mut self.nodes, number, down);
-                    }
-                    self.next_fault_at = self.now + RUN_TIME;
+            Fault::AllKilled if self.elapsed() >= MS * 10_000 => {
+                for number in 0..count {
+                    let down = MS * self.rng.u32(200..800);
+                    kill(&mut self.nodes, number, down);
                 }
+                self.next_fault_at = self.now + RUN_TIME;
             }
             Fault::Cut if self.elapsed() >= MS * 10_000 => {
                 self.quota.rate_per_s /= 8.0;
