Keep the token of an attempt that no endpoint ran

An attempt that its endpoint confirms not to have run does not count towards the quota, but its token was used up, so that retries while endpoints refuse cost an account its quota. The token is kept for the next attempt until it expires.

--- a/gateway/src/serve/forward.rs
+++ b/gateway/src/serve/forward.rs
@@ -259,9 +259,14 @@
                 continue;
             }
             call.tried.borrow_mut().push(endpoint.id.clone());
+            let token_expires_at = call.token_expires_at.get();
             match self.send_once(outgoing, &endpoint).await {
                 Ok(answer) => return Ok(answer),
                 Err(failure) => {
+                    if failure.execution == Execution::NotRun {
+                        // An attempt that no endpoint runs does not count towards the quota.
+                        call.token_expires_at.set(token_expires_at);
+                    }
                     crate::event!("attempt_failed", "request" => call.id(),
                         "endpoint" => &*endpoint.id, "reason" => failure.reason,
                         "execution" => failure.execution.to_string(),
