--- a/gateway/src/admission/mod.rs
+++ b/gateway/src/admission/mod.rs
@@ -4,3 +4,4 @@
 pub(crate) mod lease;
 pub(crate) mod quota;
 pub(crate) mod tenure;
+pub(crate) mod version_watch;
--- a/gateway/src/serve/forward/quota.rs
+++ b/gateway/src/serve/forward/quota.rs
@@ -82,7 +82,7 @@
         loop {
             let now = Instant::now();
             if let Some(expires_at) = self.take_held_token(need, now) {
-                self.counters.record_quota(need.account, QuotaOutcome::Held);
+                self.record_quota(need.account, QuotaOutcome::Held);
                 return Ok(expires_at);
             }
             let closed = self.quotas.with_lease(now, need.account, |lease| {
@@ -106,7 +106,7 @@
                         QuotaOutcome::Waited
                     };
                     if expires_at > Instant::now() {
-                        self.counters.record_quota(need.account, outcome);
+                        self.record_quota(need.account, outcome);
                         return Ok(expires_at);
                     }
                 }
@@ -123,7 +123,7 @@
                 Some((QuotaAnswer::NotGranting, _)) | None => {
                     if let Some(expires_at) = self.take_fallback_token(need) {
                         let outcome = QuotaOutcome::Fallback;
-                        self.counters.record_quota(need.account, outcome);
+                        self.record_quota(need.account, outcome);
                         return Ok(expires_at);
                     }
                 }
@@ -213,6 +213,11 @@
         }
     }
 
+    fn record_quota(&self, account: &AccountName, outcome: QuotaOutcome) {
+        let mut accounts = self.counters.accounts.borrow_mut();
+        accounts.record_quota(account, outcome);
+    }
+
     fn demand(&self, call: &Call) -> Demand {
         match (self.urgency(call).is_under_way, &call.info.program) {
             (true, _) => Demand::UnderWay,
@@ -227,8 +232,7 @@
         let now = Instant::now();
         let random = self.rng.borrow_mut().f64();
         let retry_after = closed.retry_after(now, random).max(MIN_RETRY_AFTER);
-        self.counters
-            .record_quota(need.account, QuotaOutcome::Refused);
+        self.record_quota(need.account, QuotaOutcome::Refused);
         crate::event!("quota_refused", "request" => need.call.id(), "account" => &**need.account,
             "demand" => need.demand.to_string(),
             "per_s" => need.quota.1.rate_per_s.to_string(),
@@ -246,8 +250,7 @@
     }
 
     fn quota_unchecked(&self, need: &Need<'_>) -> Failure {
-        self.counters
-            .record_quota(need.account, QuotaOutcome::Unchecked);
+        self.record_quota(need.account, QuotaOutcome::Unchecked);
         crate::event!("quota_unchecked", "request" => need.call.id(),
             "account" => &**need.account, "demand" => need.demand.to_string(),
             "granting" => self.granting_name(need.account),
