--- a/gateway/src/counters/accounts.rs
+++ b/gateway/src/counters/accounts.rs
@@ -1,6 +1,7 @@
 //! Counters by client account, for a bounded number of accounts.
 
 use super::write_metric;
+use crate::serve::forward::QuotaOutcome;
 use std::collections::BTreeMap;
 use std::rc::Rc;
 
@@ -23,6 +24,8 @@
 #[derive(Debug, Default)]
 pub(crate) struct AccountCounters {
     answers: BTreeMap<Rc<str>, Answers>,
+    /// Needs for tokens of quotas, by account and outcome.
+    quotas: BTreeMap<Rc<str>, BTreeMap<QuotaOutcome, u64>>,
     /// Requests that were refused for their keys, by reason.
     key_refusals: BTreeMap<&'static str, u64>,
 }
@@ -43,6 +46,20 @@
         }
     }
 
+    /// Counts what became of an attempt's need for a token of its account's quota.
+    pub(crate) fn record_quota(&mut self, account: &Rc<str>, outcome: QuotaOutcome) {
+        if let Some(counts) = self.quotas.get_mut(account) {
+            *counts.entry(outcome).or_default() += 1;
+            return;
+        }
+        let name = match self.quotas.len() >= MAX_ACCOUNTS {
+            true => OTHERS.into(),
+            false => account.clone(),
+        };
+        let counts = self.quotas.entry(name).or_default();
+        *counts.entry(outcome).or_default() += 1;
+    }
+
     /// Counts a request that was refused for its key.
     pub(crate) fn record_key_refusal(&mut self, reason: &'static str) {
         *self.key_refusals.entry(reason).or_default() += 1;
@@ -50,7 +67,7 @@
 
     pub(super) fn render(&self, text: &mut String) {
         for (account, answers) in &self.answers {
-            let account = account.replace('\\', "\\\\").replace('"', "\\\"");
+            let account = escaped(account);
             for (outcome, count) in [
                 ("served", answers.served),
                 ("refused", answers.refused),
@@ -60,9 +77,20 @@
                 write_metric(text, "account_answers_total", &labels, count);
             }
         }
+        for (account, counts) in &self.quotas {
+            let account = escaped(account);
+            for (outcome, count) in counts {
+                let labels = format!("account=\"{account}\",outcome=\"{outcome}\"");
+                write_metric(text, "quota_requests_total", &labels, *count);
+            }
+        }
         for (reason, count) in &self.key_refusals {
             let labels = format!("reason=\"{reason}\"");
             write_metric(text, "key_refusals_total", &labels, *count);
         }
     }
 }
+
+fn escaped(account: &str) -> String {
+    account.replace('\\', "\\\\").replace('"', "\\\"")
+}
--- a/gateway/src/serve/forward.rs
+++ b/gateway/src/serve/forward.rs
@@ -5,6 +5,7 @@
 mod leaving;
 mod permit;
 mod quarantine;
+mod quota;
 mod rate_limit;
 #[cfg(test)]
 mod tests;
@@ -27,6 +28,7 @@
 use leaving::ObservedAnswer;
 use quarantine::Attempt;
 pub(crate) use quarantine::fingerprints;
+pub(crate) use quota::QuotaOutcome;
 use std::cell::Cell;
 use std::io::ErrorKind;
 use std::rc::Rc;
@@ -254,6 +256,12 @@
         while call.send_count.get() < call.route.max_attempts.max(1)
             && call.tried.borrow().len() < MAX_ENDPOINTS_TRIED
         {
+            if let Err(failure) = self.obtain_token(call).await {
+                if last.execution == Execution::NotRun {
+                    return Err(failure);
+                }
+                break;
+            }
             let endpoint = match self.next_endpoint(outgoing).await {
                 Ok(endpoint) => endpoint,
                 Err(failure) => {
@@ -271,7 +279,12 @@
                 }
                 break;
             }
+            if self.has_expired_token(call) {
+                // The wait for a permit was longer than the life of the token.
+                continue;
+            }
             call.tried.borrow_mut().push(endpoint.id.clone());
+            let token_expires_at = call.token_expires_at.get();
             match self.send_once(outgoing, &endpoint).await {
                 Ok(answer) if self.may_replace(call, &endpoint, &answer) => {
                     crate::event!("failure_retried", "request" => call.id(),
@@ -282,6 +295,10 @@
                 }
                 Ok(answer) => return Ok(answer),
                 Err(failure) => {
+                    if failure.execution == Execution::NotRun {
+                        // An attempt that no endpoint runs does not count towards the quota.
+                        call.token_expires_at.set(token_expires_at);
+                    }
                     crate::event!("attempt_failed", "request" => call.id(),
                         "endpoint" => &*endpoint.id, "reason" => failure.reason,
                         "execution" => failure.execution.to_string(),
@@ -375,6 +392,7 @@
             return Err(failure);
         }
         let request = self.request_bytes(outgoing, &endpoint.id);
+        self.use_token(call);
         call.execution.set(Execution::MayHaveRun);
         call.send_count.set(call.send_count.get() + 1);
         call.endpoint.replace(Some(endpoint.id.clone()));
