--- a/gateway/src/routes/accounts/tests.rs
+++ b/gateway/src/routes/accounts/tests.rs
@@ -59,3 +59,18 @@
         not(contains_substring("secret"))
     );
 }
+
+// Guards against tables that take much of a small VM's memory.
+#[googletest::test]
+fn a_key_takes_few_bytes() {
+    expect_that!(size_of::<(KeyHash, super::Holder)>(), le(24));
+    let keys: Vec<String> = (0..5_000).map(|number| format!("key-{number}")).collect();
+    let keys: Vec<&str> = keys.iter().map(String::as_str).collect();
+    let accounts = keys
+        .chunks(50)
+        .enumerate()
+        .map(|(number, keys)| account(&number.to_string(), keys));
+    let table = AccountTable::new(accounts.collect(), true);
+    expect_that!(table.key_count(), eq(5_000));
+    expect_that!(holder(&table, "key-4999"), ok(eq("99")));
+}
