Ask callers to come back while a newer configuration is being read

A gateway that knows from its peers that it is behind answered 401 to a key, and 404 to a route, that the newer configuration may hold.

--- a/gateway/src/admission/version_watch.rs
+++ b/gateway/src/admission/version_watch.rs
@@ -20,10 +20,15 @@
 /// Maximum time between two reads for a version that does not come.
 const MAX_READ_INTERVAL: Duration = Duration::from_secs(4);
 
+/// Time for which a newer version is expected. One that has not come by then cannot be read here, and
+/// what the version in force does not know counts as unknown again.
+const BEHIND_TIME: Duration = Duration::from_secs(5);
+
 /// A version that a peer has and this gateway does not.
 #[derive(Clone, Copy, Debug)]
 struct Missed {
     version: ConfigurationVersion,
+    heard_at: Instant,
     /// When the next read is due.
     read_at: Instant,
     /// Reads so far.
@@ -80,12 +85,21 @@
         }
         self.missed = Some(Missed {
             version,
+            heard_at: now,
             read_at: now + ARRIVAL_TIME.mul_f64(1.0 + jitter),
             reads: 0,
         });
         true
     }
 
+    /// Returns whether a newer version is in force elsewhere, which may know what this one does not,
+    /// and is expected here.
+    pub(crate) fn is_behind(&self, now: Instant) -> bool {
+        let is_recent =
+            |missed: Missed| now.saturating_duration_since(missed.heard_at) < BEHIND_TIME;
+        self.missed.is_some_and(is_recent)
+    }
+
     /// Returns when a read is due; `None` while no newer version is known.
     pub(crate) fn read_at(&self) -> Option<Instant> {
         self.missed.map(|missed| missed.read_at)
--- a/gateway/src/admission/version_watch/tests.rs
+++ b/gateway/src/admission/version_watch/tests.rs
@@ -20,9 +20,11 @@
     expect_that!(watch.hear(now, 2, true, 0.0), eq(false));
     expect_that!(watch.read_at(), none());
     expect_that!(watch.hear(now, 4, false, 0.0), eq(true));
+    expect_that!(watch.is_behind(now), eq(true));
     expect_that!(watch.read_at(), some(eq(now + ARRIVAL_TIME)));
     expect_that!(watch.begin_read(now), some(eq(4)));
     watch.apply(now, 4);
+    expect_that!(watch.is_behind(now), eq(false));
     expect_that!(watch.read_at(), none());
 }
 
@@ -54,6 +56,8 @@
         }
     }
     expect_that!(reads, all![ge(4), le(10)]);
+    expect_that!(watch.is_behind(start), eq(true));
+    expect_that!(watch.is_behind(now), eq(false));
     let wait = watch.read_at().expect("a read") - now;
     expect_that!(wait, le(MAX_READ_INTERVAL));
 }
--- a/gateway/src/serve/admit.rs
+++ b/gateway/src/serve/admit.rs
@@ -12,6 +12,9 @@
 /// `Retry-After` delay of a request with a key while keys may have been revoked without word here.
 const UNCONFIRMED_RETRY_AFTER: Duration = Duration::from_millis(300);
 
+/// `Retry-After` delay while a newer configuration is being read, which mostly takes less.
+const BEHIND_RETRY_AFTER: Duration = Duration::from_millis(300);
+
 /// Reason given to clients whose keys cannot be relied on.
 pub(crate) const UNCONFIRMED_REASON: &str = "the gateway cannot confirm that the API key is valid";
 
@@ -27,7 +30,11 @@
         let found = find_account(routes.accounts(), route.is_public, info.credential);
         let account = found.map_err(|refusal| {
             self.log_key_refusal(request_id, route, info.credential, refusal);
-            Refusal::new(401, refusal.reason())
+            let refused = Refusal::new(401, refusal.reason());
+            match refusal {
+                KeyRefusal::Unknown => self.unless_behind(refused),
+                _ => refused,
+            }
         })?;
         if account.is_some() && self.has_unconfirmed_keys() {
             self.log_unconfirmed(request_id, route);
@@ -37,6 +44,16 @@
         Ok(account.cloned())
     }
 
+    /// Returns a refusal of what the configuration in force does not know, or one that asks to come
+    /// back if a newer one is about to be read.
+    pub(crate) fn unless_behind(&self, refusal: Refusal) -> Refusal {
+        if self.version_watch.borrow().is_behind(Instant::now()) {
+            Refusal::retry_later(BEHIND_RETRY_AFTER, "a newer configuration is being read")
+        } else {
+            refusal
+        }
+    }
+
     /// Returns whether keys may have been revoked without word here for longer than the deployment
     /// allows.
     pub(crate) fn has_unconfirmed_keys(&self) -> bool {
@@ -61,7 +78,8 @@
         counters.record_key_refusal(refusal.into());
         crate::event!("key_refused", "request" => request_id, "route" => route.name.as_str(),
             "reason" => refusal.to_string(), "key" => key,
-            "version" => self.configuration_version(), "age_ms" => self.configuration_age_ms());
+            "version" => self.configuration_version(), "age_ms" => self.configuration_age_ms(),
+            "behind" => self.version_watch.borrow().is_behind(Instant::now()));
     }
 
     /// Logs a refusal because the configuration is not confirmed.
