Add decisions on scarce room: room and wait, rank, queue, refusal at arrival

Bursts of twice the room made nearly all programs late for 10 s after their end, as calls went on as they came and no program was refused before it began. These modules hold the decisions: predicted wait from calls in flight and waiting, order by priority and slack, share of free places under old counts, refusal of new programs by what waits would take of their slack, spread returns.

--- /dev/null
+++ b/gateway/src/admission/programs/tests.rs
@@ -0,0 +1,66 @@
+use super::{GENERATION_PROGRAMS, Programs};
+use std::time::{Duration, Instant};
+
+const ROUTE: &str = "chat";
+
+fn ms(ms: u64) -> Duration {
+    Duration::from_millis(ms)
+}
+
+/// Returns what is learned from programs of 8 turns, 250 ms apart, with 3 s to their finish.
+fn learned(now: Instant) -> Programs {
+    let mut programs = Programs::default();
+    for program in 0..400 {
+        for turn in 0..8 {
+            let at = now + ms(250) * turn;
+            programs.record_turn(at, program, ROUTE, Some(ms(3_000)), false);
+        }
+    }
+    programs
+}
+
+#[test]
+fn turns_and_their_interval_are_learned() {
+    let programs = learned(Instant::now());
+    let estimate = programs.estimate(u64::MAX, ROUTE, Some(ms(3_000)));
+    assert!(!estimate.has_begun);
+    assert!((7.5..8.5).contains(&estimate.turns_left), "{estimate:?}");
+    assert!((1.8..2.2).contains(&estimate.work_left.as_secs_f64()));
+    let long = programs.estimate(u64::MAX, ROUTE, Some(ms(6_000)));
+    assert!((15.0..17.0).contains(&long.turns_left), "{long:?}");
+}
+
+#[test]
+fn work_left_falls_with_each_turn() {
+    let now = Instant::now();
+    let mut programs = learned(now);
+    programs.record_turn(now, u64::MAX, ROUTE, Some(ms(3_000)), false);
+    let first = programs.estimate(u64::MAX, ROUTE, Some(ms(2_700)));
+    programs.record_turn(now, u64::MAX, ROUTE, Some(ms(2_700)), true);
+    let second = programs.estimate(u64::MAX, ROUTE, Some(ms(1_000)));
+    assert!(first.has_begun && second.work_left < first.work_left);
+    assert_eq!(second.turns_done, 2);
+}
+
+#[test]
+fn a_crowd_does_not_make_programs_look_longer() {
+    let now = Instant::now();
+    let mut programs = learned(now);
+    let before = programs.usual_duration(ROUTE);
+    for turn in 0..100 {
+        programs.record_turn(now + ms(3_000) * turn, 0, ROUTE, None, true);
+    }
+    let interval = |programs: &Programs| programs.usual[ROUTE].interval;
+    assert_eq!(interval(&programs), interval(&learned(now)));
+    assert!(programs.usual_duration(ROUTE) < before * 2);
+}
+
+#[test]
+fn memory_is_bounded() {
+    let mut programs = Programs::default();
+    let now = Instant::now();
+    for program in 0..10 * GENERATION_PROGRAMS as u64 {
+        programs.record_turn(now, program, ROUTE, None, false);
+    }
+    assert!(programs.recent.len() + programs.older.len() <= 2 * GENERATION_PROGRAMS);
+}
--- a/gateway/src/lib.rs
+++ b/gateway/src/lib.rs
@@ -5,6 +5,7 @@
 //! One gateway normally owns each partition of that state. If the owner is lost, any other gateway
 //! continues without it immediately.
 
+mod admission;
 mod choice;
 mod counters;
 #[cfg(test)]
