--- a/gateway/src/admission/mod.rs
+++ b/gateway/src/admission/mod.rs
@@ -1,6 +1,7 @@
-//! Decisions on which requests are served while there is too little room: no sockets, and the time
-//! and random numbers are passed in.
+//! Decisions whether and when a request is served. They have neither sockets nor a clock of their
+//! own.
 
+pub(crate) mod accounts;
 pub(crate) mod programs;
 pub(crate) mod queue;
 pub(crate) mod rank;
