--- a/gateway/src/choice/endpoints.rs
+++ b/gateway/src/choice/endpoints.rs
@@ -15,9 +15,11 @@
 mod memory;
 mod peer_counts;
 mod rate_limits;
+mod room;
 mod sample;
 mod speeds;
 
+use crate::admission::room::CallDuration;
 use crate::choice::failing::Failing;
 use crate::choice::speed::Speeds;
 use crate::dialect::PartId;
@@ -29,6 +31,7 @@
 use memory::PromptCache;
 use peer_counts::PeerCounts;
 pub(crate) use rate_limits::{RateLimit, RateLimits};
+pub(crate) use room::waiting_tag;
 use sample::sample;
 use smallvec::SmallVec;
 pub(crate) use speeds::ExpectedWork;
@@ -181,6 +184,8 @@
     rate_limits: RateLimits,
     /// Moving average of call durations by service, in ms.
     service_average_ms: HashMap<Rc<str>, f64>,
+    /// Durations of calls that found a free slot, by service.
+    call_durations: HashMap<Rc<str>, CallDuration>,
     peer_counts: HashMap<String, PeerCounts>,
     /// Sum of `peer_counts` by endpoint. It is cached because each choice examines all endpoints and
     /// there may be hundreds of gateways.
@@ -508,6 +513,8 @@
         let Some(endpoint) = self.endpoints.get_mut(id) else {
             return;
         };
+        let peer_calls = self.peer_calls.get(&endpoint.tag).copied();
+        let calls = endpoint.local_calls + peer_calls.unwrap_or_default();
         endpoint.local_calls = endpoint.local_calls.saturating_sub(1);
         let service = endpoint.record.service.clone();
         match outcome {
@@ -517,6 +524,9 @@
                 endpoint.hold_failed_call(now, duration, average_ms);
             }
             CallOutcome::Answered | CallOutcome::AnsweredWithFailure => {
+                let found_free_slot = calls <= endpoint.record.slots.max(1);
+                let durations = self.call_durations.entry(service.clone());
+                durations.or_default().add(duration, found_free_slot);
                 endpoint.consecutive_failures = 0;
                 endpoint.backoff_until = None;
                 let duration_ms = duration.as_secs_f64() * 1_000.0;
--- a/gateway/src/fleet/mod.rs
+++ b/gateway/src/fleet/mod.rs
@@ -8,6 +8,7 @@
 pub(crate) mod owners;
 pub(crate) mod peers;
 pub(crate) mod permits;
+pub(crate) mod program_news;
 pub(crate) mod quotas;
 mod reception;
 pub(crate) mod relay;
--- a/gateway/src/fleet/reception.rs
+++ b/gateway/src/fleet/reception.rs
@@ -7,6 +7,7 @@
 use crate::fleet::gossip::Heartbeat;
 use crate::fleet::limit_reports::LimitReports;
 use crate::fleet::permits::{NumberedPermitReply, PermitRequest};
+use crate::fleet::program_news::ProgramNews;
 use crate::fleet::quotas::{NumberedQuotaAnswer, QuotaRequest};
 use crate::node::Gateway;
 use smol::Timer;
@@ -61,6 +62,11 @@
                     self.receive_quota_answer(&answer);
                 }
             }
+            Some(ProgramNews::TAG) => {
+                if let Some(news) = incoming.read() {
+                    self.receive_program_news(&news);
+                }
+            }
             // What no other kind takes is read as a heartbeat, so that what is unreadable is logged.
             _ => {
                 if let Some(heartbeat) = incoming.read::<Heartbeat>() {
--- a/gateway/src/serve/front.rs
+++ b/gateway/src/serve/front.rs
@@ -232,6 +232,7 @@
             sent_bytes: Cell::new(0),
             sent_at: Cell::new(None),
             answered_at: Cell::new(None),
+            room_wait: Cell::default(),
             framing: Cell::new(None),
             info,
             route,
