Show what the choice by expected end is worth, and describe failing and uneven endpoints

A test plays 39 engines of speeds 0.7, 0.7 and 1.7, slow for parts of a second, before 7, 34 and 127 gateways.

--- a/gateway/src/choice/endpoints/fleet_tests.rs
+++ b/gateway/src/choice/endpoints/fleet_tests.rs
@@ -1,6 +1,8 @@
 //! Simulated load of a large site: many gateways that choose endpoints with delayed counts of each
 //! other.
 
+mod speeds;
+
 use super::{CallOutcome, EndpointRecord, EndpointRequirements, Endpoints};
 use googletest::prelude::*;
 use std::ops::Range;
