--- a/gateway/src/counters.rs
+++ b/gateway/src/counters.rs
@@ -1,9 +1,11 @@
 //! Counters and latency histograms, served as text at the readiness address.
 
+mod accounts;
 #[cfg(test)]
 mod tests;
 
 use crate::routes::RouteKind;
+use accounts::AccountCounters;
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
 use std::fmt::Write;
@@ -40,6 +42,7 @@
     failures_retried: Cell<u64>,
     /// Requests for permits, by outcome.
     permits: RefCell<BTreeMap<String, u64>>,
+    pub(crate) accounts: RefCell<AccountCounters>,
 }
 
 impl Counters {
@@ -118,6 +121,7 @@
             "",
             quarantine_refusals,
         );
+        self.accounts.borrow().render(&mut text);
         let endpoints_failing = self.endpoints_failing.get();
         write_metric(&mut text, "endpoints_failing_total", "", endpoints_failing);
         let failures_retried = self.failures_retried.get();
--- a/gateway/src/fleet/gossip.rs
+++ b/gateway/src/fleet/gossip.rs
@@ -13,6 +13,7 @@
 use crate::fleet::owners::{Candidate, Location};
 use crate::node::Gateway;
 use crate::turns::record::{GatewayRecord, encode};
+use galenapick::stable_hash;
 #[cfg(test)]
 pub(crate) use heartbeat::is_readable_heartbeat;
 pub(crate) use heartbeat::{GatewayState, Heartbeat};
@@ -204,6 +205,24 @@
             .collect()
     }
 
+    /// Returns a hash of the peers that may own partitions, with all that decides on it.
+    pub(crate) fn view_hash(&self, now: Instant) -> u64 {
+        let peers = self.peers.borrow();
+        let eligible = peers.iter().filter(|(_, peer)| {
+            !peer.state.is_stopping && (peer.is_healthy(now) || peer.is_presumed_healthy(now))
+        });
+        let hashes = eligible.map(|(name, peer)| {
+            let permille = peer.state.processor_permille;
+            stable_hash((name, peer.incarnation, peer.number == 0, permille))
+        });
+        hashes.fold(0, |view, hash| view ^ hash)
+    }
+
+    /// Returns the number of known peers, also those that are not heard of.
+    pub(crate) fn known_count(&self) -> usize {
+        self.peers.borrow().len()
+    }
+
     /// Returns whether the peer at an address is healthy.
     pub(crate) fn is_healthy(&self, address: SocketAddr, now: Instant) -> bool {
         let peers = self.peers.borrow();
@@ -318,6 +337,7 @@
             loaded: self.loaded_partitions(),
             is_stopping: self.is_stopping(),
             processor_permille: self.processor_permille(),
+            configuration_version: self.configuration_version(),
         }
     }
 
@@ -377,6 +397,8 @@
             self.update_carrier_peers();
         }
         if is_newer {
+            let state = heartbeat.state;
+            self.hear_version(from, state.configuration_version, state.reaches_store);
             let mut endpoints = self.endpoints.borrow_mut();
             endpoints.set_peer_counts(Instant::now(), &heartbeat.gateway, heartbeat.calls);
         }
--- a/gateway/src/node.rs
+++ b/gateway/src/node.rs
@@ -1,5 +1,6 @@
 //! The gateway process: state shared by its tasks, start and shutdown.
 
+use crate::admission::version_watch::VersionWatch;
 use crate::choice::endpoints::Endpoints;
 use crate::counters::Counters;
 use crate::dialect::{Dialect, Offset};
@@ -11,6 +12,7 @@
 use crate::fleet::limit_reports::LimitSync;
 use crate::fleet::peers::PeerLinks;
 use crate::fleet::permits::Permits;
+use crate::fleet::quotas::Quotas;
 use crate::limits::BufferGauge;
 use crate::net::with_timeout;
 use crate::routes::Routes;
@@ -19,6 +21,7 @@
 use crate::store::link::{StoreLink, StorePaths};
 use crate::turns::partition::{PARTITION_COUNT, Partition, PartitionSet};
 use crate::turns::programs::BegunPrograms;
+use async_channel::Sender;
 use async_signal::{Signal, Signals};
 use futures_lite::StreamExt;
 use galenapick::crashes::Crashes;
@@ -115,6 +118,9 @@
     pub(crate) executor: Rc<LocalExecutor<'static>>,
     pub(crate) rng: RefCell<fastrand::Rng>,
     pub(crate) routes: RefCell<Routes>,
+    pub(crate) version_watch: RefCell<VersionWatch>,
+    /// Notified when a peer has a newer configuration.
+    pub(crate) version_heard: event_listener::Event,
     pub(crate) endpoints: RefCell<Endpoints>,
     pub(crate) endpoints_loaded: Cell<bool>,
     /// When the list of endpoints was last read from the store.
@@ -142,6 +148,7 @@
     pub(crate) crashes: RefCell<Crashes>,
     pub(crate) crash_sync: CrashSync,
     pub(crate) permits: Permits,
+    pub(crate) quotas: Quotas,
     pub(crate) begun_programs: RefCell<BegunPrograms>,
     pub(crate) limit_sync: LimitSync,
     pub(crate) endpoint_report_sync: EndpointReportSync,
@@ -161,6 +168,8 @@
             executor,
             rng: RefCell::new(rng),
             routes: RefCell::default(),
+            version_watch: RefCell::default(),
+            version_heard: event_listener::Event::new(),
             endpoints: RefCell::new(endpoints),
             endpoints_loaded: Cell::new(false),
             endpoints_read_at: Cell::new(None),
@@ -180,6 +189,7 @@
             crashes: RefCell::default(),
             crash_sync: CrashSync::default(),
             permits: Permits::new(incarnation),
+            quotas: Quotas::new(incarnation, &settings.terms),
             begun_programs: RefCell::default(),
             limit_sync: LimitSync::default(),
             endpoint_report_sync: EndpointReportSync::default(),
@@ -241,13 +251,22 @@
                 "endpoints_limited",
                 self.endpoints.borrow().rate_limits().limited_count() as u64,
             ),
+            ("configuration_version", self.configuration_version()),
             (
-                "endpoints_failing",
-                self.endpoints.borrow().failing_count() as u64,
+                "configuration_age_s",
+                self.version_watch.borrow().age(Instant::now()).as_secs(),
+            ),
+            (
+                "accounts_known",
+                self.routes.borrow().accounts().accounts().len() as u64,
             ),
             (
-                "configuration_version",
-                self.routes.borrow().version().unwrap_or_default(),
+                "keys_known",
+                self.routes.borrow().accounts().key_count() as u64,
+            ),
+            (
+                "endpoints_failing",
+                self.endpoints.borrow().failing_count() as u64,
             ),
             (
                 "requests_quarantined",
@@ -370,7 +389,7 @@
     let peers = listen(settings.peer_address).await?;
     let socket = UdpSocket::bind(settings.peer_address).await?;
     gateway.carrier.open(socket);
-    let mut signals = Signals::new([Signal::Term, Signal::Int, Signal::Hup])?;
+    let signals = Signals::new([Signal::Term, Signal::Int, Signal::Hup])?;
     let spawn = |task: std::pin::Pin<Box<dyn Future<Output = ()>>>| {
         gateway.executor.spawn(task).detach();
     };
@@ -385,6 +404,7 @@
     spawn(Box::pin(gateway.clone().send_crash_reports()));
     spawn(Box::pin(gateway.clone().send_limit_reports()));
     spawn(Box::pin(gateway.clone().receive_reports()));
+    spawn(Box::pin(gateway.clone().follow_quotas()));
     spawn(Box::pin(gateway.clone().store_quarantines()));
     spawn(Box::pin(gateway.clone().accept_peers(peers)));
     spawn(Box::pin(gateway.clone().follow_gateways()));
@@ -398,7 +418,9 @@
             .clone()
             .follow_settings(read_settings, reload_receiver),
     ));
-    while let Some(signal) = signals.next().await {
+    let (signal_sender, signal_receiver) = async_channel::unbounded();
+    spawn(Box::pin(forward_signals(signals, signal_sender)));
+    while let Ok(signal) = signal_receiver.recv().await {
         if !matches!(signal, Ok(Signal::Hup)) {
             break;
         }
@@ -410,6 +432,16 @@
     Ok(())
 }
 
+/// Passes signals on. Its task alone reads them: the one that `run` is part of is polled whenever any
+/// task is.
+async fn forward_signals(mut signals: Signals, sender: Sender<io::Result<Signal>>) {
+    while let Some(signal) = signals.next().await {
+        if sender.send(signal).await.is_err() {
+            return;
+        }
+    }
+}
+
 async fn listen(address: SocketAddr) -> io::Result<TcpListener> {
     let listener = TcpListener::bind(address).await?;
     rustix::net::listen(&listener, LISTEN_BACKLOG)?;
--- a/gateway/src/serve/call.rs
+++ b/gateway/src/serve/call.rs
@@ -40,6 +40,8 @@
     pub(crate) deadline: Instant,
     /// Whether it may have run so far.
     pub(crate) execution: Cell<Execution>,
+    /// When its token of the account's quota for the next attempt expires; `None` if it has none.
+    pub(crate) token_expires_at: Cell<Option<Instant>>,
     /// Number of endpoints to which it was sent.
     pub(crate) send_count: Cell<u32>,
     /// Endpoints to which it was sent or that could not be reached.
@@ -131,7 +133,7 @@
             ));
         }
         let route = routes.find(&head.host, &head.target);
-        route.ok_or(Refusal::new(404, "no such route"))
+        route.ok_or_else(|| self.unless_behind(Refusal::new(404, "no such route")))
     }
 
     /// Serves a request until its deadline, then counts and logs the outcome.
@@ -144,6 +146,11 @@
                     return None;
                 }
             };
+            // Before any work for a turn is done; further attempts take tokens of their own.
+            if let Err(failure) = self.obtain_token(call).await {
+                reply.refuse(&failure.refusal(call)).await;
+                return None;
+            }
             match call.route.kind {
                 RouteKind::Streaming => self.serve_stream(call, reply).await,
                 RouteKind::Idempotent | RouteKind::AtMostOnce => {
@@ -163,12 +170,19 @@
         if let Some(reason) = future::or(work, future::or(timeout, end)).await {
             self.answer_unfinished(call, reply, reason).await;
         }
+        self.return_token(call);
         if let (200..=299, Some(program)) = (reply.status(), &call.info.program) {
-            self.begun_programs.borrow_mut().insert(program);
+            self.begun_programs
+                .borrow_mut()
+                .insert(call.account_name(), program);
         }
         let duration = call.received_at.elapsed();
         self.counters
             .record_answer(call.route.kind, reply.status(), duration);
+        if let Some(account) = &call.account {
+            let mut counters = self.counters.accounts.borrow_mut();
+            counters.record_answer(&account.name, reply.status());
+        }
         call.log_answer(reply);
     }
 
