Require more certainty before an endpoint counts as failing

With two standard deviations one of forty endpoints was taken out by six of 34 gateways in a test where all endpoints fail 5 in 100 calls (once in four runs of the test): tens of endpoints are judged many times. Three keep the bound in three runs of it since; three failures of three answers, and 8 of 20, still count as failing.

--- a/gateway/src/choice/failing/recent.rs
+++ b/gateway/src/choice/failing/recent.rs
@@ -2,8 +2,9 @@
 
 use std::time::{Duration, Instant};
 
-/// Number of standard deviations by which the estimated share is lowered before it is compared.
-const CONFIDENCE: f64 = 2.0;
+/// Number of standard deviations by which the estimated share is lowered before it is compared. Tens of
+/// endpoints are judged many times, so that two would take one out by chance.
+const CONFIDENCE: f64 = 3.0;
 
 /// Time in which the weight of an answer halves. An endpoint that gets its share of the calls of a
 /// busy service answers about ten of them meanwhile.
