Log and count what tells why a request was refused by an older configuration

New metrics: calls relayed by outcome, peers that may relay, newest version heard of, time since confirmation. No behaviour is changed.

--- a/gateway/src/admission/version_watch.rs
+++ b/gateway/src/admission/version_watch.rs
@@ -120,6 +120,19 @@
         now.saturating_duration_since(applied_at)
     }
 
+    /// Returns the time since the version in force was last confirmed, or since it came into force if
+    /// it never was.
+    pub(crate) fn confirmation_age(&self, now: Instant) -> Duration {
+        let confirmed_at = self.confirmed_at.or(self.applied_at).unwrap_or(now);
+        now.saturating_duration_since(confirmed_at)
+    }
+
+    /// Returns the newest version that was heard of, here or at a peer; 0 if there is none.
+    pub(crate) fn newest_version(&self) -> ConfigurationVersion {
+        let own = self.version.unwrap_or_default();
+        self.missed.map_or(own, |missed| missed.version)
+    }
+
     /// Returns whether keys may have been revoked for `limit` without word here.
     pub(crate) fn is_unconfirmed(&self, now: Instant, limit: Option<Duration>) -> bool {
         let is_recent = |limit: Duration| {
--- a/gateway/src/counters.rs
+++ b/gateway/src/counters.rs
@@ -31,6 +31,18 @@
     }
 }
 
+/// Outcome of a call to the store that was made for a peer.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, strum::Display)]
+#[strum(serialize_all = "kebab-case")]
+pub(crate) enum RelayOutcome {
+    /// The store executed the call.
+    Answered,
+    /// The store refused the call.
+    Refused,
+    /// The store did not answer in time, or its connection broke.
+    Unanswered,
+}
+
 /// Counts since the gateway's start.
 #[derive(Debug, Default)]
 pub(crate) struct Counters {
@@ -42,6 +54,8 @@
     failures_retried: Cell<u64>,
     /// Requests for permits, by outcome.
     permits: RefCell<BTreeMap<String, u64>>,
+    /// Calls to the store that were made for peers, by outcome.
+    relayed_calls: RefCell<BTreeMap<RelayOutcome, u64>>,
     pub(crate) accounts: RefCell<AccountCounters>,
 }
 
@@ -87,6 +101,11 @@
         *self.permits.borrow_mut().entry(outcome).or_default() += 1;
     }
 
+    /// Counts a call to the store that was made for a peer.
+    pub(crate) fn record_relayed_call(&self, outcome: RelayOutcome) {
+        *self.relayed_calls.borrow_mut().entry(outcome).or_default() += 1;
+    }
+
     /// Renders all counters and the given gauges in the Prometheus text format.
     pub(crate) fn render(&self, gauges: &[(&str, u64)]) -> String {
         let mut text = String::new();
@@ -130,6 +149,10 @@
             let labels = format!("outcome=\"{outcome}\"");
             write_metric(&mut text, "permits_total", &labels, *count);
         }
+        for (outcome, count) in self.relayed_calls.borrow().iter() {
+            let labels = format!("outcome=\"{outcome}\"");
+            write_metric(&mut text, "relayed_calls_total", &labels, *count);
+        }
         for (name, value) in gauges {
             write_metric(&mut text, name, "", *value);
         }
--- a/gateway/src/fleet/relay.rs
+++ b/gateway/src/fleet/relay.rs
@@ -3,12 +3,13 @@
 //! All paths to the store are equivalent. Appends carry their producer's name and sequence number,
 //! so a call that arrives over two paths is executed once.
 
+use crate::counters::RelayOutcome;
 use crate::dialect::{Dialect, StoreCall, Topic};
 use crate::net::with_timeout;
 use crate::node::Gateway;
 use crate::serve::http::{BodyDecoder, Connection, Framing};
 use crate::serve::reply::Reply;
-use crate::store::link::StoreLink;
+use crate::store::link::{StoreLink, is_refusal};
 use smol::Timer;
 use std::rc::Rc;
 use std::time::Duration;
@@ -45,8 +46,14 @@
             // Without an answer from the store, the connection is closed so that the peer tries
             // another path.
             let Ok((status, body)) = link.call(&call, CALL_TIMEOUT).await else {
+                self.counters.record_relayed_call(RelayOutcome::Unanswered);
                 return;
             };
+            self.counters.record_relayed_call(if is_refusal(status) {
+                RelayOutcome::Refused
+            } else {
+                RelayOutcome::Answered
+            });
             let reply = Reply::new(connection.stream(), false);
             reply.write_answer(status, "", &[], &body).await;
             if !reply.keeps_connection() {
--- a/gateway/src/node.rs
+++ b/gateway/src/node.rs
@@ -278,6 +278,18 @@
             ),
             ("store_lost", u64::from(health.is_lost(Instant::now()))),
             ("store_direct", u64::from(self.store_paths.is_direct())),
+            ("store_relays", self.store_paths.relay_count() as u64),
+            (
+                "configuration_newest_version",
+                self.version_watch.borrow().newest_version(),
+            ),
+            (
+                "configuration_confirmed_age_ms",
+                self.version_watch
+                    .borrow()
+                    .confirmation_age(Instant::now())
+                    .as_millis() as u64,
+            ),
         ]);
         metrics.push_str(&self.carrier.render());
         metrics.push_str(&self.endpoints.borrow().render_speeds(Instant::now()));
--- a/gateway/src/serve/admit.rs
+++ b/gateway/src/serve/admit.rs
@@ -4,6 +4,7 @@
 use crate::dialect::{CallInfo, Credential, Dialect};
 use crate::node::Gateway;
 use crate::routes::{Account, Route};
+use crate::serve::front::loggable_target;
 use crate::serve::http::RequestHead;
 use crate::serve::reply::Refusal;
 use std::rc::Rc;
@@ -82,6 +83,21 @@
             "behind" => self.version_watch.borrow().is_behind(Instant::now()));
     }
 
+    /// Logs a request that the configuration in force has no route for, with what is known of newer
+    /// ones.
+    pub(crate) fn log_not_routed(&self, head: &RequestHead, status: u16) {
+        let info = D::parse_call(&head.headers);
+        let watch = self.version_watch.borrow();
+        let now = Instant::now();
+        crate::event!("not_routed", "request" => info.request_id.unwrap_or_default(),
+            "host" => head.host.as_str(), "target" => loggable_target(&head.target),
+            "status" => status, "version" => self.configuration_version(),
+            "age_ms" => watch.age(now).as_millis(),
+            "confirmed_ms" => watch.confirmation_age(now).as_millis(),
+            "newest_version" => watch.newest_version(), "behind" => watch.is_behind(now),
+            "direct" => self.store_paths.is_direct(), "relays" => self.store_paths.relay_count());
+    }
+
     /// Logs a refusal because the configuration is not confirmed.
     pub(crate) fn log_unconfirmed(&self, request_id: &str, route: &Route) {
         let mut counters = self.counters.accounts.borrow_mut();
--- a/gateway/src/serve/front.rs
+++ b/gateway/src/serve/front.rs
@@ -201,8 +201,7 @@
         let route = match self.route(&request.head) {
             Ok(route) => route,
             Err(refusal) => {
-                crate::event!("not_routed", "host" => request.head.host.as_str(),
-                    "target" => loggable_target(&request.head.target), "status" => refusal.status);
+                self.log_not_routed(&request.head, refusal.status);
                 return reply.refuse(&refusal).await;
             }
         };
@@ -272,7 +271,7 @@
 }
 
 /// Returns the first segment of a target's path. The rest may hold a key that a client put there.
-fn loggable_target(target: &str) -> &str {
+pub(crate) fn loggable_target(target: &str) -> &str {
     let path = target.split(['?', '#']).next().unwrap_or_default();
     let first_segment_end = path.match_indices('/').nth(1);
     first_segment_end.map_or(path, |(end, _)| &path[..=end])
--- a/gateway/src/store/link.rs
+++ b/gateway/src/store/link.rs
@@ -151,6 +151,11 @@
         self.relays.replace(relays);
     }
 
+    /// Number of peers that may be called in place of the store.
+    pub(crate) fn relay_count(&self) -> usize {
+        self.relays.borrow().len()
+    }
+
     /// Selects the address for the next call.
     fn next_address(&self) -> SocketAddr {
         let relays = self.relays.borrow();
@@ -288,7 +293,8 @@
             Err(error) => {
                 self.paths.record_failure(address, started_at);
                 crate::event!("store_call_failed", "address" => address.to_string(),
-                    "target" => call.target.as_str(), "error" => error.to_string());
+                    "target" => call.target.as_str(), "error" => error.to_string(),
+                    "after_ms" => started_at.elapsed().as_millis());
                 Err(error)
             }
         }
@@ -296,7 +302,7 @@
 }
 
 /// Returns whether a status means that the store did not execute the call but may accept it later.
-fn is_refusal(status: u16) -> bool {
+pub(crate) fn is_refusal(status: u16) -> bool {
     status >= 500 || status == 429
 }
 
