Take a newer configuration from a peer that has it in force

Callers saw: 404 for routes that other gateways served (CONFIG, DENIED).

Cause: heartbeats told a gateway that a newer version was in force elsewhere, but the version itself could only be read from the store, over peers as relays while the store turned the gateway away. Where the relays were overloaded or refused, the read failed as often as all others, and after five seconds the gateway took its own version for the newest again. The class: what is agreed and known to peers is only to be had from the source that has failed.

Change: a gateway keeps the document in force and hands it over on a peer's call at the address of the relays. One that misses a version asks a healthy peer that has it, one of its own failure domain first; the store is read as well after 250 ms. Gateways of the version before pass such a call on to the store, which has no such target, so the caller falls back to the store.

Options: a copy of the records on every relay (more state, still one way); gossip of whole documents (bytes between domains at each change).

--- a/gateway/src/fleet/gossip.rs
+++ b/gateway/src/fleet/gossip.rs
@@ -12,6 +12,7 @@
 use crate::fleet::carrier::{MAX_REPORT_DELAY, MIN_REPORT_DELAY, report_delay};
 use crate::fleet::owners::{Candidate, Location};
 use crate::node::Gateway;
+use crate::routes::ConfigurationVersion;
 use crate::turns::record::{GatewayRecord, encode};
 use galenapick::stable_hash;
 #[cfg(test)]
@@ -185,6 +186,22 @@
         relays.map(|peer| peer.address).collect()
     }
 
+    /// Returns the healthy peers whose configuration has at least the given version: those in the own
+    /// failure domain if there are any.
+    pub(crate) fn configuration_holders(
+        &self,
+        version: ConfigurationVersion,
+        now: Instant,
+    ) -> Vec<SocketAddr> {
+        let peers = self.peers.borrow();
+        let (near, far): (Vec<&Peer>, Vec<&Peer>) = peers
+            .values()
+            .filter(|peer| peer.state.configuration_version >= version && peer.is_healthy(now))
+            .partition(|peer| peer.failure_domain.as_ref() == Some(&self.own_failure_domain));
+        let holders = if near.is_empty() { far } else { near };
+        holders.iter().map(|peer| peer.address).collect()
+    }
+
     /// Returns the peers that may own partitions: those that are healthy or presumed healthy and
     /// are not shutting down.
     pub(crate) fn candidates(&self, now: Instant) -> Vec<Candidate> {
--- a/gateway/src/fleet/gossip/tests.rs
+++ b/gateway/src/fleet/gossip/tests.rs
@@ -112,6 +112,45 @@
     expect_that!(gossip.addresses(PeerGroup::Far), eq(&[from]));
 }
 
+/// Heartbeat of a gateway with the given version of the configuration.
+fn heartbeat_at_version(gateway: &str, configuration_version: u64) -> Heartbeat {
+    Heartbeat {
+        gateway: gateway.to_owned(),
+        state: GatewayState {
+            configuration_version,
+            ..GatewayState::default()
+        },
+        ..heartbeat(&[])
+    }
+}
+
+// Guards against a configuration that is asked of gateways that lack it too, or fetched from another
+// failure domain while a neighbor has it.
+#[googletest::test]
+fn configurations_are_taken_from_peers_that_have_them_neighbors_first() {
+    let gossip = Gossip::new("edge-a-1", "a");
+    let receive = |gateway: &str, domain: &str, port: u16, version: u64| {
+        gossip.add_from_record(gateway, &record(Some(domain), port));
+        let from = format!("10.0.0.1:{port}").parse().expect("an address");
+        gossip.receive(&heartbeat_at_version(gateway, version), from);
+    };
+    receive("edge-a-2", "a", 2, 8);
+    receive("edge-b-1", "b", 3, 9);
+    receive("edge-b-2", "b", 4, 7);
+    let ports = |version, now| {
+        let holders = gossip.configuration_holders(version, now);
+        holders
+            .iter()
+            .map(|address| address.port())
+            .collect::<Vec<_>>()
+    };
+    let now = Instant::now();
+    expect_that!(ports(9, now), elements_are![eq(&3)]);
+    expect_that!(ports(8, now), elements_are![eq(&2)]);
+    expect_that!(ports(10, now), is_empty());
+    expect_that!(ports(8, now + Duration::from_secs(2)), is_empty());
+}
+
 #[derive(serde::Serialize)]
 struct RecordWithoutDomain {
     address: String,
--- a/gateway/src/fleet/relay.rs
+++ b/gateway/src/fleet/relay.rs
@@ -1,4 +1,5 @@
-//! Relays calls to the store for peers that the store refuses or that cannot reach it.
+//! Relays calls to the store for peers that the store refuses or that cannot reach it, and hands the
+//! configuration in force over to those that lack it.
 //!
 //! All paths to the store are equivalent. Appends carry their producer's name and sequence number,
 //! so a call that arrives over two paths is executed once.
@@ -43,6 +44,14 @@
             else {
                 return;
             };
+            let reply = Reply::new(connection.stream(), false);
+            if let Some((status, document)) = self.hand_over_configuration(&call.target) {
+                reply.write_answer(status, "", &[], &document).await;
+                if !reply.keeps_connection() {
+                    return;
+                }
+                continue;
+            }
             // Without an answer from the store, the connection is closed so that the peer tries
             // another path.
             let Ok((status, body)) = link.call(&call, CALL_TIMEOUT).await else {
@@ -54,7 +63,6 @@
             } else {
                 RelayOutcome::Answered
             });
-            let reply = Reply::new(connection.stream(), false);
             reply.write_answer(status, "", &[], &body).await;
             if !reply.keeps_connection() {
                 return;
--- a/gateway/src/node.rs
+++ b/gateway/src/node.rs
@@ -122,6 +122,10 @@
     pub(crate) version_watch: RefCell<VersionWatch>,
     /// Notified when a peer has a newer configuration.
     pub(crate) version_heard: event_listener::Event,
+    /// Notified when the configuration must be read from the store without waiting.
+    pub(crate) configuration_read_due: event_listener::Event,
+    /// The document of the configuration in force, for peers; empty before the first one.
+    pub(crate) configuration_document: RefCell<Rc<Vec<u8>>>,
     pub(crate) endpoints: RefCell<Endpoints>,
     pub(crate) endpoints_loaded: Cell<bool>,
     /// When the list of endpoints was last read from the store.
@@ -173,6 +177,8 @@
             routes: RefCell::default(),
             version_watch: RefCell::default(),
             version_heard: event_listener::Event::new(),
+            configuration_read_due: event_listener::Event::new(),
+            configuration_document: RefCell::default(),
             endpoints: RefCell::new(endpoints),
             endpoints_loaded: Cell::new(false),
             endpoints_read_at: Cell::new(None),
@@ -416,6 +422,7 @@
     }
     spawn(Box::pin(events::write_lines()));
     spawn(Box::pin(gateway.clone().follow_configuration()));
+    spawn(Box::pin(gateway.clone().take_missed_configurations()));
     spawn(Box::pin(gateway.clone().follow_endpoints()));
     spawn(Box::pin(gateway.clone().send_heartbeats()));
     spawn(Box::pin(gateway.clone().send_crash_reports()));
--- a/gateway/src/store/configuration.rs
+++ b/gateway/src/store/configuration.rs
@@ -1,16 +1,31 @@
-//! Reads the operators' configuration, and reads it again at once when a peer has a newer one.
+//! Reads the operators' configuration, and takes it from a peer that has a newer one.
+//!
+//! The store accepts a version once, and only accepted versions come into force, so that equal versions
+//! are equal documents and any gateway may pass on what it has in force.
 
-use crate::dialect::{Dialect, Offset, ReadOutcome, StoreRecord, Topic};
+use crate::dialect::{Dialect, Offset, ReadOutcome, StoreCall, StoreRecord, Topic};
+use crate::net::io_with_timeout;
 use crate::node::Gateway;
 use crate::routes::ConfigurationVersion;
 use crate::store::follow::Backoff;
-use crate::store::link::StoreLink;
+use crate::store::link::{StoreLink, exchange};
 use futures_lite::future;
 use smol::Timer;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
+/// Target of a peer's call for the configuration in force here; the number after it is the version
+/// that the peer has. Gateways of earlier versions pass the call on to the store, which has no such
+/// target.
+const HANDOVER_TARGET: &str = "/configuration?newer_than=";
+
+/// Time allowed for taking over a configuration, which may have some megabytes.
+const HANDOVER_TIMEOUT: Duration = Duration::from_millis(1_500);
+
+/// Time after which the store is read as well while a peer has not answered.
+const STORE_READ_DELAY: Duration = Duration::from_millis(250);
+
 /// Time for which the store holds a read of the configuration that has no new records. A silent
 /// connection is noticed only afterwards, so this is well below the time within which a
 /// configuration must take effect.
@@ -42,26 +57,82 @@
         }
     }
 
-    /// Waits for the next records. Once a peer has a newer version that does not arrive, the read is
-    /// given up, since its connection may be dead, and made again without waiting.
+    /// Waits for the next records. Once a newer version could not be had from a peer, the read is given
+    /// up, since its connection may be dead, and made again without waiting.
     async fn read_configuration(&self, link: &mut StoreLink, from: Offset) -> Option<ReadOutcome> {
         let waiting_read = async {
             let read = self.read(link, Topic::Configuration, from, LONG_POLL);
             Some(read.await)
         };
-        let missed = async {
-            self.wait_for_missed_version().await;
+        let due = async {
+            self.configuration_read_due.listen().await;
             None
         };
-        if let Some(read) = future::or(waiting_read, missed).await {
+        if let Some(read) = future::or(waiting_read, due).await {
             return read;
         }
         let read = self.read(link, Topic::Configuration, from, Duration::ZERO);
         read.await
     }
 
-    /// Returns once the configuration must be read because a peer has a newer version.
-    async fn wait_for_missed_version(&self) {
+    /// Takes newer configurations from peers until the process ends.
+    pub(crate) async fn take_missed_configurations(self: Rc<Self>) {
+        loop {
+            let version = self.wait_for_missed_version().await;
+            let read_store = async {
+                Timer::after(STORE_READ_DELAY).await;
+                self.configuration_read_due.notify(usize::MAX);
+                future::pending().await
+            };
+            let is_taken = future::or(self.take_from_peer(version), read_store).await;
+            if !is_taken {
+                self.configuration_read_due.notify(usize::MAX);
+            }
+        }
+    }
+
+    /// Takes the configuration of a peer that has at least the given version. Returns whether a newer
+    /// one is in force afterwards.
+    async fn take_from_peer(&self, version: ConfigurationVersion) -> bool {
+        let holders = self.gossip.configuration_holders(version, Instant::now());
+        let Some(address) = self.rng.borrow_mut().choice(holders) else {
+            return false;
+        };
+        let call = StoreCall {
+            method: "GET",
+            target: format!("{HANDOVER_TARGET}{}", self.configuration_version()),
+            body: Vec::new(),
+        };
+        let answer = io_with_timeout(HANDOVER_TIMEOUT, exchange(address, None, &call)).await;
+        let error = match answer {
+            Ok((200, document, _)) => {
+                let source = Source::Peer(address);
+                return self.apply_document(&document, source);
+            }
+            Ok((status, ..)) => format!("status {status}"),
+            Err(error) => error.to_string(),
+        };
+        crate::event!("configuration_not_taken", "peers_version" => version,
+            "from" => address.to_string(), "error" => error);
+        false
+    }
+
+    /// Returns the answer to a peer's call for the configuration in force here: a status and a body.
+    /// Returns `None` if the call is for the store.
+    pub(crate) fn hand_over_configuration(&self, target: &str) -> Option<(u16, Rc<Vec<u8>>)> {
+        let peers_version = target.strip_prefix(HANDOVER_TARGET)?;
+        let is_newer = peers_version
+            .parse::<ConfigurationVersion>()
+            .is_ok_and(|version| version < self.configuration_version());
+        Some(if is_newer {
+            (200, self.configuration_document.borrow().clone())
+        } else {
+            (404, Rc::default())
+        })
+    }
+
+    /// Returns the version of a peer once it must be read because it has not arrived.
+    async fn wait_for_missed_version(&self) -> ConfigurationVersion {
         loop {
             let heard = self.version_heard.listen();
             let read_at = self.version_watch.borrow().read_at();
@@ -74,7 +145,7 @@
                         "version" => self.configuration_version(),
                         "age_ms" => watch.age(now).as_millis(),
                         "direct" => self.store_paths.is_direct());
-                    return;
+                    return version;
                 }
                 Some(at) => {
                     let due = async {
@@ -114,29 +185,52 @@
         let documents = records
             .iter()
             .filter(|record| record.key == D::configuration_key());
-        for value in documents.filter_map(|record| record.value.as_ref()) {
-            match D::parse_configuration(value) {
-                Ok(configuration) => {
-                    let version = configuration.version;
-                    if self.routes.borrow_mut().apply(configuration) {
-                        let mut watch = self.version_watch.borrow_mut();
-                        watch.apply(Instant::now(), version);
-                        self.log_configuration(version);
-                    } else if version < self.configuration_version() {
-                        crate::event!("configuration_older", "ignored_version" => version,
-                            "version" => self.configuration_version());
-                    }
-                }
-                Err(error) => crate::event!("configuration_unreadable", "error" => error),
+        for document in documents.filter_map(|record| record.value.as_ref()) {
+            self.apply_document(document, Source::Store);
+        }
+    }
+
+    /// Puts a document in force if it is newer than the one in force, and returns whether it is.
+    fn apply_document(&self, document: &[u8], source: Source) -> bool {
+        let configuration = match D::parse_configuration(document) {
+            Ok(configuration) => configuration,
+            Err(error) => {
+                crate::event!("configuration_unreadable", "source" => source.to_string(),
+                    "error" => error);
+                return false;
             }
+        };
+        let version = configuration.version;
+        if self.routes.borrow_mut().apply(configuration) {
+            let document = Rc::new(document.to_vec());
+            self.configuration_document.replace(document);
+            let mut watch = self.version_watch.borrow_mut();
+            watch.apply(Instant::now(), version);
+            self.log_configuration(version, source);
+            return true;
         }
+        if version < self.configuration_version() {
+            crate::event!("configuration_older", "ignored_version" => version,
+                "version" => self.configuration_version());
+        }
+        false
     }
 
-    fn log_configuration(&self, version: ConfigurationVersion) {
+    fn log_configuration(&self, version: ConfigurationVersion, source: Source) {
         let routes = self.routes.borrow();
         let accounts = routes.accounts();
         crate::event!("configuration_in_force", "version" => version,
+            "source" => source.to_string(),
             "accounts" => accounts.accounts().len(), "keys" => accounts.key_count(),
             "keys_of_several_accounts" => accounts.shared_key_count());
     }
 }
+
+/// Where a configuration was read.
+#[derive(Clone, Copy, Debug, strum::Display)]
+#[strum(serialize_all = "kebab-case")]
+enum Source {
+    Store,
+    #[strum(to_string = "peer {0}")]
+    Peer(SocketAddr),
+}
--- a/gateway/src/store/link.rs
+++ b/gateway/src/store/link.rs
@@ -306,7 +306,9 @@
     status >= 500 || status == 429
 }
 
-async fn exchange(
+/// Makes a call on a connection, or on a new one. Returns the status and body of the answer, and the
+/// connection if it can be used again.
+pub(crate) async fn exchange(
     address: SocketAddr,
     connection: Option<Connection>,
     call: &StoreCall,
