Answer 503 in place of final refusals while the configuration is not confirmed

Callers saw: 404 for routes that a newer configuration had, at gateways that could not know of it (CONFIG, DENIED).

Cause: a gateway took its own version for the newest unless it had heard of a newer one in the last five seconds, also when neither the store nor a peer that reaches it had confirmed the version for long. 404, 401, 413 and 431 are final for callers, who do not come back. The class: a final answer from state that may be out of date.

Change: such refusals are sent only while the version in force was confirmed in the last 1.5 s, by a read of the store to its end or by the heartbeat of a peer that reaches the store and has the same version; otherwise 503 with Retry-After.

--- a/gateway/src/admission/version_watch.rs
+++ b/gateway/src/admission/version_watch.rs
@@ -24,6 +24,10 @@
 /// what the version in force does not know counts as unknown again.
 const BEHIND_TIME: Duration = Duration::from_secs(5);
 
+/// Time without confirmation after which the version in force may not be the newest. A waiting read
+/// of the store, or the heartbeat of a peer that reaches it, confirms it more often.
+const CONFIRMED_FOR: Duration = Duration::from_millis(1_500);
+
 /// A version that a peer has and this gateway does not.
 #[derive(Clone, Copy, Debug)]
 struct Missed {
@@ -100,6 +104,11 @@
         self.missed.is_some_and(is_recent)
     }
 
+    /// Returns whether there is a version in force and it was recently the newest there is.
+    pub(crate) fn is_confirmed(&self, now: Instant) -> bool {
+        self.version.is_some() && self.confirmation_age(now) <= CONFIRMED_FOR
+    }
+
     /// Returns when a read is due; `None` while no newer version is known.
     pub(crate) fn read_at(&self) -> Option<Instant> {
         self.missed.map(|missed| missed.read_at)
--- a/gateway/src/admission/version_watch/tests.rs
+++ b/gateway/src/admission/version_watch/tests.rs
@@ -1,4 +1,4 @@
-use super::{ARRIVAL_TIME, MAX_READ_INTERVAL, VersionWatch};
+use super::{ARRIVAL_TIME, CONFIRMED_FOR, MAX_READ_INTERVAL, VersionWatch};
 use googletest::prelude::*;
 use std::time::{Duration, Instant};
 
@@ -87,3 +87,21 @@
     expect_that!(watch.hear(now, 4, true, 0.0), eq(false));
     expect_that!(watch.is_unconfirmed(now, Some(LIMIT)), eq(true));
 }
+
+// Guards against a final refusal of what a newer version may allow that nobody could tell of.
+#[googletest::test]
+fn a_version_that_is_not_confirmed_is_not_relied_on() {
+    let now = Instant::now();
+    expect_that!(VersionWatch::default().is_confirmed(now), eq(false));
+    let mut watch = at_version(now, 3);
+    let limit = now + CONFIRMED_FOR;
+    let later = limit + Duration::from_millis(1);
+    expect_that!(watch.is_confirmed(limit), eq(true));
+    expect_that!(watch.is_confirmed(later), eq(false));
+    // A peer that is itself turned away, or that has an older version, confirms nothing.
+    watch.hear(later, 3, false, 0.0);
+    watch.hear(later, 2, true, 0.0);
+    expect_that!(watch.is_confirmed(later), eq(false));
+    watch.hear(later, 3, true, 0.0);
+    expect_that!(watch.is_confirmed(later), eq(true));
+}
--- a/gateway/src/serve/admit.rs
+++ b/gateway/src/serve/admit.rs
@@ -16,6 +16,10 @@
 /// `Retry-After` delay while a newer configuration is being read, which mostly takes less.
 const BEHIND_RETRY_AFTER: Duration = Duration::from_millis(300);
 
+/// Mean `Retry-After` delay while a newer configuration cannot be ruled out, which mostly takes
+/// seconds.
+const OUTDATED_RETRY_AFTER: Duration = Duration::from_secs(1);
+
 /// Reason given to clients whose keys cannot be relied on.
 pub(crate) const UNCONFIRMED_REASON: &str = "the gateway cannot confirm that the API key is valid";
 
@@ -33,7 +37,7 @@
             self.log_key_refusal(request_id, route, info.credential, refusal);
             let refused = Refusal::new(401, refusal.reason());
             match refusal {
-                KeyRefusal::Unknown => self.unless_behind(refused),
+                KeyRefusal::Unknown => self.unless_outdated(refused),
                 _ => refused,
             }
         })?;
@@ -45,11 +49,16 @@
         Ok(account.cloned())
     }
 
-    /// Returns a refusal of what the configuration in force does not know, or one that asks to come
-    /// back if a newer one is about to be read.
-    pub(crate) fn unless_behind(&self, refusal: Refusal) -> Refusal {
-        if self.version_watch.borrow().is_behind(Instant::now()) {
+    /// Returns a final refusal of what the configuration in force does not allow, or one that asks to
+    /// come back if a newer one may allow it.
+    pub(crate) fn unless_outdated(&self, refusal: Refusal) -> Refusal {
+        let now = Instant::now();
+        let watch = self.version_watch.borrow();
+        if watch.is_behind(now) {
             Refusal::retry_later(BEHIND_RETRY_AFTER, "a newer configuration is being read")
+        } else if !watch.is_confirmed(now) {
+            let delay = OUTDATED_RETRY_AFTER.mul_f64(0.5 + fastrand::f64());
+            Refusal::retry_later(delay, "a newer configuration cannot be ruled out")
         } else {
             refusal
         }
--- a/gateway/src/serve/call.rs
+++ b/gateway/src/serve/call.rs
@@ -138,7 +138,7 @@
             ));
         }
         let route = routes.find(&head.host, &head.target);
-        route.ok_or_else(|| self.unless_behind(Refusal::new(404, "no such route")))
+        route.ok_or_else(|| self.unless_outdated(Refusal::new(404, "no such route")))
     }
 
     /// Serves a request until its deadline, then counts and logs the outcome.
--- a/gateway/src/serve/front.rs
+++ b/gateway/src/serve/front.rs
@@ -94,6 +94,11 @@
                 Ok(request) => self.answer(request, &mut connection, &reply).await,
                 Err(ReadFailure::Closed) => return,
                 Err(ReadFailure::Refused(refusal)) => {
+                    let refusal = match refusal.status {
+                        // A newer configuration may allow more.
+                        413 | 431 => self.unless_outdated(refusal),
+                        _ => refusal,
+                    };
                     reply.close_after_answer();
                     reply.refuse(&refusal).await;
                     discard_input(&mut connection).await;
