Let small VMs relay calls only if no larger one reaches the store

Callers saw: configurations in force seconds late while the store turned most gateways away.

Cause: relays were chosen at random among all peers that reach the store.

Change: the rule by which partitions get owners, at least half of the processor share of the largest one, holds for relays too.

Evidence: small_vms_relay_calls_only_if_no_larger_one_reaches_the_store; the choice of before returned all three peers.

--- a/gateway/src/fleet/gossip.rs
+++ b/gateway/src/fleet/gossip.rs
@@ -10,7 +10,7 @@
 use crate::choice::endpoints::InstanceTag;
 use crate::dialect::{Append, AppendOutcome, Dialect, Topic};
 use crate::fleet::carrier::{MAX_REPORT_DELAY, MIN_REPORT_DELAY, report_delay};
-use crate::fleet::owners::{Candidate, Location};
+use crate::fleet::owners::{Candidate, Location, MIN_PROCESSOR_SHARE};
 use crate::node::Gateway;
 use crate::routes::ConfigurationVersion;
 use crate::turns::record::{GatewayRecord, encode};
@@ -177,12 +177,20 @@
         is_newer
     }
 
-    /// Returns the healthy peers that reach the store.
+    /// Returns the healthy peers that reach the store, without the VMs that are small beside others of
+    /// them: those would be fully used by the calls of all peers.
     fn relays(&self, now: Instant) -> Vec<SocketAddr> {
         let peers = self.peers.borrow();
-        let relays = peers
+        let reaching: Vec<&Peer> = peers
             .values()
-            .filter(|peer| peer.state.reaches_store && peer.is_healthy(now));
+            .filter(|peer| peer.state.reaches_store && peer.is_healthy(now))
+            .collect();
+        let permille = |peer: &&Peer| peer.state.processor_permille;
+        let largest = reaching.iter().map(permille).max().unwrap_or_default();
+        let min_permille = (f64::from(largest) * MIN_PROCESSOR_SHARE) as u32;
+        let relays = reaching
+            .iter()
+            .filter(|peer| permille(peer) >= min_permille);
         relays.map(|peer| peer.address).collect()
     }
 
--- a/gateway/src/fleet/gossip/tests.rs
+++ b/gateway/src/fleet/gossip/tests.rs
@@ -151,6 +151,39 @@
     expect_that!(ports(8, now + Duration::from_secs(2)), is_empty());
 }
 
+// Guards against loads of all peers that fill the link of a small VM while larger ones reach the store.
+#[googletest::test]
+fn small_vms_relay_calls_only_if_no_larger_one_reaches_the_store() {
+    let gossip = Gossip::new("edge-a-1", "a");
+    let receive = |gateway: &str, port: u16, number: u64, permille: u32, reaches_store: bool| {
+        let from = format!("10.0.0.1:{port}").parse().expect("an address");
+        let heartbeat = Heartbeat {
+            gateway: gateway.to_owned(),
+            number,
+            state: GatewayState {
+                reaches_store,
+                processor_permille: permille,
+                ..GatewayState::default()
+            },
+            ..heartbeat(&[])
+        };
+        gossip.receive(&heartbeat, from);
+    };
+    receive("edge-a-2", 2, 1, 500, true);
+    receive("edge-a-3", 3, 1, 250, true);
+    receive("edge-a-4", 4, 1, 90, true);
+    let ports = || {
+        let relays = gossip.relays(Instant::now());
+        let mut ports: Vec<u16> = relays.iter().map(|address| address.port()).collect();
+        ports.sort_unstable();
+        ports
+    };
+    expect_that!(ports(), eq(&[2, 3]));
+    receive("edge-a-2", 2, 2, 500, false);
+    receive("edge-a-3", 3, 2, 250, false);
+    expect_that!(ports(), eq(&[4]));
+}
+
 #[derive(serde::Serialize)]
 struct RecordWithoutDomain {
     address: String,
--- a/gateway/src/fleet/owners.rs
+++ b/gateway/src/fleet/owners.rs
@@ -45,9 +45,9 @@
     Pending,
 }
 
-/// Minimum processor share for owning partitions, relative to the largest VM. Much smaller VMs are
-/// fully used by their own requests.
-const MIN_PROCESSOR_SHARE: f64 = 0.5;
+/// Minimum processor share for owning partitions and relaying calls, relative to the largest VM. Much
+/// smaller VMs are fully used by their own requests.
+pub(super) const MIN_PROCESSOR_SHARE: f64 = 0.5;
 
 /// Returns the owner of a partition, or of another key, which is the eligible gateway with the
 /// highest rank. All gateways compute the same ranks, and a gateway that joins or leaves moves only
