Avoid relays that are themselves turned away

Causes: a gateway claimed to reach the store from its start on, before its first call had an answer, and peers took its word for up to a heartbeat's interval, 0.4 s at 127 gateways; and a relay whose call had failed was chosen again with the next round of the same list, 40 ms later. The users' record shows 503 from the relays at 16 of 16 gateways.

Change: a gateway reaches the store once the store has answered it; a relay that failed gets no calls for a second while there is another one.

Evidence: two tests of StorePaths; both need functions that were not there before, so neither could run on the code of before.

--- a/gateway/src/node.rs
+++ b/gateway/src/node.rs
@@ -224,7 +224,7 @@
     /// Returns whether the store answers at its own address.
     pub(crate) fn reaches_store(&self) -> bool {
         let health = self.store_paths.health();
-        self.store_paths.is_direct() && !health.is_lost(Instant::now())
+        self.store_paths.has_reached_store() && !health.is_lost(Instant::now())
     }
 
     /// Creates a connection to the store for one task.
--- a/gateway/src/store/link.rs
+++ b/gateway/src/store/link.rs
@@ -7,8 +7,10 @@
 use crate::net::{connect, io_with_timeout};
 use crate::serve::http::{BodyDecoder, Connection};
 use futures_lite::future;
+use smallvec::SmallVec;
 use smol::Timer;
 use std::cell::{Cell, RefCell};
+use std::collections::HashMap;
 use std::io;
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -33,6 +35,9 @@
 /// have a cost too and hundreds of them delay the recovery of the store.
 const PROBE_INTERVAL: Duration = Duration::from_millis(60);
 
+/// Time after a failed call for which a relay gets no more calls if there is another one.
+const AVOID_RELAY_FOR: Duration = Duration::from_secs(1);
+
 /// Availability of the store, as seen by all calls of this process.
 #[derive(Debug, Default)]
 pub(crate) struct StoreHealth {
@@ -91,6 +96,8 @@
     direct_answer_at: Cell<Option<Instant>>,
     /// Peers that recently reported that they reach the store.
     relays: RefCell<Vec<SocketAddr>>,
+    /// Times at which calls to relays last failed; only of current relays.
+    relay_failures: RefCell<HashMap<SocketAddr, Instant>>,
     health: StoreHealth,
     /// Earliest time of the next call while the store is lost.
     next_probe_at: Cell<Option<Instant>>,
@@ -107,6 +114,7 @@
             direct_answer_at: Cell::new(None),
             recovered: event_listener::Event::new(),
             relays: RefCell::default(),
+            relay_failures: RefCell::default(),
             health: StoreHealth::default(),
             next_probe_at: Cell::new(None),
         }
@@ -146,8 +154,15 @@
         self.store.set(store);
     }
 
+    /// Returns whether the store's own address has answered, and has not failed since.
+    pub(crate) fn has_reached_store(&self) -> bool {
+        self.is_direct() && self.direct_answer_at.get().is_some()
+    }
+
     /// Sets the peers that reach the store.
     pub(crate) fn set_relays(&self, relays: Vec<SocketAddr>) {
+        let mut failures = self.relay_failures.borrow_mut();
+        failures.retain(|relay, _| relays.contains(relay));
         self.relays.replace(relays);
     }
 
@@ -162,7 +177,19 @@
         if self.is_direct() || relays.is_empty() {
             return self.store.get();
         }
-        relays[fastrand::usize(..relays.len())]
+        let now = Instant::now();
+        let failures = self.relay_failures.borrow();
+        let is_avoided = |relay: &SocketAddr| {
+            let failed_at = failures.get(relay);
+            failed_at.is_some_and(|at| now.saturating_duration_since(*at) < AVOID_RELAY_FOR)
+        };
+        let preferred: SmallVec<[SocketAddr; 16]> = relays
+            .iter()
+            .copied()
+            .filter(|relay| !is_avoided(relay))
+            .collect();
+        let chosen = fastrand::choice(preferred.iter()).or_else(|| fastrand::choice(relays.iter()));
+        chosen.copied().unwrap_or_else(|| self.store.get())
     }
 
     /// Waits until the store answers after a series of failures.
@@ -199,8 +226,11 @@
         if is_direct_call && !self.is_direct_lost.replace(true) {
             crate::event!("store_not_direct", "relays" => self.relays.borrow().len());
         }
-        self.relays.borrow_mut().retain(|relay| *relay != address);
-        self.health.record_failure(Instant::now());
+        let now = Instant::now();
+        if self.relays.borrow().contains(&address) {
+            self.relay_failures.borrow_mut().insert(address, now);
+        }
+        self.health.record_failure(now);
     }
 }
 
--- a/gateway/src/store/link/tests.rs
+++ b/gateway/src/store/link/tests.rs
@@ -145,3 +145,37 @@
     };
     expect_that!(smol::block_on(future::or(reader, others)), eq(true));
 }
+
+fn address(port: u16) -> SocketAddr {
+    SocketAddr::from(([10, 0, 0, 1], port))
+}
+
+// Guards against all peers that turn to a gateway which has not reached the store since its start.
+#[googletest::test]
+fn a_gateway_that_has_no_answer_of_the_store_yet_does_not_reach_it() {
+    let paths = StorePaths::new(address(1));
+    expect_that!(paths.has_reached_store(), eq(false));
+    paths.record_answer(address(1));
+    expect_that!(paths.has_reached_store(), eq(true));
+    paths.record_failure(address(1), Instant::now());
+    expect_that!(paths.has_reached_store(), eq(false));
+}
+
+// Guards against calls that go again and again to a relay which is itself turned away.
+#[googletest::test]
+fn a_relay_that_failed_is_avoided_while_there_is_another() {
+    let paths = StorePaths::new(address(1));
+    let relays = vec![address(2), address(3)];
+    let now = Instant::now();
+    paths.record_failure(address(1), now);
+    paths.set_relays(relays.clone());
+    paths.record_failure(address(2), now);
+    paths.set_relays(relays.clone());
+    let chosen: Vec<SocketAddr> = (0..50).map(|_| paths.next_address()).collect();
+    expect_that!(chosen, each(eq(&address(3))));
+    // An overloaded relay is better than none.
+    paths.record_failure(address(3), now);
+    let chosen: Vec<SocketAddr> = (0..50).map(|_| paths.next_address()).collect();
+    expect_that!(chosen, contains(eq(&address(2))));
+    expect_that!(chosen, contains(eq(&address(3))));
+}
