Ask the next owner when the owner of a partition is lost

Callers saw: configurations late and turns refused, while all gateways loaded whole partitions of the turns at once.

Cause: a gateway whose request to an owner had no answer executed it itself, for which it loads the whole partition, at every gateway with a turn under way.

Change: the request goes to the next owner, up to three, with the mark of a repetition that records of the lost one are checked by. Only without another owner does the gateway load the partition.

--- a/gateway/src/turns/ledger_call.rs
+++ b/gateway/src/turns/ledger_call.rs
@@ -1,5 +1,6 @@
-//! Requests to the gateway that serves a partition, normally its owner. If it does not reply, this
-//! gateway executes the operation itself.
+//! Requests to the gateway that serves a partition, normally its owner. If it is lost, the next owner is
+//! asked, since an operation that reads the partition would make this gateway load it. Without a reply,
+//! this gateway executes the operation itself.
 
 use crate::dialect::{Dialect, PartitionNumber};
 use crate::fleet::peers::PendingReply;
@@ -12,6 +13,7 @@
 use crate::turns::record::CompletedTurn;
 use crate::turns::scope::client_id;
 use futures_util::future::join_all;
+use smallvec::SmallVec;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
@@ -19,10 +21,17 @@
 /// Interval between checks whether the owner is still healthy while its reply is outstanding.
 const HEALTH_CHECK_INTERVAL: Duration = Duration::from_millis(100);
 
+/// Maximum number of owners that are asked for one operation. Owners are seldom lost while the one
+/// before them is missed.
+const MAX_OWNERS_ASKED: usize = 3;
+
 /// Maximum number of lookups in other partitions per history. Programs continue turns of other
 /// programs a few times, but not in loops.
 const MAX_HISTORY_PARTS: usize = 16;
 
+/// Owners that were asked for one operation.
+type AskedOwners = SmallVec<[SocketAddr; MAX_OWNERS_ASKED]>;
+
 impl<D: Dialect> Gateway<D> {
     /// Looks up a turn's history in all partitions and reserves the turn's tokens.
     pub(crate) async fn start_turn(
@@ -50,41 +59,61 @@
 
     /// Requests a reservation from the owner, or writes it locally.
     async fn try_start(self: &Rc<Self>, new_turn: &NewTurn) -> Result<StartedTurn, StartError> {
-        let Some(owner) = self.remote_owner(partition_of(&new_turn.program)).await else {
-            return self.reserve_locally(new_turn).await;
-        };
-        let sent_at = Instant::now();
-        let pending = self.send_request(owner, &OwnerRequest::Reserve(new_turn.clone()));
-        match self.wait_for_reply(owner, &pending).await {
-            Some(OwnerReply::Reserved {
-                history,
-                may_run_early,
-            }) => {
-                return Ok(StartedTurn {
+        let mut attempt = new_turn.clone();
+        let mut asked = AskedOwners::new();
+        let partition = partition_of(&new_turn.program);
+        while let Some(owner) = self.next_owner(partition, &mut asked).await {
+            let sent_at = Instant::now();
+            let pending = self.send_request(owner, &OwnerRequest::Reserve(attempt.clone()));
+            let reply = self.wait_for_reply(owner, &pending).await;
+            attempt.is_retry = true;
+            attempt.time_left_ms = attempt
+                .time_left_ms
+                .saturating_sub(sent_at.elapsed().as_millis() as u64);
+            match reply {
+                Some(OwnerReply::Reserved {
                     history,
                     may_run_early,
-                    reservation: match new_turn.budget_tokens {
-                        Some(_) => PendingReservation::Remote(owner, pending),
-                        None => PendingReservation::NotNeeded,
-                    },
-                });
-            }
-            Some(OwnerReply::PartialHistory(history)) => {
-                return Err(StartError::HistoryElsewhere(history));
-            }
-            Some(OwnerReply::Denied(Denial::StoreUnavailable)) if self.reaches_store() => {
-                self.log_owner_bypass(owner, "reserve", &new_turn.turn, None);
+                }) => {
+                    return Ok(StartedTurn {
+                        history,
+                        may_run_early,
+                        reservation: match new_turn.budget_tokens {
+                            Some(_) => PendingReservation::Remote(owner, pending),
+                            None => PendingReservation::NotNeeded,
+                        },
+                    });
+                }
+                Some(OwnerReply::PartialHistory(history)) => {
+                    return Err(StartError::HistoryElsewhere(history));
+                }
+                Some(OwnerReply::Denied(Denial::StoreUnavailable)) if self.reaches_store() => {
+                    self.log_owner_bypass(owner, "reserve", &new_turn.turn, None);
+                    break;
+                }
+                Some(OwnerReply::Denied(denial)) => return Err(denial.into()),
+                reply => self.log_owner_bypass(owner, "reserve", &new_turn.turn, reply),
             }
-            Some(OwnerReply::Denied(denial)) => return Err(denial.into()),
-            reply => self.log_owner_bypass(owner, "reserve", &new_turn.turn, reply),
         }
-        let waited_ms = sent_at.elapsed().as_millis() as u64;
-        let retry = NewTurn {
-            is_retry: true,
-            time_left_ms: new_turn.time_left_ms.saturating_sub(waited_ms),
-            ..new_turn.clone()
-        };
-        self.reserve_locally(&retry).await
+        self.reserve_locally(&attempt).await
+    }
+
+    /// Returns the address to which the next request for a partition goes, or `None` if this gateway
+    /// must execute the operation. An owner that was asked before has been lost meanwhile.
+    async fn next_owner(
+        &self,
+        partition: PartitionNumber,
+        asked: &mut AskedOwners,
+    ) -> Option<SocketAddr> {
+        if asked.len() == MAX_OWNERS_ASKED {
+            return None;
+        }
+        let owner = self.remote_owner(partition).await?;
+        if asked.contains(&owner) {
+            return None;
+        }
+        asked.push(owner);
+        Some(owner)
     }
 
     /// Looks up the missing part of a history in the other partitions.
@@ -126,7 +155,8 @@
         partition: PartitionNumber,
         turn: &str,
     ) -> Result<History, Denial> {
-        if let Some(owner) = self.remote_owner(partition).await {
+        let mut asked = AskedOwners::new();
+        while let Some(owner) = self.next_owner(partition, &mut asked).await {
             let request = OwnerRequest::Find {
                 partition,
                 turn: turn.to_owned(),
@@ -157,6 +187,9 @@
                     Some(OwnerReply::Confirmed(is_confirmed)) => return is_confirmed,
                     reply => self.log_owner_bypass(*owner, "holds", &new_turn.turn, reply),
                 }
+                if let Some(is_confirmed) = self.confirm_at_next_owner(new_turn, *owner).await {
+                    return is_confirmed;
+                }
             }
         }
         // Two reservations of the same turn by different gateways count once.
@@ -164,6 +197,38 @@
         self.confirm_locally(new_turn, &commit).await
     }
 
+    /// Reserves a turn's tokens again at the owner after the lost one, which may not have written the
+    /// reservation. Returns whether the reservation is confirmed; `None` if this gateway must decide.
+    async fn confirm_at_next_owner(
+        self: &Rc<Self>,
+        new_turn: &NewTurn,
+        lost_owner: SocketAddr,
+    ) -> Option<bool> {
+        let attempt = NewTurn {
+            previous: None,
+            is_retry: true,
+            ..new_turn.clone()
+        };
+        let partition = partition_of(&new_turn.program);
+        let mut asked = AskedOwners::from_slice(&[lost_owner]);
+        while let Some(owner) = self.next_owner(partition, &mut asked).await {
+            let pending = self.send_request(owner, &OwnerRequest::Reserve(attempt.clone()));
+            loop {
+                match self.wait_for_reply(owner, &pending).await {
+                    Some(OwnerReply::Reserved { .. }) => {}
+                    Some(OwnerReply::Confirmed(is_confirmed)) => return Some(is_confirmed),
+                    // The lost owner's reservation may already count, so this is no decision.
+                    Some(OwnerReply::Denied(_)) => return None,
+                    reply => {
+                        self.log_owner_bypass(owner, "holds", &new_turn.turn, reply);
+                        break;
+                    }
+                }
+            }
+        }
+        None
+    }
+
     /// Stores a completed turn. Returns once the store has acknowledged it.
     pub(crate) async fn complete_turn(self: &Rc<Self>, turn: &str, completed: CompletedTurn) {
         if let Some(owner) = self.remote_owner(partition_of(&completed.program)).await {
