Do not cut calls of peers at each recovery of a relay's store path

Callers saw: configurations late at gateways that read over relays (CONFIG).

Cause: a success after a failure interrupts all calls under way, since their connections may be dead. A reader is interrupted once and then not again, but a relay makes a link for each connection of a peer: a cut call ended the peer's connection, and its next link could be cut again. While the store refused some calls of a relay and answered others, relayed reads never ended.

Evidence: a_relayed_call_ends_although_other_calls_fail_and_succeed_in_turn had no answer in 3 s on the code before, and passes now.

Change: calls that are made for peers are not interrupted. Peers limit their calls themselves.

--- a/gateway/src/store/link.rs
+++ b/gateway/src/store/link.rs
@@ -289,8 +289,10 @@
             .filter(|(idle_address, _)| *idle_address == address);
         let connection = idle.map(|(_, connection)| connection);
         let started_at = Instant::now();
-        // A connection from before the recovery may stay silent forever.
-        let may_interrupt = !self.was_interrupted;
+        // A connection from before the recovery may stay silent forever. Calls that are made for peers
+        // are not interrupted: their links are too short-lived to remember an interruption, and peers
+        // give up silent calls themselves.
+        let may_interrupt = !self.was_interrupted && !self.is_direct_only;
         let reconnect = async {
             if !may_interrupt {
                 future::pending::<()>().await;
--- a/gateway/src/store/link/tests.rs
+++ b/gateway/src/store/link/tests.rs
@@ -150,6 +150,37 @@
     SocketAddr::from(([10, 0, 0, 1], port))
 }
 
+// Guards against peers whose calls are cut off at a relay each time that another call of the relay
+// succeeds after a failure. Each cut connection of a peer comes back with a new link.
+#[googletest::test]
+fn a_relayed_call_ends_although_other_calls_fail_and_succeed_in_turn() {
+    let store = start_slow_store();
+    let paths = Rc::new(StorePaths::new(store));
+    let call = StoreCall {
+        method: "GET",
+        target: "/".to_owned(),
+        body: Vec::new(),
+    };
+    let peer = async {
+        loop {
+            let mut link = StoreLink::direct(paths.clone());
+            if link.call(&call, SLOW_ANSWER * 4).await.is_ok() {
+                return true;
+            }
+        }
+    };
+    let others = async {
+        for _ in 0..60 {
+            paths.health.record_failure(Instant::now());
+            Timer::after(Duration::from_millis(25)).await;
+            paths.record_answer(address(1));
+            Timer::after(Duration::from_millis(25)).await;
+        }
+        false
+    };
+    expect_that!(smol::block_on(future::or(peer, others)), eq(true));
+}
+
 // Guards against all peers that turn to a gateway which has not reached the store since its start.
 #[googletest::test]
 fn a_gateway_that_has_no_answer_of_the_store_yet_does_not_reach_it() {
