Confirm a configuration only by gateways that have read it themselves

Heartbeats now say whether the sender has itself read the store to its end in the last 1.5 s; those of the version before count as they did; - a version counted as confirmed by peers that had not heard of a newer one which this gateway knew of. One assertion of a_version_without_confirmation_is_not_relied_on_where_revocation_is_strict demanded just that, so that a revoked key could be served; it now demands that the version stays unconfirmed until the newer one is in force and confirmed; - 401 for a missing, malformed or ambiguous key was final while the configuration was not confirmed; a newer one may make the route public.

Hand-overs: at most four at a time, 503 beyond; the next of three peers is asked at once if one does not hand its configuration over; each gateway asks in an order of its own. Relays: two are left at least, since one large VM beside many half its size would have relayed for all; a failed one is avoided for a second also if it disappears from the list meanwhile.

Tests: two new ones of VersionWatch; those of gossip extended. Refusals by limits are logged (limit_exceeded).

--- a/gateway/src/admission/version_watch.rs
+++ b/gateway/src/admission/version_watch.rs
@@ -20,8 +20,7 @@
 /// Maximum time between two reads for a version that does not come.
 const MAX_READ_INTERVAL: Duration = Duration::from_secs(4);
 
-/// Time for which a newer version is expected. One that has not come by then cannot be read here, and
-/// what the version in force does not know counts as unknown again.
+/// Time for which a newer version is expected soon, so that callers are asked to come back early.
 const BEHIND_TIME: Duration = Duration::from_secs(5);
 
 /// Time without confirmation after which the version in force may not be the newest. A waiting read
@@ -46,8 +45,10 @@
     version: Option<ConfigurationVersion>,
     /// When it came into force.
     applied_at: Option<Instant>,
-    /// When the store or a peer that reaches it last had no newer version.
+    /// When the store or a peer that has read it last had no newer version.
     confirmed_at: Option<Instant>,
+    /// When this gateway itself last read the store to its end.
+    read_to_end_at: Option<Instant>,
     missed: Option<Missed>,
 }
 
@@ -63,24 +64,27 @@
 
     /// Records that the store was read to its end and the newest version there is in force.
     pub(crate) fn confirm(&mut self, now: Instant) {
+        self.read_to_end_at = Some(now);
         self.confirmed_at = Some(now);
     }
 
     /// Records the version of a peer; 0 if it has none. Returns whether it is newer than all before.
     ///
+    /// `is_from_store` is whether the peer itself has recently read the store to its end: the word of
+    /// others passed on would confirm a version for as long as gateways tell each other of it.
     /// `jitter` in 0 to 1 spreads the reads of gateways that hear of the version at the same time.
     pub(crate) fn hear(
         &mut self,
         now: Instant,
         version: ConfigurationVersion,
-        reaches_store: bool,
+        is_from_store: bool,
         jitter: f64,
     ) -> bool {
         let Some(own) = self.version else {
             // Until the first configuration has been read, it is read anyway.
             return false;
         };
-        if reaches_store && version == own {
+        if is_from_store && version == own && self.missed.is_none() {
             self.confirmed_at = Some(now);
         }
         let newest = self.missed.map_or(own, |missed| missed.version);
@@ -104,9 +108,18 @@
         self.missed.is_some_and(is_recent)
     }
 
-    /// Returns whether there is a version in force and it was recently the newest there is.
+    /// Returns whether there is a version in force, it was recently the newest there is, and no newer one
+    /// is known.
     pub(crate) fn is_confirmed(&self, now: Instant) -> bool {
-        self.version.is_some() && self.confirmation_age(now) <= CONFIRMED_FOR
+        self.version.is_some()
+            && self.missed.is_none()
+            && self.confirmation_age(now) <= CONFIRMED_FOR
+    }
+
+    /// Returns whether this gateway itself has recently read the store to its end.
+    pub(crate) fn has_read_store(&self, now: Instant) -> bool {
+        self.read_to_end_at
+            .is_some_and(|at| now.saturating_duration_since(at) <= CONFIRMED_FOR)
     }
 
     /// Returns when a read is due; `None` while no newer version is known.
--- a/gateway/src/admission/version_watch/tests.rs
+++ b/gateway/src/admission/version_watch/tests.rs
@@ -76,7 +76,12 @@
     watch.hear(later, 2, true, 0.0);
     watch.hear(later, 4, true, 0.0);
     expect_that!(watch.is_unconfirmed(later, Some(LIMIT)), eq(true));
+    // Nor does one that has not heard of the newer version.
     watch.hear(later, 3, true, 0.0);
+    expect_that!(watch.is_unconfirmed(later, Some(LIMIT)), eq(true));
+    watch.apply(later, 4);
+    expect_that!(watch.is_unconfirmed(later, Some(LIMIT)), eq(true));
+    watch.hear(later, 4, true, 0.0);
     expect_that!(watch.is_unconfirmed(later, Some(LIMIT)), eq(false));
 }
 
@@ -105,3 +110,30 @@
     watch.hear(later, 3, true, 0.0);
     expect_that!(watch.is_confirmed(later), eq(true));
 }
+
+// Guards against a final refusal by a version that is known not to be the newest.
+#[googletest::test]
+fn a_version_is_not_relied_on_while_a_newer_one_is_known() {
+    let start = Instant::now();
+    let mut watch = at_version(start, 3);
+    watch.hear(start, 4, false, 0.0);
+    let later = start + Duration::from_secs(20);
+    watch.hear(later, 3, true, 0.0);
+    expect_that!(watch.is_confirmed(later), eq(false));
+    watch.confirm(later);
+    expect_that!(watch.is_confirmed(later), eq(false));
+    watch.apply(later, 4);
+    expect_that!(watch.is_confirmed(later), eq(true));
+}
+
+// Guards against gateways without the store that confirm a version to each other.
+#[googletest::test]
+fn only_a_gateway_that_has_read_the_store_itself_confirms_versions_to_others() {
+    let now = Instant::now();
+    let mut watch = at_version(now, 3);
+    expect_that!(watch.has_read_store(now + CONFIRMED_FOR), eq(true));
+    let later = now + CONFIRMED_FOR + Duration::from_millis(1);
+    watch.hear(later, 3, true, 0.0);
+    expect_that!(watch.is_confirmed(later), eq(true));
+    expect_that!(watch.has_read_store(later), eq(false));
+}
--- a/gateway/src/fleet/gossip.rs
+++ b/gateway/src/fleet/gossip.rs
@@ -20,6 +20,7 @@
 pub(crate) use heartbeat::{GatewayState, Heartbeat};
 use smol::Timer;
 use std::cell::{Cell, RefCell};
+use std::cmp::Reverse;
 use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -178,7 +179,8 @@
     }
 
     /// Returns the healthy peers that reach the store, without the VMs that are small beside others of
-    /// them: those would be fully used by the calls of all peers.
+    /// them: those would be fully used by the calls of all peers. Two at least are left, since one may
+    /// be lost at any time.
     fn relays(&self, now: Instant) -> Vec<SocketAddr> {
         let peers = self.peers.borrow();
         let reaching: Vec<&Peer> = peers
@@ -186,28 +188,36 @@
             .filter(|peer| peer.state.reaches_store && peer.is_healthy(now))
             .collect();
         let permille = |peer: &&Peer| peer.state.processor_permille;
-        let largest = reaching.iter().map(permille).max().unwrap_or_default();
-        let min_permille = (f64::from(largest) * MIN_PROCESSOR_SHARE) as u32;
+        let mut sizes: Vec<u32> = reaching.iter().map(permille).collect();
+        sizes.sort_unstable_by_key(|size| Reverse(*size));
+        let second_largest = sizes.get(1).copied().unwrap_or_default();
+        let min_permille = (f64::from(second_largest) * MIN_PROCESSOR_SHARE) as u32;
         let relays = reaching
             .iter()
             .filter(|peer| permille(peer) >= min_permille);
         relays.map(|peer| peer.address).collect()
     }
 
-    /// Returns the healthy peers whose configuration has at least the given version: those in the own
-    /// failure domain if there are any.
+    /// Returns the healthy peers whose configuration has at least the given version, those in the own
+    /// failure domain first.
     pub(crate) fn configuration_holders(
         &self,
         version: ConfigurationVersion,
         now: Instant,
     ) -> Vec<SocketAddr> {
         let peers = self.peers.borrow();
-        let (near, far): (Vec<&Peer>, Vec<&Peer>) = peers
+        let mut holders: Vec<(bool, u64, SocketAddr)> = peers
             .values()
             .filter(|peer| peer.state.configuration_version >= version && peer.is_healthy(now))
-            .partition(|peer| peer.failure_domain.as_ref() == Some(&self.own_failure_domain));
-        let holders = if near.is_empty() { far } else { near };
-        holders.iter().map(|peer| peer.address).collect()
+            .map(|peer| {
+                let is_far = peer.failure_domain.as_ref() != Some(&self.own_failure_domain);
+                // An order of each gateway's own, so that not all ask the same peer.
+                let rank = stable_hash((&self.own_name, peer.address));
+                (is_far, rank, peer.address)
+            })
+            .collect();
+        holders.sort_unstable();
+        holders.into_iter().map(|(.., address)| address).collect()
     }
 
     /// Returns the peers that may own partitions: those that are healthy or presumed healthy and
@@ -363,6 +373,7 @@
             is_stopping: self.is_stopping(),
             processor_permille: self.processor_permille(),
             configuration_version: self.configuration_version(),
+            has_read_configuration: self.version_watch.borrow().has_read_store(Instant::now()),
         }
     }
 
@@ -424,7 +435,8 @@
         }
         if is_newer {
             let state = heartbeat.state;
-            self.hear_version(from, state.configuration_version, state.reaches_store);
+            let is_from_store = state.has_read_configuration;
+            self.hear_version(from, state.configuration_version, is_from_store);
             let mut endpoints = self.endpoints.borrow_mut();
             endpoints.set_peer_counts(Instant::now(), &heartbeat.gateway, heartbeat.calls);
         }
--- a/gateway/src/fleet/gossip/heartbeat.rs
+++ b/gateway/src/fleet/gossip/heartbeat.rs
@@ -25,9 +25,10 @@
 /// Wire format of a heartbeat. It omits the field names, which would take most of the datagram.
 type Datagram = ((String, u64, u64), StateFields, Vec<(InstanceTag, u32)>);
 
-/// State of the sender. Earlier versions do not send the version of the configuration.
+/// State of the sender. Earlier versions do not send the version of the configuration, nor whether
+/// they have read it; that they reach the store stands for the latter.
 #[derive(Serialize)]
-struct StateFields(bool, PartitionSet, bool, u32, ConfigurationVersion);
+struct StateFields(bool, PartitionSet, bool, u32, ConfigurationVersion, bool);
 
 impl<'de> Deserialize<'de> for StateFields {
     fn deserialize<D: Deserializer<'de>>(deserializer: D) -> Result<Self, D::Error> {
@@ -42,12 +43,14 @@
 
             fn visit_seq<A: SeqAccess<'de>>(self, mut fields: A) -> Result<StateFields, A::Error> {
                 let missing = || A::Error::custom("the state lacks a field");
+                let reaches_store = fields.next_element()?.ok_or_else(missing)?;
                 Ok(StateFields(
-                    fields.next_element()?.ok_or_else(missing)?,
+                    reaches_store,
                     fields.next_element()?.ok_or_else(missing)?,
                     fields.next_element()?.ok_or_else(missing)?,
                     fields.next_element()?.ok_or_else(missing)?,
                     fields.next_element()?.unwrap_or_default(),
+                    fields.next_element()?.unwrap_or(reaches_store),
                 ))
             }
         }
@@ -74,6 +77,7 @@
                 state.is_stopping,
                 state.processor_permille,
                 state.configuration_version,
+                state.has_read_configuration,
             ),
             heartbeat.calls,
         )
@@ -89,6 +93,7 @@
             is_stopping,
             processor_permille,
             configuration_version,
+            has_read_configuration,
         ) = state;
         Self {
             gateway,
@@ -100,6 +105,7 @@
                 is_stopping,
                 processor_permille,
                 configuration_version,
+                has_read_configuration,
             },
             calls,
         }
@@ -125,4 +131,6 @@
     pub(crate) processor_permille: u32,
     /// Version of its configuration; 0 if it has none.
     pub(crate) configuration_version: ConfigurationVersion,
+    /// Whether it has itself recently read the configurations in the store to their end.
+    pub(crate) has_read_configuration: bool,
 }
--- a/gateway/src/fleet/gossip/tests.rs
+++ b/gateway/src/fleet/gossip/tests.rs
@@ -146,7 +146,7 @@
     };
     let now = Instant::now();
     expect_that!(ports(9, now), elements_are![eq(&3)]);
-    expect_that!(ports(8, now), elements_are![eq(&2)]);
+    expect_that!(ports(8, now), elements_are![eq(&2), eq(&3)]);
     expect_that!(ports(10, now), is_empty());
     expect_that!(ports(8, now + Duration::from_secs(2)), is_empty());
 }
@@ -182,6 +182,10 @@
     receive("edge-a-2", 2, 2, 500, false);
     receive("edge-a-3", 3, 2, 250, false);
     expect_that!(ports(), eq(&[4]));
+    // A single large one is not left alone.
+    receive("edge-a-2", 2, 3, 4_000, true);
+    receive("edge-a-5", 5, 1, 100, true);
+    expect_that!(ports(), eq(&[2, 4, 5]));
 }
 
 #[derive(serde::Serialize)]
@@ -218,6 +222,7 @@
     let decoded: Heartbeat = decode(&encode(&earlier)).expect("a readable heartbeat");
     expect_that!(decoded.state.configuration_version, eq(0));
     expect_that!(decoded.state.processor_permille, eq(500));
+    expect_that!(decoded.state.has_read_configuration, eq(true));
     let with_version = Heartbeat {
         state: GatewayState {
             configuration_version: 9,
--- a/gateway/src/fleet/relay.rs
+++ b/gateway/src/fleet/relay.rs
@@ -45,8 +45,7 @@
                 return;
             };
             let reply = Reply::new(connection.stream(), false);
-            if let Some((status, document)) = self.hand_over_configuration(&call.target) {
-                reply.write_answer(status, "", &[], &document).await;
+            if self.hand_over_configuration(&call.target, &reply).await {
                 if !reply.keeps_connection() {
                     return;
                 }
--- a/gateway/src/node.rs
+++ b/gateway/src/node.rs
@@ -126,6 +126,8 @@
     pub(crate) configuration_read_due: event_listener::Event,
     /// The document of the configuration in force, for peers; empty before the first one.
     pub(crate) configuration_document: RefCell<Rc<Vec<u8>>>,
+    /// Configurations that are being handed over to peers.
+    pub(crate) handovers: Rc<Cell<usize>>,
     pub(crate) endpoints: RefCell<Endpoints>,
     pub(crate) endpoints_loaded: Cell<bool>,
     /// When the list of endpoints was last read from the store.
@@ -179,6 +181,7 @@
             version_heard: event_listener::Event::new(),
             configuration_read_due: event_listener::Event::new(),
             configuration_document: RefCell::default(),
+            handovers: Rc::default(),
             endpoints: RefCell::new(endpoints),
             endpoints_loaded: Cell::new(false),
             endpoints_read_at: Cell::new(None),
--- a/gateway/src/serve/admit.rs
+++ b/gateway/src/serve/admit.rs
@@ -35,11 +35,7 @@
         let found = find_account(routes.accounts(), route.is_public, info.credential);
         let account = found.map_err(|refusal| {
             self.log_key_refusal(request_id, route, info.credential, refusal);
-            let refused = Refusal::new(401, refusal.reason());
-            match refusal {
-                KeyRefusal::Unknown => self.unless_outdated(refused),
-                _ => refused,
-            }
+            self.unless_outdated(Refusal::new(401, refusal.reason()))
         })?;
         if account.is_some() && self.has_unconfirmed_keys() {
             self.log_unconfirmed(request_id, route);
@@ -89,6 +85,7 @@
         crate::event!("key_refused", "request" => request_id, "route" => route.name.as_str(),
             "reason" => refusal.to_string(), "key" => key,
             "version" => self.configuration_version(), "age_ms" => self.configuration_age_ms(),
+            "confirmed_ms" => self.confirmation_age_ms(),
             "behind" => self.version_watch.borrow().is_behind(Instant::now()));
     }
 
@@ -102,7 +99,7 @@
             "host" => head.host.as_str(), "target" => loggable_target(&head.target),
             "status" => status, "version" => self.configuration_version(),
             "age_ms" => watch.age(now).as_millis(),
-            "confirmed_ms" => watch.confirmation_age(now).as_millis(),
+            "confirmed_ms" => self.confirmation_age_ms(),
             "newest_version" => watch.newest_version(), "behind" => watch.is_behind(now),
             "direct" => self.store_paths.is_direct(), "relays" => self.store_paths.relay_count());
     }
@@ -122,6 +119,21 @@
         watch.age(Instant::now()).as_millis()
     }
 
+    /// Returns the time since the configuration in force was last confirmed.
+    fn confirmation_age_ms(&self) -> u128 {
+        let watch = self.version_watch.borrow();
+        watch.confirmation_age(Instant::now()).as_millis()
+    }
+
+    /// Returns the refusal of a request that exceeds a limit. A newer configuration may allow more.
+    pub(crate) fn refuse_by_limits(&self, refusal: Refusal) -> Refusal {
+        let outcome = self.unless_outdated(refusal);
+        crate::event!("limit_exceeded", "reason" => refusal.reason, "status" => outcome.status,
+            "version" => self.configuration_version(),
+            "confirmed_ms" => self.confirmation_age_ms());
+        outcome
+    }
+
     /// Removes the headers that may hold an API key, so that nothing later passes them on.
     pub(crate) fn remove_credentials(&self, head: &mut RequestHead) {
         let has_accounts = self.routes.borrow().accounts().is_key_required();
--- a/gateway/src/serve/front.rs
+++ b/gateway/src/serve/front.rs
@@ -95,8 +95,7 @@
                 Err(ReadFailure::Closed) => return,
                 Err(ReadFailure::Refused(refusal)) => {
                     let refusal = match refusal.status {
-                        // A newer configuration may allow more.
-                        413 | 431 => self.unless_outdated(refusal),
+                        413 | 431 => self.refuse_by_limits(refusal),
                         _ => refusal,
                     };
                     reply.close_after_answer();
--- a/gateway/src/store/configuration.rs
+++ b/gateway/src/store/configuration.rs
@@ -4,9 +4,10 @@
 //! are equal documents and any gateway may pass on what it has in force.
 
 use crate::dialect::{Dialect, Offset, ReadOutcome, StoreCall, StoreRecord, Topic};
-use crate::net::io_with_timeout;
-use crate::node::Gateway;
+use crate::net::{io_with_timeout, with_timeout};
+use crate::node::{Gateway, InFlightGuard};
 use crate::routes::ConfigurationVersion;
+use crate::serve::reply::Reply;
 use crate::store::follow::Backoff;
 use crate::store::link::{StoreLink, exchange};
 use futures_lite::future;
@@ -23,6 +24,13 @@
 /// Time allowed for taking over a configuration, which may have some megabytes.
 const HANDOVER_TIMEOUT: Duration = Duration::from_millis(1_500);
 
+/// Maximum number of peers that are asked for a configuration one after the other.
+const MAX_HOLDERS_ASKED: usize = 3;
+
+/// Maximum number of configurations that are handed over at the same time, so that documents of some
+/// megabytes neither fill the memory nor all time out on the link of a small VM.
+const MAX_HANDOVERS: usize = 4;
+
 /// Time after which the store is read as well while a peer has not answered.
 const STORE_READ_DELAY: Duration = Duration::from_millis(250);
 
@@ -84,51 +92,65 @@
                 self.configuration_read_due.notify(usize::MAX);
                 future::pending().await
             };
-            let is_taken = future::or(self.take_from_peer(version), read_store).await;
+            let is_taken = future::or(self.take_from_peers(version), read_store).await;
             if !is_taken {
                 self.configuration_read_due.notify(usize::MAX);
             }
         }
     }
 
-    /// Takes the configuration of a peer that has at least the given version. Returns whether a newer
-    /// one is in force afterwards.
-    async fn take_from_peer(&self, version: ConfigurationVersion) -> bool {
+    /// Takes the configuration of a peer that has at least the given version, from the first few of them
+    /// that hand one over. Returns whether a newer one is in force afterwards.
+    async fn take_from_peers(&self, version: ConfigurationVersion) -> bool {
         let holders = self.gossip.configuration_holders(version, Instant::now());
-        let Some(address) = self.rng.borrow_mut().choice(holders) else {
-            return false;
-        };
+        for address in holders.into_iter().take(MAX_HOLDERS_ASKED) {
+            let error = match self.take_from_peer(address).await {
+                Ok(is_newer) => return is_newer,
+                Err(error) => error,
+            };
+            crate::event!("configuration_not_taken", "peers_version" => version,
+                "from" => address.to_string(), "error" => error);
+        }
+        false
+    }
+
+    /// Takes the configuration of a peer. Returns whether it is newer, or the reason why the peer did
+    /// not hand it over.
+    async fn take_from_peer(&self, address: SocketAddr) -> Result<bool, String> {
         let call = StoreCall {
             method: "GET",
             target: format!("{HANDOVER_TARGET}{}", self.configuration_version()),
             body: Vec::new(),
         };
         let answer = io_with_timeout(HANDOVER_TIMEOUT, exchange(address, None, &call)).await;
-        let error = match answer {
-            Ok((200, document, _)) => {
-                let source = Source::Peer(address);
-                return self.apply_document(&document, source);
-            }
-            Ok((status, ..)) => format!("status {status}"),
-            Err(error) => error.to_string(),
-        };
-        crate::event!("configuration_not_taken", "peers_version" => version,
-            "from" => address.to_string(), "error" => error);
-        false
+        match answer {
+            Ok((200, document, _)) => Ok(self.apply_document(&document, Source::Peer(address))),
+            Ok((status, ..)) => Err(format!("status {status}")),
+            Err(error) => Err(error.to_string()),
+        }
     }
 
-    /// Returns the answer to a peer's call for the configuration in force here: a status and a body.
-    /// Returns `None` if the call is for the store.
-    pub(crate) fn hand_over_configuration(&self, target: &str) -> Option<(u16, Rc<Vec<u8>>)> {
-        let peers_version = target.strip_prefix(HANDOVER_TARGET)?;
+    /// Answers a peer's call for the configuration in force here. Returns false if the call is for the
+    /// store.
+    pub(crate) async fn hand_over_configuration(&self, target: &str, reply: &Reply) -> bool {
+        let Some(peers_version) = target.strip_prefix(HANDOVER_TARGET) else {
+            return false;
+        };
         let is_newer = peers_version
             .parse::<ConfigurationVersion>()
             .is_ok_and(|version| version < self.configuration_version());
-        Some(if is_newer {
-            (200, self.configuration_document.borrow().clone())
+        if !is_newer {
+            reply.write_answer(404, "", &[], b"").await;
+        } else if self.handovers.get() >= MAX_HANDOVERS {
+            reply.write_answer(503, "", &[], b"").await;
         } else {
-            (404, Rc::default())
-        })
+            let _guard = InFlightGuard::new(&self.handovers);
+            let document = self.configuration_document.borrow().clone();
+            // A peer that does not read must not keep others waiting.
+            let write = reply.write_answer(200, "", &[], &document);
+            with_timeout(HANDOVER_TIMEOUT, write).await;
+        }
+        true
     }
 
     /// Returns the version of a peer once it must be read because it has not arrived.
--- a/gateway/src/store/link.rs
+++ b/gateway/src/store/link.rs
@@ -96,7 +96,8 @@
     direct_answer_at: Cell<Option<Instant>>,
     /// Peers that recently reported that they reach the store.
     relays: RefCell<Vec<SocketAddr>>,
-    /// Times at which calls to relays last failed; only of current relays.
+    /// Times at which calls to relays last failed, also of those that claim meanwhile not to reach the
+    /// store.
     relay_failures: RefCell<HashMap<SocketAddr, Instant>>,
     health: StoreHealth,
     /// Earliest time of the next call while the store is lost.
@@ -161,8 +162,9 @@
 
     /// Sets the peers that reach the store.
     pub(crate) fn set_relays(&self, relays: Vec<SocketAddr>) {
+        let now = Instant::now();
         let mut failures = self.relay_failures.borrow_mut();
-        failures.retain(|relay, _| relays.contains(relay));
+        failures.retain(|_, at| now.saturating_duration_since(*at) < AVOID_RELAY_FOR);
         self.relays.replace(relays);
     }
 
