--- a/gateway/src/admission/version_watch.rs
+++ b/gateway/src/admission/version_watch.rs
@@ -20,10 +20,13 @@
 /// Maximum time between two reads for a version that does not come.
 const MAX_READ_INTERVAL: Duration = Duration::from_secs(4);
 
-/// Time for which a newer version is expected. One that has not come by then cannot be read here, and
-/// what the version in force does not know counts as unknown again.
+/// Time for which a newer version is expected soon, so that callers are asked to come back early.
 const BEHIND_TIME: Duration = Duration::from_secs(5);
 
+/// Time without confirmation after which the version in force may not be the newest. A waiting read
+/// of the store, or the heartbeat of a peer that reaches it, confirms it more often.
+const CONFIRMED_FOR: Duration = Duration::from_millis(1_500);
+
 /// A version that a peer has and this gateway does not.
 #[derive(Clone, Copy, Debug)]
 struct Missed {
@@ -42,8 +45,10 @@
     version: Option<ConfigurationVersion>,
     /// When it came into force.
     applied_at: Option<Instant>,
-    /// When the store or a peer that reaches it last had no newer version.
+    /// When the store or a peer that has read it last had no newer version.
     confirmed_at: Option<Instant>,
+    /// When this gateway itself last read the store to its end.
+    read_to_end_at: Option<Instant>,
     missed: Option<Missed>,
 }
 
@@ -59,24 +64,27 @@
 
     /// Records that the store was read to its end and the newest version there is in force.
     pub(crate) fn confirm(&mut self, now: Instant) {
+        self.read_to_end_at = Some(now);
         self.confirmed_at = Some(now);
     }
 
     /// Records the version of a peer; 0 if it has none. Returns whether it is newer than all before.
     ///
+    /// `is_from_store` is whether the peer itself has recently read the store to its end: the word of
+    /// others passed on would confirm a version for as long as gateways tell each other of it.
     /// `jitter` in 0 to 1 spreads the reads of gateways that hear of the version at the same time.
     pub(crate) fn hear(
         &mut self,
         now: Instant,
         version: ConfigurationVersion,
-        reaches_store: bool,
+        is_from_store: bool,
         jitter: f64,
     ) -> bool {
         let Some(own) = self.version else {
             // Until the first configuration has been read, it is read anyway.
             return false;
         };
-        if reaches_store && version == own {
+        if is_from_store && version == own && self.missed.is_none() {
             self.confirmed_at = Some(now);
         }
         let newest = self.missed.map_or(own, |missed| missed.version);
@@ -100,6 +108,20 @@
         self.missed.is_some_and(is_recent)
     }
 
+    /// Returns whether there is a version in force, it was recently the newest there is, and no newer one
+    /// is known.
+    pub(crate) fn is_confirmed(&self, now: Instant) -> bool {
+        self.version.is_some()
+            && self.missed.is_none()
+            && self.confirmation_age(now) <= CONFIRMED_FOR
+    }
+
+    /// Returns whether this gateway itself has recently read the store to its end.
+    pub(crate) fn has_read_store(&self, now: Instant) -> bool {
+        self.read_to_end_at
+            .is_some_and(|at| now.saturating_duration_since(at) <= CONFIRMED_FOR)
+    }
+
     /// Returns when a read is due; `None` while no newer version is known.
     pub(crate) fn read_at(&self) -> Option<Instant> {
         self.missed.map(|missed| missed.read_at)
@@ -120,6 +142,19 @@
         now.saturating_duration_since(applied_at)
     }
 
+    /// Returns the time since the version in force was last confirmed, or since it came into force if
+    /// it never was.
+    pub(crate) fn confirmation_age(&self, now: Instant) -> Duration {
+        let confirmed_at = self.confirmed_at.or(self.applied_at).unwrap_or(now);
+        now.saturating_duration_since(confirmed_at)
+    }
+
+    /// Returns the newest version that was heard of, here or at a peer; 0 if there is none.
+    pub(crate) fn newest_version(&self) -> ConfigurationVersion {
+        let own = self.version.unwrap_or_default();
+        self.missed.map_or(own, |missed| missed.version)
+    }
+
     /// Returns whether keys may have been revoked for `limit` without word here.
     pub(crate) fn is_unconfirmed(&self, now: Instant, limit: Option<Duration>) -> bool {
         let is_recent = |limit: Duration| {
--- a/gateway/src/fleet/gossip/tests.rs
+++ b/gateway/src/fleet/gossip/tests.rs
@@ -112,6 +112,82 @@
     expect_that!(gossip.addresses(PeerGroup::Far), eq(&[from]));
 }
 
+/// Heartbeat of a gateway with the given version of the configuration.
+fn heartbeat_at_version(gateway: &str, configuration_version: u64) -> Heartbeat {
+    Heartbeat {
+        gateway: gateway.to_owned(),
+        state: GatewayState {
+            configuration_version,
+            ..GatewayState::default()
+        },
+        ..heartbeat(&[])
+    }
+}
+
+// Guards against a configuration that is asked of gateways that lack it too, or fetched from another
+// failure domain while a neighbor has it.
+#[googletest::test]
+fn configurations_are_taken_from_peers_that_have_them_neighbors_first() {
+    let gossip = Gossip::new("edge-a-1", "a");
+    let receive = |gateway: &str, domain: &str, port: u16, version: u64| {
+        gossip.add_from_record(gateway, &record(Some(domain), port));
+        let from = format!("10.0.0.1:{port}").parse().expect("an address");
+        gossip.receive(&heartbeat_at_version(gateway, version), from);
+    };
+    receive("edge-a-2", "a", 2, 8);
+    receive("edge-b-1", "b", 3, 9);
+    receive("edge-b-2", "b", 4, 7);
+    let ports = |version, now| {
+        let holders = gossip.configuration_holders(version, now);
+        holders
+            .iter()
+            .map(|address| address.port())
+            .collect::<Vec<_>>()
+    };
+    let now = Instant::now();
+    expect_that!(ports(9, now), elements_are![eq(&3)]);
+    expect_that!(ports(8, now), elements_are![eq(&2), eq(&3)]);
+    expect_that!(ports(10, now), is_empty());
+    expect_that!(ports(8, now + Duration::from_secs(2)), is_empty());
+}
+
+// Guards against loads of all peers that fill the link of a small VM while larger ones reach the store.
+#[googletest::test]
+fn small_vms_relay_calls_only_if_no_larger_one_reaches_the_store() {
+    let gossip = Gossip::new("edge-a-1", "a");
+    let receive = |gateway: &str, port: u16, number: u64, permille: u32, reaches_store: bool| {
+        let from = format!("10.0.0.1:{port}").parse().expect("an address");
+        let heartbeat = Heartbeat {
+            gateway: gateway.to_owned(),
+            number,
+            state: GatewayState {
+                reaches_store,
+                processor_permille: permille,
+                ..GatewayState::default()
+            },
+            ..heartbeat(&[])
+        };
+        gossip.receive(&heartbeat, from);
+    };
+    receive("edge-a-2", 2, 1, 500, true);
+    receive("edge-a-3", 3, 1, 250, true);
+    receive("edge-a-4", 4, 1, 90, true);
+    let ports = || {
+        let relays = gossip.relays(Instant::now());
+        let mut ports: Vec<u16> = relays.iter().map(|address| address.port()).collect();
+        ports.sort_unstable();
+        ports
+    };
+    expect_that!(ports(), eq(&[2, 3]));
+    receive("edge-a-2", 2, 2, 500, false);
+    receive("edge-a-3", 3, 2, 250, false);
+    expect_that!(ports(), eq(&[4]));
+    // A single large one is not left alone.
+    receive("edge-a-2", 2, 3, 4_000, true);
+    receive("edge-a-5", 5, 1, 100, true);
+    expect_that!(ports(), eq(&[2, 4, 5]));
+}
+
 #[derive(serde::Serialize)]
 struct RecordWithoutDomain {
     address: String,
@@ -146,6 +222,7 @@
     let decoded: Heartbeat = decode(&encode(&earlier)).expect("a readable heartbeat");
     expect_that!(decoded.state.configuration_version, eq(0));
     expect_that!(decoded.state.processor_permille, eq(500));
+    expect_that!(decoded.state.has_read_configuration, eq(true));
     let with_version = Heartbeat {
         state: GatewayState {
             configuration_version: 9,
--- a/gateway/src/fleet/relay.rs
+++ b/gateway/src/fleet/relay.rs
@@ -1,14 +1,16 @@
-//! Relays calls to the store for peers that the store refuses or that cannot reach it.
+//! Relays calls to the store for peers that the store refuses or that cannot reach it, and hands the
+//! configuration in force over to those that lack it.
 //!
 //! All paths to the store are equivalent. Appends carry their producer's name and sequence number,
 //! so a call that arrives over two paths is executed once.
 
+use crate::counters::RelayOutcome;
 use crate::dialect::{Dialect, StoreCall, Topic};
 use crate::net::with_timeout;
 use crate::node::Gateway;
 use crate::serve::http::{BodyDecoder, Connection, Framing};
 use crate::serve::reply::Reply;
-use crate::store::link::StoreLink;
+use crate::store::link::{StoreLink, is_refusal};
 use smol::Timer;
 use std::rc::Rc;
 use std::time::Duration;
@@ -42,12 +44,24 @@
             else {
                 return;
             };
+            let reply = Reply::new(connection.stream(), false);
+            if self.hand_over_configuration(&call.target, &reply).await {
+                if !reply.keeps_connection() {
+                    return;
+                }
+                continue;
+            }
             // Without an answer from the store, the connection is closed so that the peer tries
             // another path.
             let Ok((status, body)) = link.call(&call, CALL_TIMEOUT).await else {
+                self.counters.record_relayed_call(RelayOutcome::Unanswered);
                 return;
             };
-            let reply = Reply::new(connection.stream(), false);
+            self.counters.record_relayed_call(if is_refusal(status) {
+                RelayOutcome::Refused
+            } else {
+                RelayOutcome::Answered
+            });
             reply.write_answer(status, "", &[], &body).await;
             if !reply.keeps_connection() {
                 return;
--- a/gateway/src/node.rs
+++ b/gateway/src/node.rs
@@ -122,6 +122,12 @@
     pub(crate) version_watch: RefCell<VersionWatch>,
     /// Notified when a peer has a newer configuration.
     pub(crate) version_heard: event_listener::Event,
+    /// Notified when the configuration must be read from the store without waiting.
+    pub(crate) configuration_read_due: event_listener::Event,
+    /// The document of the configuration in force, for peers; empty before the first one.
+    pub(crate) configuration_document: RefCell<Rc<Vec<u8>>>,
+    /// Configurations that are being handed over to peers.
+    pub(crate) handovers: Rc<Cell<usize>>,
     pub(crate) endpoints: RefCell<Endpoints>,
     pub(crate) endpoints_loaded: Cell<bool>,
     /// When the list of endpoints was last read from the store.
@@ -173,6 +179,9 @@
             routes: RefCell::default(),
             version_watch: RefCell::default(),
             version_heard: event_listener::Event::new(),
+            configuration_read_due: event_listener::Event::new(),
+            configuration_document: RefCell::default(),
+            handovers: Rc::default(),
             endpoints: RefCell::new(endpoints),
             endpoints_loaded: Cell::new(false),
             endpoints_read_at: Cell::new(None),
@@ -218,7 +227,7 @@
     /// Returns whether the store answers at its own address.
     pub(crate) fn reaches_store(&self) -> bool {
         let health = self.store_paths.health();
-        self.store_paths.is_direct() && !health.is_lost(Instant::now())
+        self.store_paths.has_reached_store() && !health.is_lost(Instant::now())
     }
 
     /// Creates a connection to the store for one task.
@@ -278,6 +287,18 @@
             ),
             ("store_lost", u64::from(health.is_lost(Instant::now()))),
             ("store_direct", u64::from(self.store_paths.is_direct())),
+            ("store_relays", self.store_paths.relay_count() as u64),
+            (
+                "configuration_newest_version",
+                self.version_watch.borrow().newest_version(),
+            ),
+            (
+                "configuration_confirmed_age_ms",
+                self.version_watch
+                    .borrow()
+                    .confirmation_age(Instant::now())
+                    .as_millis() as u64,
+            ),
         ]);
         metrics.push_str(&self.carrier.render());
         metrics.push_str(&self.endpoints.borrow().render_speeds(Instant::now()));
@@ -404,6 +425,7 @@
     }
     spawn(Box::pin(events::write_lines()));
     spawn(Box::pin(gateway.clone().follow_configuration()));
+    spawn(Box::pin(gateway.clone().take_missed_configurations()));
     spawn(Box::pin(gateway.clone().follow_endpoints()));
     spawn(Box::pin(gateway.clone().send_heartbeats()));
     spawn(Box::pin(gateway.clone().send_crash_reports()));
--- a/gateway/src/serve/admit.rs
+++ b/gateway/src/serve/admit.rs
@@ -4,6 +4,7 @@
 use crate::dialect::{CallInfo, Credential, Dialect};
 use crate::node::Gateway;
 use crate::routes::{Account, Route};
+use crate::serve::front::loggable_target;
 use crate::serve::http::RequestHead;
 use crate::serve::reply::Refusal;
 use std::rc::Rc;
@@ -15,6 +16,10 @@
 /// `Retry-After` delay while a newer configuration is being read, which mostly takes less.
 const BEHIND_RETRY_AFTER: Duration = Duration::from_millis(300);
 
+/// Mean `Retry-After` delay while a newer configuration cannot be ruled out, which mostly takes
+/// seconds.
+const OUTDATED_RETRY_AFTER: Duration = Duration::from_secs(1);
+
 /// Reason given to clients whose keys cannot be relied on.
 pub(crate) const UNCONFIRMED_REASON: &str = "the gateway cannot confirm that the API key is valid";
 
@@ -30,11 +35,7 @@
         let found = find_account(routes.accounts(), route.is_public, info.credential);
         let account = found.map_err(|refusal| {
             self.log_key_refusal(request_id, route, info.credential, refusal);
-            let refused = Refusal::new(401, refusal.reason());
-            match refusal {
-                KeyRefusal::Unknown => self.unless_behind(refused),
-                _ => refused,
-            }
+            self.unless_outdated(Refusal::new(401, refusal.reason()))
         })?;
         if account.is_some() && self.has_unconfirmed_keys() {
             self.log_unconfirmed(request_id, route);
@@ -44,11 +45,16 @@
         Ok(account.cloned())
     }
 
-    /// Returns a refusal of what the configuration in force does not know, or one that asks to come
-    /// back if a newer one is about to be read.
-    pub(crate) fn unless_behind(&self, refusal: Refusal) -> Refusal {
-        if self.version_watch.borrow().is_behind(Instant::now()) {
+    /// Returns a final refusal of what the configuration in force does not allow, or one that asks to
+    /// come back if a newer one may allow it.
+    pub(crate) fn unless_outdated(&self, refusal: Refusal) -> Refusal {
+        let now = Instant::now();
+        let watch = self.version_watch.borrow();
+        if watch.is_behind(now) {
             Refusal::retry_later(BEHIND_RETRY_AFTER, "a newer configuration is being read")
+        } else if !watch.is_confirmed(now) {
+            let delay = OUTDATED_RETRY_AFTER.mul_f64(0.5 + fastrand::f64());
+            Refusal::retry_later(delay, "a newer configuration cannot be ruled out")
         } else {
             refusal
         }
@@ -79,9 +85,25 @@
         crate::event!("key_refused", "request" => request_id, "route" => route.name.as_str(),
             "reason" => refusal.to_string(), "key" => key,
             "version" => self.configuration_version(), "age_ms" => self.configuration_age_ms(),
+            "confirmed_ms" => self.confirmation_age_ms(),
             "behind" => self.version_watch.borrow().is_behind(Instant::now()));
     }
 
+    /// Logs a request that the configuration in force has no route for, with what is known of newer
+    /// ones.
+    pub(crate) fn log_not_routed(&self, head: &RequestHead, status: u16) {
+        let info = D::parse_call(&head.headers);
+        let watch = self.version_watch.borrow();
+        let now = Instant::now();
+        crate::event!("not_routed", "request" => info.request_id.unwrap_or_default(),
+            "host" => head.host.as_str(), "target" => loggable_target(&head.target),
+            "status" => status, "version" => self.configuration_version(),
+            "age_ms" => watch.age(now).as_millis(),
+            "confirmed_ms" => self.confirmation_age_ms(),
+            "newest_version" => watch.newest_version(), "behind" => watch.is_behind(now),
+            "direct" => self.store_paths.is_direct(), "relays" => self.store_paths.relay_count());
+    }
+
     /// Logs a refusal because the configuration is not confirmed.
     pub(crate) fn log_unconfirmed(&self, request_id: &str, route: &Route) {
         let mut counters = self.counters.accounts.borrow_mut();
@@ -97,6 +119,21 @@
         watch.age(Instant::now()).as_millis()
     }
 
+    /// Returns the time since the configuration in force was last confirmed.
+    fn confirmation_age_ms(&self) -> u128 {
+        let watch = self.version_watch.borrow();
+        watch.confirmation_age(Instant::now()).as_millis()
+    }
+
+    /// Returns the refusal of a request that exceeds a limit. A newer configuration may allow more.
+    pub(crate) fn refuse_by_limits(&self, refusal: Refusal) -> Refusal {
+        let outcome = self.unless_outdated(refusal);
+        crate::event!("limit_exceeded", "reason" => refusal.reason, "status" => outcome.status,
+            "version" => self.configuration_version(),
+            "confirmed_ms" => self.confirmation_age_ms());
+        outcome
+    }
+
     /// Removes the headers that may hold an API key, so that nothing later passes them on.
     pub(crate) fn remove_credentials(&self, head: &mut RequestHead) {
         let has_accounts = self.routes.borrow().accounts().is_key_required();
--- a/gateway/src/serve/front.rs
+++ b/gateway/src/serve/front.rs
@@ -94,6 +94,10 @@
                 Ok(request) => self.answer(request, &mut connection, &reply).await,
                 Err(ReadFailure::Closed) => return,
                 Err(ReadFailure::Refused(refusal)) => {
+                    let refusal = match refusal.status {
+                        413 | 431 => self.refuse_by_limits(refusal),
+                        _ => refusal,
+                    };
                     reply.close_after_answer();
                     reply.refuse(&refusal).await;
                     discard_input(&mut connection).await;
@@ -201,8 +205,7 @@
         let route = match self.route(&request.head) {
             Ok(route) => route,
             Err(refusal) => {
-                crate::event!("not_routed", "host" => request.head.host.as_str(),
-                    "target" => loggable_target(&request.head.target), "status" => refusal.status);
+                self.log_not_routed(&request.head, refusal.status);
                 return reply.refuse(&refusal).await;
             }
         };
@@ -272,7 +275,7 @@
 }
 
 /// Returns the first segment of a target's path. The rest may hold a key that a client put there.
-fn loggable_target(target: &str) -> &str {
+pub(crate) fn loggable_target(target: &str) -> &str {
     let path = target.split(['?', '#']).next().unwrap_or_default();
     let first_segment_end = path.match_indices('/').nth(1);
     first_segment_end.map_or(path, |(end, _)| &path[..=end])
--- a/gateway/src/store/link/tests.rs
+++ b/gateway/src/store/link/tests.rs
@@ -145,3 +145,68 @@
     };
     expect_that!(smol::block_on(future::or(reader, others)), eq(true));
 }
+
+fn address(port: u16) -> SocketAddr {
+    SocketAddr::from(([10, 0, 0, 1], port))
+}
+
+// Guards against peers whose calls are cut off at a relay each time that another call of the relay
+// succeeds after a failure. Each cut connection of a peer comes back with a new link.
+#[googletest::test]
+fn a_relayed_call_ends_although_other_calls_fail_and_succeed_in_turn() {
+    let store = start_slow_store();
+    let paths = Rc::new(StorePaths::new(store));
+    let call = StoreCall {
+        method: "GET",
+        target: "/".to_owned(),
+        body: Vec::new(),
+    };
+    let peer = async {
+        loop {
+            let mut link = StoreLink::direct(paths.clone());
+            if link.call(&call, SLOW_ANSWER * 4).await.is_ok() {
+                return true;
+            }
+        }
+    };
+    let others = async {
+        for _ in 0..60 {
+            paths.health.record_failure(Instant::now());
+            Timer::after(Duration::from_millis(25)).await;
+            paths.record_answer(address(1));
+            Timer::after(Duration::from_millis(25)).await;
+        }
+        false
+    };
+    expect_that!(smol::block_on(future::or(peer, others)), eq(true));
+}
+
+// Guards against all peers that turn to a gateway which has not reached the store since its start.
+#[googletest::test]
+fn a_gateway_that_has_no_answer_of_the_store_yet_does_not_reach_it() {
+    let paths = StorePaths::new(address(1));
+    expect_that!(paths.has_reached_store(), eq(false));
+    paths.record_answer(address(1));
+    expect_that!(paths.has_reached_store(), eq(true));
+    paths.record_failure(address(1), Instant::now());
+    expect_that!(paths.has_reached_store(), eq(false));
+}
+
+// Guards against calls that go again and again to a relay which is itself turned away.
+#[googletest::test]
+fn a_relay_that_failed_is_avoided_while_there_is_another() {
+    let paths = StorePaths::new(address(1));
+    let relays = vec![address(2), address(3)];
+    let now = Instant::now();
+    paths.record_failure(address(1), now);
+    paths.set_relays(relays.clone());
+    paths.record_failure(address(2), now);
+    paths.set_relays(relays.clone());
+    let chosen: Vec<SocketAddr> = (0..50).map(|_| paths.next_address()).collect();
+    expect_that!(chosen, each(eq(&address(3))));
+    // An overloaded relay is better than none.
+    paths.record_failure(address(3), now);
+    let chosen: Vec<SocketAddr> = (0..50).map(|_| paths.next_address()).collect();
+    expect_that!(chosen, contains(eq(&address(2))));
+    expect_that!(chosen, contains(eq(&address(3))));
+}
