Recognise a reset that a write of the request met

What callers saw: an answer with neither a length nor chunks whose connection was reset on the way could reach a client as a 200 with an empty or short body that is framed as whole.

Cause: the system reports the reset of a connection once. The gateway writes a request and reads its answer at the same time. If the write gets the report, the reads that follow find the bytes received so far and then an end like that of an orderly close, which completes a body that ends with its connection.

Evidence: an_answer_is_not_whole_if_a_write_met_the_reset, with real sockets; on the code before:

Value of: read Expected: is an error which is anything Actual: Ok([112, 97, 114, 116]), which is a success "part"

and the same with an empty body. In a gateway the reset must arrive between the read and the write of one poll, while a request is still being written; this was not reproduced with gateway processes.

Fix: the connection remembers that a write failed, and then reports an end as a reset. Answers with a length or chunks are complete before their connection ends, so nothing changes for them. An answer without either whose endpoint closed the connection in order before it had read the request is now taken as broken if a write failed, since the two cannot be told apart.

The tests of cuts at every byte of a head and of a body, by an orderly end and by a reset, pass on the code before as well: a cut head was never taken for an answer.

--- a/gateway/src/serve/forward.rs
+++ b/gateway/src/serve/forward.rs
@@ -526,7 +526,7 @@
     is_written: &Cell<bool>,
     observe: &impl Fn(&ObservedAnswer<'_>),
 ) -> Result<(ResponseHead, AnswerInfo), Failure> {
-    let writer = Connection::new(connection.stream());
+    let mut writer = connection.writer();
     let write = async {
         // The read reports a failed write, unless the endpoint has already answered.
         is_written.set(writer.write_all(request).await.is_ok());
--- a/gateway/src/serve/http/connection.rs
+++ b/gateway/src/serve/http/connection.rs
@@ -1,11 +1,16 @@
 //! Buffered connection that reads HTTP messages.
 
+#[cfg(test)]
+mod tests;
+
 use super::{BodyDecoder, BodyError, RequestHead, ResponseHead, parse_request, parse_response};
 use crate::limits::{BYTES_PER_POLL, MAX_ANSWER_HEAD_BYTES};
 use futures_lite::{AsyncRead, AsyncWriteExt, future};
 use smol::net::TcpStream;
+use std::cell::Cell;
 use std::io;
 use std::pin::Pin;
+use std::rc::Rc;
 use std::task::Poll;
 
 /// Size of one read, in bytes; enough for a head with a typical body.
@@ -20,13 +25,36 @@
     )
 }
 
+/// Writes to a connection, also while it is read.
+#[derive(Clone, Debug)]
+pub(crate) struct Writer {
+    stream: TcpStream,
+    has_failed: Rc<Cell<bool>>,
+}
+
+impl Writer {
+    /// Writes all bytes.
+    pub(crate) async fn write_all(&mut self, bytes: &[u8]) -> io::Result<()> {
+        let written = self.stream.write_all(bytes).await;
+        if written.is_err() {
+            self.has_failed.set(true);
+        }
+        written
+    }
+}
+
 /// A connection with a buffer of received bytes.
+///
+/// Invariant: after a failed write, no read reports an orderly end. The system reports a reset once,
+/// and if a write gets the report, reads find an end as if the remote host had closed the connection.
 #[derive(Debug)]
 pub(crate) struct Connection {
     stream: TcpStream,
     unread: Vec<u8>,
     /// Bytes read since the task last let others run.
     read_since_yield_bytes: usize,
+    /// Whether a write has failed; shared with all writers.
+    has_failed_write: Rc<Cell<bool>>,
 }
 
 impl Connection {
@@ -36,6 +64,7 @@
             stream,
             unread: Vec::new(),
             read_since_yield_bytes: 0,
+            has_failed_write: Rc::default(),
         }
     }
 
@@ -54,7 +83,8 @@
         self.stream.clone()
     }
 
-    /// Reads more bytes into the buffer and returns their number, 0 at the end of the connection.
+    /// Reads more bytes into the buffer and returns their number, 0 at the orderly end of the
+    /// connection.
     ///
     /// Dropping the future loses no bytes. A peer whose bytes are always ready does not keep other
     /// tasks and timers from running.
@@ -78,15 +108,27 @@
                 Poll::Ready(_) => self.read_since_yield_bytes += count,
                 Poll::Pending => self.read_since_yield_bytes = 0,
             }
-            read
+            match read {
+                Poll::Ready(Ok(0)) if self.has_failed_write.get() => {
+                    Poll::Ready(Err(io::ErrorKind::ConnectionReset.into()))
+                }
+                read => read,
+            }
         })
         .await
     }
 
+    /// Returns a writer that can be used while the connection is read.
+    pub(crate) fn writer(&self) -> Writer {
+        Writer {
+            stream: self.stream.clone(),
+            has_failed: self.has_failed_write.clone(),
+        }
+    }
+
     /// Writes all bytes.
     pub(crate) async fn write_all(&self, bytes: &[u8]) -> io::Result<()> {
-        let mut stream = self.stream.clone();
-        stream.write_all(bytes).await
+        self.writer().write_all(bytes).await
     }
 
     /// Reads the head of a request from a trusted sender.
