Break a stream off whose rest has no event and no framing

What callers saw: a stream on a resumable route that broke off inside an event and went on at another endpoint, which answered without a length or chunks and ended its connection before any event, reached the client framed as whole, with the events of the first endpoint only.

Cause: a stream without framing that ends before its first event counts as broken, but the events of the endpoints before were counted as well, so the check never held for the rest of a stream.

Evidence: a_stream_whose_rest_ends_with_its_connection_before_any_event_does_not_appear_complete; on the code before, the client had a complete answer with one event of three, and with two:

Value of: send(&chat, &gateway) Expected: is none Actual: Some([105, 100, 58, ... 46, 50, 10, 10]), which is some(_) 69 bytes

Fix: only the events of the endpoint whose connection ended are counted. A first endpoint that breaks off after its last event, followed by such an empty answer, is now broken off as well; these two cannot be told apart, and the client can go on after its last event.

The broken stream is logged as `stream_broken` with the reason, after `stream_resumed`.

--- a/gateway/src/serve/event_stream.rs
+++ b/gateway/src/serve/event_stream.rs
@@ -170,6 +170,7 @@
         can_resume: bool,
     ) -> Result<(), StreamBreak> {
         let resumed_after = self.last_event_id;
+        let earlier_events = self.event_count;
         let mut splitter = EventSplitter::default();
         let mut bytes_since_data = 0;
         loop {
@@ -195,7 +196,7 @@
                 }
             }
             let framing = exchange.head.framing;
-            let has_data = self.event_count > 0;
+            let has_data = self.event_count > earlier_events;
             let checked_end = bytes.is_last.then(|| splitter.check_end(framing, has_data));
             if checked_end == Some(Ok(())) && !has_repeated_event {
                 events.extend_from_slice(splitter.rest());
