Report an answer cut in its head or before its length as a connection that ended

What callers saw: a service or engine that stopped within the head of its answer, or before the length that its head states, counted at its sidecar as one whose answer cannot be read, not as one whose connection ended. So a call that crashes its endpoint there was not recorded as a crash and could be generated again. No cut answer was ever returned as whole.

Cause: the HTTP library reports an end of the connection within the head as an invalid head, and one before the stated length as invalid data, like an answer that is garbage. The comment at `io_error` took the latter for an unexpected end.

Fix: the connection, which follows the parts of an answer already, knows whether its end cuts the head or the stated length, and reports such an end as unexpected.

--- a/src/adapter/tests.rs
+++ b/src/adapter/tests.rs
@@ -1,5 +1,7 @@
 //! Tests of the HTTP clients against the stand-ins.
 
+mod cut_answers;
+
 use super::{HttpEngine, HttpLog, HttpService, HttpVmList, HttpWeightStore};
 use crate::protocol::engine::{
     Engine, EngineError, EngineEvent, EngineOrder, EngineStream, GenerateRequest,
@@ -16,9 +18,6 @@
 };
 use futures_lite::future::block_on;
 use googletest::prelude::*;
-use std::io::{Read, Write};
-use std::net::{TcpListener, TcpStream};
-use std::thread;
 use std::time::Duration;
 
 /// For responses that are expected to arrive.
@@ -303,105 +302,6 @@
     });
 }
 
-/// How a raw server ends its connection.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-enum Close {
-    Orderly,
-    Reset,
-}
-
-/// Starts a server that answers one request with these bytes and closes the connection, and returns
-/// its URL.
-fn serve_raw(response: &'static str, close: Close) -> String {
-    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
-    let url = format!("http://{}", listener.local_addr().unwrap());
-    thread::spawn(move || {
-        let (mut stream, _) = listener.accept().unwrap();
-        let head = read_request(&mut stream);
-        stream.write_all(response.as_bytes()).unwrap();
-        if close == Close::Reset {
-            // Lets the response arrive before the reset, which discards what was not delivered.
-            thread::sleep(Duration::from_millis(100));
-            let linger = Some(Duration::ZERO);
-            rustix::net::sockopt::set_socket_linger(&stream, linger).unwrap();
-        }
-        drop(head);
-    });
-    url
-}
-
-/// Reads a request with its body, so that closing the connection does not reset it.
-fn read_request(stream: &mut TcpStream) -> Vec<u8> {
-    let mut bytes = Vec::new();
-    let mut buf = [0; 4096];
-    loop {
-        let count = stream.read(&mut buf).unwrap();
-        bytes.extend_from_slice(&buf[..count]);
-        let text = String::from_utf8_lossy(&bytes).to_lowercase();
-        let Some((head, body)) = text.split_once("\r\n\r\n") else {
-            continue;
-        };
-        let length = head
-            .lines()
-            .find_map(|line| line.strip_prefix("content-length:"));
-        if count == 0 || length.is_none_or(|length| length.trim().parse() == Ok(body.len())) {
-            return bytes;
-        }
-    }
-}
-
-// Guards against a service's answer that was broken off being returned as the whole answer.
-#[gtest]
-fn a_truncated_service_answer_has_an_unknown_outcome() {
-    let cases = [
-        ("content-length: 9\r\n\r\n{\"a\"", Close::Orderly),
-        ("content-length: 9\r\n\r\n{\"a\"", Close::Reset),
-        (
-            "transfer-encoding: chunked\r\n\r\n4\r\n{\"a\"\r\n",
-            Close::Orderly,
-        ),
-        (
-            "transfer-encoding: chunked\r\n\r\n4\r\n{\"a",
-            Close::Orderly,
-        ),
-        ("connection: close\r\n\r\n{\"a\"", Close::Reset),
-    ];
-    for (answer, close) in cases {
-        let response: &str = Box::leak(format!("HTTP/1.1 200 OK\r\n{answer}").into_boxed_str());
-        let service = HttpService::new(&serve_raw(response, close), TIMEOUT);
-        let reply = block_on(service.invoke(transfer(7)));
-        expect_that!(
-            reply,
-            err(matches_pattern!(ServiceError::Unknown(_))),
-            "{answer:?}, {close:?}"
-        );
-    }
-}
-
-// Guards against an unframed stream that an engine broke off being returned as complete.
-#[gtest]
-fn an_engine_stream_without_its_last_event_is_an_error() {
-    const HEAD: &str = "HTTP/1.1 200 OK\r\ncontent-type: text/event-stream\r\n\r\n";
-    const EVENT: &str = "data: {\"choices\":[{\"delta\":{\"content\":\"a\"}}]}\n\n";
-    const USAGE: &str =
-        "data: {\"choices\":[],\"usage\":{\"prompt_tokens\":1,\"completion_tokens\":1}}\n\n";
-    let complete = format!("{EVENT}{USAGE}data: [DONE]\n\n");
-    let last_line = complete.len() - 1;
-    for length in (0..complete.len())
-        .step_by(3)
-        .chain([last_line - 1, last_line])
-    {
-        let text = format!("{HEAD}{}", &complete[..length]);
-        let url = serve_raw(Box::leak(text.into_boxed_str()), Close::Orderly);
-        let engine = HttpEngine::new(&url, TIMEOUT);
-        let read = block_on(async {
-            let mut stream = engine.generate(generation(1, 1, "x", 4)).await?;
-            read_all(&mut stream, 0).await
-        });
-        expect_that!(read.is_ok(), eq(length >= last_line), "{length} bytes");
-    }
-}
-
 #[gtest]
 fn engine_exports_and_imports_caches_and_fences_orders() {
     block_on(async {
--- a/src/http.rs
+++ b/src/http.rs
@@ -246,8 +246,9 @@
     }
 }
 
-/// Converts an error of reading or writing. The HTTP library reports a body that is shorter than its
-/// head or its chunks say as an aborted connection or an unexpected end.
+/// Converts an error of reading or writing. The connection reports an end within the head or before the
+/// stated length as unexpected; the HTTP library reports one within chunks as an aborted connection or
+/// an unexpected end.
 fn io_error(error: &std::io::Error) -> HttpError {
     match error.kind() {
         ErrorKind::ConnectionReset
--- a/src/http/connector.rs
+++ b/src/http/connector.rs
@@ -93,6 +93,10 @@
         buf: &mut [u8],
     ) -> Poll<io::Result<usize>> {
         let count = ready!(Pin::new(&mut self.stream).poll_read(cx, buf))?;
+        if count == 0 && !buf.is_empty() && self.framing.is_cut_by_end() {
+            // The HTTP library would report an answer that is invalid.
+            return Poll::Ready(Err(io::ErrorKind::UnexpectedEof.into()));
+        }
         self.follow(&buf[..count])?;
         Poll::Ready(Ok(count))
     }
--- a/src/http/framing.rs
+++ b/src/http/framing.rs
@@ -29,7 +29,10 @@
         remaining_bytes: u64,
     },
     /// A body that is not chunked.
-    Unchunked,
+    Unchunked {
+        /// Rest of the length that the head states; `None` if the body ends with its connection.
+        remaining_bytes: Option<u64>,
+    },
     Trailers,
 }
 
@@ -42,6 +45,8 @@
     has_status: bool,
     is_interim: bool,
     is_chunked: bool,
+    /// Value of the header line with the length of the body.
+    length_bytes: Option<u64>,
 }
 
 /// Follows one answer.
@@ -64,6 +69,16 @@
         }
     }
 
+    /// Returns whether an end of the connection cuts the head, or the body before the stated length. The
+    /// HTTP library reports cut chunks and trailers itself.
+    pub(super) fn is_cut_by_end(&self) -> bool {
+        match self.0 {
+            Position::Head(_) => true,
+            Position::Unchunked { remaining_bytes } => remaining_bytes.is_some_and(|left| left > 0),
+            _ => false,
+        }
+    }
+
     /// Follows received bytes up to the end of the present part. Returns their number if the next part
     /// has begun.
     pub(super) fn find_next_part(&mut self, received: &[u8]) -> Option<usize> {
@@ -114,7 +129,13 @@
                 }
                 count as usize
             }
-            Position::Unchunked | Position::Trailers => received.len(),
+            Position::Unchunked { remaining_bytes } => {
+                if let Some(remaining_bytes) = remaining_bytes {
+                    *remaining_bytes = remaining_bytes.saturating_sub(received.len() as u64);
+                }
+                received.len()
+            }
+            Position::Trailers => received.len(),
         }
     }
 }
@@ -143,8 +164,18 @@
             }
             [] if self.is_interim => *self = Self::default(),
             [] if self.is_chunked => return Some(chunk_size()),
-            [] => return Some(Position::Unchunked),
-            _ => self.is_chunked |= is_transfer_encoding(line),
+            [] => {
+                let remaining_bytes = self.length_bytes;
+                return Some(Position::Unchunked { remaining_bytes });
+            }
+            _ => {
+                self.is_chunked |= value(line, b"transfer-encoding").is_some();
+                let length =
+                    value(line, b"content-length").and_then(|length| str::from_utf8(length).ok());
+                self.length_bytes = length
+                    .and_then(|length| length.trim().parse().ok())
+                    .or(self.length_bytes);
+            }
         }
         None
     }
@@ -156,9 +187,10 @@
     status.starts_with(b"1") && status != b"101"
 }
 
-/// Tells whether a header line announces chunks, the only transfer encoding that the HTTP library
-/// accepts.
-fn is_transfer_encoding(line: &[u8]) -> bool {
-    let name = line.split(|&byte| byte == b':').next().unwrap_or_default();
-    name.eq_ignore_ascii_case(b"transfer-encoding")
+/// Returns the value of a header line if the header has this name. Chunks are the only transfer
+/// encoding that the HTTP library accepts.
+fn value<'a>(line: &'a [u8], name: &[u8]) -> Option<&'a [u8]> {
+    let colon = line.iter().position(|&byte| byte == b':')?;
+    let (found, value) = line.split_at(colon);
+    found.eq_ignore_ascii_case(name).then(|| &value[1..])
 }
--- a/src/http/tests.rs
+++ b/src/http/tests.rs
@@ -40,3 +40,22 @@
         expect_that!(find_parts(framed.as_bytes(), block_bytes), eq(&parts));
     }
 }
+
+// Guards against an answer that was cut counting as one that cannot be read.
+#[gtest]
+fn the_end_of_the_connection_cuts_an_answer_in_its_head_or_before_its_length() {
+    let head = "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200 OK\r\ncontent-LENGTH:  12 \r\n\r\n";
+    let answer = format!("{head}twelve bytes");
+    for kept_bytes in 0..=answer.len() {
+        let mut framing = Framing::default();
+        let mut rest = &answer.as_bytes()[..kept_bytes];
+        while let Some(count) = framing.find_next_part(rest) {
+            rest = &rest[count..];
+        }
+        let is_cut = kept_bytes < answer.len();
+        expect_that!(framing.is_cut_by_end(), eq(is_cut), "{kept_bytes} bytes");
+    }
+    let mut until_close = Framing::default();
+    until_close.find_next_part(b"HTTP/1.1 200 OK\r\n\r\n");
+    expect_that!(until_close.is_cut_by_end(), eq(false));
+}
