Forward an answer without a body on a streaming route without chunks

What callers saw: an endpoint's answer with status 204 on a streaming route was forwarded with `Transfer-Encoding: chunked` and a last chunk. Such an answer has no body, so on a connection that stays open the client takes the five bytes of the last chunk for the start of its next answer.

Cause: each 2xx answer on a streaming route was taken for a stream, also one whose framing says that it has no body.

Evidence: an_answer_without_a_body_on_a_streaming_route_has_no_chunks; on the code before, for a turn and for a chat:

Value of: head.header("Transfer-Encoding") Expected: is none Actual: Some("chunked"), Value of: rest Expected: is empty Actual: [48, 13, 10, 13, 10],

Fix: an answer without a body is no stream, and is forwarded as plain answers are. A body that is empty but framed stays a stream without events.

--- a/gateway/src/serve/forward.rs
+++ b/gateway/src/serve/forward.rs
@@ -429,7 +429,7 @@
             body_bytes: 0,
         };
         match classify(exchange.head.status, &info) {
-            AnswerClass::Answer if is_stream(call, exchange.head.status) => {
+            AnswerClass::Answer if is_stream(call, &exchange.head) => {
                 Ok(EndpointAnswer::Stream(Box::new(exchange)))
             }
             AnswerClass::Answer => {
@@ -503,8 +503,11 @@
     Whole { head: ResponseHead, body: Vec<u8> },
 }
 
-fn is_stream(call: &Call, status: u16) -> bool {
-    call.route.kind == RouteKind::Streaming && (200..300).contains(&status)
+/// Returns whether an answer is a stream. One without a body must not be forwarded in chunks.
+fn is_stream(call: &Call, head: &ResponseHead) -> bool {
+    call.route.kind == RouteKind::Streaming
+        && (200..300).contains(&head.status)
+        && head.framing != Framing::Empty
 }
 
 /// Returns whether a client's header is forwarded to the endpoint.
