Test answers of the store that are cut at any byte

The same cause as in answers of endpoints, looked for at the store: an answer whose connection ends within its head, its length or its chunks is a failed call, so that nothing of it is used or relayed.

--- a/gateway/src/store/link/tests.rs
+++ b/gateway/src/store/link/tests.rs
@@ -145,3 +145,51 @@
     };
     expect_that!(smol::block_on(future::or(reader, others)), eq(true));
 }
+
+/// Starts a store that answers each call with the next of these answers and closes the connection, and
+/// returns its address.
+fn start_cutting_store(answers: Vec<Vec<u8>>) -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
+    let address = listener.local_addr().expect("an address");
+    thread::spawn(move || {
+        for (answer, stream) in answers.into_iter().zip(listener.incoming().flatten()) {
+            let mut stream = stream;
+            let _ = stream.read(&mut [0; 1024]);
+            // A caller that has given up is seen by the test.
+            let _ = stream.write_all(&answer);
+        }
+    });
+    address
+}
+
+// Guards against an answer of the store that was cut being used, or relayed to another gateway, as a
+// whole one.
+#[googletest::test]
+fn an_answer_of_the_store_that_is_cut_at_any_byte_is_a_failed_call() {
+    let call = StoreCall {
+        method: "GET",
+        target: "/".to_owned(),
+        body: Vec::new(),
+    };
+    let whole_answers = [
+        "HTTP/1.1 200 OK\r\nContent-Length: 12\r\nConnection: close\r\n\r\ntwelve bytes",
+        "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\nConnection: close\r\n\r\n\
+         c\r\ntwelve bytes\r\n0\r\n\r\n",
+    ];
+    for whole in whole_answers {
+        let cuts = 0..=whole.len();
+        let answers = cuts.clone().map(|end| whole.as_bytes()[..end].to_vec());
+        let paths = Rc::new(StorePaths::new(start_cutting_store(answers.collect())));
+        let mut link = StoreLink::direct(paths.clone());
+        for end in cuts {
+            let answer = smol::block_on(link.call(&call, Duration::from_secs(5)));
+            if end < whole.len() {
+                expect_that!(answer, err(anything()), "{end} bytes");
+                expect_that!(paths.health.is_failing(), eq(true), "{end} bytes");
+            } else {
+                let expected = (200, b"twelve bytes".to_vec());
+                expect_that!(answer, ok(eq(&expected)));
+            }
+        }
+    }
+}
