--- a/gateway/src/serve/forward.rs
+++ b/gateway/src/serve/forward.rs
@@ -429,7 +429,7 @@
             body_bytes: 0,
         };
         match classify(exchange.head.status, &info) {
-            AnswerClass::Answer if is_stream(call, exchange.head.status) => {
+            AnswerClass::Answer if is_stream(call, &exchange.head) => {
                 Ok(EndpointAnswer::Stream(Box::new(exchange)))
             }
             AnswerClass::Answer => {
@@ -503,8 +503,11 @@
     Whole { head: ResponseHead, body: Vec<u8> },
 }
 
-fn is_stream(call: &Call, status: u16) -> bool {
-    call.route.kind == RouteKind::Streaming && (200..300).contains(&status)
+/// Returns whether an answer is a stream. One without a body must not be forwarded in chunks.
+fn is_stream(call: &Call, head: &ResponseHead) -> bool {
+    call.route.kind == RouteKind::Streaming
+        && (200..300).contains(&head.status)
+        && head.framing != Framing::Empty
 }
 
 /// Returns whether a client's header is forwarded to the endpoint.
@@ -526,7 +529,7 @@
     is_written: &Cell<bool>,
     observe: &impl Fn(&ObservedAnswer<'_>),
 ) -> Result<(ResponseHead, AnswerInfo), Failure> {
-    let writer = Connection::new(connection.stream());
+    let mut writer = connection.writer();
     let write = async {
         // The read reports a failed write, unless the endpoint has already answered.
         is_written.set(writer.write_all(request).await.is_ok());
