Take answers without a request id only on new connections

What callers saw: a request that an endpoint ran was answered 503 ("not run"), or was sent to a second endpoint and ran twice, when a faulty endpoint wrote an earlier refusal once more, without an id, on a connection that was kept.

Cause: an answer without a request id counted as the answer to the present request, whatever had been sent on the connection before.

Evidence, on the unchanged gateway: a_repeated_refusal_does_not_make_a_running_call_not_run failed for a repeated 503, 429, 408, 400 and 421 without an id, whole or in two parts, written after the first byte of the next request or while it ran: "503" for calls that ran. a_repeated_refusal_does_not_make_a_request_run_twice failed with two executions for calls, turns and resumable streams. It passed for a repetition with the earlier id or an empty one (discarded as stray before), and for one that lies there when the connection is taken (the pool drops such connections); interim answers before it change nothing.

Fix: servers name the request in their answers, so an answer without an id is certain only on a connection that carried nothing else. On others it is discarded, and the answer that names the request is awaited for 450 ms; after that the request may have run. So that refused callers are not worse off, a request without an id never gets a used connection, and a connection whose answer named no request is not used again: an endpoint that leaves out ids in its refusals gets each later request on a new connection, where the refusal counts (tests requests_refused_without_an_id_on_new_connections_have_not_run and a_refused_request_without_an_id_has_not_run). A refusal without an id behind an answer with one, on the same connection, now counts as "may have run".

The reading of answers moves to a file of its own; its failures are unchanged.

--- a/gateway/src/serve/forward.rs
+++ b/gateway/src/serve/forward.rs
@@ -3,6 +3,7 @@
 mod account;
 mod failure;
 mod leaving;
+mod matching;
 mod permit;
 mod quarantine;
 mod quota;
@@ -19,18 +20,18 @@
 use crate::serve::call::Call;
 use crate::serve::http::{
     BodyDecoder, BodyError, Connection, Framing, Header, ResponseHead, connection_tokens,
-    is_hop_header, is_reset,
+    is_hop_header,
 };
 use crate::serve::stream::{EventId, LAST_EVENT_ID};
 use failure::FailureCause;
 pub(crate) use failure::{Execution, Failure};
 use futures_lite::future;
 use leaving::ObservedAnswer;
+use matching::{ExpectedAnswer, read_matching_answer};
 use quarantine::Attempt;
 pub(crate) use quarantine::fingerprints;
 pub(crate) use quota::QuotaOutcome;
 use std::cell::Cell;
-use std::io::ErrorKind;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
@@ -40,9 +41,6 @@
 /// Maximum number of endpoints tried for one request, including unreachable ones.
 pub(crate) const MAX_ENDPOINTS_TRIED: usize = 4;
 
-/// Number of answers to other requests after which a connection counts as broken.
-const MAX_STRAY_ANSWERS: u32 = 3;
-
 /// Time without an answer after which an idempotent request is sent to another endpoint; several
 /// times the usual call duration.
 const RETRY_TIMEOUT: Duration = Duration::from_millis(450);
@@ -123,6 +121,8 @@
     decoder: BodyDecoder,
     /// Whether the whole request was written before the head of the answer arrived.
     is_written: bool,
+    /// Whether the answer names its request.
+    has_request_id: bool,
     guard: CallGuard<D>,
     /// Bytes of the body that were read.
     body_bytes: u64,
@@ -207,10 +207,12 @@
         Ok(body)
     }
 
-    /// Records the outcome and returns the connection to the pool if it can be reused.
+    /// Records the outcome and returns the connection to the pool if it can be reused. An endpoint
+    /// that leaves out ids gets each request on a new connection, where its answer is certain.
     pub(crate) fn finish(self, outcome: CallOutcome) {
         self.guard.outcome.set(outcome);
-        let is_clean = self.connection.unread().is_empty() && self.is_written;
+        let is_clean =
+            self.connection.unread().is_empty() && self.is_written && self.has_request_id;
         let takes_calls = {
             let endpoints = self.guard.gateway.endpoints.borrow();
             endpoints.takes_calls(&self.endpoint)
@@ -374,7 +376,16 @@
             work,
             answer_tokens: Cell::new(0),
         };
-        let mut connection = match self.pool.take(Instant::now(), &endpoint.id) {
+        // The answers to a request without an id cannot be told from others.
+        let pooled = match call.id() {
+            "" => None,
+            _ => self.pool.take(Instant::now(), &endpoint.id),
+        };
+        let expected = ExpectedAnswer {
+            request_id: call.id(),
+            is_first: pooled.is_none(),
+        };
+        let mut connection = match pooled {
             Some(connection) => connection,
             None => match io_with_timeout(CONNECT_TIMEOUT, connect(endpoint.address)).await {
                 Ok(stream) => Connection::new(stream),
@@ -405,7 +416,7 @@
             self.observe_rate_limit(call, endpoint, answer);
             self.observe_slowdown(endpoint, answer);
         };
-        let exchange = exchange::<D>(&mut connection, &request, call.id(), &is_written, &observe);
+        let exchange = exchange::<D>(&mut connection, &request, expected, &is_written, &observe);
         let may_send_again = call.send_count.get() < call.route.max_attempts;
         let is_idempotent = call.route.kind == RouteKind::Idempotent;
         let answered = if is_idempotent && may_send_again && call.time_left() > RETRY_TIMEOUT * 2 {
@@ -425,6 +436,7 @@
             endpoint: endpoint.id.clone(),
             connection,
             is_written: is_written.get(),
+            has_request_id: info.request_id.is_some(),
             guard,
             body_bytes: 0,
         };
@@ -522,7 +534,7 @@
 async fn exchange<D: Dialect>(
     connection: &mut Connection,
     request: &[u8],
-    request_id: &str,
+    expected: ExpectedAnswer<'_>,
     is_written: &Cell<bool>,
     observe: &impl Fn(&ObservedAnswer<'_>),
 ) -> Result<(ResponseHead, AnswerInfo), Failure> {
@@ -532,57 +544,6 @@
         is_written.set(writer.write_all(request).await.is_ok());
         future::pending().await
     };
-    let read = read_matching_answer::<D>(connection, request_id, observe);
+    let read = read_matching_answer::<D>(connection, expected, observe);
     future::or(read, write).await
 }
-
-/// Reads the head of the answer to this request and discards answers to other requests.
-///
-/// An answer without a request id counts as the answer to this request.
-async fn read_matching_answer<D: Dialect>(
-    connection: &mut Connection,
-    request_id: &str,
-    observe: &impl Fn(&ObservedAnswer<'_>),
-) -> Result<(ResponseHead, AnswerInfo), Failure> {
-    for _ in 0..MAX_STRAY_ANSWERS {
-        let head = connection.read_response().await.map_err(|error| {
-            let failure = match error.kind() {
-                ErrorKind::UnexpectedEof => Failure::disconnected,
-                kind if is_reset(kind) => Failure::disconnected,
-                _ => Failure::may_have_run,
-            };
-            failure(match error.kind() {
-                ErrorKind::InvalidData => "the endpoint sent no answer in the protocol",
-                ErrorKind::FileTooLarge => "the endpoint sent too many interim answers",
-                ErrorKind::UnexpectedEof => "the endpoint closed the connection",
-                _ => "the connection to the endpoint broke",
-            })
-        })?;
-        let info = D::parse_answer(&head.headers);
-        let is_stray = info.request_id.as_ref().is_some_and(|id| id != request_id);
-        observe(&ObservedAnswer {
-            status: head.status,
-            info: &info,
-            is_stray,
-        });
-        if !is_stray {
-            return Ok((head, info));
-        }
-        crate::event!("stray_answer", "request" => request_id, "status" => head.status);
-        let mut decoder = BodyDecoder::new(head.framing);
-        let mut discarded = Vec::new();
-        let mut discarded_bytes = 0;
-        while !decoder.is_done() {
-            let read = connection.read_body(&mut decoder, &mut discarded).await;
-            read.map_err(|_| Failure::may_have_run("a stray answer was broken off"))?;
-            discarded_bytes += discarded.len();
-            if discarded_bytes > MAX_ANSWER_BYTES {
-                return Err(Failure::may_have_run("a stray answer is too large"));
-            }
-            discarded.clear();
-        }
-    }
-    Err(Failure::may_have_run(
-        "the endpoint answers other requests only",
-    ))
-}
