Check idle connections to the store before they are used

What was seen: an answer that the store, or a peer that relays for it, wrote again while the connection was idle was taken for the answer to the next call, and a call on a connection that had been closed meanwhile failed and counted as a failure of the store.

Cause: StoreLink reused its connection without a look at it. The pool of connections to endpoints checks for unread bytes and for the end; answers of the store name no call, so that nothing else tells them apart.

Fix: the pool's check moves to Connection and the link uses it; the event is store_connection_dropped. An answer that arrives after the next call was sent still cannot be told from that call's. A call that timed out or was cancelled drops its connection, as before.

--- a/gateway/src/serve/http/connection.rs
+++ b/gateway/src/serve/http/connection.rs
@@ -3,6 +3,7 @@
 use super::{BodyDecoder, BodyError, RequestHead, ResponseHead, parse_request, parse_response};
 use crate::limits::{BYTES_PER_POLL, MAX_ANSWER_HEAD_BYTES};
 use futures_lite::{AsyncRead, AsyncWriteExt, future};
+use rustix::net::{RecvFlags, recv};
 use smol::net::TcpStream;
 use std::io;
 use std::pin::Pin;
@@ -44,6 +45,16 @@
         &self.unread
     }
 
+    /// Returns whether the connection is open and has no unread input. Unrequested bytes or an end of
+    /// input make a connection unusable.
+    pub(crate) fn is_reusable(&self) -> bool {
+        let mut byte = [0_u8; 1];
+        let flags = RecvFlags::PEEK | RecvFlags::DONTWAIT;
+        let seen = recv(&self.stream, &mut byte[..], flags);
+        matches!(seen, Err(error) if error == rustix::io::Errno::WOULDBLOCK)
+            && self.unread.is_empty()
+    }
+
     /// Removes bytes from the start of the buffer.
     pub(crate) fn consume(&mut self, count: usize) {
         self.unread.drain(..count);
--- a/gateway/src/serve/pool.rs
+++ b/gateway/src/serve/pool.rs
@@ -2,7 +2,6 @@
 
 use crate::choice::endpoints::InstanceId;
 use crate::serve::http::Connection;
-use rustix::net::{RecvFlags, recv};
 use std::cell::RefCell;
 use std::collections::HashMap;
 use std::time::{Duration, Instant};
@@ -37,7 +36,7 @@
         let connections = idle.get_mut(id)?;
         connections.retain(|entry| entry.expires_at > now);
         while let Some(entry) = connections.pop() {
-            if is_reusable(&entry.connection) {
+            if entry.connection.is_reusable() {
                 return Some(entry.connection);
             }
         }
@@ -79,13 +78,3 @@
         });
     }
 }
-
-/// Returns whether a connection is open and has no unread input. Unrequested bytes or an end of
-/// input make a connection unusable.
-fn is_reusable(connection: &Connection) -> bool {
-    let mut byte = [0_u8; 1];
-    let flags = RecvFlags::PEEK | RecvFlags::DONTWAIT;
-    let seen = recv(connection.stream(), &mut byte[..], flags);
-    matches!(seen, Err(error) if error == rustix::io::Errno::WOULDBLOCK)
-        && connection.unread().is_empty()
-}
--- a/gateway/src/store/link.rs
+++ b/gateway/src/store/link.rs
@@ -252,7 +252,14 @@
             .idle
             .take()
             .filter(|(idle_address, _)| *idle_address == address);
-        let connection = idle.map(|(_, connection)| connection);
+        let connection = idle.and_then(|(_, connection)| {
+            // Answers name no call, so that unread bytes would be taken for this call's answer.
+            let is_reusable = connection.is_reusable();
+            if !is_reusable {
+                crate::event!("store_connection_dropped", "address" => address.to_string());
+            }
+            is_reusable.then_some(connection)
+        });
         let started_at = Instant::now();
         // A connection from before the recovery may stay silent forever.
         let may_interrupt = !self.was_interrupted;
--- a/gateway/src/store/link/tests.rs
+++ b/gateway/src/store/link/tests.rs
@@ -145,3 +145,61 @@
     };
     expect_that!(smol::block_on(future::or(reader, others)), eq(true));
 }
+
+/// Time after an answer at which the store of the next test writes it again or closes the connection.
+const AFTER_ANSWER: Duration = Duration::from_millis(20);
+
+/// Starts a store that answers with the target of the call. After each answer, it writes the same one
+/// again, or closes the connection.
+fn start_faulty_store(repeats_answers: bool) -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
+    let address = listener.local_addr().expect("an address");
+    thread::spawn(move || {
+        for mut stream in listener.incoming().flatten() {
+            thread::spawn(move || {
+                let mut request = [0; 1024];
+                while let Ok(count @ 1..) = stream.read(&mut request) {
+                    let request = String::from_utf8_lossy(&request[..count]);
+                    let target = request.split(' ').nth(1).unwrap_or_default();
+                    let length = target.len();
+                    let answer =
+                        format!("HTTP/1.1 200 OK\r\nContent-Length: {length}\r\n\r\n{target}");
+                    // The caller may have given up.
+                    let _ = stream.write_all(answer.as_bytes());
+                    thread::sleep(AFTER_ANSWER);
+                    if !repeats_answers {
+                        return;
+                    }
+                    let _ = stream.write_all(answer.as_bytes());
+                }
+            });
+        }
+    });
+    address
+}
+
+/// Guards against an answer to an earlier call that is taken for the answer to the next one, and
+/// against failures of calls on connections that were closed meanwhile.
+#[googletest::test]
+fn a_connection_with_unread_bytes_or_at_its_end_gets_no_further_call() {
+    for repeats_answers in [true, false] {
+        let store = start_faulty_store(repeats_answers);
+        let paths = Rc::new(StorePaths::new(store));
+        let mut link = StoreLink::new(paths);
+        for target in ["/first", "/second", "/third"] {
+            let call = StoreCall {
+                method: "GET",
+                target: target.to_owned(),
+                body: Vec::new(),
+            };
+            let answer = smol::block_on(link.call(&call, SLOW_ANSWER * 4));
+            let body = answer.map(|(_, body)| body).unwrap_or_default();
+            expect_that!(
+                String::from_utf8_lossy(&body),
+                eq(target),
+                "{repeats_answers}"
+            );
+            thread::sleep(AFTER_ANSWER * 2);
+        }
+    }
+}
