Send programs and calls without a key on new connections

What callers of the client library saw: a call without a key ran again and again when what answers at the entry's address wrote the refusal of its first attempt once more on the kept connection: "has not run" was believed of an attempt that ran, and the call was retried.

Cause: the client takes connections from the HTTP library's pool, and answers name no request.

Our own entries write no answer twice; what stands before them may.

Fix: requests without a key get new connections, as streams do already. A request with a key may be sent again and is kept on the pool.

--- a/src/client/mod.rs
+++ b/src/client/mod.rs
@@ -137,7 +137,9 @@
 
     /// Creates a program.
     pub async fn create(&self, request: &ProgramRequest) -> Result<ProgramAnswer, CallError> {
-        let conn = self.build(Method::Post, "/v1/programs", Some(to_json(request)?));
+        let http = self.http_client_for(request.key.as_deref());
+        let body = Some(to_json(request)?);
+        let conn = self.build_with(http, Method::Post, "/v1/programs", body);
         self.fetch(conn, self.timeouts.reply, MAX_ANSWER_BYTES)
             .await
     }
@@ -150,7 +152,9 @@
     ) -> Result<Answer, CallError> {
         let unstreamed = request.clone().streamed(false);
         let path = format!("/v1/programs/{}/calls", format_id(program));
-        let conn = self.build(Method::Post, &path, Some(to_json(&unstreamed)?));
+        let http = self.http_client_for(request.key.as_deref());
+        let body = Some(to_json(&unstreamed)?);
+        let conn = self.build_with(http, Method::Post, &path, body);
         let answer: CallAnswer = self
             .fetch(conn, self.timeouts.answer, MAX_CALL_ANSWER_BYTES)
             .await?;
@@ -258,6 +262,15 @@
         }
     }
 
+    /// Returns the client for a request with this key. Answers name no request, and one without a key
+    /// must not be sent again because of an earlier refusal on its connection.
+    fn http_client_for(&self, key: Option<&str>) -> &trillium_client::Client {
+        match key {
+            Some(_) => self.http_client(),
+            None => &self.unpooled,
+        }
+    }
+
     fn build(&self, method: Method, path: &str, body: Option<String>) -> Conn {
         self.build_with(self.http_client(), method, path, body)
     }
--- a/src/client/tests.rs
+++ b/src/client/tests.rs
@@ -4,7 +4,7 @@
 use super::{
     CallError, Client, Collector, RetryDeadline, RetryOutcome, StreamEvent, StreamFault, Timeouts,
 };
-use crate::protocol::caller::{CallRequest, ProgramRequest};
+use crate::protocol::caller::{CallAnswer, CallRequest, ProgramRequest};
 use crate::protocol::engine::EngineUsage;
 use crate::protocol::link::{Answer, Durability, Tokens};
 use crate::protocol::message::Usage;
@@ -13,6 +13,9 @@
 use googletest::prelude::*;
 use proptest::prelude::*;
 use smol::net::{TcpListener, TcpStream};
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU32, Ordering};
+use std::thread;
 use std::time::{Duration, Instant};
 
 fn tokens(index: u32, count: u32, text: &str) -> Tokens {
@@ -378,3 +381,64 @@
         }
     }
 }
+
+/// Reads a call up to the end of its body, which is an object; `None` at the end of the connection.
+fn read_call(conn: &mut std::net::TcpStream) -> Option<()> {
+    let mut buf = vec![0; 4096];
+    let mut call = Vec::new();
+    while !call.ends_with(b"}") {
+        let length = std::io::Read::read(conn, &mut buf).ok()?;
+        call.extend_from_slice(&buf[..length]);
+        if length == 0 {
+            return None;
+        }
+    }
+    Some(())
+}
+
+/// Refuses the first request on the first connection and writes that refusal again at each later one
+/// there, which runs. Answers requests on other connections. Returns the number of calls that ran.
+fn serve_repeated_refusal(listener: std::net::TcpListener) -> Arc<AtomicU32> {
+    let runs = Arc::new(AtomicU32::new(0));
+    let counter = runs.clone();
+    thread::spawn(move || {
+        for (number, mut conn) in listener.incoming().flatten().enumerate() {
+            let runs = counter.clone();
+            thread::spawn(move || {
+                let body = serde_json::to_string(&CallAnswer::from(answer("a"))).unwrap();
+                let (status, body) = match number {
+                    0 => ("503 Full", OVERLOADED),
+                    _ => ("200 OK", &*body),
+                };
+                let length = body.len();
+                let text = format!("HTTP/1.1 {status}\r\ncontent-length: {length}\r\n\r\n{body}");
+                let mut is_refused = number == 0;
+                while read_call(&mut conn).is_some() {
+                    runs.fetch_add(u32::from(!is_refused), Ordering::Relaxed);
+                    is_refused = false;
+                    // The client may have gone.
+                    let _ = std::io::Write::write_all(&mut conn, text.as_bytes());
+                }
+            });
+        }
+    });
+    runs
+}
+
+/// Guards against a call without a key that runs twice: the refusal of its first attempt, written again
+/// on the kept connection, was believed to be the answer to the second one, which ran.
+#[gtest]
+fn a_call_without_a_key_runs_once_although_its_refusal_is_written_again() {
+    let listener = std::net::TcpListener::bind("127.0.0.1:0").unwrap();
+    let address = listener.local_addr().unwrap().to_string();
+    let runs = serve_repeated_refusal(listener);
+    let outcome = smol::block_on(async {
+        let client = Client::new([address], "t");
+        let call = CallRequest::model("m", vec![], 1);
+        let deadline = RetryDeadline::after(Duration::from_secs(1));
+        client.call_with_retry(1, &call, deadline).await
+    });
+    expect_that!(runs.load(Ordering::Relaxed), eq(1));
+    expect_that!(outcome.result.map(|answer| answer.content), ok(eq("a")));
+    expect_that!(outcome.requests_sent, eq(2));
+}
