Send no request on a connection on which its id was refused

What callers saw: a client that keeps its request id for the retry after a refusal was told 503 ("not run") although the endpoint ran the retry, when the endpoint wrote the refusal once more on the kept connection.

Cause: the id tells answers apart only if it is new on the connection.

Evidence: a_repeated_refusal_does_not_make_a_running_request_with_the_same_id_not_run failed before with 503 for a request that ran.

Fix: the pool keeps with a connection the ids of the requests that were refused on it (at most 64, after which it is closed), and gives a request another connection than those with its id.

--- a/gateway/src/serve/forward.rs
+++ b/gateway/src/serve/forward.rs
@@ -22,6 +22,7 @@
     BodyDecoder, BodyError, Connection, Framing, Header, ResponseHead, connection_tokens,
     is_hop_header,
 };
+use crate::serve::pool::EndpointConnection;
 use crate::serve::stream::{EventId, LAST_EVENT_ID};
 use failure::FailureCause;
 pub(crate) use failure::{Execution, Failure};
@@ -117,7 +118,7 @@
 pub(crate) struct Exchange<D: Dialect> {
     pub(crate) head: ResponseHead,
     pub(crate) endpoint: InstanceId,
-    connection: Connection,
+    open: EndpointConnection,
     decoder: BodyDecoder,
     /// Whether the whole request was written before the head of the answer arrived.
     is_written: bool,
@@ -142,7 +143,7 @@
     /// Appends the next bytes of the body to `out` and returns whether the body is complete.
     pub(crate) async fn read(&mut self, out: &mut Vec<u8>) -> Result<bool, Failure> {
         let before = out.len();
-        let read = self.connection.read_body(&mut self.decoder, out).await;
+        let read = self.open.connection.read_body(&mut self.decoder, out).await;
         self.body_bytes += (out.len() - before) as u64;
         read.map_err(|error| {
             let failure = match error {
@@ -212,7 +213,7 @@
     pub(crate) fn finish(self, outcome: CallOutcome) {
         self.guard.outcome.set(outcome);
         let is_clean =
-            self.connection.unread().is_empty() && self.is_written && self.has_request_id;
+            self.open.connection.unread().is_empty() && self.is_written && self.has_request_id;
         let takes_calls = {
             let endpoints = self.guard.gateway.endpoints.borrow();
             endpoints.takes_calls(&self.endpoint)
@@ -220,12 +221,7 @@
         if is_clean && takes_calls && self.head.keep_alive && self.decoder.is_done() {
             let pool = &self.guard.gateway.pool;
             let idle_timeout = self.head.idle_timeout;
-            pool.put(
-                Instant::now(),
-                &self.endpoint,
-                self.connection,
-                idle_timeout,
-            );
+            pool.put(Instant::now(), &self.endpoint, self.open, idle_timeout);
         }
     }
 }
@@ -379,16 +375,16 @@
         // The answers to a request without an id cannot be told from others.
         let pooled = match call.id() {
             "" => None,
-            _ => self.pool.take(Instant::now(), &endpoint.id),
+            _ => self.pool.take(Instant::now(), &endpoint.id, call.id()),
         };
         let expected = ExpectedAnswer {
             request_id: call.id(),
             is_first: pooled.is_none(),
         };
-        let mut connection = match pooled {
-            Some(connection) => connection,
+        let mut open = match pooled {
+            Some(open) => open,
             None => match io_with_timeout(CONNECT_TIMEOUT, connect(endpoint.address)).await {
-                Ok(stream) => Connection::new(stream),
+                Ok(stream) => EndpointConnection::new(Connection::new(stream)),
                 Err(_) => {
                     guard.outcome.set(CallOutcome::Failed);
                     return Err(Failure::not_run("the endpoint can't be reached"));
@@ -416,7 +412,13 @@
             self.observe_rate_limit(call, endpoint, answer);
             self.observe_slowdown(endpoint, answer);
         };
-        let exchange = exchange::<D>(&mut connection, &request, expected, &is_written, &observe);
+        let exchange = exchange::<D>(
+            &mut open.connection,
+            &request,
+            expected,
+            &is_written,
+            &observe,
+        );
         let may_send_again = call.send_count.get() < call.route.max_attempts;
         let is_idempotent = call.route.kind == RouteKind::Idempotent;
         let answered = if is_idempotent && may_send_again && call.time_left() > RETRY_TIMEOUT * 2 {
@@ -434,7 +436,7 @@
             decoder: BodyDecoder::new(head.framing),
             head,
             endpoint: endpoint.id.clone(),
-            connection,
+            open,
             is_written: is_written.get(),
             has_request_id: info.request_id.is_some(),
             guard,
@@ -454,6 +456,7 @@
                 // The body of a refusal is read only so that the connection can be reused.
                 exchange.guard.outcome.set(CallOutcome::Refused);
                 if exchange.read_all().await.is_ok() {
+                    exchange.open.refused_ids.push(call.id().to_owned());
                     exchange.finish(CallOutcome::Refused);
                 }
                 Err(Failure::not_run("the endpoint refused the request"))
--- a/gateway/src/serve/pool.rs
+++ b/gateway/src/serve/pool.rs
@@ -17,9 +17,35 @@
 /// Maximum number of idle connections to one endpoint.
 const MAX_IDLE_PER_ENDPOINT: usize = 8;
 
+/// Number of refused requests after which a connection is closed, which bounds the ids kept with it.
+const MAX_REFUSED_PER_CONNECTION: usize = 64;
+
+/// An open connection to an endpoint.
+#[derive(Debug)]
+pub(crate) struct EndpointConnection {
+    pub(crate) connection: Connection,
+    /// Ids of the requests that were refused on it. It carries no further request with one of them:
+    /// if the refusal were written again, it would seem to answer that request.
+    pub(crate) refused_ids: Vec<String>,
+}
+
+impl EndpointConnection {
+    /// Wraps a connection that has carried no request.
+    pub(crate) fn new(connection: Connection) -> Self {
+        Self {
+            connection,
+            refused_ids: Vec::new(),
+        }
+    }
+
+    fn takes(&self, request_id: &str) -> bool {
+        self.refused_ids.iter().all(|id| id != request_id)
+    }
+}
+
 #[derive(Debug)]
 struct IdleConnection {
-    connection: Connection,
+    open: EndpointConnection,
     expires_at: Instant,
 }
 
@@ -30,27 +56,39 @@
 }
 
 impl Pool {
-    /// Removes and returns the most recently used connection that is still reusable.
-    pub(crate) fn take(&self, now: Instant, id: &str) -> Option<Connection> {
+    /// Removes and returns the most recently used connection that is still reusable and takes the
+    /// request.
+    pub(crate) fn take(
+        &self,
+        now: Instant,
+        id: &str,
+        request_id: &str,
+    ) -> Option<EndpointConnection> {
         let mut idle = self.idle.borrow_mut();
         let connections = idle.get_mut(id)?;
         connections.retain(|entry| entry.expires_at > now);
-        while let Some(entry) = connections.pop() {
-            if entry.connection.is_reusable() {
-                return Some(entry.connection);
+        let takes = |entry: &IdleConnection| entry.open.takes(request_id);
+        while let Some(index) = connections.iter().rposition(takes) {
+            let open = connections.remove(index).open;
+            if open.connection.is_reusable() {
+                return Some(open);
             }
         }
         None
     }
 
-    /// Adds a connection; if the endpoint has too many, the oldest one is closed.
+    /// Adds a connection, unless too many requests were refused on it; if the endpoint has too many,
+    /// the oldest one is closed.
     pub(crate) fn put(
         &self,
         now: Instant,
         id: &InstanceId,
-        connection: Connection,
+        open: EndpointConnection,
         idle_timeout: Option<Duration>,
     ) {
+        if open.refused_ids.len() >= MAX_REFUSED_PER_CONNECTION {
+            return;
+        }
         let idle_for = idle_timeout.map_or(DEFAULT_IDLE_TIMEOUT, |limit| {
             limit.saturating_sub(IDLE_MARGIN)
         });
@@ -60,7 +98,7 @@
             connections.remove(0);
         }
         connections.push(IdleConnection {
-            connection,
+            open,
             expires_at: now + idle_for,
         });
     }
