Show that sidecars take no earlier refusal for a later answer

a_refusal_that_is_written_again_answers_no_later_call: a service and an engine write a refusal twice on a connection that stays open; the next call gets the answer of its own. It passes on the unchanged code: the HTTP client of the sidecars opens a connection for each request, and a service's refusal is passed on as its answer, never as "not run".

--- a/src/adapter/tests.rs
+++ b/src/adapter/tests.rs
@@ -378,6 +378,41 @@
     }
 }
 
+/// Starts a server that writes a refusal twice on its first connection and keeps it open, and answers
+/// with 200 on others. Returns its URL.
+fn serve_repeated_refusal() -> String {
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    let url = format!("http://{}", listener.local_addr().unwrap());
+    thread::spawn(move || {
+        let mut open = Vec::new();
+        for (number, mut stream) in listener.incoming().flatten().enumerate() {
+            read_request(&mut stream);
+            let answer = match number {
+                0 => "HTTP/1.1 503 Full\r\ncontent-length: 4\r\n\r\nfull".repeat(2),
+                _ => "HTTP/1.1 200 OK\r\ncontent-length: 4\r\n\r\ndone".to_owned(),
+            };
+            stream.write_all(answer.as_bytes()).unwrap();
+            open.push(stream);
+        }
+    });
+    url
+}
+
+// Guards against the refusal of an earlier call that is taken for the answer to the next one: each call
+// has a connection of its own.
+#[gtest]
+fn a_refusal_that_is_written_again_answers_no_later_call() {
+    let service = HttpService::new(&serve_repeated_refusal(), TIMEOUT);
+    let refused = block_on(service.invoke(transfer(8))).unwrap();
+    expect_that!(refused.status, eq(503));
+    let answered = block_on(service.invoke(transfer(9))).unwrap();
+    expect_that!((answered.status, &*answered.body), eq((200, "done")));
+    let engine = HttpEngine::new(&serve_repeated_refusal(), TIMEOUT);
+    let refused = block_on(engine.cancel(10));
+    expect_that!(refused, err(anything()));
+    expect_that!(block_on(engine.cancel(11)), ok(anything()));
+}
+
 // Guards against an unframed stream that an engine broke off being returned as complete.
 #[gtest]
 fn an_engine_stream_without_its_last_event_is_an_error() {
