Cut unfinished streams in the last part of a short grace period

Callers of a gateway with a grace under 3 s saw streams cut while the endpoint was at work and more than a sixth of the grace was left, which counts as lost (LOST): only what is still at work in the last sixth of GraceS does not.

Cause: the margin at the end of a short grace was a quarter of it, more than a sixth.

Evidence: a_stream_is_not_cut_before_the_last_part_of_a_short_grace_period failed on the code before: cut after 757 of 1,000 ms (bound 833), 1,514 of 2,000 (1,667) and 2,315 of 2,800 (2,333).

The margin is a seventh of a short grace now, so that the cut is always in the last sixth and the rest is for the answers and the exit. Graces of 3.5 s and more keep their half second. a_gateway_stops_within_a_short_grace_period (1 and 3.2 s) passes as before.

--- a/gateway/src/serve/shutdown.rs
+++ b/gateway/src/serve/shutdown.rs
@@ -23,8 +23,9 @@
 /// The rest is for the exit of the process itself.
 const ENDING_SHARE: f64 = 0.4;
 
-/// Number of parts of a short grace period, one of which is the margin.
-const SHORT_GRACE_PARTS: u32 = 4;
+/// Number of parts of a short grace period, one of which is the margin. Work that is cut earlier than
+/// in the last sixth of the grace period counts as lost.
+const SHORT_GRACE_PARTS: u32 = 7;
 
 /// Interval between checks whether a stopping gateway has finished its work.
 const CHECK_INTERVAL: Duration = Duration::from_millis(20);
