Give endpoints no more time than a stopping gateway has itself

Callers whose request was taken after the stop signal saw it run at an endpoint beyond the end of the gateway: the endpoint was given the whole time of the client, worked on, and its answer reached nobody (the caller got 504 at the end of the grace).

Cause: X-Deadline-Ms was what is left of the client's or the route's time, whatever was left of the grace period.

Requests share the time at which the shutdown ends what is unfinished; the time that they have left is cut to it, also for requests that were taken before the signal and are sent later, and with it all waits that are a share of the time left (permits, quotas, room, store). The reply at the deadline itself still says timed_out, and that at the end of the grace gateway_stopped.

--- a/gateway/src/serve/call.rs
+++ b/gateway/src/serve/call.rs
@@ -8,7 +8,7 @@
 use crate::serve::http::{Framing, RequestHead};
 use crate::serve::reply::{Refusal, Reply, ReplyState};
 use crate::serve::scarcity::RoomWait;
-use crate::serve::shutdown::{Phase, late_refusal};
+use crate::serve::shutdown::{EndingTime, Phase, late_refusal};
 use crate::serve::stream::{EventId, LAST_EVENT_ID};
 use crate::turns::outage::retry_delay;
 use futures_lite::future;
@@ -39,6 +39,8 @@
     pub(crate) received_at: Instant,
     /// Deadline set by the client's timeout or the route's timeout, whichever is earlier.
     pub(crate) deadline: Instant,
+    /// When the gateway ends what is unfinished.
+    pub(crate) ending_time: EndingTime,
     /// Whether it may have run so far.
     pub(crate) execution: Cell<Execution>,
     /// When its token of the account's quota for the next attempt expires; `None` if it has none.
@@ -72,9 +74,12 @@
 }
 
 impl Call {
-    /// Returns the time until the deadline; zero if it has passed.
+    /// Returns the time until the deadline or the end of a stopping gateway, whichever is earlier; zero
+    /// if it has passed.
     pub(crate) fn time_left(&self) -> Duration {
-        self.deadline.saturating_duration_since(Instant::now())
+        let end = self.ending_time.get();
+        let end = end.map_or(self.deadline, |end| end.min(self.deadline));
+        end.saturating_duration_since(Instant::now())
     }
 
     /// Returns its priority, 0 being the highest: that of its account, otherwise that of its route.
@@ -165,7 +170,7 @@
             None
         };
         let timeout = async {
-            Timer::after(call.time_left()).await;
+            Timer::at(call.deadline).await;
             Some(Unfinished::TimedOut)
         };
         let end = async {
--- a/gateway/src/serve/front.rs
+++ b/gateway/src/serve/front.rs
@@ -219,6 +219,7 @@
             .min(route.timeout);
         let call = Call {
             deadline: request.started_at + client_timeout,
+            ending_time: self.shutdown.ending_time(),
             fingerprints,
             is_trial: Cell::new(false),
             received_at: request.started_at,
--- a/gateway/src/serve/shutdown.rs
+++ b/gateway/src/serve/shutdown.rs
@@ -5,6 +5,7 @@
 use crate::serve::reply::Refusal;
 use smol::Timer;
 use std::cell::Cell;
+use std::rc::Rc;
 use std::time::{Duration, Instant};
 
 /// Time for which a stopping gateway still takes requests. Callers are redirected only after two
@@ -69,12 +70,24 @@
     }
 }
 
+/// When unfinished requests are answered as failed, shared with the requests under way.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct EndingTime(Rc<Cell<Option<Instant>>>);
+
+impl EndingTime {
+    /// Returns the time; `None` unless the gateway is stopping.
+    pub(crate) fn get(&self) -> Option<Instant> {
+        self.0.get()
+    }
+}
+
 /// Progress of the shutdown.
 #[derive(Debug)]
 pub(crate) struct Shutdown {
     /// Only ever advances.
     phase: Cell<Phase>,
     started_at: Cell<Option<Instant>>,
+    ending_time: EndingTime,
     advanced: event_listener::Event,
 }
 
@@ -83,6 +96,7 @@
         Self {
             phase: Cell::new(Phase::Serving),
             started_at: Cell::new(None),
+            ending_time: EndingTime::default(),
             advanced: event_listener::Event::new(),
         }
     }
@@ -104,6 +118,11 @@
         self.started_at.get().map(|at| at.elapsed())
     }
 
+    /// Returns when requests under way are ended, once the gateway is stopping.
+    pub(crate) fn ending_time(&self) -> EndingTime {
+        self.ending_time.clone()
+    }
+
     /// Waits until a phase has been reached.
     pub(crate) async fn wait_for(&self, phase: Phase) {
         while self.phase.get() < phase {
@@ -152,6 +171,8 @@
         let started_at = Instant::now();
         let schedule = Schedule::new(self.settings.stop_grace);
         crate::event!("stopping", "requests" => self.requests_in_flight.get());
+        let ending_time = &self.shutdown.ending_time.0;
+        ending_time.set(Some(started_at + schedule.ending));
         self.shutdown.advance(Phase::Draining);
         Timer::at(started_at + schedule.closing).await;
         self.shutdown.advance(Phase::Closing);
