Refuse requests that a stopping gateway cannot expect to finish

Callers whose request may not be repeated got 504 at the end of the grace, or a stream that was cut, although the request had not been sent to an endpoint until little time was left: it had arrived late in a short grace, or had waited for the store, a permit or a quota.

Cause: whether what is left of the grace is enough was looked at neither on arrival nor after a wait.

A request that may not be repeated and has not run is refused with 503, Retry-After and Connection: close once less time is left than its route's target latency; this is looked at on arrival and just before it is sent. Idempotent requests and the rest of a resumed stream go on being sent. The event too_late_while_stopping tells of each refusal.

--- a/gateway/src/serve/call.rs
+++ b/gateway/src/serve/call.rs
@@ -82,6 +82,18 @@
         end.saturating_duration_since(Instant::now())
     }
 
+    /// Returns whether it has not run, may not be repeated and is not expected to be answered before the
+    /// gateway ends.
+    pub(crate) fn is_too_late(&self) -> bool {
+        let may_be_passed_on =
+            self.route.kind == RouteKind::Idempotent || self.execution.get() != Execution::NotRun;
+        let ending_time = self.ending_time.get().filter(|_| !may_be_passed_on);
+        ending_time.is_some_and(|ending_time| {
+            let left = ending_time.saturating_duration_since(Instant::now());
+            left < self.route.target_latency
+        })
+    }
+
     /// Returns its priority, 0 being the highest: that of its account, otherwise that of its route.
     pub(crate) fn priority(&self) -> u32 {
         let account = self.account.as_ref();
@@ -149,6 +161,11 @@
     /// Serves a request until its deadline, then counts and logs the outcome.
     pub(crate) async fn serve(self: &Rc<Self>, call: &Call, reply: &Reply) {
         let work = async {
+            // Checked again before it is sent, as it may wait until then.
+            if let Some(late) = self.check_lateness(call) {
+                reply.refuse(&late.refusal(call)).await;
+                return None;
+            }
             let _trial = match self.pass_quarantine(call).await {
                 Ok(trial) => trial,
                 Err(refusal) => {
--- a/gateway/src/serve/forward.rs
+++ b/gateway/src/serve/forward.rs
@@ -2,6 +2,7 @@
 
 mod account;
 mod failure;
+mod late;
 mod leaving;
 mod permit;
 mod quarantine;
@@ -279,6 +280,9 @@
                 }
                 break;
             }
+            if let Some(late) = self.check_lateness(call) {
+                return Err(late);
+            }
             if self.has_expired_token(call) {
                 // The wait for a permit was longer than the life of the token.
                 continue;
