Answer requests that are received behind others during a shutdown

Callers that send a request before the answer to the one before has come (pipelining) lost it when the gateway stopped: it was read, and its connection ended without an answer when the first one was answered, hundreds of milliseconds or seconds after it had been sent.

Cause: whether an answer closes its connection was decided at the stop signal, or at the first byte of the request, not when the answer was written. And a request that was refused as late closed the connection whatever had been received behind it.

The close is decided when the head of the answer is written: it closes the connection only if nothing was received behind the request by then. What was received is answered next, or refused once requests are refused, and the last of these answers closes.

--- a/gateway/src/fleet/relay.rs
+++ b/gateway/src/fleet/relay.rs
@@ -47,7 +47,7 @@
             let Ok((status, body)) = link.call(&call, CALL_TIMEOUT).await else {
                 return;
             };
-            let reply = Reply::new(connection.stream(), false);
+            let reply = Reply::new(connection.stream());
             reply.write_answer(status, "", &[], &body).await;
             if !reply.keeps_connection() {
                 return;
--- a/gateway/src/serve/front.rs
+++ b/gateway/src/serve/front.rs
@@ -9,7 +9,7 @@
 use crate::serve::http::{
     BodyDecoder, BodyError, Connection, Framing, HeadError, RequestHead, parse_request,
 };
-use crate::serve::reply::{Refusal, Reply, ReplyState};
+use crate::serve::reply::{Refusal, Reply};
 use crate::serve::shutdown::{Phase, late_refusal};
 use futures_lite::future;
 use smol::net::{TcpListener, TcpStream};
@@ -54,6 +54,8 @@
     Closed,
     /// The request is refused. The connection cannot be reused.
     Refused(Refusal),
+    /// The whole request was read, but too late in a shutdown.
+    TooLate { keep_alive: bool },
 }
 
 impl<D: Dialect> Gateway<D> {
@@ -89,15 +91,35 @@
         };
         while self.wait_for_bytes(&mut connection, &usage).await {
             let guard = InFlightGuard::new(&self.requests_in_flight);
-            let reply = Reply::new(connection.stream(), self.is_stopping());
-            match self.take_request(&mut connection, &usage).await {
-                Ok(request) => self.answer(request, &mut connection, &reply).await,
+            let reply = Reply::new(connection.stream());
+            let taken = self.take_request(&mut connection, &usage).await;
+            if self.is_stopping() {
+                reply.close_if_last();
+            }
+            if !connection.unread().is_empty() {
+                reply.expect_next_request();
+            }
+            let refusal = match taken {
+                Ok(request) => {
+                    self.answer(request, &mut connection, &reply).await;
+                    None
+                }
                 Err(ReadFailure::Closed) => return,
                 Err(ReadFailure::Refused(refusal)) => {
                     reply.close_after_answer();
-                    reply.refuse(&refusal).await;
+                    Some(refusal)
+                }
+                Err(ReadFailure::TooLate { keep_alive }) => {
+                    if !keep_alive {
+                        reply.close_after_answer();
+                    }
+                    Some(late_refusal())
+                }
+            };
+            if let Some(refusal) = refusal {
+                reply.refuse(&refusal).await;
+                if !reply.keeps_connection() {
                     discard_input(&mut connection).await;
-                    return;
                 }
             }
             drop(guard);
@@ -124,7 +146,8 @@
         let request = future::or(self.read_request(connection), too_late).await?;
         self.log_if_stopping(&request, usage);
         if self.shutdown.refuses_requests() {
-            return Err(ReadFailure::Refused(late_refusal()));
+            let keep_alive = request.head.keep_alive;
+            return Err(ReadFailure::TooLate { keep_alive });
         }
         Ok(request)
     }
@@ -250,25 +273,16 @@
         future::or(self.serve(&call, reply), disconnect).await;
     }
 
-    /// Returns once the client has closed its connection. At the stop signal, an answer that has not
+    /// Returns once the client has closed its connection. From the stop signal on, an answer that has not
     /// begun is made to close the connection, unless the client has sent another request behind this
     /// one.
     async fn wait_for_disconnect(&self, connection: &mut Connection, reply: &Reply) {
-        let disconnect = async {
-            wait_for_close(connection).await;
-            true
-        };
         let stopping = async {
             self.shutdown.wait_for(Phase::Draining).await;
-            false
+            reply.close_if_last();
+            future::pending().await
         };
-        if future::or(disconnect, stopping).await {
-            return;
-        }
-        if reply.state() == ReplyState::Pending && connection.unread().is_empty() {
-            reply.close_after_answer();
-        }
-        wait_for_close(connection).await;
+        future::or(wait_for_close(connection, reply), stopping).await;
     }
 }
 
@@ -343,13 +357,13 @@
 }
 
 /// Returns once the client has closed its connection.
-async fn wait_for_close(connection: &mut Connection) {
+async fn wait_for_close(connection: &mut Connection, reply: &Reply) {
     loop {
         if connection.unread().len() > MAX_PIPELINED_BYTES {
             return future::pending().await;
         }
         match connection.fill().await {
-            Ok(count) if count > 0 => {}
+            Ok(count) if count > 0 => reply.expect_next_request(),
             _ => return,
         }
     }
--- a/gateway/src/serve/readiness.rs
+++ b/gateway/src/serve/readiness.rs
@@ -38,7 +38,7 @@
             else {
                 return;
             };
-            let reply = Reply::new(connection.stream(), false);
+            let reply = Reply::new(connection.stream());
             if target == METRICS_TARGET {
                 let metrics = self.metrics();
                 reply.write_answer(200, "", &[], metrics.as_bytes()).await;
--- a/gateway/src/serve/reply.rs
+++ b/gateway/src/serve/reply.rs
@@ -60,17 +60,23 @@
     state: Cell<ReplyState>,
     /// Whether the connection is closed after the answer.
     closes_connection: Cell<bool>,
+    /// Whether it is closed unless another request was received behind this one.
+    closes_if_last: Cell<bool>,
+    /// Whether bytes were received behind the request.
+    is_followed: Cell<bool>,
     status: Cell<u16>,
     is_chunked: Cell<bool>,
 }
 
 impl Reply {
     /// Creates an answer of which nothing has been written.
-    pub(crate) fn new(stream: TcpStream, closes_connection: bool) -> Self {
+    pub(crate) fn new(stream: TcpStream) -> Self {
         Self {
             stream,
             state: Cell::new(ReplyState::Pending),
-            closes_connection: Cell::new(closes_connection),
+            closes_connection: Cell::new(false),
+            closes_if_last: Cell::new(false),
+            is_followed: Cell::new(false),
             status: Cell::new(0),
             is_chunked: Cell::new(false),
         }
@@ -94,6 +100,17 @@
         self.closes_connection.set(true);
     }
 
+    /// Closes the connection after the answer unless another request is received behind this one before
+    /// the answer begins. Without an answer, its client would not know whether that one runs.
+    pub(crate) fn close_if_last(&self) {
+        self.closes_if_last.set(true);
+    }
+
+    /// Records that bytes were received behind the request.
+    pub(crate) fn expect_next_request(&self) {
+        self.is_followed.set(true);
+    }
+
     /// Writes an answer of the gateway itself, or breaks an answer that has already begun.
     pub(crate) async fn refuse(&self, refusal: &Refusal) {
         if self.state.get() != ReplyState::Pending {
@@ -178,6 +195,9 @@
 
     fn head(&self, status: u16, reason: &str, headers: &[Header]) -> String {
         self.status.set(status);
+        if self.closes_if_last.get() && !self.is_followed.get() {
+            self.closes_connection.set(true);
+        }
         let reason = if reason.is_empty() {
             reason_phrase(status)
         } else {
