End a connection at once after a refusal that closes it

Callers that were refused because they came late in a shutdown (or with a malformed or too large request) saw the end of their connection 0.3 s after the refusal.

Cause: the connection was kept open in both directions while the rest of the input was discarded.

The direction towards the client is shut down before the input is discarded, so that the client sees the end behind the refusal.

--- a/gateway/src/serve/front.rs
+++ b/gateway/src/serve/front.rs
@@ -14,6 +14,7 @@
 use futures_lite::future;
 use smol::net::{TcpListener, TcpStream};
 use std::cell::{Cell, RefCell};
+use std::net::Shutdown;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
@@ -369,9 +370,14 @@
     }
 }
 
-/// Reads and discards input for up to [`LINGER_TIMEOUT`]. Closing with unread input would reset the
-/// connection, and the client could lose the refusal.
+/// Ends the connection towards the client, then reads and discards input for up to
+/// [`LINGER_TIMEOUT`]. Closing with unread input would reset the connection, and the client could lose
+/// the refusal.
 async fn discard_input(connection: &mut Connection) {
+    // Without its end, the client could send another request, which would not be answered.
+    if let Err(error) = connection.stream().shutdown(Shutdown::Write) {
+        crate::event!("connection_not_ended", "error" => error.to_string());
+    }
     let read = async {
         while let Ok(count) = connection.fill().await {
             if count == 0 {
