--- a/gateway/src/fleet/relay.rs
+++ b/gateway/src/fleet/relay.rs
@@ -44,7 +44,7 @@
             else {
                 return;
             };
-            let reply = Reply::new(connection.stream(), false);
+            let reply = Reply::new(connection.stream());
             if self.hand_over_configuration(&call.target, &reply).await {
                 if !reply.keeps_connection() {
                     return;
--- a/gateway/src/serve/call.rs
+++ b/gateway/src/serve/call.rs
@@ -8,7 +8,7 @@
 use crate::serve::http::{Framing, RequestHead};
 use crate::serve::reply::{Refusal, Reply, ReplyState};
 use crate::serve::scarcity::RoomWait;
-use crate::serve::shutdown::{Phase, late_refusal};
+use crate::serve::shutdown::{EndingTime, Phase, late_refusal};
 use crate::serve::stream::{EventId, LAST_EVENT_ID};
 use crate::turns::outage::retry_delay;
 use futures_lite::future;
@@ -39,6 +39,8 @@
     pub(crate) received_at: Instant,
     /// Deadline set by the client's timeout or the route's timeout, whichever is earlier.
     pub(crate) deadline: Instant,
+    /// When the gateway ends what is unfinished.
+    pub(crate) ending_time: EndingTime,
     /// Whether it may have run so far.
     pub(crate) execution: Cell<Execution>,
     /// When its token of the account's quota for the next attempt expires; `None` if it has none.
@@ -72,9 +74,24 @@
 }
 
 impl Call {
-    /// Returns the time until the deadline; zero if it has passed.
+    /// Returns the time until the deadline or the end of a stopping gateway, whichever is earlier; zero
+    /// if it has passed.
     pub(crate) fn time_left(&self) -> Duration {
-        self.deadline.saturating_duration_since(Instant::now())
+        let end = self.ending_time.get();
+        let end = end.map_or(self.deadline, |end| end.min(self.deadline));
+        end.saturating_duration_since(Instant::now())
+    }
+
+    /// Returns whether it has not run, may not be repeated and is not expected to be answered before the
+    /// gateway ends.
+    pub(crate) fn is_too_late(&self) -> bool {
+        let may_be_passed_on =
+            self.route.kind == RouteKind::Idempotent || self.execution.get() != Execution::NotRun;
+        let ending_time = self.ending_time.get().filter(|_| !may_be_passed_on);
+        ending_time.is_some_and(|ending_time| {
+            let left = ending_time.saturating_duration_since(Instant::now());
+            left < self.route.target_latency
+        })
     }
 
     /// Returns its priority, 0 being the highest: that of its account, otherwise that of its route.
@@ -144,6 +161,11 @@
     /// Serves a request until its deadline, then counts and logs the outcome.
     pub(crate) async fn serve(self: &Rc<Self>, call: &Call, reply: &Reply) {
         let work = async {
+            // Checked again before it is sent, as it may wait until then.
+            if let Some(late) = self.check_lateness(call) {
+                reply.refuse(&late.refusal(call)).await;
+                return None;
+            }
             let _trial = match self.pass_quarantine(call).await {
                 Ok(trial) => trial,
                 Err(refusal) => {
@@ -165,7 +187,7 @@
             None
         };
         let timeout = async {
-            Timer::after(call.time_left()).await;
+            Timer::at(call.deadline).await;
             Some(Unfinished::TimedOut)
         };
         let end = async {
