Take no endpoint out of use by chance where all fail some calls

What callers saw: where all endpoints of a service fail the same share of their calls (a tool's own failures), one of them was now and then taken out of use and got single trials only, so the others had to carry its calls.

Cause: each endpoint is judged anew with each heartbeat, after few answers as well. Three failures in the first four answers exceeded the lower bound of the share (Wilson, three standard deviations), and the bound compares with the better half, which has fewer failures by its choice as long as there are few answers.

Fix: besides the present bounds, the chance of as many failures at the share of the others must be at most 1e-5 over the number of endpoints (Chernoff's bound, valid for decaying weights), so that the error is bounded over all endpoints of each judgement. The share of the others starts from the better half and takes in all endpoints that fit it, which removes the bias of that half and still leaves out up to half of the endpoints that really fail. After: 0 of 200 seeds at 0.05, 0.2 and 0.5, judged each 100 ms.

The event endpoint_failing has the share of the others and the evidence.

--- a/gateway/src/choice/failing.rs
+++ b/gateway/src/choice/failing.rs
@@ -29,6 +29,17 @@
 /// Difference by which it must exceed that share besides, which is small where most calls fail.
 const MARGIN: f64 = 0.1;
 
+/// Greatest chance that one judgement of a service takes any endpoint out that fails as many calls as
+/// the others do. A service is judged some ten times a second by each gateway.
+const MAX_FALSE_VERDICTS: f64 = 1e-5;
+
+/// Greatest chance that one judgement takes any such endpoint for an exception when it learns how many
+/// calls the others fail.
+const MAX_FALSE_DOUBTS: f64 = 0.01;
+
+/// Number of times that the endpoints are told from the exceptions, from the better half on.
+const OTHERS_ROUNDS: usize = 4;
+
 /// Number of answers without a failure assumed of each endpoint in its expected share of failures, so
 /// that one failure alone costs an endpoint part of its calls and not all.
 const PRIOR_ANSWERS: f64 = 5.0;
@@ -128,6 +139,10 @@
     pub(crate) failures: f64,
     /// Share of failures of the better half of the service.
     pub(crate) service_share: f64,
+    /// Share of failures of the endpoints that differ from each other by chance only.
+    pub(crate) others_share: f64,
+    /// Negative logarithm of the chance of as many failures at that share.
+    pub(crate) evidence: f64,
     /// Consecutive successes of trials.
     pub(crate) succeeded_trials: u32,
     /// Time for which the endpoint was failing; zero if it was not.
@@ -308,6 +323,10 @@
             .collect();
         let service_share = better_half_share(&totals, service.len());
         let limit = (service_share * EXCESS + MARGIN).max(MIN_SHARE);
+        let endpoints = service.len() as f64;
+        let doubtful = (endpoints / MAX_FALSE_DOUBTS).ln();
+        let others_share = self.others_share(&totals, service_share, doubtful);
+        let needed = (endpoints / MAX_FALSE_VERDICTS).ln();
         let mut verdicts = Vec::new();
         for (lifetime, total) in totals {
             let Some(entry) = self.entries.get_mut(&lifetime) else {
@@ -316,6 +335,7 @@
             let was_failing = entry.trials.is_failing();
             let failing_for = entry.trials.failing_for(now);
             let succeeded_trials = entry.trials.streak();
+            let evidence = total.evidence_against(others_share);
             if was_failing && entry.trials.has_passed() {
                 entry.trials.end(now);
                 entry.settled = entry.own;
@@ -323,6 +343,7 @@
             } else if !was_failing
                 && total.failures >= MIN_FAILURES
                 && total.certain_share() > limit
+                && evidence >= needed
             {
                 entry.trials.start(now, gateways, random);
             }
@@ -334,6 +355,8 @@
                     answers: total.answers,
                     failures: total.failures,
                     service_share,
+                    others_share,
+                    evidence,
                     succeeded_trials,
                     failing_for,
                 });
@@ -342,6 +365,24 @@
         verdicts
     }
 
+    /// Returns the expected share of failures of the endpoints that are not failing and differ from each
+    /// other by chance only. The better half has fewer by its choice; the others that fit it are added
+    /// until none is left.
+    fn others_share(&self, totals: &[(Lifetime, Recent)], service_share: f64, limit: f64) -> f64 {
+        let mut share = service_share;
+        for _ in 0..OTHERS_ROUNDS {
+            let mut others: Option<Recent> = None;
+            for (lifetime, total) in totals {
+                if !self.is_failing(*lifetime) && total.evidence_against(share) < limit {
+                    let others = others.get_or_insert_with(|| Recent::new(total.at));
+                    others.add(total, 1.0);
+                }
+            }
+            share = others.map_or(share, |others| others.expected_share());
+        }
+        share
+    }
+
     /// Forgets old reports and endpoints that are no longer suspected.
     pub(crate) fn forget_old(&mut self, now: Instant, is_listed: impl Fn(Lifetime) -> bool) {
         let is_old =
--- a/gateway/src/choice/failing/recent.rs
+++ b/gateway/src/choice/failing/recent.rs
@@ -2,8 +2,7 @@
 
 use std::time::{Duration, Instant};
 
-/// Number of standard deviations by which the estimated share is lowered before it is compared. Tens of
-/// endpoints are judged many times, so that two would take one out by chance.
+/// Number of standard deviations by which the estimated share is lowered before it is compared.
 const CONFIDENCE: f64 = 3.0;
 
 /// Time in which the weight of an answer halves. An endpoint that gets its share of the calls of a
@@ -61,4 +60,27 @@
             (share * (1.0 - share) / answers + squared / (4.0 * answers * answers)).sqrt();
         (share + squared / (2.0 * answers) - CONFIDENCE * deviation) / (1.0 + squared / answers)
     }
+
+    /// Returns the share of failures at which a further answer is expected to be one (Jeffreys' prior).
+    pub(super) fn expected_share(&self) -> f64 {
+        (self.failures + 0.5) / (self.answers + 1.0)
+    }
+
+    /// Returns the negative logarithm of a bound on the chance of so many failures if each answer is
+    /// one with this chance (Chernoff's, which holds for weights up to 1 as well).
+    pub(super) fn evidence_against(&self, share: f64) -> f64 {
+        let answers = self.answers;
+        if answers <= 0.0 || self.failures <= answers * share {
+            return 0.0;
+        }
+        let successes = answers - self.failures;
+        let term = |count: f64, expected: f64| {
+            if count > 0.0 {
+                count * (count / expected).ln()
+            } else {
+                0.0
+            }
+        };
+        term(self.failures, answers * share) + term(successes, answers * (1.0 - share))
+    }
 }
--- a/gateway/src/choice/failing/tests.rs
+++ b/gateway/src/choice/failing/tests.rs
@@ -1,5 +1,6 @@
 use super::{EndpointReport, Failing};
 use googletest::prelude::*;
+use std::collections::VecDeque;
 use std::time::{Duration, Instant};
 
 const SERVICE: [u64; 10] = [0, 1, 2, 3, 4, 5, 6, 7, 8, 9];
@@ -167,3 +168,62 @@
     expect_that!(judge(&mut failing, later), elements_are![eq(&(0, false))]);
     expect_that!(judge(&mut failing, later), is_empty());
 }
+
+/// Has 40 endpoints that fail these shares of their calls answer 400 calls a second for 5 s, and returns when
+/// each that was judged as failing was. A failure comes at once and a success after 150 ms; all are judged
+/// each 100 ms.
+fn judged_failing(shares: &[f64; 40], seed: u64) -> Vec<(Duration, u64)> {
+    let endpoints: Vec<u64> = (0..40).collect();
+    let mut rng = fastrand::Rng::with_seed(seed);
+    let start = Instant::now();
+    let mut failing = Failing::default();
+    let mut successes: VecDeque<(u64, u64)> = VecDeque::new();
+    let mut judged = Vec::new();
+    for at_ms in 0..5_000 {
+        let now = start + Duration::from_millis(at_ms);
+        if at_ms * 400 % 1_000 < 400 {
+            let endpoint = rng.u64(0..40);
+            if rng.f64() < shares[endpoint as usize] {
+                failing.finish(now, endpoint, Some(true), 1, 0.5);
+            } else {
+                successes.push_back((at_ms + 150, endpoint));
+            }
+        }
+        while let Some((_, endpoint)) = successes.pop_front_if(|(at, _)| *at <= at_ms) {
+            failing.finish(now, endpoint, Some(false), 1, 0.5);
+        }
+        if at_ms % 100 == 99 {
+            let verdicts = failing.judge(now, &endpoints, 1, 0.5);
+            let verdicts = verdicts.iter().filter(|it| it.is_failing);
+            judged.extend(verdicts.map(|it| (now - start, it.lifetime)));
+        }
+    }
+    judged
+}
+
+// Guards against an endpoint that exceeds the bound by chance, as all are judged again and again.
+#[googletest::test]
+fn repeated_judgement_takes_no_endpoint_with_the_common_share_of_failures_for_failing() {
+    for share in [0.05, 0.2, 0.5] {
+        let judged = (0..200).map(|seed| (seed, judged_failing(&[share; 40], seed)));
+        let judged: Vec<_> = judged.filter(|(_, judged)| !judged.is_empty()).collect();
+        let count = judged.len();
+        expect_that!(judged, is_empty(), "share {share}: {count} of 200 seeds");
+    }
+}
+
+// Guards against failures of many endpoints that count as common to all.
+#[googletest::test]
+fn endpoints_that_fail_all_calls_are_found_within_20_calls_although_a_third_does() {
+    for seed in 0..20 {
+        let mut shares = [0.0; 40];
+        shares[..13].fill(1.0);
+        let judged = judged_failing(&shares, seed);
+        let in_time = judged
+            .iter()
+            .filter(|(at, _)| *at <= Duration::from_secs(2));
+        let mut found: Vec<u64> = in_time.map(|(_, endpoint)| *endpoint).collect();
+        found.sort_unstable();
+        expect_that!(found, eq(&(0..13).collect::<Vec<u64>>()), "seed {seed}");
+    }
+}
--- a/gateway/src/fleet/endpoint_reports.rs
+++ b/gateway/src/fleet/endpoint_reports.rs
@@ -56,6 +56,8 @@
                 "answers" => format!("{:.1}", verdict.answers),
                 "failures" => format!("{:.1}", verdict.failures),
                 "service_share" => format!("{:.3}", verdict.service_share),
+                "others_share" => format!("{:.3}", verdict.others_share),
+                "evidence" => format!("{:.1}", verdict.evidence),
                 "succeeded_trials" => verdict.succeeded_trials,
                 "failing_ms" => verdict.failing_for.as_millis());
         }
