--- a/gateway/src/admission/queue/tests.rs
+++ b/gateway/src/admission/queue/tests.rs
@@ -1,5 +1,5 @@
-use super::{OLDEST_EVERY, UNTOLD_FOR, WaitQueue};
-use crate::admission::rank::Need;
+use super::{MAX_SPARE_ENTRIES, OLDEST_EVERY, UNTOLD_FOR, WaitQueue};
+use crate::admission::rank::{Need, Rank};
 use std::time::{Duration, Instant};
 
 fn ms(ms: u64) -> Duration {
@@ -121,6 +121,102 @@
     assert_eq!(queue.releasable(now + UNTOLD_FOR, 10.0, 0.0), 10);
 }
 
+/// Requests in the order of arrival, of which each decision looks at all.
+struct Plain {
+    epoch: Instant,
+    waiting: Vec<(u64, Need, Instant)>,
+    releases: u64,
+}
+
+impl Plain {
+    fn pop(&mut self, now: Instant) -> Option<u64> {
+        self.releases += 1;
+        let requests = self.waiting.iter();
+        let next = if self.releases.is_multiple_of(OLDEST_EVERY) {
+            requests.min_by_key(|(number, ..)| *number)?.0
+        } else {
+            let place = |(number, need, until): &&(u64, Need, Instant)| {
+                let rank = Rank::new(need, self.epoch, *until, *number);
+                (need.is_late(now), rank)
+            };
+            requests.min_by_key(place)?.0
+        };
+        self.remove(next)
+    }
+
+    fn pop_overdue(&mut self, now: Instant) -> Option<u64> {
+        let overdue = self.waiting.iter().filter(|(_, _, until)| *until <= now);
+        let next = overdue
+            .min_by_key(|(number, _, until)| (*until, *number))?
+            .0;
+        self.remove(next)
+    }
+
+    fn remove(&mut self, number: u64) -> Option<u64> {
+        let at = self.waiting.iter().position(|(it, ..)| *it == number)?;
+        Some(self.waiting.remove(at).0)
+    }
+}
+
+// Guards against an order that depends on requests which have left by another way.
+#[test]
+fn the_order_is_that_of_looking_at_all_requests_each_time() {
+    for seed in 1..=20 {
+        let mut rng = fastrand::Rng::with_seed(seed);
+        let start = Instant::now();
+        let mut queue = WaitQueue::new(start);
+        let mut plain = Plain {
+            epoch: start,
+            waiting: Vec::new(),
+            releases: 0,
+        };
+        let mut pushed = 0;
+        for step in 0..2_000 {
+            let now = start + ms(step * 2);
+            match rng.u32(0..100) {
+                0..50 => {
+                    let need = need(now, rng.u32(0..3), rng.u64(400..900));
+                    let until = now + ms(rng.u64(20..400));
+                    let number = queue.push(now, need, until, pushed);
+                    assert_eq!(number, pushed, "seed {seed}");
+                    plain.waiting.push((number, need, until));
+                    pushed += 1;
+                }
+                50..85 => assert_eq!(queue.pop(now), plain.pop(now), "seed {seed}"),
+                85..95 => assert_eq!(
+                    queue.pop_overdue(now),
+                    plain.pop_overdue(now),
+                    "seed {seed}"
+                ),
+                _ => {
+                    let number = rng.u64(0..=step);
+                    assert_eq!(queue.remove(number), plain.remove(number), "seed {seed}");
+                }
+            }
+            assert_eq!(queue.len(), plain.waiting.len(), "seed {seed}");
+            assert_eq!(queue.is_empty(), plain.waiting.is_empty(), "seed {seed}");
+        }
+    }
+}
+
+// Guards against memory that grows with the clients that left before their turn.
+#[test]
+fn requests_that_have_left_take_no_memory() {
+    let now = Instant::now();
+    let mut queue = WaitQueue::new(now);
+    let until = now + ms(60_000);
+    queue.push(now, need(now, 2, 60_000), until, ());
+    for _ in 0..100_000 {
+        let number = queue.push(now, need(now, 0, 60_000), until, ());
+        assert_eq!(queue.remove(number), Some(()));
+    }
+    assert_eq!(queue.len(), 1);
+    let limit = 2 * queue.len() + MAX_SPARE_ENTRIES + 1;
+    assert!(queue.in_time.len() + queue.late.len() <= limit);
+    assert!(queue.bounds.len() <= limit);
+    assert!(queue.requests.places.len() <= limit);
+}
+
 #[test]
 fn five_thousand_waiting_are_ordered_fast() {
     let now = Instant::now();
