--- a/gateway/src/store/configuration.rs
+++ b/gateway/src/store/configuration.rs
@@ -180,17 +180,18 @@
         }
     }
 
-    /// Processes the version of a peer's configuration; 0 if it has none.
+    /// Processes the version of a peer's configuration; 0 if it has none. `is_from_store` is whether the
+    /// peer has itself recently read the store.
     pub(crate) fn hear_version(
         &self,
         from: SocketAddr,
         version: ConfigurationVersion,
-        reaches_store: bool,
+        is_from_store: bool,
     ) {
         let now = Instant::now();
         let jitter = self.rng.borrow_mut().f64();
         let mut watch = self.version_watch.borrow_mut();
-        if watch.hear(now, version, reaches_store, jitter) {
+        if watch.hear(now, version, is_from_store, jitter) {
             crate::event!("configuration_heard", "peers_version" => version,
                 "from" => from.to_string(), "version" => self.configuration_version(),
                 "age_ms" => watch.age(now).as_millis());
