Keep early answers whole that ended in order before a write failed

Cause: any failed write counted as a reset. A write also fails after the endpoint's side has ended in order; the system then reports a broken pipe, and a reset otherwise.

--- a/gateway/src/serve/http/connection.rs
+++ b/gateway/src/serve/http/connection.rs
@@ -29,15 +29,19 @@
 #[derive(Clone, Debug)]
 pub(crate) struct Writer {
     stream: TcpStream,
-    has_failed: Rc<Cell<bool>>,
+    was_reset: Rc<Cell<bool>>,
 }
 
 impl Writer {
-    /// Writes all bytes.
+    /// Writes all bytes. The error is of kind `BrokenPipe` if the remote host had ended its side in order
+    /// before.
     pub(crate) async fn write_all(&mut self, bytes: &[u8]) -> io::Result<()> {
         let written = self.stream.write_all(bytes).await;
-        if written.is_err() {
-            self.has_failed.set(true);
+        if written
+            .as_ref()
+            .is_err_and(|error| error.kind() != io::ErrorKind::BrokenPipe)
+        {
+            self.was_reset.set(true);
         }
         written
     }
@@ -45,16 +49,17 @@
 
 /// A connection with a buffer of received bytes.
 ///
-/// Invariant: after a failed write, no read reports an orderly end. The system reports a reset once,
-/// and if a write gets the report, reads find an end as if the remote host had closed the connection.
+/// Invariant: no read reports an orderly end of a connection that was reset. The system reports a reset
+/// once, and if a write gets the report, reads find an end as if the remote host had closed the
+/// connection.
 #[derive(Debug)]
 pub(crate) struct Connection {
     stream: TcpStream,
     unread: Vec<u8>,
     /// Bytes read since the task last let others run.
     read_since_yield_bytes: usize,
-    /// Whether a write has failed; shared with all writers.
-    has_failed_write: Rc<Cell<bool>>,
+    /// Whether a write met a reset; shared with all writers.
+    was_reset: Rc<Cell<bool>>,
 }
 
 impl Connection {
@@ -64,7 +69,7 @@
             stream,
             unread: Vec::new(),
             read_since_yield_bytes: 0,
-            has_failed_write: Rc::default(),
+            was_reset: Rc::default(),
         }
     }
 
@@ -109,7 +114,7 @@
                 Poll::Pending => self.read_since_yield_bytes = 0,
             }
             match read {
-                Poll::Ready(Ok(0)) if self.has_failed_write.get() => {
+                Poll::Ready(Ok(0)) if self.was_reset.get() => {
                     Poll::Ready(Err(io::ErrorKind::ConnectionReset.into()))
                 }
                 read => read,
@@ -122,7 +127,7 @@
     pub(crate) fn writer(&self) -> Writer {
         Writer {
             stream: self.stream.clone(),
-            has_failed: self.has_failed_write.clone(),
+            was_reset: self.was_reset.clone(),
         }
     }
 
--- a/gateway/src/serve/http/connection/tests.rs
+++ b/gateway/src/serve/http/connection/tests.rs
@@ -122,3 +122,16 @@
         expect_that!(read, err(anything()), "{body:?}");
     }
 }
+
+// Guards against an early answer being taken for a broken one because its endpoint did not read the
+// whole request.
+#[googletest::test]
+fn an_answer_that_ended_in_order_is_whole_although_a_write_failed_after_it() {
+    let answer = b"HTTP/1.1 200 OK\r\n\r\nwhole";
+    let mut connection = connect_to_closed(answer, Close::Orderly);
+    let mut written = Ok(());
+    while written.is_ok() {
+        written = block_on(connection.write_all(b"request"));
+    }
+    expect_that!(read_answer(&mut connection), ok(eq(b"whole")));
+}
