Shut a daemon down within its time limit

Callers of an entry whose calls outlast its shutdown were answered only after the time limit, and the process ended after it: a supervisor that kills it at the limit cuts these callers without an answer.

Cause: the limit was that of the work alone; the answers to unfinished requests came after it, with up to 1 s for them, and with a limit of 1.5 s or less the notice took all of it.

As in the gateways, work ends a margin before the limit (1 s, a quarter of a short limit), half of the margin is for the answers and the rest for the exit. The last log line says how long the shutdown took.

--- a/src/daemon.rs
+++ b/src/daemon.rs
@@ -40,6 +40,32 @@
 /// Longest wait for open HTTP connections once the node is idle.
 const CLOSE_TIMEOUT: Duration = Duration::from_secs(1);
 
+/// Number of parts of a short time limit, one of which is for the answers to unfinished requests and
+/// the exit of the process.
+const SHORT_LIMIT_PARTS: u32 = 4;
+
+/// Times of a shutdown, since its start. They are in order and within the time limit.
+struct Schedule {
+    /// End of the notice.
+    notice: Duration,
+    /// Latest time at which work is still under way.
+    drain: Duration,
+    /// Longest wait for the answers to unfinished requests. The rest is for the exit.
+    answers: Duration,
+}
+
+impl Schedule {
+    fn new(limit: Duration) -> Self {
+        let margin = CLOSE_TIMEOUT.min(limit / SHORT_LIMIT_PARTS);
+        let drain = limit - margin;
+        Self {
+            notice: LEAVE_NOTICE.min(drain / 2),
+            drain,
+            answers: margin / 2,
+        }
+    }
+}
+
 /// The node that a daemon runs.
 #[derive(Clone)]
 pub(crate) enum Node {
@@ -144,25 +170,29 @@
     }
 
     /// Shuts down gracefully: hands over partitions, accepts no more connections after
-    /// a short notice, and waits for running calls.
+    /// a short notice, and waits for running calls. Requests that are unfinished near the time limit
+    /// are answered within it.
     ///
-    /// Returns `false` if the time limit expired with work still running.
+    /// Returns `false` if work was still running then.
     pub async fn shut_down(self) -> bool {
         log::info!(target: "daemon", "daemon: shutting down");
-        let deadline = Instant::now() + self.shutdown_limit;
+        let started_at = Instant::now();
+        let schedule = Schedule::new(self.shutdown_limit);
         self.node.leave();
-        Timer::after(LEAVE_NOTICE.min(self.shutdown_limit)).await;
+        Timer::at(started_at + schedule.notice).await;
         // Connections end after their current response. Callers that keep sending would otherwise
         // keep the node busy until the deadline.
         let http_server = self.http_server.swansong();
         let http_closed = http_server.shut_down();
+        let deadline = started_at + schedule.drain;
         self.node.drain(&http_server, deadline).await;
         let is_idle = self.node.is_idle();
         if !is_idle {
             self.node.abort_requests();
-            with_timeout(CLOSE_TIMEOUT, http_closed).await;
+            with_timeout(schedule.answers, http_closed).await;
         }
-        log::info!(target: "daemon", "daemon: stopped, {}", if is_idle { "all work finished" } else { "running work aborted" });
+        let took_ms = started_at.elapsed().as_millis();
+        log::info!(target: "daemon", "daemon: stopped after {took_ms} ms, {}", if is_idle { "all work finished" } else { "running work aborted" });
         is_idle
     }
 }
--- a/tests/system/shutdown.rs
+++ b/tests/system/shutdown.rs
@@ -306,3 +306,34 @@
         },
     );
 }
+
+// Guards against a shutdown that answers what it could not finish only after its limit, when a supervisor
+// may have killed the process.
+#[gtest]
+fn a_shutdown_with_work_left_and_silent_connections_ends_within_its_limit() {
+    for limit in [1, 2, 4].map(Duration::from_secs) {
+        with_cluster(cluster_with_limit(limit, 10.0), async |cluster| {
+            let client = direct_client(cluster, &["entry-1"]);
+            let program = create_program(&client, "outlasting").await;
+            let request = tell_about("the gate", 400).key("c");
+            let node = cluster.take_node("entry-1").expect("the node is running");
+            let silent = TcpStream::connect(node.http).await.expect("a connection");
+            let shut_down = async {
+                Timer::after(SHUTDOWN_DELAY).await;
+                let requested_at = Instant::now();
+                (node.shut_down().await, requested_at.elapsed())
+            };
+            let call = client.call(program, &request);
+            let (answer, (is_clean_exit, time)) = smol::future::zip(call, shut_down).await;
+            drop(silent);
+            println!("limit {limit:?}: down after {time:.2?}");
+            expect_that!(is_clean_exit, eq(false), "{limit:?}");
+            expect_that!(time, lt(limit), "{limit:?}");
+            let Err(CallError::Refused(refusal)) = answer.map(drop) else {
+                add_failure!("{limit:?}: not refused");
+                return;
+            };
+            expect_that!(refusal.code, eq(RefusalCode::ShuttingDown), "{limit:?}");
+        });
+    }
+}
