Do not count a turn's reservation twice when it is tried again

Callers could be told 402 for a turn whose budget was reserved only by the turn itself: a lost owner had written its reservation, and the owner that was asked next, or the gateway itself before that, added the turn's tokens to it. Found when requests to lost owners were sent on; the class is a state that a repetition meets its own traces in. The sum leaves out the turn's own reservation while the turn has not ended; the budget still counts it once.

--- a/gateway/src/turns/index.rs
+++ b/gateway/src/turns/index.rs
@@ -265,6 +265,12 @@
         self.entries_of(program).map(TurnEntry::tokens).sum()
     }
 
+    /// Returns the number of tokens reserved for a turn that has not ended.
+    pub(crate) fn reserved_tokens(&self, turn: &str) -> u64 {
+        let entry = self.turns.get(turn).filter(|entry| !entry.has_ended());
+        entry.map_or(0, TurnEntry::tokens)
+    }
+
     /// Returns whether the budget of the turn's program covers its reservation together with all
     /// earlier ones.
     ///
--- a/gateway/src/turns/index/tests.rs
+++ b/gateway/src/turns/index/tests.rs
@@ -270,3 +270,20 @@
     expect_that!(log.index.chain("a").missing, none());
     expect_that!(log.index.charged_tokens("p"), eq(30));
 }
+
+// Guards against a turn that is told that its budget is spent by its own reservation, which an owner that
+// was lost has written.
+#[googletest::test]
+fn the_reservation_of_a_turn_is_known_until_the_turn_ends() {
+    let mut log = Log::new();
+    log.reserve("a", 300);
+    log.reserve("b", 200);
+    expect_that!(log.index.charged_tokens("p"), eq(500));
+    expect_that!(log.index.reserved_tokens("a"), eq(300));
+    expect_that!(log.index.reserved_tokens("unknown"), eq(0));
+    log.settle("a", 100);
+    expect_that!(log.index.charged_tokens("p"), eq(300));
+    expect_that!(log.index.reserved_tokens("a"), eq(0));
+    log.complete("b", None, 150);
+    expect_that!(log.index.reserved_tokens("b"), eq(0));
+}
--- a/gateway/src/turns/ledger.rs
+++ b/gateway/src/turns/ledger.rs
@@ -277,11 +277,20 @@
                 reservation: PendingReservation::NotNeeded,
             });
         };
-        let mut charged = partition.charged_tokens(&new_turn.program);
+        let charged_tokens = || {
+            let charged = partition.charged_tokens(&new_turn.program);
+            // A reservation of this turn that a lost owner has written is replaced, not added to.
+            let reserved = match new_turn.is_retry {
+                true => partition.index.borrow().reserved_tokens(&new_turn.turn),
+                false => 0,
+            };
+            charged.saturating_sub(reserved)
+        };
+        let mut charged = charged_tokens();
         if charged + new_turn.max_tokens > budget_tokens {
             // The local state may be stale: turns may have settled for fewer tokens since.
             within_lookup_timeout(partition.read_to_end()).await?;
-            charged = partition.charged_tokens(&new_turn.program);
+            charged = charged_tokens();
             if charged + new_turn.max_tokens > budget_tokens {
                 return Err(Denial::BudgetExhausted.into());
             }
