Refuse nothing for good at an entry behind its peers' configuration

What callers saw: an entry at version 1 answered 401 for a token that version 2 adds, and 400 for its models, operations, budgets and deadlines, although a peer had reported version 2 to it.

Cause: authenticate, build_create, build_call and the lookup of the limits decided by the version in force alone. What peers report in their digests was used only to choose transfers.

Evidence: an_entry_behind_a_peer_refuses_nothing_for_good on the unchanged code, after a peer's probe with version 2: expected four NoOwner refusals (503) with a delay, actual [(Unauthorized, false), (Invalid, false), (Invalid, false), (Invalid, false)].

Fix: such checks run in check_configuration. If one refuses while a peer has reported a higher version than the one read before the check, the answer is 503 with Retry-After, and a log line names both versions. Whether the call ran is left open, since the request may be a retry of one that ran. A request without any token is still 401, and so is an unknown token once the version is in force; the test checks the latter.

--- a/src/configuration/spread.rs
+++ b/src/configuration/spread.rs
@@ -45,6 +45,11 @@
         }
     }
 
+    /// Returns the highest version that a peer has reported; 0 if none has.
+    pub(crate) fn newest_peer_version(&self) -> Offset {
+        lock(&self.0.propagation).newest_peer_version()
+    }
+
     /// Removes a peer that has left or failed.
     pub(crate) fn remove_peer(&self, node: &str) {
         lock(&self.0.propagation).on_peer_removed(node);
--- a/src/coordination/configuration/spread.rs
+++ b/src/coordination/configuration/spread.rs
@@ -71,6 +71,12 @@
         peer.version = version;
     }
 
+    /// Returns the highest version of a peer; 0 if there is none.
+    pub(crate) fn newest_peer_version(&self) -> Offset {
+        let versions = self.peers.values().map(|peer| peer.version);
+        versions.max().unwrap_or(0)
+    }
+
     /// Removes a node.
     pub(crate) fn on_peer_removed(&mut self, node: &str) {
         self.peers.remove(node);
--- a/src/daemon.rs
+++ b/src/daemon.rs
@@ -3,6 +3,8 @@
 mod args;
 mod build;
 mod signals;
+#[cfg(test)]
+mod tests;
 
 use crate::adapter::{HttpEngine, HttpLog, HttpService};
 use crate::entry::{Entry, Unreadiness};
--- a/src/entry/http.rs
+++ b/src/entry/http.rs
@@ -117,7 +117,7 @@
 }
 
 fn admit<L: Log>(entry: &Entry<L>, conn: &Conn) -> Result<(Caller, OpenRequestGuard<L>), Refusal> {
-    let caller = request::authenticate(entry.environments(), conn)?;
+    let caller = request::authenticate(entry, conn)?;
     let open = entry.0.open_requests.fetch_add(1, Ordering::Relaxed);
     let guard = OpenRequestGuard(entry.clone());
     if open >= entry.0.config.open_calls_max {
@@ -143,8 +143,7 @@
     admitted: &AdmittedRequest<L>,
     body: crate::protocol::caller::ProgramRequest,
 ) -> Result<HttpResponse, Refusal> {
-    let environments = admitted.entry.environments();
-    let create = request::build_create(environments, &admitted.caller, body)?;
+    let create = request::build_create(&admitted.entry, &admitted.caller, body)?;
     let program = create.program;
     let mut route = admitted.entry.route(program, Request::Create(create));
     match route.reply().await {
@@ -184,8 +183,7 @@
 ) -> Result<(Route<L>, RateLimitGuard<L>, bool), Refusal> {
     let program = path_id(&admitted.conn, "program")?;
     let stream = body.stream;
-    let environments = admitted.entry.environments();
-    let call = request::build_call(environments, &admitted.caller, program, body)?;
+    let call = request::build_call(&admitted.entry, &admitted.caller, program, body)?;
     let limit_guard = RateLimitGuard::acquire(&admitted.entry, &admitted.caller)?;
     let route = admitted.entry.route(program, Request::Call(call));
     Ok((route, limit_guard, stream))
@@ -200,8 +198,10 @@
 
 impl<L: Log> RateLimitGuard<L> {
     fn acquire(entry: &Entry<L>, caller: &Caller) -> Result<Self, Refusal> {
-        let served = entry.environments().get(&caller.environment);
-        let served = served.ok_or_else(request::refuse_unknown_caller)?;
+        let served = request::check_configuration(entry, |environments| {
+            let served = environments.get(&caller.environment);
+            served.ok_or_else(request::refuse_unknown_caller)
+        })?;
         let (environment, client_account) = served.limits(&caller.client_account);
         crate::entry::lock(&entry.0.limits).begin_call(
             Instant::now(),
--- a/src/entry/http/request.rs
+++ b/src/entry/http/request.rs
@@ -1,10 +1,11 @@
 //! Authentication, parsing and validation of callers' requests.
 
 use crate::entry::environments::Environments;
-use crate::entry::unix_ms;
+use crate::entry::{Entry, unix_ms};
 use crate::ids::{ProgramId, parse_id, program_id};
 use crate::protocol::caller::{CallRequest, ProgramRequest, ReceiptRequest};
 use crate::protocol::link::{Call, Caller, Create, Work};
+use crate::protocol::log::Log;
 use crate::protocol::record::Turn;
 use crate::protocol::refusal::{Refusal, RefusalCode};
 use crate::state::receipt::ReceiptKey;
@@ -22,16 +23,53 @@
 const CONFIGURATION_RETRY_MS: u64 = 200;
 
 /// Returns the caller that the request's bearer token belongs to.
-pub(super) fn authenticate(environments: &Environments, conn: &Conn) -> Result<Caller, Refusal> {
+pub(super) fn authenticate<L: Log>(entry: &Entry<L>, conn: &Conn) -> Result<Caller, Refusal> {
     let header = conn.request_headers().get_str("authorization");
     let token = header.and_then(|value| value.strip_prefix("Bearer "));
-    let caller = token.and_then(|token| environments.find_caller(token));
-    caller.ok_or_else(|| match environments.is_empty() {
+    let token = token.ok_or_else(|| match entry.environments().is_empty() {
         true => refuse_without_configuration(),
         false => refuse_unknown_caller(),
+    })?;
+    check_configuration(entry, |environments| {
+        let caller = environments.find_caller(token);
+        caller.ok_or_else(|| match environments.is_empty() {
+            true => refuse_without_configuration(),
+            false => refuse_unknown_caller(),
+        })
     })
 }
 
+/// Runs a check that the configuration decides, and refuses temporarily in place of its refusal
+/// while a peer reports a higher version than the one that the check used.
+pub(super) fn check_configuration<T, L: Log>(
+    entry: &Entry<L>,
+    check: impl FnOnce(&Environments) -> Result<T, Refusal>,
+) -> Result<T, Refusal> {
+    let environments = entry.environments();
+    // Read before the check, during which the higher version may come into force.
+    let version = environments.version();
+    check(environments).map_err(|refusal| {
+        let newest = entry.newest_configuration();
+        if newest <= version {
+            return refusal;
+        }
+        log::info!(
+            target: "entry",
+            "entry: refused until configuration {newest} is in force; version {version} says {}: {}",
+            refusal.code, refusal.message
+        );
+        refuse_behind()
+    })
+}
+
+/// Refusal while a peer has a higher version of the configuration than this node.
+///
+/// It leaves open whether the call ran, because it may be a retry of one that ran.
+fn refuse_behind() -> Refusal {
+    let message = "This node is reading a newer configuration.";
+    Refusal::unknown(RefusalCode::NoOwner, message).retry_after_ms(CONFIGURATION_RETRY_MS)
+}
+
 /// Refusal before this node has read its configuration and knows any token.
 ///
 /// It leaves open whether the call ran, because it may be a retry of one that ran.
@@ -78,27 +116,30 @@
 }
 
 /// Builds the request to create a program, with the environment's defaults and limits.
-pub(super) fn build_create(
-    environments: &Environments,
+pub(super) fn build_create<L: Log>(
+    entry: &Entry<L>,
     caller: &Caller,
     body: ProgramRequest,
 ) -> Result<Create, Refusal> {
     check_key(body.key.as_deref())?;
-    let served = environments.get(&caller.environment);
-    let served = served.ok_or_else(refuse_unknown_caller)?;
-    let rules = &served.document;
-    let budget = body.budget.with_defaults(rules.budget.default);
-    if !budget.fits(rules.budget.max) {
-        return Err(refuse_invalid(
-            "The budget is above the environment's highest.",
-        ));
-    }
-    let deadline_ms = body.deadline_ms.unwrap_or(rules.deadline.default_ms);
-    if deadline_ms > rules.deadline.max_ms {
-        return Err(refuse_invalid(
-            "The deadline is above the environment's latest.",
-        ));
-    }
+    let (budget, deadline_ms) = check_configuration(entry, |environments| {
+        let served = environments.get(&caller.environment);
+        let served = served.ok_or_else(refuse_unknown_caller)?;
+        let rules = &served.document;
+        let budget = body.budget.with_defaults(rules.budget.default);
+        if !budget.fits(rules.budget.max) {
+            return Err(refuse_invalid(
+                "The budget is above the environment's highest.",
+            ));
+        }
+        let deadline_ms = body.deadline_ms.unwrap_or(rules.deadline.default_ms);
+        if deadline_ms > rules.deadline.max_ms {
+            return Err(refuse_invalid(
+                "The deadline is above the environment's latest.",
+            ));
+        }
+        Ok((budget, deadline_ms))
+    })?;
     let now_ms = unix_ms();
     Ok(Create {
         caller: caller.clone(),
@@ -128,19 +169,39 @@
 }
 
 /// Builds the request to run a call, after checking its model or operation.
-pub(super) fn build_call(
-    environments: &Environments,
+pub(super) fn build_call<L: Log>(
+    entry: &Entry<L>,
     caller: &Caller,
     program: ProgramId,
     body: CallRequest,
 ) -> Result<Call, Refusal> {
     check_key(body.key.as_deref())?;
-    let served = environments.get(&caller.environment);
-    let served = served.ok_or_else(refuse_unknown_caller)?;
     let branch = body.branch;
     let key = body.key.clone();
     let mut work = body.into_work(DEFAULT_MAX_TOKENS)?;
-    match &mut work {
+    check_configuration(entry, |environments| {
+        check_work(environments, caller, &mut work)
+    })?;
+    Ok(Call {
+        caller: caller.clone(),
+        program,
+        branch,
+        call: program_id(unix_ms(), fastrand::u128(..)),
+        key,
+        seen_at: None,
+        work,
+    })
+}
+
+/// Checks a call's model or operation, and sets whether the operation may be repeated.
+fn check_work(
+    environments: &Environments,
+    caller: &Caller,
+    work: &mut Work,
+) -> Result<(), Refusal> {
+    let served = environments.get(&caller.environment);
+    let served = served.ok_or_else(refuse_unknown_caller)?;
+    match work {
         Work::Model { model, .. } => {
             if served.document.model_version(model).is_none() {
                 return Err(refuse_invalid("The environment has no such model."));
@@ -156,15 +217,7 @@
             *repeatable = rule.ok_or_else(|| refuse_invalid("There is no such operation."))?;
         }
     }
-    Ok(Call {
-        caller: caller.clone(),
-        program,
-        branch,
-        call: program_id(unix_ms(), fastrand::u128(..)),
-        key,
-        seen_at: None,
-        work,
-    })
+    Ok(())
 }
 
 /// Verifies a receipt and returns its turn.
--- a/src/entry/operator/mod.rs
+++ b/src/entry/operator/mod.rs
@@ -70,6 +70,11 @@
         &self.0.operator_services.operations
     }
 
+    /// Returns the highest version of the configuration that a peer has reported; 0 if none has.
+    pub(super) fn newest_configuration(&self) -> Offset {
+        (self.0.operator_services.configurator).newest_peer_version()
+    }
+
     /// Serves configuration and operator requests of other entries. Returns `None` for any other
     /// request.
     pub(super) async fn serve_operator_request(&self, request: &Request) -> Option<Reply> {
