--- a/gateway/src/admission/version_watch.rs
+++ b/gateway/src/admission/version_watch.rs
@@ -70,8 +70,8 @@
 
     /// Records the version of a peer; 0 if it has none. Returns whether it is newer than all before.
     ///
-    /// `is_from_store` is whether the peer itself has recently read the store to its end: the word of
-    /// others passed on would confirm a version for as long as gateways tell each other of it.
+    /// `is_from_store` is whether the peer itself has recently read the store to its end. Only such peers
+    /// confirm a version; otherwise gateways without the store would confirm it to each other forever.
     /// `jitter` in 0 to 1 spreads the reads of gateways that hear of the version at the same time.
     pub(crate) fn hear(
         &mut self,
--- a/gateway/src/turns/ledger_call.rs
+++ b/gateway/src/turns/ledger_call.rs
@@ -21,8 +21,8 @@
 /// Interval between checks whether the owner is still healthy while its reply is outstanding.
 const HEALTH_CHECK_INTERVAL: Duration = Duration::from_millis(100);
 
-/// Maximum number of owners that are asked for one operation. Owners are seldom lost while the one
-/// before them is missed.
+/// Maximum number of owners that are asked for one operation. It is rare that several gateways are
+/// lost one after the other within one request.
 const MAX_OWNERS_ASKED: usize = 3;
 
 /// Maximum number of lookups in other partitions per history. Programs continue turns of other
