review: inputs that only begin alike are quarantined after resets

Cause: four ended connections under bodies with the same first 512 bytes are taken for a request that crashes servers; a kept turn's body is its new input. Change: the case uses a common instruction with different data after it.

--- a/review/support/quarantine.rs
+++ b/review/support/quarantine.rs
@@ -1,5 +1,5 @@
-//! Connections of one gateway are reset while programs run a step that has the same input in each of them; what
-//! becomes of later programs at that step.
+//! Connections of one gateway are reset while programs run a step whose input begins with the same instruction in
+//! each of them; what becomes of later programs at that step.
 mod harness;
 
 use harness::*;
@@ -11,12 +11,18 @@
 
 const SITE: Site = Site { zone_prefix: "pnw", cpu_share: 0.22, memory_mb: 280 };
 
-/// Input of a step that the programs of one kind have in common; what it refers to is in the history.
-const INPUT: &str = "Check the stock and the delivery date of what was picked.\n";
+/// Instruction with which the input of a step begins in all programs of one kind. The result of the program's
+/// tool follows.
+const INSTRUCTION: &str = "You are given the result of the tool `stock`, as JSON. For each animal in it, tell the \
+buyer whether the plush toy and the certificate can be had, and by which day they would arrive. Leave out what is \
+not in stock. If a delivery would come later than the date that the buyer has named before, say so first, and name \
+at most two animals that arrive in time instead. Use the buyer's language and at most four sentences. Do not state \
+prices, do not promise a discount, and do not charge anything: the payment is a step of its own that the buyer \
+confirms. If the result is empty or has the field `error`, say that the stock is being checked and ask to wait.\n";
 
 /// Programs under way at one gateway, and how many of them are at that step.
-const UNDER_WAY: usize = 9;
-const AT_THE_STEP: usize = 4;
+const UNDER_WAY: usize = 16;
+const AT_THE_STEP: usize = 8;
 
 /// StableWindowMs of the site.
 const STABLE_WINDOW_MS: u64 = 3_000;
@@ -63,7 +69,7 @@
     record.line(&format!(
         "client sends turn {} ({:?}, previous {}) to {}",
         request.id(),
-        String::from_utf8_lossy(&request.body).trim_end(),
+        short(&request.body),
         previous.map_or("none", |(_, value)| value),
         gateway.0
     ));
@@ -85,6 +91,13 @@
     }
 }
 
+/// Beginning and end of a long text.
+fn short(text: &[u8]) -> String {
+    let text = String::from_utf8_lossy(text);
+    let text = text.trim_end();
+    if text.len() < 80 { text.to_owned() } else { format!("{} ... {}", &text[..24], &text[text.len() - 55..]) }
+}
+
 fn is_served(answer: &Option<Answer>) -> bool {
     answer.as_ref().is_some_and(|answer| answer.status == 200 && answer.is_whole)
 }
@@ -110,6 +123,11 @@
     format!("I am looking for a gift, my number is {program}.\n")
 }
 
+/// Input of the step: the instruction and the tool's result, which differs.
+fn step_input(program: &str) -> String {
+    format!("{INSTRUCTION}{{\"order\":\"{program}\",\"animals\":[\"otter\",\"red panda\"]}}\n")
+}
+
 fn main() -> ExitCode {
     let arguments: Vec<String> = std::env::args().collect();
     let (root, record_path) = (PathBuf::from(&arguments[1]), PathBuf::from(&arguments[2]));
@@ -141,7 +159,7 @@
         gateways.iter().map(|gateway| (gateway.name.clone(), gateway.front)).collect();
     sleep_ms(2_000);
 
-    // Nine programs begin at the first gateway at the same time, and go on there with a second turn.
+    // Sixteen programs begin at the first gateway at the same time, and go on there with a second turn.
     let programs: Vec<String> = (0..UNDER_WAY).map(|_| program_id()).collect();
     let firsts: Vec<Request> =
         programs.iter().map(|program| turn(program, None, &first_input(program), 12_000)).collect();
@@ -169,9 +187,11 @@
         .zip(&firsts)
         .enumerate()
         .map(|(number, (program, first))| {
-            let other = format!("It is for {program}.\n");
-            let input = if number < AT_THE_STEP { INPUT } else { &other };
-            turn(program, Some(first.id()), input, 12_000)
+            let input = match number < AT_THE_STEP {
+                true => step_input(program),
+                false => format!("It is for {program}.\n"),
+            };
+            turn(program, Some(first.id()), &input, 12_000)
         })
         .collect();
     let equal: Vec<String> = seconds[..AT_THE_STEP].iter().map(|request| request.id().to_owned()).collect();
@@ -181,7 +201,7 @@
     };
     sleep_ms(110);
     if has_trouble() {
-        // Of the gateway's connections to servers, four of the nine that carry a turn are reset.
+        // Of the gateway's connections to servers, eight of the sixteen that carry a turn are reset.
         for request in &equal {
             let at = servers.iter().find(|server| server.reset(request));
             record.line(&match at {
@@ -240,7 +260,7 @@
         let mut time_left = 4_000_u64;
         for retry in 0..2 {
             let at = &fronts[(number + start + retry) % fronts.len()];
-            let second = turn(&program, Some(first.id()), INPUT, left()).with("X-Deadline-Ms", time_left);
+            let second = turn(&program, Some(first.id()), &step_input(&program), left()).with("X-Deadline-Ms", time_left);
             let answer = send(record, at, &second);
             tries.push(second.id().to_owned());
             if is_served(&answer) {
