--- a/review/support/harness.rs
+++ b/review/support/harness.rs
@@ -591,8 +591,19 @@
     root: PathBuf,
 }
 
+static NEXT_PORT: AtomicU64 = AtomicU64::new(0);
+
+/// A free address for a gateway. Its port is below those that the system gives to outgoing connections, which
+/// could otherwise take it before the gateway does.
 fn free_address() -> SocketAddr {
-    TcpListener::bind("127.0.0.1:0").unwrap().local_addr().unwrap()
+    loop {
+        let number = NEXT_PORT.fetch_add(1, Ordering::Relaxed);
+        let port = 20_000 + (u64::from(std::process::id()) * 61 + number) % 11_000;
+        let address = SocketAddr::from(([127, 0, 0, 1], port as u16));
+        if TcpListener::bind(address).is_ok() && std::net::UdpSocket::bind(address).is_ok() {
+            return address;
+        }
+    }
 }
 
 /// Settings of a deployment that differ between the cases.
