review: scripts wait until the turns run

Cause: fixed times before the disruption could miss the turns on a slow machine. Change: the scripts of cases 1 and 2 wait for the turns to run at servers.

--- a/review/support/budget.rs
+++ b/review/support/budget.rs
@@ -78,9 +78,8 @@
     let folder = Folder::new();
     let store = Store::default();
     let runs = Arc::new(Mutex::new(Vec::new()));
-    // The servers of the first service take half a second to the first event, as under load. The time budget
-    // is 4 s.
-    let servers: Vec<Server> = [("helper-models", 500), ("helper-models-2", 100)]
+    // The servers of the first service take 0.8 s to the first event, as under load. The time budget is 4 s.
+    let servers: Vec<Server> = [("helper-models", 800), ("helper-models-2", 100)]
         .into_iter()
         .flat_map(|(service, first_ms)| {
             ["a", "b", "c"].map(|zone| {
@@ -113,8 +112,12 @@
             thread::spawn(move || send(&record, (&name, front), &turn(number)))
         })
         .collect();
-    sleep_ms(150);
-    let running: usize = servers.iter().map(|server| server.running().len()).sum();
+    let running = || -> usize { servers.iter().map(|server| server.running().len()).sum() };
+    let began = std::time::Instant::now();
+    while running() < FAN && began.elapsed().as_millis() < 500 {
+        sleep_ms(5);
+    }
+    let running = running();
     record.line(&format!("{running} turns run at servers"));
     if has_trouble() {
         store.put("keyed.op", "config", manifest(9, "helper-models-2").as_bytes());
--- a/review/support/quarantine.rs
+++ b/review/support/quarantine.rs
@@ -138,7 +138,7 @@
     let servers: Vec<Server> = (0..9)
         .map(|number| {
             let zone = format!("pnw-{}", ["a", "b", "c"][number % 3]);
-            let pace = Pace { first_ms: 60, gap_ms: 25 };
+            let pace = Pace { first_ms: 150, gap_ms: 50 };
             Server::start(&format!("i-{}", new_id()), "helper-models", &zone, pace, &record, &runs)
         })
         .collect();
@@ -199,7 +199,12 @@
         let (record, front) = (record.clone(), fronts[0].clone());
         thread::spawn(move || send_all(&record, &front, &seconds))
     };
-    sleep_ms(110);
+    let runs_now = |request: &String| servers.iter().any(|server| server.running().contains(request));
+    let began = std::time::Instant::now();
+    while !equal.iter().all(runs_now) && began.elapsed().as_millis() < 350 {
+        sleep_ms(5);
+    }
+    sleep_ms(30);
     if has_trouble() {
         // Of the gateway's connections to servers, eight of the sixteen that carry a turn are reset.
         for request in &equal {
