Count a crash only if the endpoint does not run any more (LOST)

Cause: each connection that ended early was taken for the end of its endpoint's process. Evidence: in the log of the case the common prefix has lifetimes=4 one millisecond after the first reset and 8 in the same millisecond, while all eight engines go on and end their other turns whole.

Change: the endpoint is asked for its status on a new connection before its crash is counted, shared or stored. The same incarnation's answer shows that it runs. Until the answer the end counts like a crash at this gateway alone, so that copies of a request that does crash endpoints get no further than before. New event endpoint_checked, new counter endpoint_checks_total.

The stand-in endpoint answers status requests without executing them, as engines and services do; no other test changed.

--- a/gateway/src/counters.rs
+++ b/gateway/src/counters.rs
@@ -5,6 +5,7 @@
 mod tests;
 
 use crate::routes::RouteKind;
+use crate::serve::forward::Survival;
 use accounts::AccountCounters;
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
@@ -50,6 +51,8 @@
     times: RefCell<BTreeMap<String, Histogram>>,
     endpoints_leaving: Cell<u64>,
     quarantine_refusals: Cell<u64>,
+    /// Checks whether an endpoint still runs, by outcome.
+    survival_checks: RefCell<BTreeMap<Survival, u64>>,
     endpoints_failing: Cell<u64>,
     failures_retried: Cell<u64>,
     /// Requests for permits, by outcome.
@@ -90,6 +93,12 @@
         self.failures_retried.set(self.failures_retried.get() + 1);
     }
 
+    /// Counts a check whether an endpoint still runs.
+    pub(crate) fn record_survival(&self, survival: Survival) {
+        let mut checks = self.survival_checks.borrow_mut();
+        *checks.entry(survival).or_default() += 1;
+    }
+
     /// Counts a request that was refused, or not sent again, because it is quarantined.
     pub(crate) fn record_quarantine_refusal(&self) {
         self.quarantine_refusals
@@ -140,6 +149,10 @@
             "",
             quarantine_refusals,
         );
+        for (survival, count) in self.survival_checks.borrow().iter() {
+            let labels = format!("survival=\"{survival}\"");
+            write_metric(&mut text, "endpoint_checks_total", &labels, *count);
+        }
         self.accounts.borrow().render(&mut text);
         let endpoints_failing = self.endpoints_failing.get();
         write_metric(&mut text, "endpoints_failing_total", "", endpoints_failing);
--- a/gateway/src/dialect.rs
+++ b/gateway/src/dialect.rs
@@ -204,6 +204,10 @@
     /// Parses the headers of an endpoint's answer; an unreadable value counts as absent.
     fn parse_answer(headers: &[Header]) -> AnswerInfo;
 
+    /// Parses the start time of an endpoint, in Unix milliseconds, from the answer to a status request;
+    /// `None` if the answer does not name it.
+    fn parse_status(body: &[u8]) -> Option<u64>;
+
     /// Parses a configuration document; an error contains the reason.
     fn parse_configuration(document: &[u8]) -> Result<Configuration, String>;
 
--- a/gateway/src/node.rs
+++ b/gateway/src/node.rs
@@ -16,6 +16,7 @@
 use crate::limits::BufferGauge;
 use crate::net::with_timeout;
 use crate::routes::Routes;
+use crate::serve::forward::SurvivalChecks;
 use crate::serve::pool::Pool;
 use crate::serve::scarcity::Scarcity;
 use crate::serve::shutdown::Shutdown;
@@ -154,6 +155,8 @@
     /// Requests under which endpoints crashed.
     pub(crate) crashes: RefCell<Crashes>,
     pub(crate) crash_sync: CrashSync,
+    /// Endpoints that are asked whether they still run.
+    pub(crate) survival_checks: SurvivalChecks,
     pub(crate) permits: Permits,
     pub(crate) quotas: Quotas,
     pub(crate) begun_programs: RefCell<BegunPrograms>,
@@ -200,6 +203,7 @@
             counters: Counters::default(),
             crashes: RefCell::default(),
             crash_sync: CrashSync::default(),
+            survival_checks: SurvivalChecks::default(),
             permits: Permits::new(incarnation),
             quotas: Quotas::new(incarnation, &settings.terms),
             begun_programs: RefCell::default(),
--- a/gateway/src/routes.rs
+++ b/gateway/src/routes.rs
@@ -71,6 +71,9 @@
     pub name: Rc<str>,
     /// Maximum number of connections that one endpoint accepts from all callers together.
     pub max_connections: u32,
+    /// Path of a request that an endpoint answers with its status and does not execute; `None` if there
+    /// is none.
+    pub status_path: Option<Rc<str>>,
     /// Limits of a model engine; `None` for other services.
     pub engine: Option<EngineLimits>,
 }
--- a/gateway/src/serve/forward.rs
+++ b/gateway/src/serve/forward.rs
@@ -9,6 +9,7 @@
 mod quarantine;
 mod quota;
 mod rate_limit;
+mod survival;
 #[cfg(test)]
 mod tests;
 
@@ -36,6 +37,7 @@
 use std::cell::Cell;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
+pub(crate) use survival::{Survival, SurvivalChecks};
 
 /// Maximum time to connect to an endpoint; long enough for one retransmission of a lost packet.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(350);
@@ -372,7 +374,7 @@
             endpoint: endpoint.id.clone(),
             started_at: Instant::now(),
             outcome: Cell::new(CallOutcome::Abandoned),
-            attempt: Attempt::new(call, endpoint),
+            attempt: Attempt::new(call, endpoint, self.status_address(endpoint)),
             work,
             answer_tokens: Cell::new(0),
         };
--- a/gateway/src/serve/forward/quarantine.rs
+++ b/gateway/src/serve/forward/quarantine.rs
@@ -3,6 +3,7 @@
 #[cfg(test)]
 mod tests;
 
+use super::survival::{CHECK_TIMEOUT, StatusAddress, Survival};
 use super::{Execution, Failure, FailureCause};
 use crate::choice::endpoints::{CallOutcome, EndpointRecord};
 use crate::dialect::{AnswerInfo, Dialect};
@@ -11,9 +12,12 @@
 use crate::serve::call::Call;
 use crate::serve::http::{Framing, RequestHead, ResponseHead};
 use crate::serve::reply::Refusal;
-use galenapick::crashes::{self, Admission, Claimant, Fingerprints, Lifetime, Suspicion, lifetime};
+use galenapick::crashes::{
+    self, Admission, Claimant, Crashes, Fingerprint, Fingerprints, Lifetime, Suspicion, lifetime,
+};
 use smol::Timer;
 use std::cell::Cell;
+use std::rc::Rc;
 use std::time::{Duration, Instant};
 
 /// Reason given to clients.
@@ -42,20 +46,28 @@
 }
 
 /// What an attempt says of its request once it has ended.
+#[derive(Clone, Debug)]
 pub(super) struct Attempt {
     request_id: String,
     fingerprints: Fingerprints,
-    lifetime: Lifetime,
+    pub(super) lifetime: Lifetime,
+    /// `None` if the endpoint cannot be asked whether it still runs.
+    status: Option<StatusAddress>,
     /// Whether a complete answer proves that the endpoint sent all of it.
     is_proof: Cell<bool>,
 }
 
 impl Attempt {
-    pub(super) fn new(call: &Call, endpoint: &EndpointRecord) -> Self {
+    pub(super) fn new(
+        call: &Call,
+        endpoint: &EndpointRecord,
+        status: Option<StatusAddress>,
+    ) -> Self {
         Self {
             request_id: call.id().to_owned(),
             fingerprints: call.fingerprints,
             lifetime: lifetime(&endpoint.id, endpoint.started_unix_ms),
+            status,
             is_proof: Cell::new(false),
         }
     }
@@ -163,27 +175,98 @@
 
     /// Records what the outcome of an attempt says of its request.
     ///
-    /// The end of an endpoint that has announced it is no crash, whatever still ran there.
-    pub(super) fn judge_attempt(&self, endpoint: &str, attempt: &Attempt, outcome: CallOutcome) {
-        let is_leaving = self.endpoints.borrow().is_leaving(endpoint);
-        if outcome == CallOutcome::Disconnected && is_leaving {
+    /// A connection that ends shows a crash only if its endpoint does not run any more.
+    pub(super) fn judge_attempt(
+        self: &Rc<Self>,
+        endpoint: &str,
+        attempt: &Attempt,
+        outcome: CallOutcome,
+    ) {
+        match outcome {
+            CallOutcome::Disconnected => match self.checkable(attempt) {
+                Some(status) if self.suspect_crash(attempt) => {
+                    self.judge_after_check(status, attempt);
+                }
+                Some(_) => {}
+                None => self.record_crash(endpoint, attempt),
+            },
+            CallOutcome::Answered if attempt.is_proof.get() => {
+                self.record_verdict(
+                    "crash_cleared",
+                    endpoint,
+                    attempt,
+                    |crashes, fingerprint| crashes.record_answer(Instant::now(), fingerprint),
+                );
+            }
+            _ => {}
+        }
+    }
+
+    /// Returns how the endpoint of an attempt is asked whether it still runs. One that limits the rate
+    /// of requests is not asked, as that would count as a request.
+    fn checkable<'a>(&self, attempt: &'a Attempt) -> Option<&'a StatusAddress> {
+        let endpoints = self.endpoints.borrow();
+        let limits_rate = endpoints.rate_limits().rate(attempt.lifetime).is_some();
+        attempt.status.as_ref().filter(|_| !limits_rate)
+    }
+
+    /// Counts an ended connection like a crash until it is known whether there was one. Returns
+    /// whether a crash would be blamed on the request.
+    fn suspect_crash(&self, attempt: &Attempt) -> bool {
+        let now = Instant::now();
+        let mut crashes = self.crashes.borrow_mut();
+        let suspected = attempt.fingerprints.map(|fingerprint| {
+            crashes.suspect(now, fingerprint, attempt.lifetime, now + CHECK_TIMEOUT)
+        });
+        suspected.contains(&true)
+    }
+
+    /// Records what has become of the endpoint of an attempt whose connection ended.
+    pub(super) fn judge_ended_connection(
+        &self,
+        endpoint: &str,
+        attempt: &Attempt,
+        survival: Survival,
+    ) {
+        let mut crashes = self.crashes.borrow_mut();
+        for fingerprint in attempt.fingerprints {
+            crashes.withdraw(fingerprint, attempt.lifetime);
+        }
+        drop(crashes);
+        if survival != Survival::Survived {
+            self.record_crash(endpoint, attempt);
+        }
+    }
+
+    /// Records the crash of an endpoint. The end of one that has announced it is no crash, whatever
+    /// still ran there.
+    fn record_crash(&self, endpoint: &str, attempt: &Attempt) {
+        if self.endpoints.borrow().is_leaving(endpoint) {
             crate::event!("endpoint_left", "request" => attempt.request_id.as_str(),
                 "endpoint" => endpoint);
             return;
         }
+        self.record_verdict(
+            "crash_suspected",
+            endpoint,
+            attempt,
+            |crashes, fingerprint| {
+                crashes.record_crash(Instant::now(), fingerprint, attempt.lifetime)
+            },
+        );
+    }
+
+    /// Records an outcome for each fingerprint of an attempt, logs and reports what it changes.
+    fn record_verdict(
+        &self,
+        event: &str,
+        endpoint: &str,
+        attempt: &Attempt,
+        record: impl Fn(&mut Crashes, Fingerprint) -> Option<Suspicion>,
+    ) {
         for fingerprint in attempt.fingerprints {
-            let now = Instant::now();
             let mut crashes = self.crashes.borrow_mut();
-            let (event, suspicion) = match outcome {
-                CallOutcome::Disconnected => {
-                    let suspicion = crashes.record_crash(now, fingerprint, attempt.lifetime);
-                    ("crash_suspected", suspicion)
-                }
-                CallOutcome::Answered if attempt.is_proof.get() => {
-                    ("crash_cleared", crashes.record_answer(now, fingerprint))
-                }
-                _ => return,
-            };
+            let suspicion = record(&mut crashes, fingerprint);
             crashes.record_prefix(&attempt.fingerprints);
             drop(crashes);
             let Some(suspicion) = suspicion else {
--- a/src/coordination/crashes.rs
+++ b/src/coordination/crashes.rs
@@ -17,6 +17,7 @@
 mod fingerprint;
 #[cfg(test)]
 mod tests;
+mod unconfirmed;
 
 pub use crate::protocol::crashes::{Claimant, CrashReport, Fingerprint, Lifetime, TrialReport};
 pub use entry::MAX_LIFETIMES;
@@ -28,6 +29,7 @@
 use std::cmp::Reverse;
 use std::collections::HashMap;
 use std::time::{Duration, Instant};
+use unconfirmed::UnconfirmedCrashes;
 
 /// Duration of the first quarantine of a request whose crashes another one may have caused.
 const SHARED_QUARANTINE: Duration = Duration::from_secs(2);
@@ -66,10 +68,34 @@
 pub struct Crashes {
     /// At most [`MAX_REQUESTS`].
     entries: HashMap<Fingerprint, Entry>,
+    unconfirmed: UnconfirmedCrashes,
     answered: AnsweredRequests,
 }
 
 impl Crashes {
+    /// Records that a connection to an endpoint ended while it had a request, which may be a crash.
+    ///
+    /// It counts like one here until [`Self::withdraw`] ends that, at the latest at `until`. Peers
+    /// are not told. Returns whether a crash would be blamed on the request.
+    pub fn suspect(
+        &mut self,
+        now: Instant,
+        fingerprint: Fingerprint,
+        lifetime: Lifetime,
+        until: Instant,
+    ) -> bool {
+        let is_answered = self.answered.contains(now, fingerprint);
+        if !is_answered {
+            self.unconfirmed.insert(now, fingerprint, lifetime, until);
+        }
+        !is_answered
+    }
+
+    /// Ends what [`Self::suspect`] has begun: the crash is recorded, or there was none.
+    pub fn withdraw(&mut self, fingerprint: Fingerprint, lifetime: Lifetime) {
+        self.unconfirmed.remove(fingerprint, lifetime);
+    }
+
     /// Records that a lifetime of an endpoint ended while it had a request. Returns the request's
     /// state unless nothing changed.
     pub fn record_crash(
@@ -149,7 +175,7 @@
             let is_same_request = fingerprints.contains(&fingerprint);
             trial.claimant < claimant || (is_same_request && trial.claimant != claimant)
         };
-        match self.refused_until(fingerprints, precedes) {
+        match self.refused_until(now, fingerprints, precedes) {
             None => Admission::Open,
             Some(until) if until <= now => Admission::Trial,
             Some(until) => Admission::Refused(until.saturating_duration_since(now)),
@@ -172,7 +198,7 @@
     /// Returns the time for which a request must not be sent: the rest of its quarantine or of a
     /// trial that follows it. Zero allows a trial; `None` if it is not quarantined.
     pub fn quarantine_left(&self, now: Instant, fingerprints: &Fingerprints) -> Option<Duration> {
-        let refused_until = self.refused_until(fingerprints, |_, _| true)?;
+        let refused_until = self.refused_until(now, fingerprints, |_, _| true)?;
         Some(refused_until.saturating_duration_since(now))
     }
 
@@ -180,17 +206,21 @@
     /// `None` if it is not quarantined.
     fn refused_until(
         &self,
+        now: Instant,
         fingerprints: &Fingerprints,
         counts: impl Fn(Fingerprint, &Trial) -> bool,
     ) -> Option<Instant> {
         let ends = fingerprints.iter().filter_map(|fingerprint| {
-            let entry = self.entries.get(fingerprint)?;
+            let entry = self.entries.get(fingerprint);
             // Most requests are not quarantined and need no search.
-            entry.suspicion().is_quarantined.then(|| {
+            let quarantined = entry.filter(|entry| entry.suspicion().is_quarantined);
+            let confirmed_until = quarantined.map(|entry| {
                 let quarantined_until = self.quarantined_until(*fingerprint, entry);
                 let trial_until = self.trial_until(entry, &counts);
                 trial_until.map_or(quarantined_until, |until| until.max(quarantined_until))
-            })
+            });
+            let unconfirmed = self.unconfirmed.of(now, *fingerprint, entry);
+            confirmed_until.max(unconfirmed.quarantined_until())
         });
         ends.max()
     }
