--- a/gateway/src/turns/index.rs
+++ b/gateway/src/turns/index.rs
@@ -298,6 +298,11 @@
         self.turns.contains_key(turn)
     }
 
+    /// Returns whether the turn has ended, with or without an answer.
+    pub(crate) fn has_ended(&self, turn: &str) -> bool {
+        self.turns.get(turn).is_some_and(TurnEntry::has_ended)
+    }
+
     /// Returns the keys of the records of programs whose last record has expired.
     ///
     /// While a program runs, its earlier turns count against its budget and belong to the history of
--- a/gateway/src/turns/ledger.rs
+++ b/gateway/src/turns/ledger.rs
@@ -295,6 +295,12 @@
                 return Err(Denial::BudgetExhausted.into());
             }
         }
+        // The client may have left while this waited.
+        if partition.has_ended(&new_turn.turn) {
+            crate::event!("reservation_abandoned", "request" => client_id(&new_turn.turn),
+                "program" => client_id(&new_turn.program), "max_tokens" => new_turn.max_tokens);
+            return Err(Denial::DuplicateTurn.into());
+        }
         let may_run_early = charged + new_turn.max_tokens * (1 + HEADROOM_TURNS) <= budget_tokens;
         let delay = if may_run_early {
             RESERVATION_BATCH_DELAY
@@ -342,7 +348,9 @@
 
     /// Stores a completed turn. Returns once the store has acknowledged it.
     pub(crate) async fn complete_locally(&self, turn: &str, completed: CompletedTurn) {
-        let committer = &self.program_partition(&completed.program).committer;
+        let partition = self.program_partition(&completed.program);
+        partition.mark_ended(turn);
+        let committer = &partition.committer;
         let record = encode(&TurnRecord::Completed(completed));
         let commit = committer.submit(completed_key(turn), record, Duration::ZERO);
         // The completed record supersedes the reservation.
@@ -352,13 +360,15 @@
 
     /// Settles a turn that did not complete. Returns once the store has acknowledged it.
     pub(crate) async fn settle_locally(&self, turn: &str, program: String, spent_tokens: u64) {
-        let committer = &self.program_partition(&program).committer;
+        let partition = self.program_partition(&program);
+        partition.mark_ended(turn);
         let record = encode(&TurnRecord::Settled {
             program,
             spent_tokens,
         });
         let key = reservation_key(turn, self.writer_tag());
-        committer.submit(key, record, Duration::ZERO).offset().await;
+        let commit = partition.committer.submit(key, record, Duration::ZERO);
+        commit.offset().await;
     }
 
     /// Looks up a turn among all records that the partition contained at the time of this call.
--- a/gateway/src/turns/partition.rs
+++ b/gateway/src/turns/partition.rs
@@ -4,12 +4,14 @@
 //! All records of a program are in one partition, so that their order decides on the program's
 //! budget. A gateway reads only the partitions that it serves.
 
+mod ended;
 mod queued;
 
 use crate::dialect::{Dialect, Offset, PartitionNumber, Topic};
 use crate::net::with_timeout;
 use crate::turns::commit::Committer;
 use crate::turns::index::TurnIndex;
+use ended::EndedTurns;
 use galenapick::stable_hash;
 use queued::QueuedReservations;
 use serde::{Deserialize, Serialize};
@@ -57,6 +59,8 @@
     /// Reservations of this gateway between their submission and the time at which the index
     /// contains them; some may already be there.
     queued_reservations: RefCell<QueuedReservations>,
+    /// Turns whose end this gateway has written, also before the index contains it.
+    ended_turns: RefCell<EndedTurns>,
     /// Whether the partition was once read completely.
     is_loaded: Cell<bool>,
     /// Offset of the next record to apply. If the partition is loaded, all earlier records have
@@ -81,6 +85,7 @@
             committer: Committer::new(Topic::Turns(number)),
             index: RefCell::default(),
             queued_reservations: RefCell::default(),
+            ended_turns: RefCell::default(),
             is_loaded: Cell::new(false),
             next_offset: Cell::new(0),
             reads_started: Cell::new(0),
@@ -98,6 +103,18 @@
         queued.push(Instant::now(), turn, program, max_tokens);
     }
 
+    /// Remembers that the end of a turn has been submitted.
+    pub(crate) fn mark_ended(&self, turn: &str) {
+        let mut ended = self.ended_turns.borrow_mut();
+        ended.insert(Instant::now(), turn);
+    }
+
+    /// Returns whether a turn has ended, so that its tokens must not be reserved any more: the store
+    /// keeps the newest record of a key, and a reservation would replace the end.
+    pub(crate) fn has_ended(&self, turn: &str) -> bool {
+        self.ended_turns.borrow().contains(turn) || self.index.borrow().has_ended(turn)
+    }
+
     /// Forgets the queued reservations that the index contains.
     pub(crate) fn forget_applied_reservations(&self) {
         let index = self.index.borrow();
