Settle refused turns whose owner may still reserve their tokens (DENIED)

What callers would see: a turn is refused with 503 while the owner of its partition is frozen; later turns of the program get 402 within their budget.

Cause: a turn that was denied counted as never reserved, also if an owner had the request and did not reply. A frozen owner reserves when it wakes up, and nobody settles that.

Change: such a turn is settled with 0 tokens, in the background as always; a settlement by another gateway goes before a late reservation. Not if another turn with the same id has ended, since its record counts. A turn that is denied without a lost owner still writes nothing.

--- a/gateway/src/serve/turn_call.rs
+++ b/gateway/src/serve/turn_call.rs
@@ -107,10 +107,10 @@
                 reserved: Some(reserved),
             });
         }
-        let started = match self.start_turn(&reserved.new_turn).await {
+        let started = match self.start_turn(&reserved).await {
             Ok(started) => started,
             Err(denial) => {
-                reserved.mark_settled();
+                reserved.end_denied(denial);
                 return Err(refusal(call, denial));
             }
         };
--- a/gateway/src/turns/ledger_call.rs
+++ b/gateway/src/turns/ledger_call.rs
@@ -11,6 +11,7 @@
 };
 use crate::turns::partition::{PARTITION_COUNT, partition_of};
 use crate::turns::record::CompletedTurn;
+use crate::turns::reserved_turn::ReservedTurn;
 use crate::turns::scope::client_id;
 use futures_util::future::join_all;
 use smallvec::SmallVec;
@@ -36,9 +37,10 @@
     /// Looks up a turn's history in all partitions and reserves the turn's tokens.
     pub(crate) async fn start_turn(
         self: &Rc<Self>,
-        new_turn: &NewTurn,
+        reserved: &ReservedTurn<D>,
     ) -> Result<StartedTurn, Denial> {
-        let newest = match self.try_start(new_turn).await {
+        let new_turn = &reserved.new_turn;
+        let newest = match self.try_start(new_turn, reserved).await {
             Ok(started) => return Ok(started),
             Err(StartError::Denied(denial)) => return Err(denial),
             Err(StartError::HistoryElsewhere(newest)) => newest,
@@ -50,7 +52,7 @@
             previous: None,
             ..new_turn.clone()
         };
-        match self.try_start(&with_history).await {
+        match self.try_start(&with_history, reserved).await {
             Ok(started) => Ok(StartedTurn { history, ..started }),
             Err(StartError::Denied(denial)) => Err(denial),
             Err(StartError::HistoryElsewhere(_)) => Err(Denial::ReadTimedOut),
@@ -58,7 +60,11 @@
     }
 
     /// Requests a reservation from the owner, or writes it locally.
-    async fn try_start(self: &Rc<Self>, new_turn: &NewTurn) -> Result<StartedTurn, StartError> {
+    async fn try_start(
+        self: &Rc<Self>,
+        new_turn: &NewTurn,
+        reserved: &ReservedTurn<D>,
+    ) -> Result<StartedTurn, StartError> {
         let mut attempt = new_turn.clone();
         let mut asked = AskedOwners::new();
         let partition = partition_of(&new_turn.program);
@@ -92,7 +98,10 @@
                     break;
                 }
                 Some(OwnerReply::Denied(denial)) => return Err(denial.into()),
-                reply => self.log_owner_bypass(owner, "reserve", &new_turn.turn, reply),
+                reply => {
+                    reserved.note_lost_owner();
+                    self.log_owner_bypass(owner, "reserve", &new_turn.turn, reply);
+                }
             }
         }
         self.reserve_locally(&attempt).await
--- a/gateway/src/turns/reserved_turn.rs
+++ b/gateway/src/turns/reserved_turn.rs
@@ -3,7 +3,7 @@
 use crate::dialect::Dialect;
 use crate::node::{Gateway, InFlightGuard};
 use crate::serve::call::Call;
-use crate::turns::ledger::{NewTurn, PendingReservation};
+use crate::turns::ledger::{Denial, NewTurn, PendingReservation};
 use crate::turns::scope::scoped_id;
 use std::cell::{Cell, OnceCell};
 use std::rc::Rc;
@@ -17,6 +17,8 @@
     /// Whether the budget covers the reservation, once that is known.
     confirmation: Cell<Option<bool>>,
     spent_tokens: Cell<u64>,
+    /// Whether an owner that did not reply may still reserve the tokens.
+    may_be_reserved: Cell<bool>,
     /// Whether nothing is left to settle.
     is_settled: Cell<bool>,
 }
@@ -50,6 +52,7 @@
             reservation: OnceCell::new(),
             confirmation: Cell::new(None),
             spent_tokens: Cell::new(0),
+            may_be_reserved: Cell::new(false),
             is_settled: Cell::new(false),
         }
     }
@@ -88,6 +91,20 @@
         self.spent_tokens.get()
     }
 
+    /// Notes that an owner did not reply to the request to reserve the tokens.
+    pub(crate) fn note_lost_owner(&self) {
+        self.may_be_reserved.set(true);
+    }
+
+    /// Ends a turn that was denied. Its tokens are settled only if they may be reserved all the same, and
+    /// not if another turn with its id has ended, whose record counts.
+    pub(crate) fn end_denied(&self, denial: Denial) {
+        if !self.may_be_reserved.get() || denial == Denial::DuplicateTurn {
+            self.mark_settled();
+        }
+        self.settle();
+    }
+
     /// Marks the turn as stored, or as never reserved.
     pub(crate) fn mark_settled(&self) {
         self.is_settled.set(true);
