Count a turn's tokens by the configuration that admitted it (BUDGET)

Cause: the forwarder took the tokens of an event from the configuration in force when the answer began. A service that it does not list counts one token an event, and the stored record replaces the reservation for good. Evidence: in the log of the case stream_ended has events=10 tokens=10 for the turns under way, events=10 tokens=100 for later ones.

Change: a call holds the services of the configuration under which it was admitted, as it does its route. The most events of a stream and the status path of an endpoint whose connection ended follow it too.

The test turns_count_in_full_if_their_service_is_dropped_before_their_first_event failed on the code before: Expected: is equal to 402 Actual: 200, With the change: the file passed in 3 runs of 3.

--- a/gateway/src/routes.rs
+++ b/gateway/src/routes.rs
@@ -133,13 +133,16 @@
     pub requires_keys: bool,
 }
 
+/// Services by name.
+pub(crate) type ServiceTable = HashMap<Rc<str>, Service>;
+
 /// The active configuration. Its version never decreases.
 #[derive(Debug, Default)]
 pub struct Routes {
     version: Option<ConfigurationVersion>,
     /// Routes by host, longest prefix first.
     by_host: HashMap<String, Vec<Rc<Route>>>,
-    services: HashMap<Rc<str>, Service>,
+    services: Rc<ServiceTable>,
     limits: ClientLimits,
     accounts: AccountTable,
 }
@@ -165,9 +168,8 @@
             routes.sort_by_key(|route| std::cmp::Reverse(route.path_prefix.len()));
         }
         let services = configuration.services.into_iter();
-        self.services = services
-            .map(|service| (service.name.clone(), service))
-            .collect();
+        let services = services.map(|service| (service.name.clone(), service));
+        self.services = Rc::new(services.collect());
         true
     }
 
@@ -198,6 +200,11 @@
         &self.accounts
     }
 
+    /// Returns the active services, which a later configuration does not change.
+    pub(crate) fn services(&self) -> Rc<ServiceTable> {
+        self.services.clone()
+    }
+
     /// Returns a service by name.
     pub fn service(&self, name: &str) -> Option<&Service> {
         self.services.get(name)
--- a/gateway/src/serve/call.rs
+++ b/gateway/src/serve/call.rs
@@ -3,7 +3,7 @@
 use crate::choice::endpoints::InstanceId;
 use crate::dialect::{CallInfo, Dialect};
 use crate::node::Gateway;
-use crate::routes::{Account, ConfigurationVersion, Route, RouteKind};
+use crate::routes::{Account, ConfigurationVersion, Route, RouteKind, ServiceTable};
 use crate::serve::forward::{EndpointAnswer, Execution, MAX_ENDPOINTS_TRIED, OutgoingRequest};
 use crate::serve::http::{Framing, RequestHead};
 use crate::serve::reply::{Refusal, Reply, ReplyState};
@@ -28,6 +28,9 @@
     pub(crate) info: CallInfo,
     pub(crate) body: Vec<u8>,
     pub(crate) route: Rc<Route>,
+    /// Services of the configuration under which it was admitted. A later one may list others, while
+    /// endpoints go on with the request.
+    pub(crate) services: Rc<ServiceTable>,
     /// Client account on which it runs; `None` if the route or the deployment needs none.
     pub(crate) account: Option<Rc<Account>>,
     /// Version of the configuration under which the account was found.
@@ -138,6 +141,15 @@
         self.account.as_ref().map_or("", |account| &account.name)
     }
 
+    /// Returns the tokens that each event of a stream from a service stands for.
+    pub(crate) fn tokens_per_event(&self, service: &str) -> u64 {
+        let engine = self
+            .services
+            .get(service)
+            .and_then(|service| service.engine);
+        engine.map_or(1, |engine| u64::from(engine.tokens_per_event.max(1)))
+    }
+
     /// Returns the id of the client's attempt; empty if the client sent none.
     pub(crate) fn id(&self) -> &str {
         self.info.request_id.as_deref().unwrap_or_default()
--- a/gateway/src/serve/event_stream.rs
+++ b/gateway/src/serve/event_stream.rs
@@ -73,7 +73,7 @@
         reserved: Option<&'a ReservedTurn<D>>,
     ) -> Self {
         let is_kept = outgoing.call.route.retention.is_some();
-        let tokens_per_event = gateway.tokens_per_event(outgoing.service);
+        let tokens_per_event = outgoing.call.tokens_per_event(outgoing.service);
         let max_tokens = outgoing
             .call
             .info
@@ -282,11 +282,3 @@
     /// Whether the body ends with them.
     is_last: bool,
 }
-
-impl<D: Dialect> Gateway<D> {
-    fn tokens_per_event(&self, service: &str) -> u64 {
-        let routes = self.routes.borrow();
-        let engine = routes.service(service).and_then(|service| service.engine);
-        engine.map_or(1, |engine| u64::from(engine.tokens_per_event.max(1)))
-    }
-}
--- a/gateway/src/serve/forward.rs
+++ b/gateway/src/serve/forward.rs
@@ -374,7 +374,7 @@
             endpoint: endpoint.id.clone(),
             started_at: Instant::now(),
             outcome: Cell::new(CallOutcome::Abandoned),
-            attempt: Attempt::new(call, endpoint, self.status_address(endpoint)),
+            attempt: Attempt::new(call, endpoint),
             work,
             answer_tokens: Cell::new(0),
         };
--- a/gateway/src/serve/forward/quarantine.rs
+++ b/gateway/src/serve/forward/quarantine.rs
@@ -58,16 +58,12 @@
 }
 
 impl Attempt {
-    pub(super) fn new(
-        call: &Call,
-        endpoint: &EndpointRecord,
-        status: Option<StatusAddress>,
-    ) -> Self {
+    pub(super) fn new(call: &Call, endpoint: &EndpointRecord) -> Self {
         Self {
             request_id: call.id().to_owned(),
             fingerprints: call.fingerprints,
             lifetime: lifetime(&endpoint.id, endpoint.started_unix_ms),
-            status,
+            status: StatusAddress::of(call, endpoint),
             is_proof: Cell::new(false),
         }
     }
--- a/gateway/src/serve/forward/survival.rs
+++ b/gateway/src/serve/forward/survival.rs
@@ -6,6 +6,7 @@
 use crate::dialect::{Dialect, Dispatch};
 use crate::net::{connect, with_timeout};
 use crate::node::Gateway;
+use crate::serve::call::Call;
 use crate::serve::http::{BodyDecoder, Connection};
 use galenapick::crashes::Lifetime;
 use smol::Timer;
@@ -52,6 +53,19 @@
     path: Rc<str>,
 }
 
+impl StatusAddress {
+    /// Returns how an endpoint that gets a call is asked; `None` if its service has no status request.
+    pub(super) fn of(call: &Call, endpoint: &EndpointRecord) -> Option<Self> {
+        let service = call.services.get(&endpoint.service)?;
+        Some(Self {
+            id: endpoint.id.clone(),
+            started_unix_ms: endpoint.started_unix_ms,
+            address: endpoint.address,
+            path: service.status_path.clone()?,
+        })
+    }
+}
+
 /// Attempts whose connections ended, by the incarnation that is being asked. An incarnation is asked
 /// once at a time; the list is empty if no attempt was added since the question.
 #[derive(Debug, Default)]
@@ -84,18 +98,6 @@
 }
 
 impl<D: Dialect> Gateway<D> {
-    /// Returns how an endpoint is asked; `None` if its service has no status request.
-    pub(super) fn status_address(&self, endpoint: &EndpointRecord) -> Option<StatusAddress> {
-        let routes = self.routes.borrow();
-        let path = routes.service(&endpoint.service)?.status_path.clone()?;
-        Some(StatusAddress {
-            id: endpoint.id.clone(),
-            started_unix_ms: endpoint.started_unix_ms,
-            address: endpoint.address,
-            path,
-        })
-    }
-
     /// Has an attempt judged once it is known whether its endpoint still runs.
     pub(super) fn judge_after_check(self: &Rc<Self>, status: &StatusAddress, attempt: &Attempt) {
         if !self.survival_checks.push(attempt.clone()) {
--- a/gateway/src/serve/front.rs
+++ b/gateway/src/serve/front.rs
@@ -264,6 +264,7 @@
             framing: Cell::new(None),
             info,
             route,
+            services: self.routes.borrow().services(),
             account,
             admitted_version: self.routes.borrow().version(),
         };
