--- a/gateway/src/fleet/peers.rs
+++ b/gateway/src/fleet/peers.rs
@@ -217,15 +217,28 @@
     async fn serve_requests(self: &Rc<Self>, mut connection: Connection) {
         let outbox = Rc::new(Outbox::default());
         let write = outbox.write(connection.stream());
+        // Closed with the connection.
+        let (_open, closed) = async_channel::bounded::<()>(1);
         let read = async {
             while let Some((request_number, request)) =
                 read_frame::<OwnerRequest>(&mut connection).await
             {
                 let gateway = self.clone();
                 let outbox = outbox.clone();
+                let is_reservation = matches!(request, OwnerRequest::Reserve(_));
+                let closed = closed.clone();
                 let task = async move {
                     let reply = |reply: &OwnerReply| outbox.push(request_number, reply);
-                    gateway.handle_request(request, reply).await;
+                    let handle = gateway.handle_request(request, reply);
+                    if is_reservation {
+                        // A peer that is lost would not settle what is reserved for it later.
+                        let disconnected = async {
+                            let _ = closed.recv().await;
+                        };
+                        future::or(handle, disconnected).await;
+                    } else {
+                        handle.await;
+                    }
                 };
                 self.executor.spawn(task).detach();
             }
