--- a/gateway/src/choice/endpoints/room.rs
+++ b/gateway/src/choice/endpoints/room.rs
@@ -18,8 +18,8 @@
     /// Returns the room of a service, with `own_waiting` requests that wait in this gateway.
     /// Endpoints that take no calls or fail have none.
     pub(crate) fn room(&self, now: Instant, service: &str, own_waiting: usize) -> Room {
-        let mut slots = 0;
-        let mut calls = 0;
+        let mut slots = 0_u64;
+        let mut calls = 0_u64;
         let healthy = self.endpoints.values().filter(|endpoint| {
             *endpoint.record.service == *service
                 && endpoint.takes_calls()
@@ -27,14 +27,15 @@
         });
         for endpoint in healthy {
             let own_slots = endpoint.record.slots.max(1);
-            slots += own_slots;
-            calls += self.calls_in_flight(endpoint).min(own_slots * MAX_COUNTED);
+            let counted = own_slots.saturating_mul(MAX_COUNTED);
+            slots += u64::from(own_slots);
+            calls += u64::from(self.calls_in_flight(endpoint).min(counted));
         }
         let peers = self.peer_counts.values();
         let ages = peers.map(|peer| now.saturating_duration_since(peer.received_at));
         Room {
-            slots: f64::from(slots),
-            calls: f64::from(calls),
+            slots: slots as f64,
+            calls: calls as f64,
             waiting: own_waiting as f64 + self.peers_waiting(service),
             call_ms: self.call_duration_ms(service),
             age: ages.max().unwrap_or(Duration::ZERO),
--- a/gateway/src/choice/endpoints/tests.rs
+++ b/gateway/src/choice/endpoints/tests.rs
@@ -291,3 +291,25 @@
     });
     expect_that!(endpoints.has_endpoint("llm"), eq(false));
 }
+
+// Guards against sums that overflow because an entry names a number of slots that is far too large.
+#[googletest::test]
+fn endpoints_with_extreme_numbers_of_slots_can_be_counted() {
+    let mut endpoints = Endpoints::default();
+    for id in ["a", "b"] {
+        endpoints.upsert(EndpointRecord {
+            slots: u32::MAX,
+            started_unix_ms: Some(u64::MAX),
+            ..record(id, "near")
+        });
+    }
+    let now = Instant::now();
+    endpoints.begin_call("a");
+    let room = endpoints.room(now, "llm", 0);
+    expect_that!(room.slots, eq(2.0 * f64::from(u32::MAX)));
+    expect_that!(room.calls, eq(1.0));
+    expect_that!(
+        choose(&endpoints, now, &requirements(&[])),
+        some(anything())
+    );
+}
