Serve no request whose client left while the gateway stood still (DENIED)

Cause: the gateway served the abandoned requests before it looked at their connections. Their tokens were reserved, and the next attempts were denied before the settlements counted.

Change: the connection is checked before the request is served.

--- a/gateway/src/serve/front.rs
+++ b/gateway/src/serve/front.rs
@@ -15,6 +15,7 @@
 use smol::net::{TcpListener, TcpStream};
 use std::cell::{Cell, RefCell};
 use std::net::Shutdown;
+use std::pin::pin;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
@@ -275,7 +276,11 @@
                 "after_ms" => call.received_at.elapsed().as_millis());
             reply.abort();
         };
-        future::or(self.serve(&call, reply), disconnect).await;
+        let mut disconnect = pin!(disconnect);
+        // A client that left while the process was frozen must not have tokens reserved for it.
+        if future::poll_once(&mut disconnect).await.is_none() {
+            future::or(self.serve(&call, reply), disconnect).await;
+        }
     }
 
     /// Returns once the client has closed its connection. From the stop signal on, an answer that has not
--- a/gateway/src/turns/partition/ended.rs
+++ b/gateway/src/turns/partition/ended.rs
@@ -1,4 +1,4 @@
-//! Turns that have ended and are not in the index yet.
+//! Turns that this gateway has ended recently.
 
 #[cfg(test)]
 mod tests;
