--- a/review/6/run.sh
+++ b/review/8/run.sh
@@ -6,4 +6,4 @@
     echo "build the deploy file and review/build-2.sh first"
     exit 2
 fi
-exec target/review-2/cases alike-leave review/6
+exec target/review-2/cases alike-cut review/8
