--- a/review/support-2/cases/mod.rs
+++ b/review/support-2/cases/mod.rs
@@ -1,6 +1,7 @@
 //! The cases, by name.
 
 mod alike;
+mod frozen;
 
 use crate::Verdict;
 use crate::record::Record;
@@ -12,6 +13,7 @@
         "alike-crash" => alike::play(record, has_trouble.then_some(Disruption::Crash)),
         "alike-cut" => alike::play(record, has_trouble.then_some(Disruption::Cut)),
         "alike-leave" => alike::play(record, has_trouble.then_some(Disruption::Leave)),
+        "frozen" => frozen::play(record, has_trouble),
         _ => Some(Verdict::NotRun(format!("no case {case}"))),
     }
 }
--- a/review/support-2/client.rs
+++ b/review/support-2/client.rs
@@ -1,4 +1,4 @@
-//! Clients: programs with turns, and plain requests.
+//! Clients: programs with turns.
 
 use crate::http::{self, Message};
 use crate::record::Record;
@@ -13,6 +13,9 @@
 /// Time after the start of the test by which each program should be finished.
 const PROGRAM_TIME: Duration = Duration::from_secs(90);
 
+/// Time for which a client waits for a connection.
+const CONNECT_TIME: Duration = Duration::from_secs(1);
+
 /// Times that a failed turn is sent in all, each time with one retry.
 const SENDS: usize = 3;
 
@@ -64,6 +67,11 @@
     }
 
     fn send_within(&self, time: Duration, gateway: SocketAddr, record: &Record) -> Answer {
+        self.send_on(&mut Connection::open(gateway), time, record)
+    }
+
+    /// Sends the turn on a connection and reads the answer within `time`.
+    pub fn send_on(&self, connection: &mut Connection, time: Duration, record: &Record) -> Answer {
         let time_ms = time.as_millis().to_string();
         let finish_ms = PROGRAM_TIME.as_millis().saturating_sub(record.ms());
         let finish_ms = finish_ms.to_string();
@@ -91,7 +99,7 @@
             self.id, self.program
         ));
         let start = format!("POST {} HTTP/1.1", self.path);
-        let answer = send(gateway, &start, &headers, self.input.as_bytes(), time);
+        let answer = connection.send(&start, &headers, self.input.as_bytes(), time);
         record.add(format!(
             "client has for {}: {}, {} events, {}",
             self.id,
@@ -125,49 +133,63 @@
             if answer.is_success() {
                 return number;
             }
+            if !matches!(answer.status, 408 | 421 | 429 | 503) {
+                // Only these promise that the turn has not run.
+                break;
+            }
             let time_left = until.saturating_duration_since(Instant::now());
-            thread::sleep(
-                answer
-                    .retry_after
-                    .unwrap_or(RESEND_PAUSE)
-                    .min(time_left / 3),
-            );
+            let pause = answer.retry_after.unwrap_or(RESEND_PAUSE);
+            thread::sleep(pause.min(time_left / 3));
         }
         thread::sleep(RESEND_PAUSE);
     }
     number
 }
 
-/// Sends a request on a new connection and reads the answer until `limit` is over.
-pub fn send(
-    gateway: SocketAddr,
-    start: &str,
-    headers: &[(&str, &str)],
-    body: &[u8],
-    limit: Duration,
-) -> Answer {
-    let until = Instant::now() + limit;
-    let mut message = Message::default();
-    if let Ok(mut stream) = TcpStream::connect_timeout(&gateway, Duration::from_secs(1)) {
-        let _ = stream.set_nodelay(true);
-        let _ = stream.set_read_timeout(Some(until.saturating_duration_since(Instant::now())));
-        let mut bytes = http::head(start, headers);
-        bytes.extend_from_slice(format!("Content-Length: {}\r\n\r\n", body.len()).as_bytes());
-        bytes.extend_from_slice(body);
-        if stream.write_all(&bytes).is_ok() {
-            let mut reader = BufReader::new(stream);
-            if let Ok(head) = http::read_head(&mut reader) {
+/// A connection to a gateway, which is kept as long as answers are whole.
+pub struct Connection(Option<BufReader<TcpStream>>);
+
+impl Connection {
+    pub fn open(gateway: SocketAddr) -> Self {
+        let stream = TcpStream::connect_timeout(&gateway, CONNECT_TIME).ok();
+        Self(stream.map(|stream| {
+            // Without this option a request is only later.
+            let _ = stream.set_nodelay(true);
+            BufReader::new(stream)
+        }))
+    }
+
+    /// Sends a request and reads the answer until `limit` is over.
+    fn send(
+        &mut self,
+        start: &str,
+        headers: &[(&str, &str)],
+        body: &[u8],
+        limit: Duration,
+    ) -> Answer {
+        let mut message = Message::default();
+        if let Some(mut reader) = self.0.take() {
+            let stream = reader.get_mut();
+            let mut bytes = http::head(start, headers);
+            bytes.extend_from_slice(format!("Content-Length: {}\r\n\r\n", body.len()).as_bytes());
+            bytes.extend_from_slice(body);
+            let is_sent =
+                stream.set_read_timeout(Some(limit)).is_ok() && stream.write_all(&bytes).is_ok();
+            if is_sent && let Ok(head) = http::read_head(&mut reader) {
                 message = head;
                 http::read_body(&mut reader, &mut message);
             }
+            if message.is_whole {
+                self.0 = Some(reader);
+            }
+        }
+        let retry_after = message.header("Retry-After");
+        let retry_after = retry_after.and_then(|seconds| seconds.parse().ok());
+        Answer {
+            status: message.status(),
+            retry_after: retry_after.map(Duration::from_secs_f64),
+            is_whole: message.is_whole,
+            body: message.body,
         }
-    }
-    let retry_after = message.header("Retry-After");
-    let retry_after = retry_after.and_then(|seconds| seconds.parse().ok());
-    Answer {
-        status: message.status(),
-        retry_after: retry_after.map(Duration::from_secs_f64),
-        is_whole: message.is_whole,
-        body: message.body,
     }
 }
--- a/review/support-2/gateway.rs
+++ b/review/support-2/gateway.rs
@@ -10,6 +10,10 @@
 use std::thread;
 use std::time::{Duration, Instant};
 
+/// Numbers of the signals that stop and continue a process.
+const STOP: i32 = 19;
+const CONTINUE: i32 = 18;
+
 /// Longest time until a gateway is ready.
 const READY_WITHIN: Duration = Duration::from_secs(10);
 
@@ -99,6 +103,26 @@
         lines[lines.len().saturating_sub(5)..].join("\n")
     }
 
+    /// Makes the process stand still.
+    pub fn freeze(&self) {
+        self.signal(STOP);
+    }
+
+    /// Lets it run again.
+    pub fn resume(&self) {
+        self.signal(CONTINUE);
+    }
+
+    fn signal(&self, signal: i32) {
+        unsafe extern "C" {
+            fn kill(process: i32, signal: i32) -> i32;
+        }
+        if let Some(child) = &self.child {
+            // SAFETY: the child has not been waited for, so that its id is still its own.
+            unsafe { kill(child.id() as i32, signal) };
+        }
+    }
+
     /// Ends the process as a loss of power would.
     pub fn kill(&mut self) {
         if let Some(mut child) = self.child.take() {
--- a/review/support-2/world.rs
+++ b/review/support-2/world.rs
@@ -11,13 +11,17 @@
 /// Failure domains.
 pub const ZONES: [&str; 3] = ["pnw-a", "pnw-b", "pnw-c"];
 
-/// Prefix of the paths of turns.
+/// Path of turns.
 pub const TURNS: &str = "/lohu930/4b";
 
+/// Path of turns on a route that only later manifests have.
+pub const NEW_TURNS: &str = "/pufi791/4b";
+
 /// Time for which a turn can be continued, in seconds.
 pub const RETENTION_S: u64 = 60;
 
 pub struct World {
+    pub store: Store,
     pub gateways: Vec<Gateway>,
     pub engines: Vec<Server>,
     pub runs: Runs,
@@ -51,7 +55,7 @@
         let folder = env::temp_dir().join(format!("galenapick-{case}-{}", process::id()));
         fs::create_dir_all(&folder).expect("a temporary folder");
         let store = Store::default();
-        store.put("keyed.op", "config", manifest(1).as_bytes());
+        store.put("keyed.op", "config", manifest(1, &[TURNS]).as_bytes());
         let address = store.listen();
         let runs = Runs::default();
         let engines = (0..sizes.engines).map(|index| {
@@ -66,6 +70,7 @@
         });
         let mut world = Self {
             gateways: gateways.collect(),
+            store,
             engines,
             runs,
             folder,
@@ -83,15 +88,22 @@
     }
 }
 
-/// Returns the manifest of a version.
-pub fn manifest(version: u64) -> String {
-    format!(
-        r#"{{"Version":{version},"Routes":[
-{{"Name":"r-turns","Host":"ficu95.example","PathPrefix":"/lohu930/","Kind":"streaming","TimeoutMs":4000,
+/// Returns the manifest of a version with a route for each of these paths.
+pub fn manifest(version: u64, paths: &[&str]) -> String {
+    let routes = paths.iter().enumerate().map(|(index, path)| {
+        let prefix = &path[..=path.rfind('/').unwrap_or_default()];
+        format!(
+            r#"{{"Name":"r-{index}","Host":"ficu95.example","PathPrefix":"{prefix}","Kind":"streaming","TimeoutMs":4000,
 "TargetLatencyMs":250,"Priority":0,"Service":"{SERVICE}","MaxAttempts":2,"RetainHistory":true,
-"RetentionS":{RETENTION_S}.0,"SessionAffinity":true,"Resumable":false,"GapAimMs":200}}],
+"RetentionS":{RETENTION_S}.0,"SessionAffinity":true,"Resumable":false,"GapAimMs":200}}"#
+        )
+    });
+    let routes: Vec<String> = routes.collect();
+    format!(
+        r#"{{"Version":{version},"Routes":[{}],
 "Services":[{{"Name":"{SERVICE}","HealthPath":"/health","MaxConnections":160,"Protocol":"h1","Tls":false,
 "Engine":{{"Slots":16,"KvCapacityTokens":119499,"KvTokenBytes":18432,"TokensPerEvent":{TOKENS_PER_EVENT}}}}}],
-"Limits":{{"MaxHeaderBytes":16384,"MaxBodyBytes":4194304,"HeaderTimeoutMs":3000,"IdleTimeoutMs":15000}}}}"#
+"Limits":{{"MaxHeaderBytes":16384,"MaxBodyBytes":4194304,"HeaderTimeoutMs":3000,"IdleTimeoutMs":15000}}}}"#,
+        routes.join(",")
     )
 }
