--- a/review/support-2/cases/mod.rs
+++ b/review/support-2/cases/mod.rs
@@ -2,6 +2,7 @@
 
 mod alike;
 mod frozen;
+mod helpers;
 
 use crate::Verdict;
 use crate::record::Record;
@@ -14,6 +15,7 @@
         "alike-cut" => alike::play(record, has_trouble.then_some(Disruption::Cut)),
         "alike-leave" => alike::play(record, has_trouble.then_some(Disruption::Leave)),
         "frozen" => frozen::play(record, has_trouble),
+        "helpers" => helpers::play(record, has_trouble),
         _ => Some(Verdict::NotRun(format!("no case {case}"))),
     }
 }
