Count no end of an endpoint that was announced as a crash (LOST)

Cause: `record_crash` asked the present list of endpoints whether an endpoint had announced its end, by id. An endpoint whose announcement is the removal of its entry is not in that list.

Change: a gateway remembers announcements by lifetime, with the time at which they were read and whether its list was out of date then. An announced end is neither asked about nor counted; an end that turns out to be announced is withdrawn here and, by the cleared lifetime, at all gateways.

--- a/gateway/src/choice/mod.rs
+++ b/gateway/src/choice/mod.rs
@@ -1,5 +1,6 @@
 //! Choice of the endpoint for a call.
 
+pub(crate) mod announced_ends;
 pub(crate) mod endpoints;
 pub(crate) mod failing;
 pub(crate) mod speed;
--- a/gateway/src/counters.rs
+++ b/gateway/src/counters.rs
@@ -51,6 +51,7 @@
     times: RefCell<BTreeMap<String, Histogram>>,
     endpoints_leaving: Cell<u64>,
     quarantine_refusals: Cell<u64>,
+    crashes_withdrawn: Cell<u64>,
     /// Checks whether an endpoint still runs, by outcome.
     survival_checks: RefCell<BTreeMap<Survival, u64>>,
     endpoints_failing: Cell<u64>,
@@ -105,6 +106,11 @@
             .set(self.quarantine_refusals.get() + 1);
     }
 
+    /// Counts a crash that is no longer blamed on a request.
+    pub(crate) fn record_withdrawn_crash(&self) {
+        self.crashes_withdrawn.set(self.crashes_withdrawn.get() + 1);
+    }
+
     /// Counts a request for a permit to send to an endpoint with a limit.
     pub(crate) fn record_permit(&self, outcome: String) {
         *self.permits.borrow_mut().entry(outcome).or_default() += 1;
@@ -149,6 +155,8 @@
             "",
             quarantine_refusals,
         );
+        let crashes_withdrawn = self.crashes_withdrawn.get();
+        write_metric(&mut text, "crashes_withdrawn_total", "", crashes_withdrawn);
         for (survival, count) in self.survival_checks.borrow().iter() {
             let labels = format!("survival=\"{survival}\"");
             write_metric(&mut text, "endpoint_checks_total", &labels, *count);
--- a/gateway/src/node.rs
+++ b/gateway/src/node.rs
@@ -1,6 +1,7 @@
 //! The gateway process: state shared by its tasks, start and shutdown.
 
 use crate::admission::version_watch::VersionWatch;
+use crate::choice::announced_ends::AnnouncedEnds;
 use crate::choice::endpoints::Endpoints;
 use crate::counters::Counters;
 use crate::dialect::{Dialect, Offset};
@@ -130,6 +131,8 @@
     /// Configurations that are being handed over to peers.
     pub(crate) handovers: Rc<Cell<usize>>,
     pub(crate) endpoints: RefCell<Endpoints>,
+    /// Endpoints that announced their end, listed or not.
+    pub(crate) announced_ends: RefCell<AnnouncedEnds>,
     pub(crate) endpoints_loaded: Cell<bool>,
     /// When the list of endpoints was last read from the store.
     pub(crate) endpoints_read_at: Cell<Option<Instant>>,
@@ -186,6 +189,7 @@
             configuration_document: RefCell::default(),
             handovers: Rc::default(),
             endpoints: RefCell::new(endpoints),
+            announced_ends: RefCell::default(),
             endpoints_loaded: Cell::new(false),
             endpoints_read_at: Cell::new(None),
             partitions: (0..PARTITION_COUNT).map(Partition::new).collect(),
--- a/gateway/src/serve/forward/leaving.rs
+++ b/gateway/src/serve/forward/leaving.rs
@@ -1,9 +1,11 @@
 //! Recognises endpoints that state in an answer that they are leaving.
 
+use crate::choice::announced_ends::Announcement;
 use crate::choice::endpoints::{EndpointRecord, InstanceId};
 use crate::dialect::{AnswerInfo, Dialect};
 use crate::node::Gateway;
 use crate::serve::call::Call;
+use galenapick::crashes::lifetime;
 use std::time::Instant;
 
 /// Head of an answer that arrived from an endpoint, whatever becomes of it.
@@ -40,8 +42,10 @@
             Some(_) => "ready",
             None => "gone",
         };
+        drop(endpoints);
         let read_at = self.endpoints_read_at.get();
         self.pool.close(&id);
+        self.announce_end(&id, lifetime(&id, started_unix_ms), Announcement::Stated);
         self.counters.record_leaving_endpoint();
         crate::event!("endpoint_leaving", "endpoint" => &*id,
             "started_unix_ms" => started_unix_ms.unwrap_or_default(), "request" => call.id(),
--- a/gateway/src/serve/forward/quarantine.rs
+++ b/gateway/src/serve/forward/quarantine.rs
@@ -5,6 +5,7 @@
 
 use super::survival::{CHECK_TIMEOUT, StatusAddress, Survival};
 use super::{Execution, Failure, FailureCause};
+use crate::choice::announced_ends::{Announcement, ObservedEnd};
 use crate::choice::endpoints::{CallOutcome, EndpointRecord};
 use crate::dialect::{AnswerInfo, Dialect};
 use crate::node::Gateway;
@@ -68,6 +69,11 @@
         }
     }
 
+    fn log_left(&self, endpoint: &str) {
+        crate::event!("endpoint_left", "request" => self.request_id.as_str(),
+            "endpoint" => endpoint);
+    }
+
     /// The body of an answer without length or chunks seems complete wherever its endpoint crashes,
     /// and an endpoint that failed a request may have done so before it reached what crashes others.
     pub(super) fn observe_head(&self, head: &ResponseHead, info: &AnswerInfo) {
@@ -171,7 +177,8 @@
 
     /// Records what the outcome of an attempt says of its request.
     ///
-    /// A connection that ends shows a crash only if its endpoint does not run any more.
+    /// A connection that ends shows a crash only if its endpoint does not run any more and has not
+    /// announced that.
     pub(super) fn judge_attempt(
         self: &Rc<Self>,
         endpoint: &str,
@@ -179,13 +186,7 @@
         outcome: CallOutcome,
     ) {
         match outcome {
-            CallOutcome::Disconnected => match self.checkable(attempt) {
-                Some(status) if self.suspect_crash(attempt) => {
-                    self.judge_after_check(status, attempt);
-                }
-                Some(_) => {}
-                None => self.record_crash(endpoint, attempt),
-            },
+            CallOutcome::Disconnected => self.judge_disconnected(endpoint, attempt),
             CallOutcome::Answered if attempt.is_proof.get() => {
                 self.record_verdict(
                     "crash_cleared",
@@ -198,6 +199,23 @@
         }
     }
 
+    fn judge_disconnected(self: &Rc<Self>, endpoint: &str, attempt: &Attempt) {
+        let announced_ends = self.announced_ends.borrow();
+        let end = announced_ends.end(Instant::now());
+        if announced_ends.covers(attempt.lifetime, end) {
+            attempt.log_left(endpoint);
+            return;
+        }
+        drop(announced_ends);
+        match self.checkable(attempt) {
+            Some(status) if self.suspect_crash(attempt) => {
+                self.judge_after_check(status, attempt, end);
+            }
+            Some(_) => {}
+            None => self.record_crash(endpoint, attempt, end),
+        }
+    }
+
     /// Returns how the endpoint of an attempt is asked whether it still runs. One that limits the rate
     /// of requests is not asked, as that would count as a request.
     fn checkable<'a>(&self, attempt: &'a Attempt) -> Option<&'a StatusAddress> {
@@ -222,6 +240,7 @@
         &self,
         endpoint: &str,
         attempt: &Attempt,
+        end: ObservedEnd,
         survival: Survival,
     ) {
         let mut crashes = self.crashes.borrow_mut();
@@ -230,18 +249,19 @@
         }
         drop(crashes);
         if survival != Survival::Survived {
-            self.record_crash(endpoint, attempt);
+            self.record_crash(endpoint, attempt, end);
         }
     }
 
     /// Records the crash of an endpoint. The end of one that has announced it is no crash, whatever
     /// still ran there.
-    fn record_crash(&self, endpoint: &str, attempt: &Attempt) {
-        if self.endpoints.borrow().is_leaving(endpoint) {
-            crate::event!("endpoint_left", "request" => attempt.request_id.as_str(),
-                "endpoint" => endpoint);
+    fn record_crash(&self, endpoint: &str, attempt: &Attempt, end: ObservedEnd) {
+        let mut announced_ends = self.announced_ends.borrow_mut();
+        if announced_ends.observe_end(end, attempt.lifetime) {
+            attempt.log_left(endpoint);
             return;
         }
+        drop(announced_ends);
         self.record_verdict(
             "crash_suspected",
             endpoint,
@@ -252,6 +272,29 @@
         );
     }
 
+    /// Records that an endpoint has announced its end. If a connection has shown the end before, it
+    /// was no crash.
+    pub(crate) fn announce_end(&self, endpoint: &str, lifetime: Lifetime, by: Announcement) {
+        let mut announced_ends = self.announced_ends.borrow_mut();
+        if announced_ends.announce(Instant::now(), lifetime, by) {
+            drop(announced_ends);
+            self.withdraw_crash(endpoint, lifetime, "its end was announced");
+        }
+    }
+
+    /// Takes back that an endpoint crashed under the requests that it had.
+    fn withdraw_crash(&self, endpoint: &str, lifetime: Lifetime, reason: &str) {
+        let withdrawn = self.crashes.borrow_mut().withdraw_lifetime(lifetime);
+        for (fingerprint, suspicion) in withdrawn {
+            crate::event!("crash_withdrawn", "endpoint" => endpoint,
+                "fingerprint" => fingerprint.to_string(), "reason" => reason,
+                "lifetimes" => suspicion.lifetimes, "quarantined" => suspicion.is_quarantined);
+            self.counters.record_withdrawn_crash();
+            self.crash_sync.notify_changed();
+            self.crash_sync.enqueue(fingerprint);
+        }
+    }
+
     /// Records an outcome for each fingerprint of an attempt, logs and reports what it changes.
     fn record_verdict(
         &self,
--- a/gateway/src/serve/forward/survival.rs
+++ b/gateway/src/serve/forward/survival.rs
@@ -2,6 +2,7 @@
 //! intermediaries end connections too, so an end alone does not show a crash.
 
 use super::quarantine::Attempt;
+use crate::choice::announced_ends::ObservedEnd;
 use crate::choice::endpoints::{EndpointRecord, InstanceId};
 use crate::dialect::{Dialect, Dispatch};
 use crate::net::{connect, with_timeout};
@@ -66,14 +67,17 @@
     }
 }
 
+/// An attempt with the end of its connection.
+type EndedAttempt = (Attempt, ObservedEnd);
+
 /// Attempts whose connections ended, by the incarnation that is being asked. An incarnation is asked
 /// once at a time; the list is empty if no attempt was added since the question.
 #[derive(Debug, Default)]
-pub(crate) struct SurvivalChecks(RefCell<HashMap<Lifetime, Vec<Attempt>>>);
+pub(crate) struct SurvivalChecks(RefCell<HashMap<Lifetime, Vec<EndedAttempt>>>);
 
 impl SurvivalChecks {
     /// Adds an attempt. Returns whether its endpoint is not being asked yet.
-    fn push(&self, attempt: Attempt) -> bool {
+    fn push(&self, attempt: Attempt, end: ObservedEnd) -> bool {
         let mut checks = self.0.borrow_mut();
         let attempts = checks.entry(attempt.lifetime);
         let mut is_first = false;
@@ -81,12 +85,12 @@
             is_first = true;
             Vec::new()
         });
-        attempts.push(attempt);
+        attempts.push((attempt, end));
         is_first
     }
 
     /// Takes the attempts that were added since the last call; `None` ends the checks.
-    fn take(&self, lifetime: Lifetime) -> Option<Vec<Attempt>> {
+    fn take(&self, lifetime: Lifetime) -> Option<Vec<EndedAttempt>> {
         let mut checks = self.0.borrow_mut();
         let attempts = checks.get_mut(&lifetime).map(std::mem::take);
         let attempts = attempts.filter(|attempts| !attempts.is_empty());
@@ -99,8 +103,13 @@
 
 impl<D: Dialect> Gateway<D> {
     /// Has an attempt judged once it is known whether its endpoint still runs.
-    pub(super) fn judge_after_check(self: &Rc<Self>, status: &StatusAddress, attempt: &Attempt) {
-        if !self.survival_checks.push(attempt.clone()) {
+    pub(super) fn judge_after_check(
+        self: &Rc<Self>,
+        status: &StatusAddress,
+        attempt: &Attempt,
+        end: ObservedEnd,
+    ) {
+        if !self.survival_checks.push(attempt.clone(), end) {
             return;
         }
         let (gateway, status, lifetime) = (self.clone(), status.clone(), attempt.lifetime);
@@ -113,8 +122,8 @@
                     "survival" => survival.to_string(), "reason" => reason,
                     "attempts" => attempts.len() as u64,
                     "took_ms" => asked_at.elapsed().as_millis());
-                for attempt in &attempts {
-                    gateway.judge_ended_connection(&status.id, attempt, survival);
+                for (attempt, end) in &attempts {
+                    gateway.judge_ended_connection(&status.id, attempt, *end, survival);
                 }
             }
         };
--- a/gateway/src/store/follow.rs
+++ b/gateway/src/store/follow.rs
@@ -1,5 +1,7 @@
 //! Readers of the store's topics: turns, gateways and endpoints.
 
+use crate::choice::announced_ends::Announcement;
+use crate::choice::endpoints::EndpointRecord;
 use crate::dialect::{
     Dialect, KeyValue, NewestPage, Offset, PartId, PartitionNumber, ReadOutcome, StoreRecord, Topic,
 };
@@ -8,6 +10,7 @@
 use crate::store::link::StoreLink;
 use crate::turns::partition::Partition;
 use crate::turns::record::decode;
+use galenapick::crashes::lifetime;
 use smol::Timer;
 use std::collections::{HashMap, HashSet};
 use std::rc::Rc;
@@ -258,6 +261,7 @@
         let mut removal_deadlines: HashMap<String, Instant> = HashMap::new();
         loop {
             let (mut from, records) = self.load(&mut link, Topic::Endpoints).await;
+            self.record_endpoints_read();
             let listed: HashSet<&str> = records.iter().map(|record| record.key.as_str()).collect();
             let known = self.endpoints.borrow().ids();
             for id in known.iter().filter(|id| !listed.contains(&***id)) {
@@ -265,7 +269,6 @@
             }
             self.apply_endpoints(&records, &mut removal_deadlines);
             self.endpoints_loaded.set(true);
-            self.endpoints_read_at.set(Some(Instant::now()));
             let mut failures = Backoff::default();
             loop {
                 match self
@@ -275,7 +278,7 @@
                     Some(ReadOutcome::Records { records, .. }) => {
                         failures.reset();
                         from += records.len() as Offset;
-                        self.endpoints_read_at.set(Some(Instant::now()));
+                        self.record_endpoints_read();
                         self.apply_endpoints(&records, &mut removal_deadlines);
                         self.remove_overdue_endpoints(&mut removal_deadlines);
                         Timer::after(ENDPOINTS_POLL_INTERVAL).await;
@@ -287,6 +290,12 @@
         }
     }
 
+    fn record_endpoints_read(&self) {
+        let now = Instant::now();
+        self.endpoints_read_at.set(Some(now));
+        self.announced_ends.borrow_mut().record_read(now);
+    }
+
     fn apply_endpoints(
         &self,
         records: &[StoreRecord],
@@ -309,9 +318,10 @@
         }
     }
 
-    fn upsert_endpoint(&self, endpoint: crate::choice::endpoints::EndpointRecord) {
+    fn upsert_endpoint(&self, endpoint: EndpointRecord) {
         let id = endpoint.id.clone();
         let is_draining = endpoint.is_draining;
+        let lifetime = lifetime(&id, endpoint.started_unix_ms);
         let before = self.endpoints.borrow().record(&id).cloned();
         let has_restarted = before
             .as_ref()
@@ -320,6 +330,11 @@
             self.pool.close(&id);
         }
         let changed = self.endpoints.borrow_mut().upsert(endpoint);
+        if self.endpoints.borrow().is_leaving(&id) {
+            self.announce_end(&id, lifetime, Announcement::Stated);
+        } else {
+            self.announced_ends.borrow_mut().relist(lifetime);
+        }
         if changed && (before.is_none() || is_draining || has_restarted) {
             crate::event!("endpoint_listed", "endpoint" => &*id,
                 "draining" => is_draining, "reborn" => has_restarted);
@@ -333,9 +348,10 @@
         id: &str,
         removal_deadlines: &mut HashMap<String, Instant>,
     ) {
-        if self.endpoints.borrow().record(id).is_none() {
+        let Some(started_unix_ms) = self.start_of(id) else {
             return;
-        }
+        };
+        self.announce_end(id, lifetime(id, started_unix_ms), Announcement::Removed);
         if let Some(deadline) = self.store_paths.health().grace_until(Instant::now()) {
             removal_deadlines.entry(id.to_owned()).or_insert(deadline);
             return;
@@ -343,6 +359,12 @@
         self.remove_endpoint(id);
     }
 
+    /// Returns the start time of an endpoint's listed incarnation; `None` if it is not listed.
+    fn start_of(&self, id: &str) -> Option<Option<u64>> {
+        let endpoints = self.endpoints.borrow();
+        endpoints.record(id).map(|record| record.started_unix_ms)
+    }
+
     fn remove_overdue_endpoints(&self, removal_deadlines: &mut HashMap<String, Instant>) {
         let now = Instant::now();
         removal_deadlines.retain(|id, deadline| {
--- a/src/coordination/crashes.rs
+++ b/src/coordination/crashes.rs
@@ -130,6 +130,21 @@
         Some(cleared)
     }
 
+    /// Takes back that a lifetime of an endpoint ended under the requests that it had. Returns their
+    /// states after that.
+    pub fn withdraw_lifetime(&mut self, lifetime: Lifetime) -> Vec<(Fingerprint, Suspicion)> {
+        self.unconfirmed.remove_lifetime(lifetime);
+        let mut withdrawn = Vec::new();
+        for (fingerprint, entry) in &mut self.entries {
+            if entry.suspected().contains(&lifetime) {
+                entry.add(lifetime, true);
+                entry.mark_changed();
+                withdrawn.push((*fingerprint, entry.suspicion()));
+            }
+        }
+        withdrawn
+    }
+
     /// Records which prefix a request has, if it is in the table.
     pub fn record_prefix(&mut self, fingerprints: &Fingerprints) {
         let [Fingerprint::Prefix(prefix), request] = fingerprints else {
--- a/src/coordination/crashes/unconfirmed.rs
+++ b/src/coordination/crashes/unconfirmed.rs
@@ -48,6 +48,11 @@
         found.map(|index| self.0.swap_remove(index));
     }
 
+    /// Removes all crashes of a lifetime.
+    pub(super) fn remove_lifetime(&mut self, lifetime: Lifetime) {
+        self.0.retain(|crash| crash.lifetime != lifetime);
+    }
+
     /// Returns the crashes of a request, whose confirmed ones are in `entry`.
     pub(super) fn of<'a>(
         &self,
