Withdraw the crash of an endpoint that checks in afterwards (LOST)

The engines went on and came back as they were.

Cause: one refused connection counted as the end of the endpoint's process for good. Nothing took that back, although the list showed the same lifetime (id and start) in each check-in.

Change: each gateway counts check-ins of the lifetimes that it knows as crashed; two records that were appended after the crash was known clear the lifetime for all requests, here and by reports at the others. One may be the last write of a crashed process that the store appends late.

--- a/gateway/src/serve/forward/quarantine.rs
+++ b/gateway/src/serve/forward/quarantine.rs
@@ -282,6 +282,18 @@
         }
     }
 
+    /// Takes back the crashes of endpoints that are listed in entries of their own since.
+    pub(crate) fn observe_check_in(&self, endpoint: &EndpointRecord) {
+        // Without its start time, an entry may describe a later lifetime.
+        if endpoint.started_unix_ms.is_none() {
+            return;
+        }
+        let lifetime = lifetime(&endpoint.id, endpoint.started_unix_ms);
+        if self.check_ins.borrow_mut().record(lifetime) {
+            self.withdraw_crash(&endpoint.id, lifetime, "it checked in afterwards");
+        }
+    }
+
     /// Takes back that an endpoint crashed under the requests that it had.
     fn withdraw_crash(&self, endpoint: &str, lifetime: Lifetime, reason: &str) {
         let withdrawn = self.crashes.borrow_mut().withdraw_lifetime(lifetime);
--- a/gateway/src/store/follow.rs
+++ b/gateway/src/store/follow.rs
@@ -260,6 +260,7 @@
         let mut link = self.store_link();
         let mut removal_deadlines: HashMap<String, Instant> = HashMap::new();
         loop {
+            let started_at = Instant::now();
             let (mut from, records) = self.load(&mut link, Topic::Endpoints).await;
             self.record_endpoints_read();
             let listed: HashSet<&str> = records.iter().map(|record| record.key.as_str()).collect();
@@ -268,18 +269,24 @@
                 self.remove_endpoint_after_grace(id, &mut removal_deadlines);
             }
             self.apply_endpoints(&records, &mut removal_deadlines);
+            self.check_ins.borrow_mut().reach_end(started_at);
             self.endpoints_loaded.set(true);
             let mut failures = Backoff::default();
             loop {
+                let started_at = Instant::now();
                 match self
                     .read(&mut link, Topic::Endpoints, from, Duration::ZERO)
                     .await
                 {
-                    Some(ReadOutcome::Records { records, .. }) => {
+                    Some(ReadOutcome::Records { records, end }) => {
                         failures.reset();
                         from += records.len() as Offset;
                         self.record_endpoints_read();
                         self.apply_endpoints(&records, &mut removal_deadlines);
+                        self.observe_check_ins(&records);
+                        if from >= end {
+                            self.check_ins.borrow_mut().reach_end(started_at);
+                        }
                         self.remove_overdue_endpoints(&mut removal_deadlines);
                         Timer::after(ENDPOINTS_POLL_INTERVAL).await;
                     }
@@ -318,6 +325,21 @@
         }
     }
 
+    /// Looks for check-ins of endpoints that count as crashed.
+    fn observe_check_ins(&self, records: &[StoreRecord]) {
+        let crashed = self.crashes.borrow().crashed_lifetimes();
+        self.check_ins.borrow_mut().watch(Instant::now(), &crashed);
+        if crashed.is_empty() {
+            return;
+        }
+        for record in records {
+            let value = record.value.as_deref().unwrap_or_default();
+            if let Ok(endpoint) = D::parse_endpoint(&record.key, value) {
+                self.observe_check_in(&endpoint);
+            }
+        }
+    }
+
     fn upsert_endpoint(&self, endpoint: EndpointRecord) {
         let id = endpoint.id.clone();
         let is_draining = endpoint.is_draining;
--- a/src/coordination/crashes.rs
+++ b/src/coordination/crashes.rs
@@ -27,7 +27,7 @@
 use answered::AnsweredRequests;
 use entry::{Entry, Trial};
 use std::cmp::Reverse;
-use std::collections::HashMap;
+use std::collections::{HashMap, HashSet};
 use std::time::{Duration, Instant};
 use unconfirmed::UnconfirmedCrashes;
 
@@ -130,6 +130,12 @@
         Some(cleared)
     }
 
+    /// Returns the lifetimes that ended under requests and are not cleared.
+    pub fn crashed_lifetimes(&self) -> HashSet<Lifetime> {
+        let entries = self.entries.values();
+        entries.flat_map(Entry::suspected).collect()
+    }
+
     /// Takes back that a lifetime of an endpoint ended under the requests that it had. Returns their
     /// states after that.
     pub fn withdraw_lifetime(&mut self, lifetime: Lifetime) -> Vec<(Fingerprint, Suspicion)> {
