Reserve the tokens of a turn in whole events (BUDGET)

Cause: tokens are counted by events (10 each here, eight for a turn), but the number that the client states was reserved. Parallel turns add up what they are rounded up by. The events beyond a turn's most that were passed on (two, and the one that broke the stream off) were not reserved either.

Change: a turn reserves its most tokens rounded up to whole events; its own check still asks for the stated tokens only. A turn with a budget gets no event that is not reserved. All turns together then exceed a budget by less than one event.

--- a/gateway/src/serve/call.rs
+++ b/gateway/src/serve/call.rs
@@ -150,6 +150,13 @@
         engine.map_or(1, |engine| u64::from(engine.tokens_per_event.max(1)))
     }
 
+    /// Returns the most events with data that a stream may have, if the request states its most
+    /// tokens. The last one may stand for fewer tokens than the others.
+    pub(crate) fn max_events(&self, service: &str) -> Option<u64> {
+        let (_, max_tokens) = self.info.tokens?;
+        Some(u64::from(max_tokens).div_ceil(self.tokens_per_event(service)))
+    }
+
     /// Returns the id of the client's attempt; empty if the client sent none.
     pub(crate) fn id(&self) -> &str {
         self.info.request_id.as_deref().unwrap_or_default()
--- a/gateway/src/serve/event_stream.rs
+++ b/gateway/src/serve/event_stream.rs
@@ -7,7 +7,7 @@
 use crate::node::Gateway;
 use crate::serve::forward::{EndpointAnswer, Exchange, OutgoingRequest};
 use crate::serve::reply::Reply;
-use crate::serve::stream::{EventId, EventSplitter, append_data, event_id};
+use crate::serve::stream::{EventId, EventSplitter, append_data, event_id, has_data};
 use crate::turns::reserved_turn::ReservedTurn;
 use std::rc::Rc;
 use std::time::Duration;
@@ -74,14 +74,13 @@
     ) -> Self {
         let is_kept = outgoing.call.route.retention.is_some();
         let tokens_per_event = outgoing.call.tokens_per_event(outgoing.service);
-        let max_tokens = outgoing
-            .call
-            .info
-            .tokens
-            .map(|(_, tokens)| u64::from(tokens));
-        let max_events = max_tokens.map_or(u64::MAX, |tokens| {
-            tokens.div_ceil(tokens_per_event) + MAX_EXTRA_EVENTS
-        });
+        // No more is reserved of a budget than the stated tokens.
+        let extra_events = match outgoing.call.info.budget_tokens {
+            Some(_) => 0,
+            None => MAX_EXTRA_EVENTS,
+        };
+        let stated_events = outgoing.call.max_events(outgoing.service);
+        let max_events = stated_events.map_or(u64::MAX, |events| events + extra_events);
         let text = is_kept.then(|| outgoing.call.body.clone());
         Self {
             gateway,
@@ -179,26 +178,28 @@
             bytes_since_data += bytes.data.len();
             let mut events = Vec::new();
             let mut has_repeated_event = false;
+            let mut has_excess_event = false;
             while let Some(event) = splitter.next_event() {
                 let id = event_id(&event);
                 if id.is_some() && id <= resumed_after {
                     has_repeated_event = true;
                     break;
                 }
+                if self.event_count >= self.max_events && has_data(&event) {
+                    has_excess_event = true;
+                    break;
+                }
                 self.last_event_id = id.or(self.last_event_id);
                 if self.count(&event) {
                     bytes_since_data = splitter.rest().len();
                     self.has_unnumbered_event |= id.is_none();
                 }
                 events.extend_from_slice(&event);
-                if self.event_count > self.max_events {
-                    break;
-                }
             }
             let framing = exchange.head.framing;
             let has_data = self.event_count > earlier_events;
             let checked_end = bytes.is_last.then(|| splitter.check_end(framing, has_data));
-            if checked_end == Some(Ok(())) && !has_repeated_event {
+            if checked_end == Some(Ok(())) && !has_repeated_event && !has_excess_event {
                 events.extend_from_slice(splitter.rest());
             }
             let written = self.reply.write_chunk(&events).await;
@@ -207,7 +208,11 @@
                 exchange.record_failure();
                 return Err(StreamBreak::Endpoint("the endpoint repeats events"));
             }
-            if let Some(reason) = self.excess(exchange, bytes_since_data) {
+            let excess = match has_excess_event {
+                true => Some("the stream has more events than the turn's tokens"),
+                false => self.excess(exchange, bytes_since_data),
+            };
+            if let Some(reason) = excess {
                 exchange.record_failure();
                 return Err(StreamBreak::Excess(reason));
             }
@@ -247,9 +252,7 @@
 
     /// Returns the reason why the stream must be cut off, if it exceeds a limit.
     fn excess(&self, exchange: &Exchange<D>, bytes_since_data: usize) -> Option<&'static str> {
-        if self.event_count > self.max_events {
-            Some("the stream has more events than the turn's tokens")
-        } else if bytes_since_data > MAX_EVENT_BYTES {
+        if bytes_since_data > MAX_EVENT_BYTES {
             Some("the stream has too many bytes without an event")
         } else if exchange.body_bytes() > MAX_STREAM_BYTES {
             Some("the stream is too large")
--- a/gateway/src/serve/stream.rs
+++ b/gateway/src/serve/stream.rs
@@ -87,6 +87,12 @@
     str::from_utf8(value).ok()?.trim().parse().ok()
 }
 
+/// Returns whether an event has data.
+pub(crate) fn has_data(event: &[u8]) -> bool {
+    let mut lines = event.split(|byte| is_line_end(*byte));
+    lines.any(|line| line.starts_with(b"data:"))
+}
+
 /// Appends the data of an event and a line feed to a turn's text; returns whether it had any data.
 pub(crate) fn append_data(event: &[u8], text: &mut Vec<u8>) -> bool {
     let lines = event.split(|byte| is_line_end(*byte));
--- a/gateway/src/serve/turn_call.rs
+++ b/gateway/src/serve/turn_call.rs
@@ -49,7 +49,7 @@
         let service = call.route.pick_service(&mut self.rng.borrow_mut());
         let prepared = if self.endpoints.borrow().has_endpoint(&service) {
             match self.admit_program(call, &service) {
-                Ok(()) => self.prepare(call).await,
+                Ok(()) => self.prepare(call, &service).await,
                 Err(refusal) => Err(refusal),
             }
         } else {
@@ -86,7 +86,11 @@
     }
 
     /// Looks up a turn's history and reserves its tokens.
-    async fn prepare(self: &Rc<Self>, call: &Call) -> Result<PreparedTurn<D>, Refusal> {
+    async fn prepare(
+        self: &Rc<Self>,
+        call: &Call,
+        service: &str,
+    ) -> Result<PreparedTurn<D>, Refusal> {
         if call.route.retention.is_some() && call.body.len() > MAX_TURN_INPUT_BYTES {
             return Err(Refusal::new(413, "the turn is too large to be kept"));
         }
@@ -99,7 +103,7 @@
                 reserved: None,
             });
         }
-        let reserved = ReservedTurn::new(self, call);
+        let reserved = ReservedTurn::new(self, call, service);
         if call.route.retention.is_none() && call.info.budget_tokens.is_none() {
             // There is nothing to look up, and its tokens are recorded once it has ended.
             return Ok(PreparedTurn {
--- a/gateway/src/turns/ledger.rs
+++ b/gateway/src/turns/ledger.rs
@@ -39,9 +39,10 @@
     pub(crate) program: String,
     /// Id of the turn that it continues.
     pub(crate) previous: Option<String>,
-    /// Maximum number of tokens that it generates.
+    /// Maximum number of tokens that count for it: the most that it generates, in whole events.
     pub(crate) max_tokens: u64,
-    /// Number of tokens that all turns of its program may generate together; `None` means no limit.
+    /// Number of tokens that may count for its program with this turn: the program's budget and what
+    /// `max_tokens` is rounded up by; `None` means no limit.
     pub(crate) budget_tokens: Option<u64>,
     /// Time until the client gives up, in milliseconds.
     #[serde(rename = "patience_ms")]
--- a/gateway/src/turns/record.rs
+++ b/gateway/src/turns/record.rs
@@ -21,7 +21,7 @@
     Reserved {
         /// Program that the turn belongs to.
         program: String,
-        /// Maximum number of tokens that the turn generates.
+        /// Maximum number of tokens that count for the turn.
         max_tokens: u64,
     },
     /// A turn that did not complete.
--- a/gateway/src/turns/reserved_turn.rs
+++ b/gateway/src/turns/reserved_turn.rs
@@ -30,8 +30,15 @@
 }
 
 impl<D: Dialect> ReservedTurn<D> {
-    pub(crate) fn new(gateway: &Rc<Gateway<D>>, call: &Call) -> Self {
+    /// Creates a turn that has not been reserved yet and that a service will run.
+    pub(crate) fn new(gateway: &Rc<Gateway<D>>, call: &Call, service: &str) -> Self {
         let info = &call.info;
+        let stated_tokens = info.tokens.map_or(0, |(_, tokens)| u64::from(tokens));
+        let max_events = call.max_events(service).unwrap_or_default();
+        let max_tokens = max_events * call.tokens_per_event(service);
+        // The budget must cover the stated tokens only, whatever the last event counts.
+        let rounding = max_tokens - stated_tokens;
+        let budget_tokens = info.budget_tokens;
         let account = call.account.as_deref();
         let is_kept = call.route.retention.is_some();
         let previous = info.previous_turn.as_deref().filter(|_| is_kept);
@@ -39,10 +46,8 @@
             turn: scoped_id(account, call.id()),
             program: scoped_id(account, info.program.as_deref().unwrap_or_default()),
             previous: previous.map(|turn| scoped_id(account, turn)),
-            max_tokens: info
-                .tokens
-                .map_or(0, |(_, max_tokens)| u64::from(max_tokens)),
-            budget_tokens: info.budget_tokens,
+            max_tokens,
+            budget_tokens: budget_tokens.map(|tokens| tokens.saturating_add(rounding)),
             time_left_ms: call.time_left().as_millis() as u64,
             is_retry: false,
         };
