--- a/gateway/src/serve/http/response.rs
+++ b/gateway/src/serve/http/response.rs
@@ -32,7 +32,7 @@
         Ok(httparse::Status::Partial) if bytes.len() <= MAX_ANSWER_HEAD_BYTES => return Ok(None),
         _ => return Err(()),
     };
-    let status = response.code.ok_or(())?;
+    let status = response.code.filter(|status| is_valid(*status)).ok_or(())?;
     let headers = copy_headers(response.headers).ok_or(())?;
     let framing = response_framing(status, &headers)?;
     let tokens = connection_tokens(&headers);
@@ -48,6 +48,12 @@
     Ok(Some((head, length)))
 }
 
+/// Returns whether a status is one of an answer, or of an interim one. Status 101 is neither: after it
+/// the connection carries another protocol, which no request asks for.
+fn is_valid(status: u16) -> bool {
+    (100..600).contains(&status) && status != 101
+}
+
 fn response_framing(status: u16, headers: &[Header]) -> Result<Framing, ()> {
     if status < 200 || status == 204 || status == 304 {
         return Ok(Framing::Empty);
--- a/src/adapter/tests/cut_answers.rs
+++ b/src/adapter/tests/cut_answers.rs
@@ -229,3 +229,33 @@
     expect_that!(refused, err(anything()));
     expect_that!(block_on(engine.cancel(11)), ok(anything()));
 }
+
+// Guards against a status that the protocol does not have reaching the caller as that of an answer.
+#[gtest]
+fn an_answer_with_an_unknown_status_is_none() {
+    for status in [
+        "000 Nothing",
+        "099 Early",
+        "101 Switching",
+        "600 Late",
+        "999 No",
+    ] {
+        for framed in [
+            "content-length: 0\r\n\r\n",
+            "content-length: 2\r\n\r\n{}",
+            "\r\n{}",
+        ] {
+            let answer: &str = Box::leak(format!("HTTP/1.1 {status}\r\n{framed}").into_boxed_str());
+            let service = HttpService::new(&serve_raw(answer, Close::Orderly), TIMEOUT);
+            let answered = block_on(service.invoke(transfer(7)));
+            expect_that!(
+                answered,
+                err(matches_pattern!(ServiceError::Unknown(_))),
+                "{answer:?}"
+            );
+            let engine = HttpEngine::new(&serve_raw(answer, Close::Orderly), TIMEOUT);
+            let answered = block_on(engine.cancel(10));
+            expect_that!(answered, err(anything()), "{answer:?}");
+        }
+    }
+}
--- a/src/http.rs
+++ b/src/http.rs
@@ -205,6 +205,10 @@
 pub(crate) async fn open(conn: Conn) -> Result<HttpBody, HttpError> {
     let mut conn = conn.await.map_err(|error| open_error(&error))?;
     let status = conn.status().map_or(0, |status| status as u16);
+    if status < 200 {
+        // No request asks for another protocol, and the library skips other interim answers.
+        return Err(HttpError::Failed(format!("no answer has status {status}")));
+    }
     let body = conn
         .take_response_body()
         .ok_or_else(|| HttpError::Failed("no answer".to_owned()))?
