Limit the size of answers of the store (LOST)

Reported by other operators: a faulty server sent bytes without end, the caller kept them all and ran out of memory, and the requests of its other clients ended with it. Endpoints cannot do that here: four more forms, and floods in answers to status requests, pass on the code before. The store, or a peer that passes its answers on or hands over a configuration, could: bodies had no limit.

--- a/gateway/src/fleet/relay.rs
+++ b/gateway/src/fleet/relay.rs
@@ -100,6 +100,9 @@
     let mut body = Vec::new();
     while !decoder.is_done() {
         connection.read_body(&mut decoder, &mut body).await.ok()?;
+        if body.len() > MAX_BODY_BYTES {
+            return None;
+        }
     }
     Some(StoreCall {
         method,
--- a/gateway/src/limits.rs
+++ b/gateway/src/limits.rs
@@ -12,6 +12,10 @@
 /// Maximum size of an answer that is read as a whole before it is passed on.
 pub(crate) const MAX_ANSWER_BYTES: usize = 4 * 1024 * 1024;
 
+/// Maximum size of an answer of the store, or of a peer in its place. A page of newest records has at
+/// most a megabyte before its encoding.
+pub(crate) const MAX_STORE_ANSWER_BYTES: usize = 3 * 1024 * 1024;
+
 /// Maximum number of bytes of a stream between two events with data.
 pub(crate) const MAX_EVENT_BYTES: usize = 64 * 1024;
 
--- a/gateway/src/store/link.rs
+++ b/gateway/src/store/link.rs
@@ -4,6 +4,7 @@
 mod tests;
 
 use crate::dialect::StoreCall;
+use crate::limits::MAX_STORE_ANSWER_BYTES;
 use crate::net::{connect, io_with_timeout};
 use crate::serve::http::{BodyDecoder, Connection};
 use futures_lite::future;
@@ -373,6 +374,11 @@
     while !decoder.is_done() {
         let read = connection.read_body(&mut decoder, &mut body).await;
         read.map_err(|error| io::Error::other(error.to_string()))?;
+        if body.len() > MAX_STORE_ANSWER_BYTES {
+            crate::event!("store_answer_too_large", "address" => address.to_string(),
+                "status" => head.status);
+            return Err(io::ErrorKind::FileTooLarge.into());
+        }
     }
     let is_clean = head.keep_alive && connection.unread().is_empty();
     Ok((head.status, body, is_clean.then_some(connection)))
