--- a/gateway/src/node.rs
+++ b/gateway/src/node.rs
@@ -22,6 +22,7 @@
 use crate::serve::pool::Pool;
 use crate::serve::scarcity::Scarcity;
 use crate::serve::shutdown::Shutdown;
+use crate::store::confirmation::Confirmations;
 use crate::store::link::{StoreLink, StorePaths};
 use crate::turns::partition::{PARTITION_COUNT, Partition, PartitionSet};
 use crate::turns::programs::BegunPrograms;
@@ -127,6 +128,8 @@
     pub(crate) version_heard: event_listener::Event,
     /// Notified when the configuration must be read from the store without waiting.
     pub(crate) configuration_read_due: event_listener::Event,
+    /// Reads of the configuration before requests are refused for good.
+    pub(crate) confirmations: Confirmations,
     /// The document of the configuration in force, for peers; empty before the first one.
     pub(crate) configuration_document: RefCell<Rc<Vec<u8>>>,
     /// Configurations that are being handed over to peers.
@@ -189,6 +192,7 @@
             version_watch: RefCell::default(),
             version_heard: event_listener::Event::new(),
             configuration_read_due: event_listener::Event::new(),
+            confirmations: Confirmations::default(),
             configuration_document: RefCell::default(),
             handovers: Rc::default(),
             endpoints: RefCell::new(endpoints),
@@ -438,6 +442,7 @@
     spawn(Box::pin(events::write_lines()));
     spawn(Box::pin(gateway.clone().follow_configuration()));
     spawn(Box::pin(gateway.clone().take_missed_configurations()));
+    spawn(Box::pin(gateway.clone().confirm_configuration()));
     spawn(Box::pin(gateway.clone().follow_endpoints()));
     spawn(Box::pin(gateway.clone().send_heartbeats()));
     spawn(Box::pin(gateway.clone().send_crash_reports()));
--- a/gateway/src/serve/admit.rs
+++ b/gateway/src/serve/admit.rs
@@ -1,12 +1,13 @@
 //! Admits requests on the client accounts of their keys.
 
-use crate::admission::accounts::{KeyRefusal, find_account};
+use crate::admission::accounts::find_account;
 use crate::dialect::{CallInfo, Credential, Dialect};
 use crate::node::Gateway;
 use crate::routes::{Account, Route};
 use crate::serve::front::loggable_target;
 use crate::serve::http::RequestHead;
 use crate::serve::reply::Refusal;
+use std::convert::Infallible;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
@@ -31,14 +32,11 @@
         info: &CallInfo,
     ) -> Result<Option<Rc<Account>>, Refusal> {
         let routes = self.routes.borrow();
-        let request_id = info.request_id.as_deref().unwrap_or_default();
         let found = find_account(routes.accounts(), route.is_public, info.credential);
-        let account = found.map_err(|refusal| {
-            self.log_key_refusal(request_id, route, info.credential, refusal);
-            self.unless_outdated(Refusal::new(401, refusal.reason()))
-        })?;
+        let account =
+            found.map_err(|refusal| self.unless_outdated(Refusal::new(401, refusal.reason())))?;
         if account.is_some() && self.has_unconfirmed_keys() {
-            self.log_unconfirmed(request_id, route);
+            self.log_unconfirmed(info.request_id.as_deref().unwrap_or_default(), route);
             let delay = UNCONFIRMED_RETRY_AFTER.mul_f64(0.5 + fastrand::f64());
             return Err(Refusal::retry_later(delay, UNCONFIRMED_REASON));
         }
@@ -53,13 +51,18 @@
         if watch.is_behind(now) {
             Refusal::retry_later(BEHIND_RETRY_AFTER, "a newer configuration is being read")
         } else if !watch.is_confirmed(now) {
-            let delay = OUTDATED_RETRY_AFTER.mul_f64(0.5 + fastrand::f64());
-            Refusal::retry_later(delay, "a newer configuration cannot be ruled out")
+            self.refuse_unconfirmed()
         } else {
             refusal
         }
     }
 
+    /// Returns the refusal of a request that a newer configuration may allow.
+    pub(crate) fn refuse_unconfirmed(&self) -> Refusal {
+        let delay = OUTDATED_RETRY_AFTER.mul_f64(0.5 + fastrand::f64());
+        Refusal::retry_later(delay, "a newer configuration cannot be ruled out")
+    }
+
     /// Returns whether keys may have been revoked without word here for longer than the deployment
     /// allows.
     pub(crate) fn has_unconfirmed_keys(&self) -> bool {
@@ -68,15 +71,16 @@
         watch.is_unconfirmed(Instant::now(), limit)
     }
 
-    /// Logs a refusal with the digits that identify its key in the log of this process.
-    fn log_key_refusal(
-        &self,
-        request_id: &str,
-        route: &Route,
-        credential: Credential,
-        refusal: KeyRefusal,
-    ) {
-        let key = match credential {
+    /// Logs and counts a request without a valid key, with the digits that identify its key in the log
+    /// of this process.
+    pub(crate) fn log_key_refusal(&self, route: &Route, info: &CallInfo) {
+        let routes = self.routes.borrow();
+        let found = find_account(routes.accounts(), route.is_public, info.credential);
+        let Err(refusal) = found else {
+            return;
+        };
+        let request_id = info.request_id.as_deref().unwrap_or_default();
+        let key = match info.credential {
             Credential::Key(key) => key.to_string(),
             Credential::Absent | Credential::Malformed => String::new(),
         };
@@ -126,8 +130,16 @@
     }
 
     /// Returns the refusal of a request that exceeds a limit. A newer configuration may allow more.
-    pub(crate) fn refuse_by_limits(&self, refusal: Refusal) -> Refusal {
-        let outcome = self.unless_outdated(refusal);
+    pub(crate) async fn refuse_by_limits(&self, refusal: Refusal) -> Refusal {
+        let version = self.configuration_version();
+        let refuse = || -> Result<Infallible, Refusal> {
+            if self.configuration_version() == version {
+                Err(self.unless_outdated(refusal))
+            } else {
+                Err(self.refuse_unconfirmed())
+            }
+        };
+        let Err(outcome) = self.by_newest_configuration(refuse).await;
         crate::event!("limit_exceeded", "reason" => refusal.reason, "status" => outcome.status,
             "version" => self.configuration_version(),
             "confirmed_ms" => self.confirmation_age_ms());
--- a/gateway/src/serve/front.rs
+++ b/gateway/src/serve/front.rs
@@ -109,7 +109,7 @@
                 Err(ReadFailure::Closed) => return,
                 Err(ReadFailure::Refused(refusal)) => {
                     let refusal = match refusal.status {
-                        413 | 431 => self.refuse_by_limits(refusal),
+                        413 | 431 => self.refuse_by_limits(refusal).await,
                         _ => refusal,
                     };
                     reply.close_after_answer();
@@ -227,7 +227,8 @@
         if !request.head.keep_alive {
             reply.close_after_answer();
         }
-        let route = match self.route(&request.head) {
+        let find_route = || self.route(&request.head);
+        let route = match self.by_newest_configuration(find_route).await {
             Ok(route) => route,
             Err(refusal) => {
                 self.log_not_routed(&request.head, refusal.status);
@@ -235,9 +236,13 @@
             }
         };
         let info = D::parse_call(&request.head.headers);
-        let account = match self.admit(&route, &info) {
+        let admit = || self.admit(&route, &info);
+        let account = match self.by_newest_configuration(admit).await {
             Ok(account) => account,
-            Err(refusal) => return reply.refuse(&refusal).await,
+            Err(refusal) => {
+                self.log_key_refusal(&route, &info);
+                return reply.refuse(&refusal).await;
+            }
         };
         let fingerprints = fingerprints(&request.head, &request.body, account.as_deref());
         self.remove_credentials(&mut request.head);
--- a/gateway/src/serve/reply.rs
+++ b/gateway/src/serve/reply.rs
@@ -29,6 +29,11 @@
         }
     }
 
+    /// Returns whether the client must not send the request again.
+    pub(crate) fn is_final(&self) -> bool {
+        (400..500).contains(&self.status) && !matches!(self.status, 408 | 421 | 429)
+    }
+
     /// Creates a refusal with status 503 for a request that has not run and may be retried after a
     /// delay.
     pub(crate) const fn retry_later(after: Duration, reason: &'static str) -> Self {
--- a/gateway/src/store/configuration.rs
+++ b/gateway/src/store/configuration.rs
@@ -45,6 +45,7 @@
         let mut link = self.store_link();
         loop {
             let (mut from, records) = self.load(&mut link, Topic::Configuration).await;
+            self.confirmations.set_next_offset(from);
             self.apply_configuration(&records);
             self.version_watch.borrow_mut().confirm(Instant::now());
             let mut failures = Backoff::default();
@@ -54,6 +55,7 @@
                         failures.reset();
                         self.apply_configuration(&records);
                         from += records.len() as Offset;
+                        self.confirmations.set_next_offset(from);
                         if from >= end {
                             self.version_watch.borrow_mut().confirm(Instant::now());
                         }
@@ -204,7 +206,7 @@
         self.routes.borrow().version().unwrap_or_default()
     }
 
-    fn apply_configuration(&self, records: &[StoreRecord]) {
+    pub(super) fn apply_configuration(&self, records: &[StoreRecord]) {
         let documents = records
             .iter()
             .filter(|record| record.key == D::configuration_key());
