--- a/gateway/src/fleet/crash_reports.rs
+++ b/gateway/src/fleet/crash_reports.rs
@@ -187,6 +187,7 @@
             age_ms,
             lifetimes: record.lifetimes,
             prefix: record.prefix,
+            unrepeated: record.unrepeated,
             trial: None,
         };
         self.merge_crash_report(&report, "store");
@@ -247,6 +248,7 @@
                 last_crash_unix_ms: crate::events::unix_ms().saturating_sub(report.age_ms),
                 lifetimes: report.lifetimes,
                 prefix: report.prefix,
+                unrepeated: report.unrepeated,
             })
         });
         (quarantine_key(fingerprint), value)
--- a/gateway/src/fleet/crash_reports/tests.rs
+++ b/gateway/src/fleet/crash_reports/tests.rs
@@ -61,11 +61,13 @@
         age_ms: earlier.a,
         lifetimes: earlier.l.clone(),
         prefix: None,
+        unrepeated: Vec::new(),
         trial: None,
     };
     expect_that!(decode::<CrashReport>(&encode(&earlier)), ok(eq(&read)));
     let ours = CrashReport {
         prefix: Some(7),
+        unrepeated: vec![1],
         trial: Some(TrialReport {
             number: 1,
             claimant: 2,
--- a/gateway/src/serve/forward/quarantine.rs
+++ b/gateway/src/serve/forward/quarantine.rs
@@ -52,6 +52,7 @@
     request_id: String,
     fingerprints: Fingerprints,
     pub(super) lifetime: Lifetime,
+    sent_at: Instant,
     /// `None` if the endpoint cannot be asked whether it still runs.
     status: Option<StatusAddress>,
     /// Whether a complete answer proves that the endpoint sent all of it.
@@ -64,6 +65,7 @@
             request_id: call.id().to_owned(),
             fingerprints: call.fingerprints,
             lifetime: lifetime(&endpoint.id, endpoint.started_unix_ms),
+            sent_at: Instant::now(),
             status: StatusAddress::of(call, endpoint),
             is_proof: Cell::new(false),
         }
@@ -267,7 +269,8 @@
             endpoint,
             attempt,
             |crashes, fingerprint| {
-                crashes.record_crash(Instant::now(), fingerprint, attempt.lifetime)
+                let now = Instant::now();
+                crashes.record_crash_of_attempt(now, fingerprint, attempt.lifetime, attempt.sent_at)
             },
         );
     }
--- a/gateway/src/turns/record.rs
+++ b/gateway/src/turns/record.rs
@@ -84,6 +84,10 @@
     /// Hash of the prefix of a request; records of an earlier version lack it.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub(crate) prefix: Option<u64>,
+    /// Those of the lifetimes that ended under an attempt which was sent before any other end was known;
+    /// records of an earlier version do not name them.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub(crate) unrepeated: Vec<Lifetime>,
 }
 
 impl CompletedTurn {
--- a/src/coordination/crashes.rs
+++ b/src/coordination/crashes.rs
@@ -31,7 +31,8 @@
 use std::time::{Duration, Instant};
 use unconfirmed::UnconfirmedCrashes;
 
-/// Duration of the first quarantine of a request whose crashes another one may have caused.
+/// Duration of the first quarantine of a request whose crashes another one may have caused, or that
+/// has not crashed an endpoint again after the first crash was known.
 const SHARED_QUARANTINE: Duration = Duration::from_secs(2);
 
 /// Maximum number of requests in the table. One entry takes about 200 bytes.
@@ -96,13 +97,26 @@
         self.unconfirmed.remove(fingerprint, lifetime);
     }
 
-    /// Records that a lifetime of an endpoint ended while it had a request. Returns the request's
-    /// state unless nothing changed.
+    /// Records that a lifetime of an endpoint ended while it had a request that was sent just before.
+    /// Returns the request's state unless nothing changed.
     pub fn record_crash(
         &mut self,
         now: Instant,
         fingerprint: Fingerprint,
         lifetime: Lifetime,
+    ) -> Option<Suspicion> {
+        let sent_at = now + Duration::from_nanos(1);
+        self.record_crash_of_attempt(now, fingerprint, lifetime, sent_at)
+    }
+
+    /// Records that a lifetime of an endpoint ended while it had an attempt that was sent at a time.
+    /// Returns the request's state unless nothing changed.
+    pub fn record_crash_of_attempt(
+        &mut self,
+        now: Instant,
+        fingerprint: Fingerprint,
+        lifetime: Lifetime,
+        sent_at: Instant,
     ) -> Option<Suspicion> {
         if self.answered.contains(now, fingerprint) {
             return None;
@@ -110,7 +124,7 @@
         let entry = self.entry(now, fingerprint);
         entry.last_crash_at = now;
         let is_trial = entry.end_trial(now);
-        if !entry.add(lifetime, false) && !is_trial {
+        if !entry.record_crash(now, sent_at, lifetime) && !is_trial {
             return None;
         }
         entry.mark_changed();
@@ -144,6 +158,7 @@
         for (fingerprint, entry) in &mut self.entries {
             if entry.suspected().contains(&lifetime) {
                 entry.add(lifetime, true);
+                entry.forget_cleared();
                 entry.mark_changed();
                 withdrawn.push((*fingerprint, entry.suspicion()));
             }
@@ -248,6 +263,10 @@
 
     /// Returns the end of the quarantine of a quarantined entry, past or not.
     fn quarantined_until(&self, fingerprint: Fingerprint, entry: &Entry) -> Instant {
+        if entry.is_unrepeated() {
+            // The endpoints ended at the same time, whatever the reason. A trial decides.
+            return entry.last_crash_at + SHARED_QUARANTINE;
+        }
         entry.quarantined_until(if self.is_shared(fingerprint, entry) {
             SHARED_QUARANTINE
         } else {
@@ -308,9 +327,12 @@
         let entry = self.entry(last_crash_at, report.fingerprint);
         entry.last_crash_at = entry.last_crash_at.max(last_crash_at);
         let mut is_changed = false;
-        for (lifetime, is_cleared) in report.lifetimes.iter().take(MAX_LIFETIMES) {
-            is_changed |= entry.add(*lifetime, *is_cleared);
+        for lifetime in report.lifetimes.iter().take(MAX_LIFETIMES) {
+            let is_unrepeated = report.unrepeated.contains(&lifetime.0);
+            is_changed |= entry.merge(*lifetime, is_unrepeated);
         }
+        entry.suspected_since.get_or_insert(last_crash_at);
+        entry.forget_cleared();
         entry.prefix = entry.prefix.max(report.prefix);
         if let Some(trial) = report.trial {
             entry.merge_trial(now, trial);
@@ -419,6 +441,7 @@
         age_ms: age.as_millis() as u64,
         lifetimes: entry.lifetimes.to_vec(),
         prefix: entry.prefix,
+        unrepeated: entry.unrepeated.to_vec(),
         trial: entry.trial.map(|trial| TrialReport {
             number: trial.number.0,
             claimant: trial.claimant,
--- a/src/coordination/crashes/entry.rs
+++ b/src/coordination/crashes/entry.rs
@@ -74,6 +74,10 @@
     /// At most [`MAX_LIFETIMES`], each with whether it is cleared.
     pub(super) lifetimes: SmallVec<[(Lifetime, bool); 4]>,
     pub(super) last_crash_at: Instant,
+    /// When the first lifetime that is not cleared was known; `None` if there is none.
+    pub(super) suspected_since: Option<Instant>,
+    /// Lifetimes that ended under an attempt which was sent before any other end was known.
+    pub(super) unrepeated: SmallVec<[Lifetime; 4]>,
     /// Hash of the prefix of a request; always `None` for a prefix.
     pub(super) prefix: Option<u64>,
     pub(super) trial: Option<Trial>,
@@ -89,6 +93,8 @@
             first_quarantine: fingerprint.quarantine(),
             lifetimes: SmallVec::new(),
             last_crash_at,
+            suspected_since: None,
+            unrepeated: SmallVec::new(),
             prefix: None,
             trial: None,
             reports_left: 0,
@@ -111,6 +117,63 @@
         }
     }
 
+    /// Records that a lifetime ended under an attempt. Returns whether that is new.
+    pub(super) fn record_crash(
+        &mut self,
+        now: Instant,
+        sent_at: Instant,
+        lifetime: Lifetime,
+    ) -> bool {
+        let mut known = self.lifetimes.iter();
+        if known.any(|(known, _)| *known == lifetime) {
+            return false;
+        }
+        let is_unrepeated = self.suspected_since.is_none_or(|since| sent_at <= since);
+        self.suspected_since.get_or_insert(now);
+        let is_added = self.add(lifetime, false);
+        match (is_added, is_unrepeated) {
+            (true, true) => self.unrepeated.push(lifetime),
+            (true, false) => {}
+            // There is no room for another lifetime, so one that is known stands for it.
+            (false, false) => self.unrepeated.clear(),
+            (false, true) => {}
+        }
+        is_added
+    }
+
+    /// Merges a lifetime that another gateway reports. Returns whether that changed anything.
+    pub(super) fn merge(
+        &mut self,
+        (lifetime, is_cleared): (Lifetime, bool),
+        is_unrepeated: bool,
+    ) -> bool {
+        let mut known = self.lifetimes.iter();
+        let is_known = known.any(|(known, _)| *known == lifetime);
+        let is_changed = self.add(lifetime, is_cleared);
+        if !is_unrepeated {
+            self.unrepeated.retain(|known| *known != lifetime);
+        } else if !is_known && is_changed {
+            self.unrepeated.push(lifetime);
+        }
+        is_changed
+    }
+
+    /// Returns whether the request has not been seen to crash an endpoint again after the first crash
+    /// was known.
+    pub(super) fn is_unrepeated(&self) -> bool {
+        let suspected = self.suspected();
+        suspected
+            .iter()
+            .all(|lifetime| self.unrepeated.contains(lifetime))
+    }
+
+    /// Forgets when the lifetimes ended if all of them are cleared.
+    pub(super) fn forget_cleared(&mut self) {
+        if self.suspected().is_empty() {
+            self.suspected_since = None;
+        }
+    }
+
     /// Returns the end of the quarantine of a quarantined request, past or not.
     pub(super) fn quarantined_until(&self, first_quarantine: Duration) -> Instant {
         let lifetimes = self.suspicion().lifetimes;
@@ -165,7 +228,8 @@
             let Some(oldest) = self.lifetimes.iter().position(|(_, cleared)| *cleared) else {
                 return false;
             };
-            self.lifetimes.remove(oldest);
+            let (removed, _) = self.lifetimes.remove(oldest);
+            self.unrepeated.retain(|known| *known != removed);
         }
         self.lifetimes.push((lifetime, is_cleared));
         true
@@ -175,6 +239,7 @@
         for (_, cleared) in &mut self.lifetimes {
             *cleared = true;
         }
+        self.forget_cleared();
         self.end_trial(now);
     }
 
--- a/src/coordination/crashes/tests.rs
+++ b/src/coordination/crashes/tests.rs
@@ -43,6 +43,7 @@
         age_ms,
         lifetimes: lifetimes.to_vec(),
         prefix: None,
+        unrepeated: Vec::new(),
         trial: None,
     }
 }
@@ -396,6 +397,72 @@
 }
 
 // Guards against a request that crashes endpoints in trial after trial because others were on them.
+/// Records that lifetimes ended at the same time, while each had a copy of the request.
+fn crash_at_once(crashes: &mut Crashes, now: Instant, lifetimes: impl IntoIterator<Item = u64>) {
+    let sent_at = now.checked_sub(Duration::from_millis(100));
+    let sent_at = sent_at.expect("a time");
+    for lifetime in lifetimes {
+        for fingerprint in COPY {
+            crashes.record_crash_of_attempt(now, fingerprint, lifetime, sent_at);
+        }
+    }
+}
+
+// Guards against a long quarantine of an input that conversations share, because several endpoints
+// crashed at the same time for another reason.
+#[googletest::test]
+fn a_request_whose_endpoints_crashed_at_once_is_tried_soon_and_an_answer_clears_it() {
+    let now = Instant::now();
+    let (mut crashes, mut peer) = (Crashes::default(), Crashes::default());
+    crash_at_once(&mut crashes, now, 1..=2);
+    crash_at_once(&mut peer, now, 2..=6);
+    gossip(now, &mut peer, &mut crashes);
+    gossip(now, &mut crashes, &mut peer);
+    for gateway in [&mut crashes, &mut peer] {
+        expect_that!(
+            gateway.admit(now, &COPY, HERE),
+            eq(Admission::Refused(SHARED_QUARANTINE))
+        );
+    }
+    let end = now + SHARED_QUARANTINE;
+    expect_that!(crashes.admit(end, &COPY, HERE), eq(Admission::Trial));
+    for fingerprint in COPY {
+        crashes.record_answer(end, fingerprint);
+    }
+    gossip(end, &mut crashes, &mut peer);
+    for gateway in [&mut crashes, &mut peer] {
+        expect_that!(gateway.admit(end, &COPY, HERE), eq(Admission::Open));
+    }
+    // Later crashes begin anew.
+    let later = end + ANSWERED_RECENTLY;
+    crash_at_once(&mut crashes, later, 7..=9);
+    expect_that!(
+        crashes.admit(later, &COPY, HERE),
+        eq(Admission::Refused(SHARED_QUARANTINE))
+    );
+}
+
+// Guards against a request that crashes endpoints at the same time and is tried again and again, also
+// with a full list of lifetimes.
+#[googletest::test]
+fn a_request_that_crashes_again_after_a_crash_at_once_is_quarantined_for_long() {
+    for lifetimes in [3, MAX_LIFETIMES as u64] {
+        let now = Instant::now();
+        let (mut crashes, mut peer) = (Crashes::default(), Crashes::default());
+        crash_at_once(&mut crashes, now, 1..=lifetimes);
+        gossip(now, &mut crashes, &mut peer);
+        let end = now + SHARED_QUARANTINE;
+        expect_that!(crashes.admit(end, &COPY, HERE), eq(Admission::Trial));
+        for fingerprint in COPY {
+            crashes.record_crash_of_attempt(end, fingerprint, 99, end);
+        }
+        gossip(end, &mut crashes, &mut peer);
+        for gateway in [&crashes, &peer] {
+            expect_that!(gateway.quarantine_left(end, &COPY), some(ge(QUARANTINE)));
+        }
+    }
+}
+
 #[googletest::test]
 fn a_trial_that_crashes_singles_out_its_request() {
     let now = Instant::now();
--- a/src/protocol/crashes.rs
+++ b/src/protocol/crashes.rs
@@ -66,6 +66,10 @@
     /// Hash of the prefix of a request; a node of an earlier version does not send it.
     #[serde(rename = "p", default, skip_serializing_if = "Option::is_none")]
     pub prefix: Option<u64>,
+    /// Those of the lifetimes that ended under an attempt which was sent before any other end was known;
+    /// a node of an earlier version does not name them.
+    #[serde(rename = "o", default, skip_serializing_if = "Vec::is_empty")]
+    pub unrepeated: Vec<Lifetime>,
     /// The latest trial.
     #[serde(rename = "t", default, skip_serializing_if = "Option::is_none")]
     pub trial: Option<TrialReport>,
