Report a withdrawn crash only if peers do not learn of it themselves

Change: check-ins are seen by all gateways, so these withdrawals are not reported, and the owner of the first partition deletes the records of requests whose quarantine ends. Announcements that a gateway read late are known there only and are reported as before.

Test: a_withdrawn_crash_is_reported_only_if_peers_do_not_learn_of_it.

--- a/gateway/src/serve/forward/quarantine.rs
+++ b/gateway/src/serve/forward/quarantine.rs
@@ -46,6 +46,15 @@
     crashes::fingerprints((&head.method, &head.host, &head.target, credential), body)
 }
 
+/// Why an end that counted as a crash was none.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, strum::Display)]
+enum Counterevidence {
+    #[strum(to_string = "its end was announced")]
+    Announcement,
+    #[strum(to_string = "it checked in afterwards")]
+    CheckIns,
+}
+
 /// What an attempt says of its request once it has ended.
 #[derive(Clone, Debug)]
 pub(super) struct Attempt {
@@ -281,7 +290,7 @@
         let mut announced_ends = self.announced_ends.borrow_mut();
         if announced_ends.announce(Instant::now(), lifetime, by) {
             drop(announced_ends);
-            self.withdraw_crash(endpoint, lifetime, "its end was announced");
+            self.withdraw_crash(endpoint, lifetime, Counterevidence::Announcement);
         }
     }
 
@@ -293,20 +302,31 @@
         }
         let lifetime = lifetime(&endpoint.id, endpoint.started_unix_ms);
         if self.check_ins.borrow_mut().record(lifetime) {
-            self.withdraw_crash(&endpoint.id, lifetime, "it checked in afterwards");
+            self.withdraw_crash(&endpoint.id, lifetime, Counterevidence::CheckIns);
         }
     }
 
     /// Takes back that an endpoint crashed under the requests that it had.
-    fn withdraw_crash(&self, endpoint: &str, lifetime: Lifetime, reason: &str) {
-        let withdrawn = self.crashes.borrow_mut().withdraw_lifetime(lifetime);
-        for (fingerprint, suspicion) in withdrawn {
+    ///
+    /// All gateways see check-ins, so only the owner of the first partition deletes the records of
+    /// requests that these clear, and none reports it.
+    fn withdraw_crash(&self, endpoint: &str, lifetime: Lifetime, by: Counterevidence) {
+        let is_known_here_only = by == Counterevidence::Announcement;
+        let mut crashes = self.crashes.borrow_mut();
+        let withdrawals = crashes.withdraw_lifetime(lifetime, is_known_here_only);
+        drop(crashes);
+        for withdrawal in withdrawals {
+            let left = withdrawal.left;
             crate::event!("crash_withdrawn", "endpoint" => endpoint,
-                "fingerprint" => fingerprint.to_string(), "reason" => reason,
-                "lifetimes" => suspicion.lifetimes, "quarantined" => suspicion.is_quarantined);
+                "fingerprint" => withdrawal.fingerprint.to_string(), "reason" => by.to_string(),
+                "lifetimes" => left.lifetimes, "quarantined" => left.is_quarantined);
             self.counters.record_withdrawn_crash();
+            if withdrawal.ends_quarantine && (is_known_here_only || self.owns(0)) {
+                self.crash_sync.enqueue(withdrawal.fingerprint);
+            }
+        }
+        if is_known_here_only {
             self.crash_sync.notify_changed();
-            self.crash_sync.enqueue(fingerprint);
         }
     }
 
--- a/src/coordination/crashes.rs
+++ b/src/coordination/crashes.rs
@@ -52,6 +52,17 @@
     pub is_quarantined: bool,
 }
 
+/// A crash that is no longer blamed on a request.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Withdrawal {
+    /// The request.
+    pub fingerprint: Fingerprint,
+    /// Its state afterwards.
+    pub left: Suspicion,
+    /// Whether it was quarantined before.
+    pub ends_quarantine: bool,
+}
+
 /// Whether a request may be served.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Admission {
@@ -150,20 +161,31 @@
         entries.flat_map(Entry::suspected).collect()
     }
 
-    /// Takes back that a lifetime of an endpoint ended under the requests that it had. Returns their
-    /// states after that.
-    pub fn withdraw_lifetime(&mut self, lifetime: Lifetime) -> Vec<(Fingerprint, Suspicion)> {
+    /// Takes back that a lifetime of an endpoint ended under the requests that it had. Returns what has
+    /// changed.
+    ///
+    /// `is_reported` is whether peers are told. Those that learn of it by themselves need no reports.
+    pub fn withdraw_lifetime(&mut self, lifetime: Lifetime, is_reported: bool) -> Vec<Withdrawal> {
         self.unconfirmed.remove_lifetime(lifetime);
-        let mut withdrawn = Vec::new();
+        let mut withdrawals = Vec::new();
         for (fingerprint, entry) in &mut self.entries {
-            if entry.suspected().contains(&lifetime) {
-                entry.add(lifetime, true);
-                entry.forget_cleared();
+            if !entry.suspected().contains(&lifetime) {
+                continue;
+            }
+            let was_quarantined = entry.suspicion().is_quarantined;
+            entry.add(lifetime, true);
+            entry.forget_cleared();
+            if is_reported {
                 entry.mark_changed();
-                withdrawn.push((*fingerprint, entry.suspicion()));
             }
+            let left = entry.suspicion();
+            withdrawals.push(Withdrawal {
+                fingerprint: *fingerprint,
+                left,
+                ends_quarantine: was_quarantined && !left.is_quarantined,
+            });
         }
-        withdrawn
+        withdrawals
     }
 
     /// Records which prefix a request has, if it is in the table.
--- a/src/coordination/crashes/tests.rs
+++ b/src/coordination/crashes/tests.rs
@@ -6,7 +6,7 @@
 use super::fingerprint::PREFIX_BYTES;
 use super::{
     Admission, Claimant, CrashReport, Crashes, Fingerprint, Fingerprints, Lifetime, MAX_LIFETIMES,
-    MAX_REQUESTS, SHARED_QUARANTINE, TrialReport, fingerprints, lifetime,
+    MAX_REQUESTS, SHARED_QUARANTINE, Suspicion, TrialReport, Withdrawal, fingerprints, lifetime,
 };
 use googletest::prelude::*;
 use proptest::prelude::*;
@@ -442,6 +442,35 @@
     );
 }
 
+// Guards against gateways that all learn of the same thing and all report it to all others.
+#[googletest::test]
+fn a_withdrawn_crash_is_reported_only_if_peers_do_not_learn_of_it() {
+    for is_reported in [false, true] {
+        let now = Instant::now();
+        let mut crashes = quarantined(now);
+        let later = now + REPORT_INTERVAL * u32::from(REPORTS_PER_CHANGE);
+        for number in 0..=u32::from(REPORTS_PER_CHANGE) {
+            crashes.due_reports(now + REPORT_INTERVAL * number, 9);
+        }
+        let withdrawn = crashes.withdraw_lifetime(2, is_reported);
+        expect_that!(
+            withdrawn,
+            elements_are![matches_pattern!(Withdrawal {
+                fingerprint: eq(&FATAL),
+                left: matches_pattern!(Suspicion {
+                    lifetimes: eq(&2),
+                    is_quarantined: eq(&false),
+                }),
+                ends_quarantine: eq(&true),
+            })]
+        );
+        expect_that!(crashes.admit(later, &COPY, HERE), eq(Admission::Open));
+        let reports = crashes.due_reports(later + REPORT_INTERVAL, 9);
+        expect_that!(reports.is_empty(), eq(!is_reported));
+        expect_that!(crashes.withdraw_lifetime(2, is_reported), is_empty());
+    }
+}
+
 // Guards against a request that crashes endpoints at the same time and is tried again and again, also
 // with a full list of lifetimes.
 #[googletest::test]
