--- a/gateway/src/choice/check_ins.rs
+++ b/gateway/src/choice/endpoint_heartbeats.rs
@@ -1,4 +1,4 @@
-//! Check-ins of endpoints whose ends were counted as crashes. They show that the endpoint still runs: the
+//! Heartbeats of endpoints whose ends were counted as crashes. They show that the endpoint still runs: the
 //! network refused or reset its connections.
 
 #[cfg(test)]
@@ -8,27 +8,27 @@
 use std::collections::{HashMap, HashSet};
 use std::time::Instant;
 
-/// Number of check-ins after a supposed crash that prove that there was none. The store may append
+/// Number of heartbeats after a supposed crash that prove that there was none. The store may append
 /// the last one of a process that has ended late.
-const MIN_CHECK_INS: u32 = 2;
+const MIN_HEARTBEATS: u32 = 2;
 
 #[derive(Clone, Copy, Debug)]
 struct Suspect {
     /// When the lifetime was first known as crashed.
     since: Instant,
-    check_ins: u32,
+    heartbeats: u32,
 }
 
-/// Lifetimes that count as crashed, with their check-ins since.
+/// Lifetimes that count as crashed, with their heartbeats since.
 #[derive(Debug, Default)]
-pub(crate) struct CheckIns {
+pub(crate) struct EndpointHeartbeats {
     suspects: HashMap<Lifetime, Suspect>,
     /// Start of the last read that reached the end of the list. Later reads return what was appended
     /// after it.
     appended_after: Option<Instant>,
 }
 
-impl CheckIns {
+impl EndpointHeartbeats {
     /// Replaces the lifetimes that count as crashed.
     pub(crate) fn watch(&mut self, now: Instant, crashed: &HashSet<Lifetime>) {
         self.suspects
@@ -36,7 +36,7 @@
         for lifetime in crashed {
             self.suspects.entry(*lifetime).or_insert(Suspect {
                 since: now,
-                check_ins: 0,
+                heartbeats: 0,
             });
         }
     }
@@ -48,9 +48,9 @@
             return false;
         };
         if self.appended_after.is_some_and(|at| at > suspect.since) {
-            suspect.check_ins += 1;
+            suspect.heartbeats += 1;
         }
-        suspect.check_ins >= MIN_CHECK_INS
+        suspect.heartbeats >= MIN_HEARTBEATS
     }
 
     /// Records that a read that was started at a time has reached the end of the list.
--- a/gateway/src/node.rs
+++ b/gateway/src/node.rs
@@ -2,7 +2,7 @@
 
 use crate::admission::version_watch::VersionWatch;
 use crate::choice::announced_ends::AnnouncedEnds;
-use crate::choice::check_ins::CheckIns;
+use crate::choice::endpoint_heartbeats::EndpointHeartbeats;
 use crate::choice::endpoints::Endpoints;
 use crate::counters::Counters;
 use crate::dialect::{Dialect, Offset};
@@ -137,8 +137,8 @@
     pub(crate) endpoints: RefCell<Endpoints>,
     /// Endpoints that announced their end, listed or not.
     pub(crate) announced_ends: RefCell<AnnouncedEnds>,
-    /// Check-ins of endpoints that count as crashed.
-    pub(crate) check_ins: RefCell<CheckIns>,
+    /// Heartbeats of endpoints that count as crashed.
+    pub(crate) endpoint_heartbeats: RefCell<EndpointHeartbeats>,
     pub(crate) endpoints_loaded: Cell<bool>,
     /// When the list of endpoints was last read from the store.
     pub(crate) endpoints_read_at: Cell<Option<Instant>>,
@@ -197,7 +197,7 @@
             handovers: Rc::default(),
             endpoints: RefCell::new(endpoints),
             announced_ends: RefCell::default(),
-            check_ins: RefCell::default(),
+            endpoint_heartbeats: RefCell::default(),
             endpoints_loaded: Cell::new(false),
             endpoints_read_at: Cell::new(None),
             partitions: (0..PARTITION_COUNT).map(Partition::new).collect(),
--- a/gateway/src/serve/forward/quarantine.rs
+++ b/gateway/src/serve/forward/quarantine.rs
@@ -51,8 +51,8 @@
 enum Counterevidence {
     #[strum(to_string = "its end was announced")]
     Announcement,
-    #[strum(to_string = "it checked in afterwards")]
-    CheckIns,
+    #[strum(to_string = "it sent heartbeats afterwards")]
+    Heartbeats,
 }
 
 /// What an attempt says of its request once it has ended.
@@ -295,20 +295,20 @@
     }
 
     /// Takes back the crashes of endpoints that are listed in entries of their own since.
-    pub(crate) fn observe_check_in(&self, endpoint: &EndpointRecord) {
+    pub(crate) fn observe_endpoint_heartbeat(&self, endpoint: &EndpointRecord) {
         // Without its start time, an entry may describe a later lifetime.
         if endpoint.started_unix_ms.is_none() {
             return;
         }
         let lifetime = lifetime(&endpoint.id, endpoint.started_unix_ms);
-        if self.check_ins.borrow_mut().record(lifetime) {
-            self.withdraw_crash(&endpoint.id, lifetime, Counterevidence::CheckIns);
+        if self.endpoint_heartbeats.borrow_mut().record(lifetime) {
+            self.withdraw_crash(&endpoint.id, lifetime, Counterevidence::Heartbeats);
         }
     }
 
     /// Takes back that an endpoint crashed under the requests that it had.
     ///
-    /// All gateways see check-ins, so only the owner of the first partition deletes the records of
+    /// All gateways see heartbeats, so only the owner of the first partition deletes the records of
     /// requests that these clear, and none reports it.
     fn withdraw_crash(&self, endpoint: &str, lifetime: Lifetime, by: Counterevidence) {
         let is_known_here_only = by == Counterevidence::Announcement;
--- a/gateway/src/store/follow.rs
+++ b/gateway/src/store/follow.rs
@@ -269,7 +269,7 @@
                 self.remove_endpoint_after_grace(id, &mut removal_deadlines);
             }
             self.apply_endpoints(&records, &mut removal_deadlines);
-            self.check_ins.borrow_mut().reach_end(started_at);
+            self.endpoint_heartbeats.borrow_mut().reach_end(started_at);
             self.endpoints_loaded.set(true);
             let mut failures = Backoff::default();
             loop {
@@ -283,9 +283,9 @@
                         from += records.len() as Offset;
                         self.record_endpoints_read();
                         self.apply_endpoints(&records, &mut removal_deadlines);
-                        self.observe_check_ins(&records);
+                        self.observe_endpoint_heartbeats(&records);
                         if from >= end {
-                            self.check_ins.borrow_mut().reach_end(started_at);
+                            self.endpoint_heartbeats.borrow_mut().reach_end(started_at);
                         }
                         self.remove_overdue_endpoints(&mut removal_deadlines);
                         Timer::after(ENDPOINTS_POLL_INTERVAL).await;
@@ -325,17 +325,19 @@
         }
     }
 
-    /// Looks for check-ins of endpoints that count as crashed.
-    fn observe_check_ins(&self, records: &[StoreRecord]) {
+    /// Looks for heartbeats of endpoints that count as crashed.
+    fn observe_endpoint_heartbeats(&self, records: &[StoreRecord]) {
         let crashed = self.crashes.borrow().crashed_lifetimes();
-        self.check_ins.borrow_mut().watch(Instant::now(), &crashed);
+        self.endpoint_heartbeats
+            .borrow_mut()
+            .watch(Instant::now(), &crashed);
         if crashed.is_empty() {
             return;
         }
         for record in records {
             let value = record.value.as_deref().unwrap_or_default();
             if let Ok(endpoint) = D::parse_endpoint(&record.key, value) {
-                self.observe_check_in(&endpoint);
+                self.observe_endpoint_heartbeat(&endpoint);
             }
         }
     }
