--- a/gateway/src/serve/http/tests.rs
+++ b/gateway/src/serve/http/tests.rs
@@ -153,3 +153,15 @@
         expect_that!(parse_response(text).is_err(), eq(true));
     }
 }
+
+// Guards against a status that the protocol does not have in an answer to any request of the gateway:
+// of endpoints, of their status, of the store and of peers.
+#[googletest::test]
+fn a_head_is_an_answer_only_with_a_status_of_the_protocol() {
+    for status in 0..1_000 {
+        let head = format!("HTTP/1.1 {status:03} Status\r\nContent-Length: 0\r\n\r\n");
+        let is_valid = (100..600).contains(&status) && status != 101;
+        let parsed = parse_response(head.as_bytes());
+        expect_that!(parsed.is_ok(), eq(is_valid), "{status}");
+    }
+}
