--- a/src/entry/crashes.rs
+++ b/src/entry/crashes.rs
@@ -6,6 +6,7 @@
 use crate::coordination::crashes::{
     self, Admission, CrashReport, Fingerprints, Lifetime, Suspicion,
 };
+use crate::coordination::membership::NodeState;
 use crate::coordination::stable_hash::stable_hash;
 use crate::entry::{Entry, lock};
 use crate::ids::{CallId, NodeId, ProgramId, format_id};
@@ -127,7 +128,8 @@
         left.map_or(Ok(()), |left| Err(refuse_quarantined(call, left, attempts)))
     }
 
-    /// Records that an endpoint crashed while it had a call, and tells the other entries.
+    /// Records that an endpoint crashed while it had a call, and tells the other entries. The end of one
+    /// whose VM is leaving is no crash, whatever still ran there.
     pub(super) fn record_crash(
         &self,
         call: &FingerprintedCall,
@@ -135,6 +137,14 @@
         lifetime: Lifetime,
     ) {
         let now = Instant::now();
+        if lock(&self.0.membership).state(now, endpoint) == Some(NodeState::Leaving) {
+            log::info!(
+                target: "owner",
+                "owner: endpoint {endpoint} ended while it had {call}; its VM is leaving, so this is no \
+                 crash (lifetime {lifetime:016x})"
+            );
+            return;
+        }
         let mut crashes = lock(&self.0.crashes);
         let states = call
             .fingerprints
--- a/tests/system/crashes.rs
+++ b/tests/system/crashes.rs
@@ -3,10 +3,13 @@
 use crate::support::{
     CALL_TIMEOUT, Cluster, bank_client, create_program, owner_of, small_cluster, with_cluster,
 };
+use futures_lite::FutureExt;
+use futures_util::StreamExt;
+use futures_util::stream::FuturesUnordered;
 use galenapick::ids::{ProgramId, format_id};
 use galenapick::protocol::caller::CallRequest;
-use galenapick::protocol::vms::NodeRole;
-use galenapick::standin::{EngineControl, ServiceControl};
+use galenapick::protocol::vms::{NodeRole, Vm, VmState};
+use galenapick::standin::{EngineControl, ServiceControl, ServiceStandin};
 use galenapick::{
     CallError, ClusterOptions, Message, Ran, Refusal, RefusalCode, RetryDeadline, Role,
 };
@@ -279,3 +282,107 @@
         expect_that!(service_runs(cluster), eq(MAX_RUNS));
     });
 }
+
+/// Time for which a service runs an action that is cut off.
+const LONG_ACTION: Duration = Duration::from_secs(20);
+
+/// Time within which an action has begun to run.
+const START_TIME: Duration = Duration::from_millis(500);
+
+/// Time within which entries have read a change of the VM list several times.
+const VM_LIST_TIME: Duration = Duration::from_secs(3);
+
+/// Lists all VMs again, some of them as leaving.
+fn list_vms(cluster: &Cluster, leaving: &BTreeSet<String>) {
+    let nodes = cluster.names();
+    let nodes = nodes.iter().filter_map(|name| cluster.node(name));
+    let vms = nodes.map(|node| Vm {
+        node: node.spec.name.clone(),
+        role: node.spec.role(),
+        address: node.link.address().to_string(),
+        failure_domain: node.spec.failure_domain.clone(),
+        state: match leaving.contains(&node.spec.name) {
+            true => VmState::Leaving,
+            false => VmState::Live,
+        },
+    });
+    cluster.platform.vms.set(vms.collect());
+}
+
+/// Returns the names of the nodes whose services have had a request, with these services.
+fn called_services(cluster: &Cluster) -> Vec<(String, &ServiceStandin)> {
+    let names = cluster.names();
+    let called = names.into_iter().filter_map(|name| {
+        let endpoint = cluster.node(&name)?.spec.endpoint?;
+        let service = cluster.platform.service(endpoint)?;
+        (service.counts().requests > 0).then_some((name, service))
+    });
+    called.collect()
+}
+
+/// Makes progress with calls, none of which ends meanwhile.
+async fn run_for(calls: &mut FuturesUnordered<impl Future<Output = RefusedCall>>, time: Duration) {
+    let pause = async {
+        Timer::after(time).await;
+        None
+    };
+    let ended = calls.next().or(pause).await;
+    assert!(ended.is_none(), "a call has ended");
+}
+
+// Guards against planned ends of services that count as crashes: later actions with the same argument
+// were refused at all entries for minutes.
+#[gtest]
+fn an_action_that_leaving_services_cut_off_is_not_refused_later() {
+    let options = ClusterOptions {
+        services: 2 * MAX_RUNS as usize,
+        ..cluster_options()
+    };
+    with_cluster(options, async |cluster| {
+        let body = serde_json::json!({"action": "a1", "hours": 2});
+        let request = CallRequest::tool("bank-core", "transfer", body);
+        for service in cluster.platform.services() {
+            let control = ServiceControl {
+                work_ms: Some(LONG_ACTION.as_millis() as u64),
+                ..ServiceControl::default()
+            };
+            service.control(control).await;
+        }
+        let mut cut_off = FuturesUnordered::new();
+        for number in 0..PROGRAMS {
+            cut_off.push(refused_call(cluster, number, &request));
+            run_for(&mut cut_off, START_TIME).await;
+            if called_services(cluster).len() >= MAX_RUNS as usize {
+                break;
+            }
+        }
+        let called = called_services(cluster);
+        let leaving = called.iter().map(|(name, _)| name.clone()).collect();
+        list_vms(cluster, &leaving);
+        run_for(&mut cut_off, VM_LIST_TIME).await;
+        for (_, service) in called {
+            let control = ServiceControl {
+                down: Some(true),
+                ..ServiceControl::default()
+            };
+            service.control(control).await;
+        }
+        let refused: Vec<RefusedCall> = cut_off.collect().await;
+        for call in refused {
+            expect_that!(call.refusal.code, eq(RefusalCode::UnknownOutcome));
+        }
+        for service in cluster.platform.services() {
+            let control = ServiceControl {
+                work_ms: Some(1),
+                ..ServiceControl::default()
+            };
+            service.control(control).await;
+        }
+        for number in 0..4 {
+            let client = bank_client(cluster).starting_at(number);
+            let program = create_program(&client, &format!("later{number}")).await;
+            let answered = client.call(program, &request).await;
+            expect_that!(answered, ok(anything()));
+        }
+    });
+}
