--- a/gateway/src/choice/announced_ends.rs
+++ b/gateway/src/choice/announced_ends.rs
@@ -24,7 +24,7 @@
 /// Time for which ends and announcements are remembered; longer than any call lasts.
 const REMEMBERED: Duration = Duration::from_secs(600);
 
-/// Maximum number of lifetimes; many times the endpoints that end in [`REMEMBERED`].
+/// Maximum number of lifetimes.
 const MAX_LIFETIMES: usize = 4_096;
 
 /// How an end was announced.
--- a/gateway/src/serve/forward.rs
+++ b/gateway/src/serve/forward.rs
@@ -9,23 +9,20 @@
 mod quarantine;
 mod quota;
 mod rate_limit;
+mod request;
 mod survival;
 #[cfg(test)]
 mod tests;
 
 use crate::choice::endpoints::{CallOutcome, EndpointRecord, ExpectedWork, InstanceId};
-use crate::dialect::{AnswerInfo, Dialect, Dispatch};
+use crate::dialect::{AnswerInfo, Dialect};
 use crate::limits::{BufferShare, MAX_ANSWER_BYTES};
 use crate::net::{connect, io_with_timeout, with_timeout};
 use crate::node::Gateway;
 use crate::routes::RouteKind;
 use crate::serve::call::Call;
-use crate::serve::http::{
-    BodyDecoder, BodyError, Connection, Framing, Header, ResponseHead, connection_tokens,
-    is_hop_header,
-};
+use crate::serve::http::{BodyDecoder, BodyError, Connection, Framing, ResponseHead};
 use crate::serve::pool::EndpointConnection;
-use crate::serve::stream::{EventId, LAST_EVENT_ID};
 use failure::FailureCause;
 pub(crate) use failure::{Execution, Failure};
 use futures_lite::future;
@@ -34,6 +31,7 @@
 use quarantine::Attempt;
 pub(crate) use quarantine::fingerprints;
 pub(crate) use quota::QuotaOutcome;
+pub(crate) use request::OutgoingRequest;
 use std::cell::Cell;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
@@ -229,18 +227,6 @@
     }
 }
 
-/// A request to send to an endpoint of a service.
-#[derive(Clone, Copy)]
-pub(crate) struct OutgoingRequest<'a> {
-    pub(crate) call: &'a Call,
-    pub(crate) service: &'a str,
-    pub(crate) body: &'a [u8],
-    pub(crate) prompt_tokens: u32,
-    pub(crate) answer_tokens: u32,
-    /// Last event of the stream that was forwarded, if the request asks for the rest of a stream.
-    pub(crate) resume_after: Option<EventId>,
-}
-
 impl<D: Dialect> Gateway<D> {
     /// Sends a request to endpoints of its service until one answers.
     ///
@@ -346,20 +332,6 @@
             && self.endpoints.borrow().is_failing(&endpoint.id)
     }
 
-    /// Returns the failure of a call to a service without an endpoint that takes calls.
-    pub(crate) fn no_endpoint(&self) -> Failure {
-        Failure {
-            execution: Execution::NotRun,
-            reason: "no endpoint of the service takes calls",
-            // Before the list of endpoints has been read, an early retry may succeed.
-            cause: if self.endpoints_loaded.get() {
-                FailureCause::NoEndpoint
-            } else {
-                FailureCause::Other
-            },
-        }
-    }
-
     /// Sends a request to one endpoint.
     async fn send_once(
         self: &Rc<Self>,
@@ -477,43 +449,6 @@
             }
         }
     }
-
-    /// Serializes the request for an endpoint, with hop-by-hop and reserved headers removed.
-    fn request_bytes(&self, outgoing: &OutgoingRequest<'_>, instance: &str) -> Vec<u8> {
-        let call = outgoing.call;
-        let head = &call.head;
-        let mut bytes = Vec::with_capacity(512 + outgoing.body.len());
-        let mut line = |text: &str| bytes.extend_from_slice(text.as_bytes());
-        line(&head.method);
-        line(" ");
-        line(&head.target);
-        line(" HTTP/1.1\r\n");
-        let connection_headers = connection_tokens(&head.headers);
-        for header in &head.headers {
-            let is_replaced = outgoing.resume_after.is_some() && header.is(LAST_EVENT_ID);
-            if !is_replaced && is_forwarded::<D>(header, &connection_headers) {
-                line(&header.name);
-                line(": ");
-                line(&header.value);
-                line("\r\n");
-            }
-        }
-        if let Some(last_event_id) = outgoing.resume_after {
-            line(&format!("{LAST_EVENT_ID}: {last_event_id}\r\n"));
-        }
-        if head.framing != Framing::Empty || !outgoing.body.is_empty() {
-            line(&format!("Content-Length: {}\r\n", outgoing.body.len()));
-        }
-        let dispatch = Dispatch {
-            time_left: call.time_left(),
-            instance,
-            account: call.account.as_ref().map(|account| &*account.name),
-        };
-        D::write_dispatch(&dispatch, &mut bytes);
-        bytes.extend_from_slice(b"\r\n");
-        bytes.extend_from_slice(outgoing.body);
-        bytes
-    }
 }
 
 /// An endpoint's answer to a request.
@@ -531,14 +466,6 @@
         && head.framing != Framing::Empty
 }
 
-/// Returns whether a client's header is forwarded to the endpoint.
-fn is_forwarded<D: Dialect>(header: &Header, connection_headers: &[String]) -> bool {
-    !is_hop_header(&header.name, connection_headers)
-        && !header.is("content-length")
-        && !header.is("expect")
-        && !D::is_reserved(&header.name)
-}
-
 /// Writes a request while reading the head of its answer.
 ///
 /// Both run concurrently because an endpoint may answer and close the connection before it has
--- a/gateway/src/serve/forward/failure.rs
+++ b/gateway/src/serve/forward/failure.rs
@@ -1,6 +1,8 @@
 //! Failed attempts to get an answer from an endpoint, and the replies to their clients.
 
 use crate::choice::endpoints::CallOutcome;
+use crate::dialect::Dialect;
+use crate::node::Gateway;
 use crate::serve::call::Call;
 use crate::serve::reply::Refusal;
 use std::time::Duration;
@@ -116,3 +118,19 @@
         }
     }
 }
+
+impl<D: Dialect> Gateway<D> {
+    /// Returns the failure of a call to a service without an endpoint that takes calls.
+    pub(crate) fn no_endpoint(&self) -> Failure {
+        Failure {
+            execution: Execution::NotRun,
+            reason: "no endpoint of the service takes calls",
+            // Before the list of endpoints has been read, an early retry may succeed.
+            cause: if self.endpoints_loaded.get() {
+                FailureCause::NoEndpoint
+            } else {
+                FailureCause::Other
+            },
+        }
+    }
+}
--- a/gateway/src/serve/forward/quarantine.rs
+++ b/gateway/src/serve/forward/quarantine.rs
@@ -61,6 +61,7 @@
     request_id: String,
     fingerprints: Fingerprints,
     pub(super) lifetime: Lifetime,
+    /// When the attempt began.
     sent_at: Instant,
     /// `None` if the endpoint cannot be asked whether it still runs.
     status: Option<StatusAddress>,
